--- /dev/null
+++ b/src/base/BoostSources.cpp
@@ -0,0 +1,3 @@
+/// Compiles the header-only parts of Boost.JSON once.
+
+#include <boost/json/src.hpp>
--- /dev/null
+++ b/src/config/Configuration.cpp
@@ -0,0 +1,258 @@
+#include "apricottrack/Configuration.h"
+
+#include "base/Hash.h"
+#include "config/TomlReader.h"
+
+#include <algorithm>
+#include <fmt/format.h>
+
+namespace apricottrack {
+
+namespace {
+
+constexpr NumberRange kRate{ .least = 0, .most = 1e7, .unit = "a second" };
+constexpr NumberRange kWeight{ .least = 0.001, .most = 1000, .unit = "" };
+constexpr NumberRange kTimeoutMs{ .least = 10,
+                                  .most = 3'600'000,
+                                  .unit = "milliseconds" };
+
+ClientAccount
+ReadAccount(TomlReader& aReader)
+{
+  ClientAccount account{
+    .name = aReader.Text("name"),
+    .keySha256 = aReader.Text("key_sha256"),
+    .requestsPerSecond = aReader.Number("requests_per_second", kRate, 10),
+    .tokensPerSecond = aReader.Number("tokens_per_second", kRate, 10'000),
+    .weight = aReader.Number("weight", kWeight, 1),
+  };
+  const bool isHex = std::all_of(
+    account.keySha256.begin(), account.keySha256.end(), [](char aDigit) {
+      return (aDigit >= '0' && aDigit <= '9') ||
+             (aDigit >= 'a' && aDigit <= 'f');
+    });
+  if (!account.keySha256.empty() &&
+      (account.keySha256.size() != 64 || !isHex)) {
+    aReader.Report("key_sha256",
+                   "is not a SHA-256 in lower-case hexadecimal",
+                   "print it with: apricottrack hash-key");
+  }
+  return account;
+}
+
+RequestKind
+ReadKind(TomlReader& aReader)
+{
+  static const std::vector<std::string_view> kMethods{
+    "POST", "GET", "PUT", "PATCH", "DELETE"
+  };
+  RequestKind kind{
+    .name = aReader.Text("name"),
+    .method = std::string(kMethods[aReader.Choice("method", kMethods, 0)]),
+    .path = aReader.Text("path", "/"),
+    .idempotent = aReader.Flag("idempotent", true),
+    .priority = static_cast<Priority>(
+      aReader.Choice("priority", { "interactive", "batch" }, 0)),
+  };
+  if (!kind.path.starts_with('/')) {
+    aReader.Report("path", "does not start with a slash", "write \"/...\"");
+  }
+  return kind;
+}
+
+Objective
+ReadObjective(TomlReader& aReader)
+{
+  return Objective{
+    .firstToken =
+      milliseconds(aReader.Integer("first_token_ms", kTimeoutMs, 560)),
+    .target = aReader.Number(
+      "target", { .least = 0.5, .most = 0.99999, .unit = "" }, 0.95),
+  };
+}
+
+Service
+ReadService(TomlReader& aReader)
+{
+  Service service{
+    .name = aReader.Text("name"),
+    .contract =
+      static_cast<Contract>(aReader.Choice("contract", { "chat", "plain" }, 1)),
+    .role = aReader.Text("role", ""),
+    .accounts = aReader.Texts("accounts"),
+    .slotsPerTarget = aReader.Integer(
+      "slots_per_target", { .least = 1, .most = 4096, .unit = "requests" }, 8),
+    .queueLimit = aReader.Integer(
+      "queue_limit", { .least = 0, .most = 100'000, .unit = "requests" }, 256),
+    .maxAttempts = aReader.Integer(
+      "max_attempts", { .least = 1, .most = 10, .unit = "attempts" }, 3),
+    .firstByteTimeout =
+      milliseconds(aReader.Integer("first_byte_timeout_ms", kTimeoutMs, 5000)),
+    .stallTimeout =
+      milliseconds(aReader.Integer("stall_timeout_ms", kTimeoutMs, 2000)),
+    .echoesRequestId = aReader.Flag("echoes_request_id", false),
+    .resumesStreams = aReader.Flag("resumes_streams", false),
+  };
+  aReader.Tables("kinds", [&service](TomlReader& aKind) {
+    service.kinds.push_back(ReadKind(aKind));
+  });
+  aReader.Table("objective", [&service](TomlReader& aObjective) {
+    service.objective = ReadObjective(aObjective);
+  });
+  if (service.kinds.empty()) {
+    aReader.Report("kinds", "is missing", "declare at least one request kind");
+  }
+  if (service.accounts.empty()) {
+    aReader.Report(
+      "accounts", "names nobody", "name the accounts that may call, or \"*\"");
+  }
+  if (service.contract == Contract::kPlain && service.role.empty()) {
+    aReader.Report("role",
+                   "is missing for a plain service",
+                   "name the role of its VMs in the platform's list");
+  }
+  return service;
+}
+
+GroupSet
+ReadGroupSet(TomlReader& aReader)
+{
+  return GroupSet{
+    .name = aReader.Text("name"),
+    .service = aReader.Text("service"),
+    .role = aReader.Text("role"),
+    .count = aReader.Integer(
+      "count", { .least = 0, .most = 10'000, .unit = "groups" }, 1),
+    .size =
+      aReader.Integer("size", { .least = 1, .most = 256, .unit = "VMs" }, 1),
+    .checksFencing = aReader.Flag("checks_fencing", true),
+  };
+}
+
+/// Reports names that stand twice in a list.
+template<typename T>
+void
+CheckUnique(const std::vector<T>& aItems,
+            std::string_view aKey,
+            TomlReader& aReader)
+{
+  for (std::size_t i = 0; i < aItems.size(); ++i) {
+    for (std::size_t j = 0; j < i; ++j) {
+      if (aItems[i].name == aItems[j].name && !aItems[i].name.empty()) {
+        aReader.Report(
+          aKey,
+          fmt::format("the name \"{}\" stands twice", aItems[i].name),
+          "rename one of them");
+      }
+    }
+  }
+}
+
+void
+CheckReferences(const Configuration& aConfiguration, TomlReader& aReader)
+{
+  for (const Service& service : aConfiguration.services) {
+    for (const std::string& name : service.accounts) {
+      const bool known =
+        name == "*" || std::any_of(aConfiguration.accounts.begin(),
+                                   aConfiguration.accounts.end(),
+                                   [&](const ClientAccount& aAccount) {
+                                     return aAccount.name == name;
+                                   });
+      if (!known) {
+        aReader.Report(
+          "services",
+          fmt::format(
+            "service \"{}\" names unknown account \"{}\"", service.name, name),
+          "declare the account, or take the name out");
+      }
+    }
+  }
+  for (const GroupSet& set : aConfiguration.groupSets) {
+    const Service* const service = FindService(aConfiguration, set.service);
+    if (service == nullptr || service->contract != Contract::kChat) {
+      aReader.Report("groups",
+                     fmt::format("group set \"{}\" serves \"{}\", which is no "
+                                 "chat service",
+                                 set.name,
+                                 set.service),
+                     "name a declared service with contract = \"chat\"");
+    }
+  }
+}
+
+} // namespace
+
+tl::expected<Configuration, Mistakes>
+ParseConfiguration(std::string_view aText)
+{
+  Mistakes mistakes;
+  const auto table = ParseToml(aText, mistakes);
+  if (!table) {
+    return tl::unexpected(std::move(mistakes));
+  }
+  TomlReader reader(*table, "", mistakes);
+  Configuration configuration;
+  configuration.firm = reader.Text("firm");
+  reader.Table("policy", [&](TomlReader& aPolicy) {
+    configuration.policy = GroupPolicy{
+      .downtimeWeight = aPolicy.Number("downtime_weight", kWeight, 1),
+      .strandedWeight = aPolicy.Number("stranded_weight", kWeight, 1),
+    };
+  });
+  reader.Tables("accounts", [&](TomlReader& aAccount) {
+    configuration.accounts.push_back(ReadAccount(aAccount));
+  });
+  reader.Tables("services", [&](TomlReader& aService) {
+    configuration.services.push_back(ReadService(aService));
+    CheckUnique(configuration.services.back().kinds, "kinds", aService);
+  });
+  reader.Tables("groups", [&](TomlReader& aSet) {
+    configuration.groupSets.push_back(ReadGroupSet(aSet));
+  });
+  reader.Finish();
+  CheckUnique(configuration.accounts, "accounts", reader);
+  CheckUnique(configuration.services, "services", reader);
+  CheckUnique(configuration.groupSets, "groups", reader);
+  CheckReferences(configuration, reader);
+  if (!mistakes.empty()) {
+    return tl::unexpected(std::move(mistakes));
+  }
+  return configuration;
+}
+
+const Service*
+FindService(const Configuration& aConfiguration, std::string_view aName)
+{
+  const auto& services = aConfiguration.services;
+  const auto found = std::find_if(
+    services.begin(), services.end(), [aName](const Service& aService) {
+      return aService.name == aName;
+    });
+  return found == services.end() ? nullptr : &*found;
+}
+
+const ClientAccount*
+FindAccountByKey(const Configuration& aConfiguration, std::string_view aKey)
+{
+  const std::string hash = Sha256Hex(aKey);
+  const ClientAccount* found = nullptr;
+  for (const ClientAccount& account : aConfiguration.accounts) {
+    if (EqualConstantTime(account.keySha256, hash)) {
+      found = &account;
+    }
+  }
+  return found;
+}
+
+bool
+MayCall(const Service& aService, const ClientAccount& aAccount)
+{
+  return std::any_of(aService.accounts.begin(),
+                     aService.accounts.end(),
+                     [&aAccount](const std::string& aName) {
+                       return aName == "*" || aName == aAccount.name;
+                     });
+}
+
+} // namespace apricottrack
--- /dev/null
+++ b/src/config/Settings.cpp
@@ -0,0 +1,94 @@
+#include "apricottrack/Settings.h"
+
+#include "config/TomlReader.h"
+#include "http/HttpTypes.h"
+
+namespace apricottrack {
+
+namespace {
+
+std::string
+ReadAddress(TomlReader& aReader, std::string_view aKey)
+{
+  std::string address = aReader.Text(aKey);
+  if (!address.empty() && !ParseEndpoint(address)) {
+    aReader.Report(aKey, "is not IP:port", "write it as \"127.0.0.1:8080\"");
+  }
+  return address;
+}
+
+Duration
+ReadMilliseconds(TomlReader& aReader,
+                 std::string_view aKey,
+                 double aLeast,
+                 double aMost,
+                 Duration aDefault)
+{
+  const auto fallback = static_cast<int>(
+    std::chrono::duration_cast<milliseconds>(aDefault).count());
+  return milliseconds(
+    aReader.Integer(aKey,
+                    { .least = aLeast, .most = aMost, .unit = "milliseconds" },
+                    fallback));
+}
+
+} // namespace
+
+tl::expected<Settings, Mistakes>
+ParseSettings(std::string_view aText)
+{
+  Mistakes mistakes;
+  const auto table = ParseToml(aText, mistakes);
+  if (!table) {
+    return tl::unexpected(std::move(mistakes));
+  }
+  static const std::vector<std::string_view> kLevels{
+    "info", "debug", "warn", "error"
+  };
+  TomlReader reader(*table, "", mistakes);
+  Settings settings;
+  settings.node = reader.Text("node");
+  settings.availabilityZone = reader.Text("availability_zone");
+  settings.listen = ReadAddress(reader, "listen");
+  settings.adminListen = ReadAddress(reader, "admin_listen");
+  settings.peerListen = ReadAddress(reader, "peer_listen");
+  settings.platform = ReadAddress(reader, "platform");
+  settings.vmList = ReadAddress(reader, "vm_list");
+  settings.logLevel = kLevels[reader.Choice("log_level", kLevels, 0)];
+  settings.probeInterval = ReadMilliseconds(
+    reader, "probe_interval_ms", 50, 10'000, settings.probeInterval);
+  settings.heardWithin = ReadMilliseconds(
+    reader, "heard_within_ms", 200, 60'000, settings.heardWithin);
+  settings.drainGrace =
+    ReadMilliseconds(reader, "drain_grace_ms", 0, 600'000, settings.drainGrace);
+  settings.maxConnections =
+    reader.Integer("max_connections",
+                   { .least = 1, .most = 100'000, .unit = "connections" },
+                   settings.maxConnections);
+  settings.maxBodyBytes =
+    reader.Integer("max_body_bytes",
+                   { .least = 1024, .most = 1 << 30, .unit = "bytes" },
+                   settings.maxBodyBytes);
+  settings.journalCount =
+    reader.Integer("journal_count",
+                   { .least = 1, .most = 4096, .unit = "values" },
+                   settings.journalCount);
+  settings.journalFlushInterval =
+    ReadMilliseconds(reader,
+                     "journal_flush_interval_ms",
+                     0,
+                     1000,
+                     settings.journalFlushInterval);
+  reader.Finish();
+  if (settings.heardWithin < 2 * settings.probeInterval) {
+    reader.Report("heard_within_ms",
+                  "is shorter than two probe intervals",
+                  "raise it, or lower probe_interval_ms");
+  }
+  if (!mistakes.empty()) {
+    return tl::unexpected(std::move(mistakes));
+  }
+  return settings;
+}
+
+} // namespace apricottrack
--- /dev/null
+++ b/src/config/TomlReader.cpp
@@ -0,0 +1,267 @@
+#include "config/TomlReader.h"
+
+#include <fmt/format.h>
+
+namespace apricottrack {
+
+namespace {
+
+std::string
+RangeText(const NumberRange& aRange)
+{
+  const std::string unit =
+    aRange.unit.empty() ? "" : fmt::format(" {}", aRange.unit);
+  if (aRange.most == std::numeric_limits<double>::max()) {
+    return fmt::format("at least {}{}", aRange.least, unit);
+  }
+  return fmt::format("from {} to {}{}", aRange.least, aRange.most, unit);
+}
+
+} // namespace
+
+std::string
+Describe(const Mistakes& aMistakes, const std::string& aName)
+{
+  std::string text;
+  for (const Mistake& mistake : aMistakes) {
+    text += fmt::format("{}:{}:{}: {}: {}; {}\n",
+                        aName,
+                        mistake.line,
+                        mistake.column,
+                        mistake.path,
+                        mistake.cause,
+                        mistake.remedy);
+  }
+  return text;
+}
+
+TomlReader::TomlReader(const toml::table& aTable,
+                       std::string aPath,
+                       Mistakes& aMistakes)
+  : table(aTable)
+  , path(std::move(aPath))
+  , mistakes(aMistakes)
+{
+}
+
+const toml::node*
+TomlReader::Take(std::string_view aKey)
+{
+  this->known.emplace(aKey);
+  return this->table.get(aKey);
+}
+
+std::string
+TomlReader::PathOf(std::string_view aKey) const
+{
+  return this->path.empty() ? std::string(aKey)
+                            : fmt::format("{}.{}", this->path, aKey);
+}
+
+void
+TomlReader::Report(std::string_view aKey,
+                   std::string aCause,
+                   std::string aRemedy)
+{
+  const toml::node* const node = this->table.get(aKey);
+  const auto place =
+    node == nullptr ? this->table.source().begin : node->source().begin;
+  this->mistakes.push_back(Mistake{ .line = static_cast<int>(place.line),
+                                    .column = static_cast<int>(place.column),
+                                    .path = this->PathOf(aKey),
+                                    .cause = std::move(aCause),
+                                    .remedy = std::move(aRemedy) });
+}
+
+std::string
+TomlReader::Text(std::string_view aKey)
+{
+  if (this->Take(aKey) == nullptr) {
+    this->Report(aKey, "is missing", "add it with a text value");
+    return {};
+  }
+  std::string text = this->Text(aKey, "");
+  if (text.empty() && this->table.get(aKey)->is_string()) {
+    this->Report(aKey, "is empty", "give it a value");
+  }
+  return text;
+}
+
+std::string
+TomlReader::Text(std::string_view aKey, std::string_view aDefault)
+{
+  const toml::node* const node = this->Take(aKey);
+  if (node == nullptr) {
+    return std::string(aDefault);
+  }
+  if (!node->is_string()) {
+    this->Report(aKey, "is not a text", "write it between double quotes");
+    return std::string(aDefault);
+  }
+  return **node->as_string();
+}
+
+std::size_t
+TomlReader::Choice(std::string_view aKey,
+                   const std::vector<std::string_view>& aChoices,
+                   std::size_t aDefault)
+{
+  const std::string text = this->Text(aKey, aChoices[aDefault]);
+  for (std::size_t i = 0; i < aChoices.size(); ++i) {
+    if (text == aChoices[i]) {
+      return i;
+    }
+  }
+  this->Report(aKey,
+               fmt::format("\"{}\" is not known", text),
+               fmt::format("use one of: {}", fmt::join(aChoices, ", ")));
+  return aDefault;
+}
+
+int
+TomlReader::Integer(std::string_view aKey, NumberRange aRange, int aDefault)
+{
+  const toml::node* const node = this->Take(aKey);
+  if (node != nullptr && !node->is_integer()) {
+    this->Report(
+      aKey, "is not a whole number", "write a number " + RangeText(aRange));
+    return aDefault;
+  }
+  return static_cast<int>(this->Number(aKey, aRange, aDefault));
+}
+
+double
+TomlReader::Number(std::string_view aKey, NumberRange aRange, double aDefault)
+{
+  const toml::node* const node = this->Take(aKey);
+  if (node == nullptr) {
+    return aDefault;
+  }
+  const auto number = node->value<double>();
+  if (!number || node->is_boolean()) {
+    this->Report(
+      aKey, "is not a number", "write a number " + RangeText(aRange));
+    return aDefault;
+  }
+  if (!(*number >= aRange.least && *number <= aRange.most)) {
+    this->Report(aKey,
+                 fmt::format("{} is out of range", *number),
+                 "use a number " + RangeText(aRange));
+    return aDefault;
+  }
+  return *number;
+}
+
+bool
+TomlReader::Flag(std::string_view aKey, bool aDefault)
+{
+  const toml::node* const node = this->Take(aKey);
+  if (node == nullptr) {
+    return aDefault;
+  }
+  if (!node->is_boolean()) {
+    this->Report(aKey, "is neither true nor false", "write true or false");
+    return aDefault;
+  }
+  return **node->as_boolean();
+}
+
+std::vector<std::string>
+TomlReader::Texts(std::string_view aKey)
+{
+  std::vector<std::string> texts;
+  const toml::node* const node = this->Take(aKey);
+  if (node == nullptr) {
+    return texts;
+  }
+  const toml::array* const array = node->as_array();
+  if (array == nullptr) {
+    this->Report(aKey, "is not a list", "write it as [\"one\", \"two\"]");
+    return texts;
+  }
+  for (const toml::node& item : *array) {
+    if (!item.is_string()) {
+      this->Report(aKey, "has an item that is not a text", "quote each item");
+      return texts;
+    }
+    texts.push_back(**item.as_string());
+  }
+  return texts;
+}
+
+void
+TomlReader::Tables(std::string_view aKey,
+                   const std::function<void(TomlReader&)>& aVisit)
+{
+  const toml::node* const node = this->Take(aKey);
+  if (node == nullptr) {
+    return;
+  }
+  const toml::array* const array = node->as_array();
+  if (array == nullptr) {
+    this->Report(
+      aKey, "is not a list of tables", fmt::format("use [[{}]]", aKey));
+    return;
+  }
+  for (std::size_t i = 0; i < array->size(); ++i) {
+    const toml::table* const item = (*array)[i].as_table();
+    if (item == nullptr) {
+      this->Report(aKey,
+                   "has an item that is not a table",
+                   fmt::format("use [[{}]]", aKey));
+      continue;
+    }
+    TomlReader reader(
+      *item, fmt::format("{}[{}]", this->PathOf(aKey), i), this->mistakes);
+    aVisit(reader);
+    reader.Finish();
+  }
+}
+
+void
+TomlReader::Table(std::string_view aKey,
+                  const std::function<void(TomlReader&)>& aVisit)
+{
+  const toml::node* const node = this->Take(aKey);
+  if (node == nullptr) {
+    return;
+  }
+  if (!node->is_table()) {
+    this->Report(aKey, "is not a table", fmt::format("use [{}]", aKey));
+    return;
+  }
+  TomlReader reader(*node->as_table(), this->PathOf(aKey), this->mistakes);
+  aVisit(reader);
+  reader.Finish();
+}
+
+void
+TomlReader::Finish()
+{
+  for (const auto& [key, node] : this->table) {
+    if (!this->known.contains(std::string_view(key.str()))) {
+      this->Report(key.str(),
+                   "is not a known key",
+                   fmt::format("remove it, or use one of: {}",
+                               fmt::join(this->known, ", ")));
+    }
+  }
+}
+
+std::optional<toml::table>
+ParseToml(std::string_view aText, Mistakes& aMistakes)
+{
+  try {
+    return toml::parse(aText);
+  } catch (const toml::parse_error& error) {
+    const auto place = error.source().begin;
+    aMistakes.push_back(Mistake{ .line = static_cast<int>(place.line),
+                                 .column = static_cast<int>(place.column),
+                                 .path = "",
+                                 .cause = std::string(error.description()),
+                                 .remedy = "correct the TOML syntax" });
+    return std::nullopt;
+  }
+}
+
+} // namespace apricottrack
--- /dev/null
+++ b/src/http/HttpClient.cpp
@@ -0,0 +1,284 @@
+#include "http/HttpClient.h"
+
+#include <boost/beast/core.hpp>
+#include <boost/beast/http.hpp>
+#include <netinet/tcp.h>
+
+namespace apricottrack {
+
+namespace asio = boost::asio;
+namespace beast = boost::beast;
+namespace http = boost::beast::http;
+using asio::ip::tcp;
+
+namespace {
+
+constexpr std::size_t kPieceBytes = 16 * 1024;
+
+/// Unacknowledged data older than this ends the connection.
+constexpr Duration kUnackedTimeout = seconds(5);
+
+void
+SetLivenessOptions(tcp::socket& aSocket)
+{
+  using UserTimeout =
+    asio::detail::socket_option::integer<IPPROTO_TCP, TCP_USER_TIMEOUT>;
+  boost::system::error_code ignored;
+  aSocket.set_option(tcp::no_delay(true), ignored);
+  aSocket.set_option(
+    UserTimeout(static_cast<int>(
+      std::chrono::duration_cast<milliseconds>(kUnackedTimeout).count())),
+    ignored);
+}
+
+tl::unexpected<Error>
+FromBoost(ErrorCode aCode,
+          std::string_view aStep,
+          std::string_view aPeer,
+          const boost::system::error_code& aError)
+{
+  const bool timeout = aError == beast::error::timeout;
+  return Failure(
+    timeout && aCode != ErrorCode::kUnreachable ? ErrorCode::kTimeout : aCode,
+    aStep,
+    aPeer,
+    aError.message());
+}
+
+} // namespace
+
+struct HttpConnection::State
+{
+  explicit State(asio::any_io_executor aExecutor)
+    : stream(std::move(aExecutor))
+  {
+  }
+
+  beast::tcp_stream stream;
+  beast::flat_buffer buffer;
+  std::optional<http::response_parser<http::buffer_body>> parser;
+};
+
+HttpConnection::HttpConnection(asio::any_io_executor aExecutor,
+                               std::string aAddress)
+  : address(std::move(aAddress))
+  , state(std::make_unique<State>(std::move(aExecutor)))
+{
+}
+
+HttpConnection::~HttpConnection() = default;
+
+Task<Result<void>>
+HttpConnection::Connect(Duration aTimeout)
+{
+  const auto endpoint = ParseEndpoint(this->address);
+  if (!endpoint) {
+    co_return tl::unexpected(endpoint.error());
+  }
+  this->state->stream.expires_after(aTimeout);
+  auto [error] =
+    co_await this->state->stream.async_connect(*endpoint, kAsTuple);
+  if (error) {
+    co_return FromBoost(
+      ErrorCode::kUnreachable, "http.connect", this->address, error);
+  }
+  SetLivenessOptions(this->state->stream.socket());
+  co_return Result<void>{};
+}
+
+Task<Result<void>>
+HttpConnection::Send(HttpRequest aRequest, Duration aTimeout)
+{
+  aRequest.prepare_payload();
+  this->state->parser.reset();
+  this->state->stream.expires_after(aTimeout);
+  auto [error, size] =
+    co_await http::async_write(this->state->stream, aRequest, kAsTuple);
+  if (error) {
+    co_return FromBoost(ErrorCode::kNoReply, "http.send", this->address, error);
+  }
+  co_return Result<void>{};
+}
+
+Task<Result<HttpResponse>>
+HttpConnection::ReceiveHead(Duration aTimeout, std::uint64_t aBodyLimit)
+{
+  auto& parser = this->state->parser.emplace();
+  parser.body_limit(aBodyLimit);
+  this->state->stream.expires_after(aTimeout);
+  auto [error, size] = co_await http::async_read_header(
+    this->state->stream, this->state->buffer, parser, kAsTuple);
+  if (error) {
+    const bool malformed =
+      error.category() == make_error_code(http::error::bad_method).category() &&
+      error != http::error::end_of_stream;
+    co_return FromBoost(malformed ? ErrorCode::kBadReply : ErrorCode::kNoReply,
+                        "http.receive_head",
+                        this->address,
+                        error);
+  }
+  if (parser.need_eof()) {
+    co_return Failure(ErrorCode::kBadReply,
+                      "http.receive_head",
+                      this->address,
+                      "answer has no length, so its end cannot be known");
+  }
+  HttpResponse head;
+  head.base() = parser.get().base();
+  co_return head;
+}
+
+Task<Result<std::string>>
+HttpConnection::ReceivePiece(Duration aTimeout)
+{
+  auto& parser = *this->state->parser;
+  std::string piece(kPieceBytes, '\0');
+  while (!parser.is_done()) {
+    parser.get().body().data = piece.data();
+    parser.get().body().size = piece.size();
+    this->state->stream.expires_after(aTimeout);
+    auto [error, size] = co_await http::async_read_some(
+      this->state->stream, this->state->buffer, parser, kAsTuple);
+    if (error && error != http::error::need_buffer) {
+      co_return FromBoost(
+        ErrorCode::kBadReply, "http.receive_body", this->address, error);
+    }
+    const std::size_t filled = piece.size() - parser.get().body().size;
+    if (filled > 0) {
+      piece.resize(filled);
+      co_return piece;
+    }
+  }
+  co_return std::string{};
+}
+
+bool
+HttpConnection::Reusable() const
+{
+  const auto& parser = this->state->parser;
+  return parser && parser->is_done() && parser->get().keep_alive() &&
+         this->state->buffer.size() == 0;
+}
+
+bool
+HttpConnection::HasStrayBytes()
+{
+  char byte = 0;
+  beast::error_code error;
+  auto& socket = this->state->stream.socket();
+  socket.non_blocking(true, error);
+  socket.receive(asio::buffer(&byte, 1), tcp::socket::message_peek, error);
+  return error != asio::error::would_block;
+}
+
+void
+HttpConnection::Close()
+{
+  this->state->stream.close();
+}
+
+HttpConnectionPool::HttpConnectionPool(asio::any_io_executor aExecutor,
+                                       Options aOptions)
+  : executor(std::move(aExecutor))
+  , options(aOptions)
+{
+}
+
+std::unique_ptr<HttpConnection>
+HttpConnectionPool::TakeIdle(const std::string& aAddress, Instant aNow)
+{
+  const auto found = this->idle.find(aAddress);
+  while (found != this->idle.end() && !found->second.empty()) {
+    Idle newest = std::move(found->second.back());
+    found->second.pop_back();
+    if (aNow - newest.since > this->options.idleTimeout) {
+      found->second.clear();
+      break;
+    }
+    if (!newest.connection->HasStrayBytes()) {
+      return std::move(newest.connection);
+    }
+  }
+  return nullptr;
+}
+
+Task<Result<std::unique_ptr<HttpConnection>>>
+HttpConnectionPool::OpenFresh(std::string aAddress)
+{
+  auto connection =
+    std::make_unique<HttpConnection>(this->executor, std::move(aAddress));
+  const auto connected =
+    co_await connection->Connect(this->options.connectTimeout);
+  if (!connected) {
+    co_return tl::unexpected(connected.error());
+  }
+  co_return connection;
+}
+
+void
+HttpConnectionPool::GiveBack(std::unique_ptr<HttpConnection> aConnection,
+                             Instant aNow)
+{
+  if (!aConnection->Reusable() || aConnection->HasStrayBytes()) {
+    return;
+  }
+  auto& queue = this->idle[aConnection->Address()];
+  if (queue.size() >= this->options.idlePerAddress) {
+    queue.pop_front();
+  }
+  queue.push_back(Idle{ .connection = std::move(aConnection), .since = aNow });
+}
+
+namespace {
+
+Task<Result<HttpResponse>>
+FetchOver(HttpConnection& aConnection, HttpRequest aRequest, Duration aTimeout)
+{
+  static constexpr std::uint64_t kBodyLimit = 64 * 1024 * 1024;
+  auto sent = co_await aConnection.Send(std::move(aRequest), aTimeout);
+  if (!sent) {
+    co_return tl::unexpected(sent.error());
+  }
+  auto answer = co_await aConnection.ReceiveHead(aTimeout, kBodyLimit);
+  while (answer) {
+    auto piece = co_await aConnection.ReceivePiece(aTimeout);
+    if (!piece) {
+      co_return tl::unexpected(piece.error());
+    }
+    if (piece->empty()) {
+      break;
+    }
+    answer->body().append(*piece);
+  }
+  co_return answer;
+}
+
+} // namespace
+
+Task<Result<HttpResponse>>
+Fetch(HttpConnectionPool& aPool,
+      std::string aAddress,
+      HttpRequest aRequest,
+      Duration aTimeout)
+{
+  aRequest.version(11);
+  aRequest.set(http::field::host, aAddress);
+  if (auto connection = aPool.TakeIdle(aAddress, MonotonicNow())) {
+    auto answer = co_await FetchOver(*connection, aRequest, aTimeout);
+    if (answer) {
+      aPool.GiveBack(std::move(connection), MonotonicNow());
+      co_return answer;
+    }
+  }
+  auto fresh = co_await aPool.OpenFresh(aAddress);
+  if (!fresh) {
+    co_return tl::unexpected(fresh.error());
+  }
+  auto answer = co_await FetchOver(**fresh, std::move(aRequest), aTimeout);
+  if (answer) {
+    aPool.GiveBack(std::move(*fresh), MonotonicNow());
+  }
+  co_return answer;
+}
+
+} // namespace apricottrack
--- /dev/null
+++ b/src/http/HttpServer.cpp
@@ -0,0 +1,278 @@
+#include "http/HttpServer.h"
+
+#include <array>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/beast/http.hpp>
+#include <fmt/format.h>
+
+namespace apricottrack {
+
+namespace asio = boost::asio;
+namespace beast = boost::beast;
+namespace http = boost::beast::http;
+using asio::ip::tcp;
+
+HttpExchange::HttpExchange(beast::tcp_stream& aStream,
+                           HttpRequest aRequest,
+                           Duration aSendTimeout)
+  : stream(aStream)
+  , request(std::move(aRequest))
+  , sendTimeout(aSendTimeout)
+  , keepAlive(this->request.keep_alive())
+{
+}
+
+Task<bool>
+HttpExchange::Reply(HttpResponse aResponse)
+{
+  aResponse.version(this->request.version());
+  aResponse.keep_alive(this->keepAlive);
+  aResponse.prepare_payload();
+  this->started = true;
+  this->stream.expires_after(this->sendTimeout);
+  auto [error, size] =
+    co_await http::async_write(this->stream, aResponse, kAsTuple);
+  if (error) {
+    this->Abort();
+  }
+  co_return !error;
+}
+
+Task<bool>
+HttpExchange::BeginStream(unsigned aStatus, HttpHeaders aHeaders)
+{
+  http::response<http::empty_body> head;
+  head.result(aStatus);
+  head.version(11);
+  for (const auto& [name, value] : aHeaders) {
+    head.set(name, value);
+  }
+  head.chunked(true);
+  head.keep_alive(this->keepAlive);
+  this->started = true;
+  http::response_serializer<http::empty_body> serializer(head);
+  this->stream.expires_after(this->sendTimeout);
+  auto [error, size] =
+    co_await http::async_write_header(this->stream, serializer, kAsTuple);
+  if (error) {
+    this->Abort();
+  }
+  co_return !error;
+}
+
+Task<bool>
+HttpExchange::WriteChunk(std::string aBytes)
+{
+  if (aBytes.empty()) {
+    co_return true;
+  }
+  std::string framed = fmt::format("{:x}\r\n", aBytes.size());
+  framed.append(aBytes).append("\r\n");
+  co_return co_await this->Write(std::move(framed));
+}
+
+Task<bool>
+HttpExchange::EndStream()
+{
+  co_return co_await this->Write("0\r\n\r\n");
+}
+
+Task<bool>
+HttpExchange::Write(std::string aBytes)
+{
+  this->stream.expires_after(this->sendTimeout);
+  auto [error, size] =
+    co_await asio::async_write(this->stream, asio::buffer(aBytes), kAsTuple);
+  if (error) {
+    this->Abort();
+  }
+  co_return !error;
+}
+
+bool
+HttpExchange::CallerPresent()
+{
+  std::array<char, 1> byte{};
+  beast::error_code error;
+  auto& socket = this->stream.socket();
+  socket.non_blocking(true, error);
+  const auto size =
+    socket.receive(asio::buffer(byte), tcp::socket::message_peek, error);
+  return error == asio::error::would_block || (!error && size > 0);
+}
+
+struct HttpServer::Session
+{
+  explicit Session(tcp::socket aSocket)
+    : stream(std::move(aSocket))
+  {
+  }
+
+  beast::tcp_stream stream;
+  beast::flat_buffer buffer;
+  /// True while a request is being handled or partly received.
+  bool busy = false;
+};
+
+HttpServer::HttpServer(asio::any_io_executor aExecutor, Options aOptions)
+  : executor(std::move(aExecutor))
+  , options(std::move(aOptions))
+  , acceptor(this->executor)
+{
+}
+
+Result<std::shared_ptr<HttpServer>>
+HttpServer::Make(asio::any_io_executor aExecutor, Options aOptions)
+{
+  const auto endpoint = ParseEndpoint(aOptions.address);
+  if (!endpoint) {
+    return tl::unexpected(endpoint.error());
+  }
+  std::shared_ptr<HttpServer> server(
+    new HttpServer(std::move(aExecutor), std::move(aOptions)));
+  boost::system::error_code error;
+  auto& acceptor = server->acceptor;
+  acceptor.open(endpoint->protocol(), error);
+  acceptor.set_option(tcp::acceptor::reuse_address(true), error);
+  acceptor.bind(*endpoint, error);
+  if (!error) {
+    acceptor.listen(asio::socket_base::max_listen_connections, error);
+  }
+  if (error) {
+    return Failure(ErrorCode::kInvalidInput,
+                   "http.listen",
+                   server->options.address,
+                   error.message());
+  }
+  asio::co_spawn(
+    server->executor,
+    [server]() -> Task<void> { co_await server->Accept(); },
+    asio::detached);
+  return server;
+}
+
+void
+HttpServer::Stop()
+{
+  this->stopping = true;
+  boost::system::error_code ignored;
+  this->acceptor.close(ignored);
+  for (const auto& session : this->sessions) {
+    if (!session->busy) {
+      session->stream.cancel();
+    }
+  }
+}
+
+Task<void>
+HttpServer::Accept()
+{
+  while (!this->stopping) {
+    auto [error, socket] = co_await this->acceptor.async_accept(kAsTuple);
+    if (error) {
+      if (this->stopping) {
+        co_return;
+      }
+      asio::steady_timer pause(this->executor, milliseconds(20));
+      co_await pause.async_wait(kAsTuple);
+      continue;
+    }
+    if (this->sessions.size() >= this->options.limits.connections) {
+      continue;
+    }
+    socket.set_option(tcp::no_delay(true), error);
+    auto session = std::make_shared<Session>(std::move(socket));
+    this->sessions.insert(session);
+    asio::co_spawn(
+      this->executor,
+      [self = this->shared_from_this(), session]() -> Task<void> {
+        co_await self->Serve(session);
+        self->sessions.erase(session);
+      },
+      asio::detached);
+  }
+}
+
+Task<void>
+HttpServer::Serve(std::shared_ptr<Session> aSession)
+{
+  while (co_await this->ServeOne(*aSession) && !this->stopping) {
+    aSession->busy = false;
+  }
+  boost::system::error_code ignored;
+  aSession->stream.socket().shutdown(tcp::socket::shutdown_send, ignored);
+  aSession->stream.close();
+}
+
+Task<bool>
+HttpServer::ServeOne(Session& aSession)
+{
+  const auto& limits = this->options.limits;
+  http::request_parser<http::string_body> parser;
+  parser.header_limit(limits.headerBytes);
+  parser.body_limit(limits.bodyBytes);
+  aSession.stream.expires_after(limits.receiveTimeout);
+  if (aSession.buffer.size() == 0) {
+    auto [waitError, read] = co_await aSession.stream.async_read_some(
+      aSession.buffer.prepare(4096), kAsTuple);
+    if (waitError) {
+      co_return false;
+    }
+    aSession.buffer.commit(read);
+  }
+  aSession.busy = true;
+  auto [error, size] = co_await http::async_read_header(
+    aSession.stream, aSession.buffer, parser, kAsTuple);
+  if (!error && parser.get()[http::field::expect] == "100-continue") {
+    static constexpr std::string_view kContinue =
+      "HTTP/1.1 100 Continue\r\n\r\n";
+    co_await asio::async_write(
+      aSession.stream, asio::buffer(kContinue), kAsTuple);
+  }
+  if (!error) {
+    std::tie(error, size) = co_await http::async_read(
+      aSession.stream, aSession.buffer, parser, kAsTuple);
+  }
+  if (error) {
+    co_await this->Refuse(aSession, error);
+    co_return false;
+  }
+  HttpExchange exchange(aSession.stream, parser.release(), limits.sendTimeout);
+  if (this->stopping) {
+    exchange.Abort();
+  }
+  aSession.stream.expires_never();
+  co_await this->options.handler(exchange);
+  co_return exchange.KeepAlive();
+}
+
+Task<void>
+HttpServer::Refuse(Session& aSession, boost::system::error_code aError)
+{
+  unsigned status = 400;
+  std::string_view reason = "malformed_request";
+  if (aError == http::error::header_limit) {
+    status = 431;
+    reason = "header_too_large";
+  } else if (aError == http::error::body_limit) {
+    status = 413;
+    reason = "body_too_large";
+  } else if (aError == beast::error::timeout) {
+    status = 408;
+    reason = "request_too_slow";
+  } else if (aError.category() !=
+             make_error_code(http::error::bad_method).category()) {
+    co_return;
+  }
+  if (!this->options.errorBody || aError == http::error::end_of_stream) {
+    co_return;
+  }
+  HttpResponse response = this->options.errorBody(status, reason);
+  response.keep_alive(false);
+  response.prepare_payload();
+  aSession.stream.expires_after(seconds(1));
+  co_await http::async_write(aSession.stream, response, kAsTuple);
+}
+
+} // namespace apricottrack
--- /dev/null
+++ b/src/http/HttpTypes.h
@@ -0,0 +1,39 @@
+#ifndef APRICOTTRACK_HTTP_HTTPTYPES_H
+#define APRICOTTRACK_HTTP_HTTPTYPES_H
+
+#include "apricottrack/Error.h"
+#include "apricottrack/KeyValueStore.h"
+
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/beast/http/message.hpp>
+#include <boost/beast/http/string_body.hpp>
+#include <string>
+#include <utility>
+#include <vector>
+
+/// Message types shared by the HTTP server and client.
+namespace apricottrack {
+
+using HttpRequest =
+  boost::beast::http::request<boost::beast::http::string_body>;
+using HttpResponse =
+  boost::beast::http::response<boost::beast::http::string_body>;
+using HttpHeaders = std::vector<std::pair<std::string, std::string>>;
+
+/// Completion token: co_await yields a tuple that starts with the error code.
+inline constexpr auto kAsTuple =
+  boost::asio::as_tuple(boost::asio::use_awaitable);
+
+/// Parses "IP:port".
+Result<boost::asio::ip::tcp::endpoint>
+ParseEndpoint(const std::string& aAddress);
+
+/// A response with a JSON body.
+HttpResponse
+JsonResponse(unsigned aStatus, std::string aBody);
+
+} // namespace apricottrack
+
+#endif
--- /dev/null
+++ b/src/intake/Refusal.cpp
@@ -0,0 +1,35 @@
+#include "intake/Refusal.h"
+
+#include <boost/json.hpp>
+#include <cmath>
+
+namespace apricottrack {
+
+namespace json = boost::json;
+
+std::string
+RefusalBody(const Refusal& aRefusal, std::string_view aRequestId)
+{
+  const json::object error{ { "code", aRefusal.code },
+                            { "outcome", OutcomeName(aRefusal.outcome) },
+                            { "message", aRefusal.message },
+                            { "request_id", aRequestId } };
+  return json::serialize(json::object{ { "error", error } });
+}
+
+HttpResponse
+RefusalResponse(const Refusal& aRefusal, std::string_view aRequestId)
+{
+  HttpResponse response =
+    JsonResponse(aRefusal.status, RefusalBody(aRefusal, aRequestId));
+  response.set("X-Request-Id", aRequestId);
+  response.set("X-Request-Outcome", OutcomeName(aRefusal.outcome));
+  if (aRefusal.retryAfter) {
+    const double seconds = std::ceil(ToSeconds(*aRefusal.retryAfter));
+    response.set(boost::beast::http::field::retry_after,
+                 std::to_string(std::max(1, static_cast<int>(seconds))));
+  }
+  return response;
+}
+
+} // namespace apricottrack
--- /dev/null
+++ b/src/intake/RequestIntake.cpp
@@ -0,0 +1,279 @@
+#include "intake/RequestIntake.h"
+
+#include "base/Hash.h"
+#include "base/JsonFields.h"
+
+#include <algorithm>
+#include <boost/json.hpp>
+#include <charconv>
+
+namespace apricottrack {
+
+namespace json = boost::json;
+namespace http = boost::beast::http;
+
+namespace {
+
+constexpr std::string_view kChatPath = "/v1/chat/completions";
+constexpr std::string_view kServicesPath = "/services/";
+constexpr std::size_t kLongestId = 128;
+/// Bytes of a prompt that decide its affinity.
+constexpr std::size_t kPrefixBytes = 512;
+constexpr double kBytesPerToken = 4;
+constexpr double kDefaultMaxTokens = 256;
+constexpr int kDefaultTimeoutMs = 60'000;
+constexpr int kLongestTimeoutMs = 600'000;
+
+bool
+IsPrintableId(std::string_view aText)
+{
+  return !aText.empty() && aText.size() <= kLongestId &&
+         std::all_of(aText.begin(), aText.end(), [](char aByte) {
+           return aByte > ' ' && aByte < 0x7f && aByte != '"' && aByte != '\\';
+         });
+}
+
+tl::unexpected<Refusal>
+Refuse(unsigned aStatus, std::string_view aCode, std::string_view aMessage)
+{
+  return tl::unexpected(Refusal{ .status = aStatus,
+                                 .code = std::string(aCode),
+                                 .outcome = Outcome::kNotRun,
+                                 .message = std::string(aMessage),
+                                 .retryAfter = std::nullopt });
+}
+
+std::string_view
+Header(const HttpRequest& aRequest, std::string_view aName)
+{
+  const auto found = aRequest.find(aName);
+  return found == aRequest.end()
+           ? std::string_view{}
+           : std::string_view(found->value().data(), found->value().size());
+}
+
+std::string_view
+BearerKey(const HttpRequest& aRequest)
+{
+  static constexpr std::string_view kScheme = "Bearer ";
+  const std::string_view value = Header(aRequest, "Authorization");
+  return value.starts_with(kScheme) ? value.substr(kScheme.size())
+                                    : std::string_view{};
+}
+
+/// The contents of the chat messages, up to the bytes that decide affinity,
+/// and the length of all of them.
+std::pair<std::string, std::size_t>
+PromptPrefix(const json::object& aBody)
+{
+  std::string prefix;
+  std::size_t bytes = 0;
+  const json::array* const messages = JsonArray(aBody, "messages");
+  if (messages == nullptr) {
+    return { prefix, bytes };
+  }
+  for (const json::value& item : *messages) {
+    const json::object* const message = item.if_object();
+    const std::string content =
+      message == nullptr ? std::string{} : JsonText(*message, "content");
+    bytes += content.size();
+    if (prefix.size() < kPrefixBytes) {
+      prefix.append(content, 0, kPrefixBytes - prefix.size());
+    }
+  }
+  return { prefix, bytes };
+}
+
+using SpecResult = tl::expected<void, Refusal>;
+
+SpecResult
+ReadChat(const HttpRequest& aRequest, RequestSpec& aSpec)
+{
+  if (aRequest.method() != http::verb::post) {
+    return Refuse(405, "method_not_allowed", "chat completions take POST");
+  }
+  const auto body = ParseJsonObject(aRequest.body(), "request.body", "");
+  if (!body) {
+    return Refuse(400, "malformed_body", "the body is not a JSON object");
+  }
+  aSpec.service = FindService(*aSpec.configuration, JsonText(*body, "model"));
+  if (aSpec.service == nullptr || aSpec.service->contract != Contract::kChat) {
+    return Refuse(
+      404, "unknown_service", "\"model\" names no declared chat service");
+  }
+  const auto [prefix, bytes] = PromptPrefix(*body);
+  if (bytes == 0) {
+    return Refuse(400, "malformed_body", "\"messages\" holds no content");
+  }
+  const std::int64_t maxTokens = JsonInteger(*body, "max_tokens");
+  if (maxTokens < 0) {
+    return Refuse(400, "malformed_body", "\"max_tokens\" is negative");
+  }
+  aSpec.prefixHash = StableHash(prefix, StableHash(aSpec.account->name));
+  aSpec.estimatedTokens =
+    static_cast<double>(bytes) / kBytesPerToken +
+    (maxTokens > 0 ? static_cast<double>(maxTokens) : kDefaultMaxTokens);
+  aSpec.targetPath = kChatPath;
+  return {};
+}
+
+SpecResult
+ReadPlain(std::string_view aTarget, RequestSpec& aSpec)
+{
+  const std::string_view rest = aTarget.substr(kServicesPath.size());
+  const std::size_t slash = std::min(rest.find_first_of("/?"), rest.size());
+  aSpec.service = FindService(*aSpec.configuration, rest.substr(0, slash));
+  if (aSpec.service == nullptr || aSpec.service->contract != Contract::kPlain) {
+    return Refuse(
+      404, "unknown_service", "the path names no declared plain service");
+  }
+  aSpec.targetPath = rest.substr(slash);
+  if (!aSpec.targetPath.starts_with('/')) {
+    aSpec.targetPath.insert(0, "/");
+  }
+  return {};
+}
+
+/// The named kind, or else the most specific one that matches.
+const RequestKind*
+FindKind(const HttpRequest& aRequest, const RequestSpec& aSpec)
+{
+  const std::string_view named = Header(aRequest, "X-Request-Kind");
+  const RequestKind* best = nullptr;
+  for (const RequestKind& kind : aSpec.service->kinds) {
+    const bool matches =
+      aSpec.service->contract == Contract::kChat ||
+      (kind.method == std::string_view(aRequest.method_string().data(),
+                                       aRequest.method_string().size()) &&
+       aSpec.targetPath.starts_with(kind.path));
+    if (!matches || (!named.empty() && kind.name != named)) {
+      continue;
+    }
+    const bool moreSpecific =
+      best == nullptr || (aSpec.service->contract == Contract::kPlain &&
+                          kind.path.size() > best->path.size());
+    if (moreSpecific) {
+      best = &kind;
+    }
+  }
+  return best;
+}
+
+SpecResult
+ReadDeadline(const HttpRequest& aRequest, RequestSpec& aSpec, Instant aNow)
+{
+  const std::string_view text = Header(aRequest, "X-Request-Timeout-Ms");
+  int timeout = kDefaultTimeoutMs;
+  if (!text.empty()) {
+    const auto [end, error] =
+      std::from_chars(text.data(), text.data() + text.size(), timeout);
+    if (error != std::errc{} || end != text.data() + text.size() ||
+        timeout <= 0 || timeout > kLongestTimeoutMs) {
+      return Refuse(
+        400, "malformed_deadline", "X-Request-Timeout-Ms takes 1 to 600000");
+    }
+  }
+  aSpec.deadline = aNow + milliseconds(timeout);
+  return {};
+}
+
+SpecResult
+ReadIdempotency(const HttpRequest& aRequest, RequestSpec& aSpec)
+{
+  const std::string_view key = Header(aRequest, "Idempotency-Key");
+  const bool sent = aRequest.find("Idempotency-Key") != aRequest.end();
+  if (sent && !IsPrintableId(key)) {
+    return Refuse(400,
+                  "malformed_idempotency_key",
+                  "Idempotency-Key takes 1 to 128 printable characters");
+  }
+  aSpec.idempotencyKey = key;
+  aSpec.idempotent = aSpec.kind->idempotent && key.empty();
+  return {};
+}
+
+} // namespace
+
+std::string
+RequestIdOf(const HttpRequest& aRequest)
+{
+  const std::string_view id = Header(aRequest, "X-Request-Id");
+  return IsPrintableId(id) ? std::string(id) : RandomId();
+}
+
+tl::expected<RequestSpec, Refusal>
+ReadRequest(const HttpRequest& aRequest,
+            std::shared_ptr<const Configuration> aConfiguration,
+            std::string aRequestId,
+            Instant aNow)
+{
+  if (aConfiguration == nullptr) {
+    return tl::unexpected(
+      Refusal{ .status = 503,
+               .code = "no_configuration",
+               .outcome = Outcome::kNotRun,
+               .message = "this node has not learnt a configuration yet",
+               .retryAfter = seconds(1) });
+  }
+  RequestSpec spec;
+  spec.configuration = std::move(aConfiguration);
+  spec.requestId = std::move(aRequestId);
+  spec.account = FindAccountByKey(*spec.configuration, BearerKey(aRequest));
+  if (spec.account == nullptr) {
+    return Refuse(401, "unknown_account", "the key belongs to no account");
+  }
+  const std::string_view target(aRequest.target().data(),
+                                aRequest.target().size());
+  const bool isChat = target.substr(0, target.find('?')) == kChatPath;
+  if (!isChat && !target.starts_with(kServicesPath)) {
+    return Refuse(404, "unknown_path", "no service answers this path");
+  }
+  const SpecResult read =
+    isChat ? ReadChat(aRequest, spec) : ReadPlain(target, spec);
+  if (!read) {
+    return tl::unexpected(read.error());
+  }
+  if (!MayCall(*spec.service, *spec.account)) {
+    return Refuse(
+      403, "account_not_allowed", "the account may not call this service");
+  }
+  spec.kind = FindKind(aRequest, spec);
+  if (spec.kind == nullptr) {
+    return Refuse(
+      404, "unknown_kind", "the service declares no such kind, method or path");
+  }
+  const SpecResult deadline = ReadDeadline(aRequest, spec, aNow).and_then([&] {
+    return ReadIdempotency(aRequest, spec);
+  });
+  if (!deadline) {
+    return tl::unexpected(deadline.error());
+  }
+  return spec;
+}
+
+std::string
+RequestFingerprint(const HttpRequest& aRequest)
+{
+  std::string text(aRequest.method_string());
+  text.append("\n").append(aRequest.target()).append("\n");
+  text.append(aRequest.body());
+  return Sha256Hex(text).substr(0, 16);
+}
+
+std::string
+JournalKey(const RequestSpec& aSpec, std::string_view aFingerprint)
+{
+  std::string text = aSpec.account->name;
+  text.append("\n").append(aSpec.service->name).append("\n");
+  if (aSpec.idempotencyKey.empty()) {
+    // Request ids also serve as trace ids, so one that comes back counts as
+    // a repeat only with the same request behind it.
+    text.append("id\n").append(aSpec.requestId).append("\n");
+    text.append(aFingerprint);
+  } else {
+    text.append("key\n").append(aSpec.idempotencyKey);
+  }
+  return Sha256Hex(text).substr(0, 32);
+}
+
+} // namespace apricottrack
--- /dev/null
+++ b/src/journal/JournalWriter.cpp
@@ -0,0 +1,306 @@
+#include "journal/JournalWriter.h"
+
+#include <algorithm>
+#include <cassert>
+#include <charconv>
+#include <fmt/format.h>
+
+namespace apricottrack {
+
+namespace {
+
+/// The number that ends a segment's key.
+int
+SegmentNumber(std::string_view aKey)
+{
+  const std::string_view digits = aKey.substr(aKey.rfind('/') + 1);
+  int number = 1;
+  std::from_chars(digits.data(), digits.data() + digits.size(), number);
+  return number;
+}
+
+} // namespace
+
+JournalWriter::JournalWriter(Options aOptions)
+  : options(std::move(aOptions))
+  , retryDelay(this->options.retryLeast)
+{
+}
+
+void
+JournalWriter::AddIntent(JournalIntent aIntent, Instant aDeadline)
+{
+  this->intents.push_back(
+    PendingIntent{ .intent = std::move(aIntent), .deadline = aDeadline });
+}
+
+void
+JournalWriter::AddEnd(JournalEnd aEnd)
+{
+  this->ends.push_back(std::move(aEnd));
+}
+
+std::string
+JournalWriter::SegmentKey() const
+{
+  return fmt::format("{}{:08}", this->options.prefix, this->segment);
+}
+
+std::optional<JournalCall>
+JournalWriter::NextCall(Instant aNow)
+{
+  if (this->calling || aNow < this->nextAt) {
+    return std::nullopt;
+  }
+  if (!this->loaded) {
+    this->calling = true;
+    return JournalCall{ .kind = JournalCall::Kind::kLoad,
+                        .key = this->options.prefix,
+                        .swap = {} };
+  }
+  if (this->stale) {
+    this->calling = true;
+    return JournalCall{ .kind = JournalCall::Kind::kRead,
+                        .key = this->SegmentKey(),
+                        .swap = {} };
+  }
+  this->Settle();
+  if (this->intents.empty() && this->ends.empty()) {
+    return std::nullopt;
+  }
+  this->calling = true;
+  this->nextAt = aNow + this->options.flushInterval;
+  return this->MakeSwap();
+}
+
+std::optional<Instant>
+JournalWriter::WakeAt() const
+{
+  const bool waiting = !this->loaded || this->stale || !this->intents.empty() ||
+                       !this->ends.empty();
+  return waiting && !this->calling ? std::optional(this->nextAt) : std::nullopt;
+}
+
+JournalCall
+JournalWriter::MakeSwap()
+{
+  this->swapText = this->text;
+  std::set<std::string_view> keys;
+  for (PendingIntent& pending : this->intents) {
+    // A second attempt for the same key waits for the first one's fate.
+    if (keys.insert(pending.intent.key).second) {
+      this->swapText += EncodeLine(pending.intent);
+      pending.sent = true;
+    }
+  }
+  for (const JournalEnd& end : this->ends) {
+    this->swapText += EncodeLine(end);
+  }
+  if (this->swapText.size() >= this->options.segmentBytes) {
+    this->swapText += SealLine();
+  }
+  return JournalCall{ .kind = JournalCall::Kind::kSwap,
+                      .key = this->SegmentKey(),
+                      .swap = { .key = this->SegmentKey(),
+                                .expected = this->revision,
+                                .value = this->swapText,
+                                .lease = 0 } };
+}
+
+void
+JournalWriter::NextSegment()
+{
+  ++this->segment;
+  this->text.clear();
+  this->revision = 0;
+  this->stale = true;
+}
+
+void
+JournalWriter::Ingest(std::string_view aText, Revision aRevision)
+{
+  const bool extends = aText.substr(0, this->text.size()) == this->text;
+  assert(extends && "a segment is only ever appended to");
+  const std::string_view added =
+    extends ? aText.substr(this->text.size()) : aText;
+  const bool sealed = this->index.Apply(added);
+  this->text = aText;
+  this->revision = aRevision;
+  this->stale = false;
+  if (sealed) {
+    this->NextSegment();
+  }
+  this->SettleEnds();
+}
+
+void
+JournalWriter::OnLoaded(Result<std::vector<KeyValue>> aSegments, Instant aNow)
+{
+  this->calling = false;
+  if (!aSegments) {
+    this->Fail(aNow);
+    return;
+  }
+  std::sort(aSegments->begin(),
+            aSegments->end(),
+            [](const KeyValue& aLeft, const KeyValue& aRight) {
+              return aLeft.key < aRight.key;
+            });
+  this->loaded = true;
+  this->retryDelay = this->options.retryLeast;
+  for (const KeyValue& segmentValue : *aSegments) {
+    // Segments past their retention are gone from the front.
+    this->segment = SegmentNumber(segmentValue.key);
+    this->Ingest(segmentValue.value, segmentValue.revision);
+  }
+  // The list is one consistent read, so a segment after a sealed last one
+  // does not exist yet.
+  this->stale = false;
+}
+
+void
+JournalWriter::OnRead(Result<KeyValue> aSegment, Instant aNow)
+{
+  this->calling = false;
+  if (!aSegment) {
+    this->Fail(aNow);
+    return;
+  }
+  this->retryDelay = this->options.retryLeast;
+  this->Ingest(aSegment->value, aSegment->revision);
+  this->Settle();
+}
+
+void
+JournalWriter::OnSwapped(Result<Revision> aRevision, Instant aNow)
+{
+  this->calling = false;
+  if (aRevision) {
+    this->retryDelay = this->options.retryLeast;
+    const std::string written = std::move(this->swapText);
+    this->Ingest(written, *aRevision);
+    this->Settle();
+    return;
+  }
+  // Whether the write took effect is open; the journal itself will tell.
+  this->stale = true;
+  if (aRevision.error().code == ErrorCode::kConflict) {
+    ++this->conflicts;
+    this->nextAt = aNow;
+  } else {
+    this->Fail(aNow);
+  }
+}
+
+void
+JournalWriter::Fail(Instant aNow)
+{
+  this->nextAt = aNow + this->retryDelay;
+  this->retryDelay = std::min(this->retryDelay * 2, this->options.retryMost);
+}
+
+void
+JournalWriter::Resolve(const PendingIntent& aPending)
+{
+  const JournalEntry* const entry = this->index.Find(aPending.intent.key);
+  JournalResolution resolution{ .nonce = aPending.intent.nonce,
+                                .verdict = IntentVerdict::kDuplicate,
+                                .entry = std::nullopt };
+  if (entry->intent.nonce == aPending.intent.nonce) {
+    resolution.verdict = IntentVerdict::kRun;
+  } else if (entry->intent.fingerprint != aPending.intent.fingerprint) {
+    resolution.verdict = IntentVerdict::kKeyReused;
+  } else {
+    resolution.entry = *entry;
+  }
+  this->resolutions.push_back(std::move(resolution));
+}
+
+void
+JournalWriter::Settle()
+{
+  if (!this->loaded || this->stale) {
+    return;
+  }
+  std::erase_if(this->intents, [this](const PendingIntent& aPending) {
+    if (this->index.MayAttempt(aPending.intent.key)) {
+      return false;
+    }
+    this->Resolve(aPending);
+    return true;
+  });
+  this->SettleAbandoned();
+}
+
+void
+JournalWriter::SettleAbandoned()
+{
+  std::erase_if(this->abandoned, [this](const auto& aItem) {
+    const auto& [nonce, given] = aItem;
+    const JournalEntry* const entry = this->index.Find(given.key);
+    if (entry != nullptr && entry->intent.nonce == nonce) {
+      if (!entry->end) {
+        JournalEnd end;
+        end.key = given.key;
+        end.nonce = nonce;
+        end.outcome = Outcome::kNotRun;
+        end.at = entry->intent.at;
+        this->ends.push_back(std::move(end));
+      }
+      return true;
+    }
+    return this->segment != given.segment || this->revision > given.revision;
+  });
+}
+
+void
+JournalWriter::SettleEnds()
+{
+  std::erase_if(this->ends, [this](const JournalEnd& aEnd) {
+    const JournalEntry* const entry = this->index.Find(aEnd.key);
+    const bool owned = entry != nullptr && entry->intent.nonce == aEnd.nonce;
+    const bool written =
+      owned && entry->end && entry->end->outcome == aEnd.outcome;
+    if (written) {
+      this->writtenEnds.push_back(aEnd.nonce);
+    }
+    return written || !owned;
+  });
+}
+
+void
+JournalWriter::Expire(Instant aNow)
+{
+  std::erase_if(this->intents, [&](const PendingIntent& aPending) {
+    if (aNow < aPending.deadline) {
+      return false;
+    }
+    if (aPending.sent) {
+      this->abandoned.emplace(aPending.intent.nonce,
+                              Abandoned{ .key = aPending.intent.key,
+                                         .segment = this->segment,
+                                         .revision = this->revision });
+      // Read again, so that the intent is found and closed if it is there.
+      this->stale = true;
+    }
+    this->resolutions.push_back(
+      JournalResolution{ .nonce = aPending.intent.nonce,
+                         .verdict = IntentVerdict::kUnavailable,
+                         .entry = std::nullopt });
+    return true;
+  });
+}
+
+std::vector<JournalResolution>
+JournalWriter::TakeResolutions()
+{
+  return std::exchange(this->resolutions, {});
+}
+
+std::vector<std::string>
+JournalWriter::TakeWrittenEnds()
+{
+  return std::exchange(this->writtenEnds, {});
+}
+
+} // namespace apricottrack
--- /dev/null
+++ b/src/kv/EtcdStore.h
@@ -0,0 +1,55 @@
+#ifndef APRICOTTRACK_KV_ETCDSTORE_H
+#define APRICOTTRACK_KV_ETCDSTORE_H
+
+#include "apricottrack/KeyValueStore.h"
+#include "http/HttpClient.h"
+
+#include <map>
+
+namespace apricottrack {
+
+/// The platform's service over etcd's version 3 JSON gateway: the paths
+/// /v3/kv/range, /v3/kv/txn, /v3/lease/grant, /v3/lease/keepalive and
+/// /v3/watch, with keys and values in base64.
+class EtcdStore final : public KeyValueStore
+{
+public:
+  struct Options
+  {
+    std::string address;
+    Duration callTimeout = seconds(2);
+    /// A watch that stays silent for longer is opened anew. The service's
+    /// progress notices keep a healthy one from reaching this.
+    Duration watchSilence = seconds(20);
+  };
+
+  EtcdStore(boost::asio::any_io_executor aExecutor, Options aOptions);
+
+  Task<Result<KeyValue>> Get(std::string aKey) override;
+  Task<Result<std::vector<KeyValue>>> List(std::string aPrefix,
+                                           Revision& aRevision) override;
+  Task<Result<Revision>> CompareAndSwap(Swap aSwap) override;
+  Task<Result<LeaseId>> GrantLease(std::int64_t aTtlSeconds) override;
+  Task<Result<std::int64_t>> RenewLease(LeaseId aLease) override;
+  Task<Error> Watch(std::string aPrefix,
+                    Revision aFrom,
+                    WatchCallback aCallback) override;
+
+  /// Calls made so far, by path; a watch counts once when it opens.
+  const std::map<std::string, std::int64_t>& Calls() const
+  {
+    return this->calls;
+  }
+
+private:
+  Task<Result<std::string>> Call(std::string aPath, std::string aBody);
+
+  boost::asio::any_io_executor executor;
+  Options options;
+  HttpConnectionPool pool;
+  std::map<std::string, std::int64_t> calls;
+};
+
+} // namespace apricottrack
+
+#endif
--- /dev/null
+++ b/src/limits/AccountLimiter.cpp
@@ -0,0 +1,137 @@
+#include "limits/AccountLimiter.h"
+
+#include "apricottrack/Configuration.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace apricottrack {
+
+namespace {
+
+/// Seconds of its rate that a bucket can save up.
+constexpr double kBurstSeconds = 2;
+
+/// Time constant of the demand average, seconds.
+constexpr double kDemandSmoothingSeconds = 3;
+
+/// Share of an equal part that every node keeps whatever the demand.
+constexpr double kFloorShare = 0.2;
+
+double
+Decay(Duration aElapsed)
+{
+  return std::exp(-ToSeconds(aElapsed) / kDemandSmoothingSeconds);
+}
+
+/// Time until a bucket that fills at a rate holds what is missing.
+Duration
+TimeToFill(double aMissing, double aRate)
+{
+  static constexpr double kLongestSeconds = 60;
+  const double wait = aRate > 0 ? aMissing / aRate : kLongestSeconds;
+  return FromSeconds(std::clamp(wait, 0.0, kLongestSeconds));
+}
+
+} // namespace
+
+double
+LimitShare(double aLimit, double aOwnDemand, double aOtherDemand, int aNodes)
+{
+  const double equal = aLimit / std::max(1, aNodes);
+  const double total = aOwnDemand + aOtherDemand;
+  if (total <= 0) {
+    return equal;
+  }
+  const double byDemand = aLimit * aOwnDemand / total;
+  return kFloorShare * equal + (1 - kFloorShare) * byDemand;
+}
+
+Rates
+AccountLimiter::ShareOf(const ClientAccount& aAccount,
+                        const Bucket& aBucket) const
+{
+  const auto found = this->otherDemand.find(aAccount.name);
+  const Rates other =
+    found == this->otherDemand.end() ? Rates{} : found->second;
+  return Rates{
+    .requests = LimitShare(aAccount.requestsPerSecond,
+                           aBucket.demand.requests,
+                           other.requests,
+                           this->nodes),
+    .tokens = LimitShare(aAccount.tokensPerSecond,
+                         aBucket.demand.tokens,
+                         other.tokens,
+                         this->nodes),
+  };
+}
+
+std::optional<Duration>
+AccountLimiter::Admit(const ClientAccount& aAccount,
+                      double aTokens,
+                      Instant aNow)
+{
+  Bucket& bucket = this->buckets[aAccount.name];
+  const Duration elapsed =
+    bucket.fresh ? Duration::zero()
+                 : std::max(Duration::zero(), aNow - bucket.updated);
+  const double decay = Decay(elapsed);
+  bucket.demand.requests =
+    bucket.demand.requests * decay + 1 / kDemandSmoothingSeconds;
+  bucket.demand.tokens =
+    bucket.demand.tokens * decay + aTokens / kDemandSmoothingSeconds;
+
+  const Rates share = this->ShareOf(aAccount, bucket);
+  const double requestCap = std::max(1.0, share.requests * kBurstSeconds);
+  const double tokenCap = std::max(aTokens, share.tokens * kBurstSeconds);
+  const double seconds = ToSeconds(elapsed);
+  if (bucket.fresh) {
+    bucket.requests = requestCap;
+    bucket.tokens = tokenCap;
+    bucket.fresh = false;
+  }
+  bucket.requests =
+    std::min(requestCap, bucket.requests + share.requests * seconds);
+  bucket.tokens = std::min(tokenCap, bucket.tokens + share.tokens * seconds);
+  bucket.updated = aNow;
+  if (bucket.requests < 1 || bucket.tokens < aTokens) {
+    return std::max(TimeToFill(1 - bucket.requests, share.requests),
+                    TimeToFill(aTokens - bucket.tokens, share.tokens));
+  }
+  bucket.requests -= 1;
+  bucket.tokens -= aTokens;
+  return std::nullopt;
+}
+
+void
+AccountLimiter::Settle(const std::string& aAccount,
+                       double aEstimated,
+                       double aActual)
+{
+  const auto found = this->buckets.find(aAccount);
+  if (found != this->buckets.end()) {
+    found->second.tokens += aEstimated - aActual;
+  }
+}
+
+void
+AccountLimiter::SetOtherDemand(std::map<std::string, Rates> aDemand, int aNodes)
+{
+  this->otherDemand = std::move(aDemand);
+  this->nodes = std::max(1, aNodes);
+}
+
+std::map<std::string, Rates>
+AccountLimiter::OwnDemand(Instant aNow) const
+{
+  std::map<std::string, Rates> demand;
+  for (const auto& [account, bucket] : this->buckets) {
+    const double decay =
+      Decay(std::max(Duration::zero(), aNow - bucket.updated));
+    demand[account] = Rates{ .requests = bucket.demand.requests * decay,
+                             .tokens = bucket.demand.tokens * decay };
+  }
+  return demand;
+}
+
+} // namespace apricottrack
--- /dev/null
+++ b/src/node/AdminEndpoint.h
@@ -0,0 +1,29 @@
+#ifndef APRICOTTRACK_NODE_ADMINENDPOINT_H
+#define APRICOTTRACK_NODE_ADMINENDPOINT_H
+
+#include "http/HttpServer.h"
+#include "node/NodeContext.h"
+
+namespace apricottrack {
+
+/// Answers the balancer's health check, metric collectors and operators:
+/// /healthz, /metrics and /status.
+class AdminEndpoint
+{
+public:
+  explicit AdminEndpoint(NodeContext& aContext);
+
+  Task<void> Handle(HttpExchange& aExchange);
+
+private:
+  HttpResponse Answer(std::string_view aPath);
+  HttpResponse Health() const;
+  HttpResponse Metrics();
+  HttpResponse Status() const;
+
+  NodeContext& context;
+};
+
+} // namespace apricottrack
+
+#endif
--- /dev/null
+++ b/src/node/Dispatcher.cpp
@@ -0,0 +1,173 @@
+#include "node/Dispatcher.h"
+
+#include <algorithm>
+
+namespace apricottrack {
+
+namespace asio = boost::asio;
+
+Dispatcher::Dispatcher(asio::any_io_executor aExecutor, Options aOptions)
+  : executor(std::move(aExecutor))
+  , options(std::move(aOptions))
+  , router(
+      Router::Options{ .availabilityZone = this->options.availabilityZone },
+      MakeAffinityStrategy())
+  , queue(AdmissionQueue::Options{ .limit = this->options.queueLimit })
+  , budget(RetryBudget::Options{})
+  , random(std::random_device{}())
+{
+}
+
+void
+Dispatcher::SetTargets(const std::vector<Target>& aTargets, Instant aNow)
+{
+  this->router.SetTargets(aTargets);
+  this->queue.SetConcurrency(this->router.TotalSlots());
+  this->Pump(aNow);
+}
+
+Refusal
+Dispatcher::LateRefusal() const
+{
+  return Refusal{ .status = 503,
+                  .code = "deadline_unreachable",
+                  .outcome = Outcome::kNotRun,
+                  .message = "the request would be answered too late",
+                  .retryAfter = this->queue.EstimatedWait(this->queue.Size()) };
+}
+
+Task<std::optional<Refusal>>
+Dispatcher::Admit(Ticket aTicket)
+{
+  const Instant now = MonotonicNow();
+  const TicketId id = this->nextTicket++;
+  const Instant deadline = aTicket.deadline;
+  aTicket.id = id;
+  aTicket.arrived = now;
+  const AdmissionRefusal refused = this->queue.Add(std::move(aTicket), now);
+  if (refused == AdmissionRefusal::kQueueFull) {
+    co_return Refusal{ .status = 503,
+                       .code = "queue_full",
+                       .outcome = Outcome::kNotRun,
+                       .message = "too many requests wait for this service",
+                       .retryAfter =
+                         this->queue.EstimatedWait(this->queue.Size()) };
+  }
+  if (refused == AdmissionRefusal::kDeadlineUnreachable) {
+    co_return this->LateRefusal();
+  }
+  Waiter waiter{ .timer = asio::steady_timer(this->executor, deadline),
+                 .since = now,
+                 .refusal = std::nullopt };
+  this->waiters[id] = &waiter;
+  this->Pump(now);
+  if (!waiter.admitted && !waiter.refusal) {
+    co_await waiter.timer.async_wait(kAsTuple);
+  }
+  this->waiters.erase(id);
+  if (!waiter.admitted) {
+    this->queue.Remove(id);
+    co_return waiter.refusal.value_or(this->LateRefusal());
+  }
+  co_return std::nullopt;
+}
+
+void
+Dispatcher::Abandon()
+{
+  this->granted = std::max(0, this->granted - 1);
+  this->Pump(MonotonicNow());
+}
+
+void
+Dispatcher::Begin()
+{
+  this->granted = std::max(0, this->granted - 1);
+  this->budget.OnFirstAttempt();
+}
+
+std::optional<Target>
+Dispatcher::Choose(const RouteKey& aKey,
+                   const std::set<std::string>& aTried,
+                   Instant aNow)
+{
+  return this->router.Choose(aKey, aTried, aNow, this->random);
+}
+
+void
+Dispatcher::OnStart(const Target& aTarget, Instant aNow)
+{
+  this->router.OnStart(aTarget.id, aNow);
+}
+
+void
+Dispatcher::OnFirstByte(const Target& aTarget, Duration aElapsed)
+{
+  this->router.OnFirstByte(aTarget.id, aElapsed);
+}
+
+void
+Dispatcher::OnEnd(const Target& aTarget,
+                  bool aFailed,
+                  Duration aServiceTime,
+                  Instant aNow)
+{
+  this->router.OnEnd(aTarget.id, aFailed, aNow);
+  if (!aFailed) {
+    this->queue.OnFinished(aServiceTime);
+  }
+  this->Pump(aNow);
+}
+
+void
+Dispatcher::RefuseWaiter(TicketId aId, Refusal aRefusal)
+{
+  const auto found = this->waiters.find(aId);
+  if (found != this->waiters.end()) {
+    found->second->refusal = std::move(aRefusal);
+    found->second->timer.cancel();
+  }
+}
+
+void
+Dispatcher::RefuseWithoutTargets(Instant aNow)
+{
+  for (const auto& [id, waiter] : this->waiters) {
+    if (!waiter->admitted &&
+        aNow - waiter->since >= this->options.noTargetPatience) {
+      this->queue.Remove(id);
+      this->RefuseWaiter(id,
+                         Refusal{ .status = 503,
+                                  .code = "no_target",
+                                  .outcome = Outcome::kNotRun,
+                                  .message = "no target serves now",
+                                  .retryAfter = seconds(2) });
+    }
+  }
+}
+
+void
+Dispatcher::Pump(Instant aNow)
+{
+  if (this->waiters.empty()) {
+    return;
+  }
+  for (const TicketId id : this->queue.Expire(aNow)) {
+    this->RefuseWaiter(id, this->LateRefusal());
+  }
+  if (this->router.TargetCount() == 0) {
+    this->RefuseWithoutTargets(aNow);
+    return;
+  }
+  const int free = this->router.FreeSlots(aNow) - this->granted;
+  for (const TicketId id : this->queue.Dispatch(free, aNow)) {
+    const auto found = this->waiters.find(id);
+    if (found != this->waiters.end()) {
+      ++this->granted;
+      found->second->admitted = true;
+      found->second->timer.cancel();
+    }
+  }
+}
+
+} // namespace apricottrack
--- /dev/null
+++ b/src/node/JournalTask.cpp
@@ -0,0 +1,133 @@
+#include "node/JournalTask.h"
+
+#include "http/HttpTypes.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+
+namespace apricottrack {
+
+namespace asio = boost::asio;
+
+JournalTask::JournalTask(asio::any_io_executor aExecutor,
+                         KeyValueStore& aStore,
+                         JournalWriter::Options aOptions)
+  : executor(std::move(aExecutor))
+  , store(aStore)
+  , writer(std::move(aOptions))
+  , wake(this->executor)
+{
+}
+
+void
+JournalTask::Start()
+{
+  asio::co_spawn(
+    this->executor,
+    [this]() -> Task<void> { co_await this->Run(); },
+    asio::detached);
+}
+
+Task<void>
+JournalTask::Run()
+{
+  for (;;) {
+    auto call = this->writer.NextCall(MonotonicNow());
+    this->Deliver();
+    if (call) {
+      co_await this->Perform(std::move(*call));
+      this->Deliver();
+    } else {
+      co_await this->Sleep();
+    }
+  }
+}
+
+Task<void>
+JournalTask::Perform(JournalCall aCall)
+{
+  switch (aCall.kind) {
+    case JournalCall::Kind::kLoad: {
+      Revision revision = 0;
+      auto segments = co_await this->store.List(aCall.key, revision);
+      this->writer.OnLoaded(std::move(segments), MonotonicNow());
+      break;
+    }
+    case JournalCall::Kind::kRead: {
+      auto segment = co_await this->store.Get(aCall.key);
+      this->writer.OnRead(std::move(segment), MonotonicNow());
+      break;
+    }
+    case JournalCall::Kind::kSwap: {
+      auto swapped = co_await this->store.CompareAndSwap(std::move(aCall.swap));
+      this->writer.OnSwapped(std::move(swapped), MonotonicNow());
+      break;
+    }
+  }
+}
+
+Task<void>
+JournalTask::Sleep()
+{
+  const auto wakeAt = this->writer.WakeAt();
+  if (wakeAt) {
+    this->wake.expires_at(*wakeAt);
+  } else {
+    this->wake.expires_at(asio::steady_timer::time_point::max());
+  }
+  co_await this->wake.async_wait(kAsTuple);
+}
+
+void
+JournalTask::Deliver()
+{
+  for (JournalResolution& resolution : this->writer.TakeResolutions()) {
+    const auto found = this->intentWaiters.find(resolution.nonce);
+    if (found != this->intentWaiters.end()) {
+      found->second->resolution = std::move(resolution);
+      found->second->timer.cancel();
+    }
+  }
+  for (const std::string& nonce : this->writer.TakeWrittenEnds()) {
+    const auto found = this->endWaiters.find(nonce);
+    if (found != this->endWaiters.end()) {
+      found->second->endWritten = true;
+      found->second->timer.cancel();
+    }
+  }
+}
+
+Task<JournalResolution>
+JournalTask::Append(JournalIntent aIntent, Instant aDeadline)
+{
+  const std::string nonce = aIntent.nonce;
+  Waiter waiter{ .timer = asio::steady_timer(this->executor, aDeadline),
+                 .resolution = std::nullopt };
+  this->intentWaiters[nonce] = &waiter;
+  this->writer.AddIntent(std::move(aIntent), aDeadline);
+  this->wake.cancel();
+  co_await waiter.timer.async_wait(kAsTuple);
+  if (!waiter.resolution) {
+    this->writer.Expire(std::max(aDeadline, MonotonicNow()));
+    this->Deliver();
+    this->wake.cancel();
+  }
+  this->intentWaiters.erase(nonce);
+  co_return std::move(*waiter.resolution);
+}
+
+Task<bool>
+JournalTask::End(JournalEnd aEnd, Duration aWait)
+{
+  const std::string nonce = aEnd.nonce;
+  Waiter waiter{ .timer = asio::steady_timer(this->executor, aWait),
+                 .resolution = std::nullopt };
+  this->endWaiters[nonce] = &waiter;
+  this->writer.AddEnd(std::move(aEnd));
+  this->wake.cancel();
+  co_await waiter.timer.async_wait(kAsTuple);
+  this->endWaiters.erase(nonce);
+  co_return waiter.endWritten;
+}
+
+} // namespace apricottrack
--- /dev/null
+++ b/src/node/KeeperTask.cpp
@@ -0,0 +1,171 @@
+#include "node/KeeperTask.h"
+
+#include "base/Hash.h"
+#include "base/Log.h"
+#include "kv/PlatformKeys.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/json.hpp>
+
+namespace apricottrack {
+
+namespace asio = boost::asio;
+namespace json = boost::json;
+
+namespace {
+
+constexpr Duration kRound = milliseconds(250);
+constexpr Duration kOrderTimeout = milliseconds(1000);
+
+std::string
+EncodeOrder(const Order& aOrder)
+{
+  json::array members;
+  for (const std::string& address : aOrder.memberAddresses) {
+    members.emplace_back(address);
+  }
+  return json::serialize(json::object{ { "epoch", aOrder.epoch },
+                                       { "group", aOrder.group },
+                                       { "service", aOrder.service },
+                                       { "rank", aOrder.rank },
+                                       { "members", members } });
+}
+
+} // namespace
+
+KeeperTask::KeeperTask(NodeContext& aContext,
+                       KeyValueStore& aStore,
+                       GroupPlanner::Options aOptions,
+                       std::function<bool(Instant)> aMayPlan)
+  : context(aContext)
+  , store(aStore)
+  , planner(aOptions)
+  , mayPlan(std::move(aMayPlan))
+  , pool(aContext.executor, HttpConnectionPool::Options{ .idlePerAddress = 1 })
+{
+}
+
+void
+KeeperTask::Start()
+{
+  asio::co_spawn(
+    this->context.executor,
+    [this]() -> Task<void> { co_await this->Run(); },
+    asio::detached);
+}
+
+void
+KeeperTask::SetRevision(const std::string& aDomain, Revision aRevision)
+{
+  Revision& known = this->revisions[aDomain];
+  known = std::max(known, aRevision);
+}
+
+PlannerView
+KeeperTask::View(const Configuration& aConfiguration) const
+{
+  return PlannerView{ .configuration = aConfiguration,
+                      .vms = this->context.view.Vms(),
+                      .reports = this->context.view.Reports(),
+                      .leaving = this->context.view.Leaving(),
+                      .plans = this->context.view.Plans() };
+}
+
+Task<void>
+KeeperTask::Run()
+{
+  for (;;) {
+    asio::steady_timer timer(this->context.executor, kRound);
+    co_await timer.async_wait(kAsTuple);
+    if (this->mayPlan(MonotonicNow()) &&
+        this->context.configuration.Current() != nullptr) {
+      co_await this->PlanOnce();
+      this->SendOrders();
+    }
+  }
+}
+
+Task<void>
+KeeperTask::PlanOnce()
+{
+  const auto configuration = this->context.configuration.Current();
+  const std::vector<DomainPlan> plans =
+    this->planner.Plan(this->View(*configuration), WallNow(), MonotonicNow());
+  for (const DomainPlan& plan : plans) {
+    co_await this->Write(plan);
+  }
+}
+
+Task<void>
+KeeperTask::Write(DomainPlan aPlan)
+{
+  aPlan.author = RandomId();
+  Swap swap{ .key = keys::PlanOf(aPlan.domain),
+             .expected = this->revisions[aPlan.domain],
+             .value = EncodeDomainPlan(aPlan),
+             .lease = 0 };
+  const auto swapped = co_await this->store.CompareAndSwap(std::move(swap));
+  if (!swapped) {
+    // Whatever is in force arrives by the watch; the next round starts from
+    // there.
+    LogLine("plan_not_written")
+      .With("domain", aPlan.domain)
+      .With(swapped.error())
+      .Warn();
+    co_return;
+  }
+  LogLine("plan_written")
+    .With("domain", aPlan.domain)
+    .With("epoch", static_cast<std::int64_t>(aPlan.epoch))
+    .With("groups", static_cast<std::int64_t>(aPlan.assignments.size()))
+    .With("releases", static_cast<std::int64_t>(aPlan.releases.size()))
+    .Info();
+  this->context.counters.Add("plans_written_total");
+  this->SetRevision(aPlan.domain, *swapped);
+  this->context.view.SetPlan(std::move(aPlan));
+}
+
+void
+KeeperTask::SendOrders()
+{
+  const auto configuration = this->context.configuration.Current();
+  const Instant now = MonotonicNow();
+  if (!this->mayPlan(now)) {
+    return;
+  }
+  for (Order& order :
+       this->planner.OrdersFor(this->View(*configuration), now)) {
+    if (!this->ordering.insert(order.vm).second) {
+      continue;
+    }
+    asio::co_spawn(
+      this->context.executor,
+      [this, order = std::move(order)]() -> Task<void> {
+        co_await this->SendOrder(order);
+        this->ordering.erase(order.vm);
+      },
+      asio::detached);
+  }
+}
+
+Task<void>
+KeeperTask::SendOrder(Order aOrder)
+{
+  HttpRequest request(boost::beast::http::verb::post, "/v1/order", 11);
+  request.set(boost::beast::http::field::content_type, "application/json");
+  request.body() = EncodeOrder(aOrder);
+  const auto answer = co_await Fetch(
+    this->pool, aOrder.address, std::move(request), kOrderTimeout);
+  LogLine line("order_sent");
+  line.With("vm", aOrder.vm)
+    .With("group", aOrder.group)
+    .With("epoch", static_cast<std::int64_t>(aOrder.epoch));
+  if (!answer) {
+    line.With(answer.error()).Warn();
+    co_return;
+  }
+  line.With("status", std::int64_t{ answer->result_int() }).Info();
+}
+
+} // namespace apricottrack
--- /dev/null
+++ b/src/node/LeaseTask.cpp
@@ -0,0 +1,86 @@
+#include "node/LeaseTask.h"
+
+#include "http/HttpTypes.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/steady_timer.hpp>
+
+namespace apricottrack {
+
+namespace asio = boost::asio;
+
+LeaseTask::LeaseTask(asio::any_io_executor aExecutor,
+                     KeyValueStore& aStore,
+                     Options aOptions)
+  : executor(std::move(aExecutor))
+  , store(aStore)
+  , options(std::move(aOptions))
+{
+}
+
+void
+LeaseTask::Start()
+{
+  asio::co_spawn(
+    this->executor,
+    [this]() -> Task<void> { co_await this->Run(); },
+    asio::detached);
+}
+
+Task<void>
+LeaseTask::Run()
+{
+  while (!this->released) {
+    // The lease counts from before the call, so that this node never
+    // believes in it longer than the service does.
+    const Instant asked = MonotonicNow();
+    const bool held =
+      this->lease != 0 ? co_await this->Renew() : co_await this->Acquire();
+    if (held) {
+      this->validUntil = asked + seconds(this->options.ttlSeconds);
+    }
+    asio::steady_timer timer(this->executor, this->options.renewEvery);
+    co_await timer.async_wait(kAsTuple);
+  }
+}
+
+Task<bool>
+LeaseTask::Renew()
+{
+  const auto renewed = co_await this->store.RenewLease(this->lease);
+  if (!renewed && renewed.error().code == ErrorCode::kRefused) {
+    this->lease = 0;
+    this->validUntil = Instant{};
+  }
+  co_return renewed.has_value();
+}
+
+Task<bool>
+LeaseTask::Acquire()
+{
+  auto present = co_await this->store.Get(this->options.key);
+  if (!present) {
+    co_return false;
+  }
+  const bool own = present->value == this->options.value;
+  if (present->revision != 0 && !own) {
+    co_return false;
+  }
+  const auto granted =
+    co_await this->store.GrantLease(this->options.ttlSeconds);
+  if (!granted) {
+    co_return false;
+  }
+  Swap swap{ .key = this->options.key,
+             .expected = present->revision,
+             .value = this->options.value,
+             .lease = *granted };
+  const auto swapped = co_await this->store.CompareAndSwap(std::move(swap));
+  if (swapped) {
+    this->lease = *granted;
+  }
+  co_return swapped.has_value();
+}
+
+} // namespace apricottrack
--- /dev/null
+++ b/src/node/LeaseTask.h
@@ -0,0 +1,53 @@
+#ifndef APRICOTTRACK_NODE_LEASETASK_H
+#define APRICOTTRACK_NODE_LEASETASK_H
+
+#include "apricottrack/KeyValueStore.h"
+#include "apricottrack/Time.h"
+
+#include <boost/asio/any_io_executor.hpp>
+#include <string>
+
+namespace apricottrack {
+
+/// Keeps a key at the platform's service under a lease: this node's entry in
+/// the list of nodes, or the planner's key that whoever comes first holds.
+/// Holding is a hint: it can lapse during a pause without being noticed.
+class LeaseTask
+{
+public:
+  struct Options
+  {
+    std::string key;
+    std::string value;
+    std::int64_t ttlSeconds = 5;
+    Duration renewEvery = milliseconds(1500);
+  };
+
+  LeaseTask(boost::asio::any_io_executor aExecutor,
+            KeyValueStore& aStore,
+            Options aOptions);
+
+  void Start();
+
+  /// True while the lease has not run out by this node's own clock.
+  bool Holds(Instant aNow) const { return aNow < this->validUntil; }
+
+  /// Stops renewing, so that the key goes with its lease.
+  void Release() { this->released = true; }
+
+private:
+  Task<void> Run();
+  Task<bool> Acquire();
+  Task<bool> Renew();
+
+  boost::asio::any_io_executor executor;
+  KeyValueStore& store;
+  Options options;
+  LeaseId lease = 0;
+  Instant validUntil;
+  bool released = false;
+};
+
+} // namespace apricottrack
+
+#endif
--- /dev/null
+++ b/src/node/Node.cpp
@@ -0,0 +1,403 @@
+#include "apricottrack/Node.h"
+
+#include "base/Hash.h"
+#include "base/Log.h"
+#include "http/HttpServer.h"
+#include "kv/EtcdStore.h"
+#include "kv/PlatformKeys.h"
+#include "node/AdminEndpoint.h"
+#include "node/KeeperTask.h"
+#include "node/LeaseTask.h"
+#include "node/NodeContext.h"
+#include "node/PlatformTask.h"
+#include "node/ProbeTask.h"
+#include "node/RequestRun.h"
+#include "node/VmListTask.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/json.hpp>
+
+namespace apricottrack {
+
+namespace asio = boost::asio;
+namespace json = boost::json;
+
+namespace {
+
+constexpr Duration kRefreshInterval = milliseconds(50);
+constexpr std::int64_t kNodeLeaseSeconds = 10;
+constexpr std::int64_t kPlannerLeaseSeconds = 4;
+/// Longest wait, at a planned stop, for ends still to be journaled.
+constexpr Duration kJournalFlush = seconds(5);
+
+std::string
+NodeRecord(const NodeContext& aContext)
+{
+  return json::serialize(
+    json::object{ { "node", aContext.settings.node },
+                  { "incarnation", aContext.incarnation },
+                  { "availability_zone", aContext.settings.availabilityZone },
+                  { "admin", aContext.settings.adminListen },
+                  { "peer", aContext.settings.peerListen } });
+}
+
+std::set<std::string, std::less<>>
+ParseDrained(std::string_view aText)
+{
+  std::set<std::string, std::less<>> vms;
+  boost::system::error_code error;
+  const json::value value = json::parse(aText, error);
+  if (!error && value.is_array()) {
+    for (const json::value& item : value.get_array()) {
+      if (item.is_string()) {
+        vms.emplace(item.get_string());
+      }
+    }
+  }
+  return vms;
+}
+
+} // namespace
+
+class Node::Impl
+{
+public:
+  Impl(asio::any_io_executor aExecutor, Settings aSettings);
+
+  Result<void> Start();
+  void Stop(std::function<void()> aDone);
+
+private:
+  void OnPlatformValues(const std::vector<KeyValue>& aValues, bool aComplete);
+  void OnPlatformValue(const KeyValue& aValue);
+  void OnConfiguration(const KeyValue& aValue);
+  void OnPlan(const KeyValue& aValue);
+  void OnVms(VmList aVms);
+  void Refresh();
+  Task<void> RefreshRegularly();
+  Task<void> Drain(std::function<void()> aDone);
+  void StartTasks();
+  std::size_t PendingEnds() const;
+
+  Settings settings;
+  NodeContext context;
+  EtcdStore store;
+  AdminEndpoint admin;
+  std::shared_ptr<HttpServer> callerServer;
+  std::shared_ptr<HttpServer> adminServer;
+  PlatformTask platform;
+  VmListTask vmList;
+  ProbeTask probes;
+  LeaseTask registration;
+  LeaseTask plannerLease;
+  KeeperTask keeper;
+};
+
+Node::Impl::Impl(asio::any_io_executor aExecutor, Settings aSettings)
+  : settings(std::move(aSettings))
+  , context{
+    .settings = this->settings,
+    .executor = aExecutor,
+    .incarnation = RandomId(),
+    .counters = {},
+    .configuration = {},
+    .limiter = {},
+    .view = NodeView(
+      std::make_unique<WholeGroupGate>(this->settings.heardWithin),
+      this->settings.heardWithin),
+    .targetPool = HttpConnectionPool(aExecutor, HttpConnectionPool::Options{}),
+    .retryPolicy = std::make_unique<SafeRetryPolicy>(),
+    .dispatchers = {},
+    .journals = {},
+  }
+  , store(aExecutor, EtcdStore::Options{ .address = this->settings.platform })
+  , admin(this->context)
+  , platform(aExecutor,
+             this->store,
+             PlatformTask::Options{},
+             [this](const std::vector<KeyValue>& aValues, bool aComplete) {
+               this->OnPlatformValues(aValues, aComplete);
+             })
+  , vmList(aExecutor,
+           this->settings.vmList,
+           [this](VmList aVms) { this->OnVms(std::move(aVms)); })
+  , probes(aExecutor,
+           this->settings.probeInterval,
+           [this](const std::string& aVm, MemberReport aReport) {
+             this->context.view.SetReport(aVm, std::move(aReport));
+           })
+  , registration(
+      aExecutor,
+      this->store,
+      LeaseTask::Options{ .key = keys::NodeOf(this->settings.node),
+                          .value = NodeRecord(this->context),
+                          .ttlSeconds = kNodeLeaseSeconds,
+                          .renewEvery = seconds(3) })
+  , plannerLease(aExecutor,
+                 this->store,
+                 LeaseTask::Options{ .key = std::string(keys::kPlanner),
+                                     .value = NodeRecord(this->context),
+                                     .ttlSeconds = kPlannerLeaseSeconds,
+                                     .renewEvery = milliseconds(1000) })
+  , keeper(this->context,
+           this->store,
+           GroupPlanner::Options{},
+           [this](Instant aNow) { return this->plannerLease.Holds(aNow); })
+{
+}
+
+Result<void>
+Node::Impl::Start()
+{
+  const HttpErrorBody errorBody = [](unsigned aStatus,
+                                     std::string_view aReason) {
+    return RefusalResponse(Refusal{ .status = aStatus,
+                                    .code = std::string(aReason),
+                                    .outcome = Outcome::kNotRun,
+                                    .message = "the request could not be read",
+                                    .retryAfter = std::nullopt },
+                           RandomId());
+  };
+  HttpServerLimits limits;
+  limits.connections = static_cast<std::size_t>(this->settings.maxConnections);
+  limits.bodyBytes = static_cast<std::uint64_t>(this->settings.maxBodyBytes);
+  auto callers = HttpServer::Make(
+    this->context.executor,
+    HttpServer::Options{
+      .address = this->settings.listen,
+      .limits = limits,
+      .handler = [this](HttpExchange& aExchange) -> Task<void> {
+        RequestRun run(this->context, aExchange);
+        co_await run.Serve();
+      },
+      .errorBody = errorBody,
+    });
+  if (!callers) {
+    return tl::unexpected(callers.error());
+  }
+  this->callerServer = *callers;
+  auto operators = HttpServer::Make(
+    this->context.executor,
+    HttpServer::Options{
+      .address = this->settings.adminListen,
+      .limits = HttpServerLimits{ .connections = 256 },
+      .handler = [this](HttpExchange& aExchange) -> Task<void> {
+        co_await this->admin.Handle(aExchange);
+      },
+      .errorBody = errorBody,
+    });
+  if (!operators) {
+    return tl::unexpected(operators.error());
+  }
+  this->adminServer = *operators;
+  this->StartTasks();
+  return {};
+}
+
+void
+Node::Impl::StartTasks()
+{
+  for (int i = 0; i < this->settings.journalCount; ++i) {
+    JournalWriter::Options options;
+    options.prefix = keys::JournalOf(i);
+    options.flushInterval = this->settings.journalFlushInterval;
+    this->context.journals.push_back(std::make_unique<JournalTask>(
+      this->context.executor, this->store, std::move(options)));
+    this->context.journals.back()->Start();
+  }
+  this->platform.Start();
+  this->vmList.Start();
+  this->registration.Start();
+  this->plannerLease.Start();
+  this->keeper.Start();
+  asio::co_spawn(
+    this->context.executor,
+    [this]() -> Task<void> { co_await this->RefreshRegularly(); },
+    asio::detached);
+  LogLine("node_started")
+    .With("node", this->settings.node)
+    .With("incarnation", this->context.incarnation)
+    .With("listen", this->settings.listen)
+    .Info();
+}
+
+void
+Node::Impl::OnPlatformValues(const std::vector<KeyValue>& aValues,
+                             bool aComplete)
+{
+  bool drainedSeen = false;
+  for (const KeyValue& value : aValues) {
+    drainedSeen = drainedSeen || value.key == keys::kDrained;
+    this->OnPlatformValue(value);
+  }
+  if (aComplete && !drainedSeen) {
+    this->context.view.SetDrained({});
+  }
+  this->Refresh();
+}
+
+void
+Node::Impl::OnPlatformValue(const KeyValue& aValue)
+{
+  if (aValue.key == keys::kConfiguration) {
+    this->OnConfiguration(aValue);
+  } else if (aValue.key == keys::kDrained) {
+    this->context.view.SetDrained(ParseDrained(aValue.value));
+  } else if (aValue.key.starts_with(keys::kPlanPrefix)) {
+    this->OnPlan(aValue);
+  }
+}
+
+void
+Node::Impl::OnConfiguration(const KeyValue& aValue)
+{
+  const auto stored =
+    ParseStoredConfiguration(aValue.value, this->settings.platform);
+  if (!stored) {
+    LogLine("configuration_unreadable").With(stored.error()).Warn();
+    return;
+  }
+  const OfferResult result = this->context.configuration.Offer(*stored);
+  if (result == OfferResult::kTaken) {
+    LogLine("configuration_in_force")
+      .With("version", static_cast<std::int64_t>(stored->version))
+      .With("submission", stored->submission)
+      .With("delay_ms", WallNow() - stored->submittedAt)
+      .Info();
+  } else if (result == OfferResult::kInvalid) {
+    LogLine("configuration_invalid")
+      .With("version", static_cast<std::int64_t>(stored->version))
+      .Warn();
+  }
+}
+
+void
+Node::Impl::OnPlan(const KeyValue& aValue)
+{
+  auto plan = ParseDomainPlan(aValue.value, this->settings.platform);
+  if (!plan || plan->domain.empty()) {
+    LogLine("plan_unreadable").With("key", aValue.key).Warn();
+    return;
+  }
+  this->keeper.SetRevision(plan->domain, aValue.revision);
+  this->context.view.SetPlan(std::move(*plan));
+}
+
+void
+Node::Impl::OnVms(VmList aVms)
+{
+  this->probes.SetVms(aVms);
+  this->context.view.SetVms(std::move(aVms));
+}
+
+void
+Node::Impl::Refresh()
+{
+  const auto configuration = this->context.configuration.Current();
+  if (configuration == nullptr) {
+    return;
+  }
+  const Instant now = MonotonicNow();
+  for (const Service& service : configuration->services) {
+    auto& dispatcher = this->context.dispatchers[service.name];
+    if (dispatcher == nullptr) {
+      dispatcher = std::make_unique<Dispatcher>(
+        this->context.executor,
+        Dispatcher::Options{ .availabilityZone =
+                               this->settings.availabilityZone,
+                             .queueLimit = service.queueLimit });
+    }
+    dispatcher->SetTargets(this->context.view.TargetsFor(service, now), now);
+  }
+}
+
+Task<void>
+Node::Impl::RefreshRegularly()
+{
+  for (;;) {
+    asio::steady_timer timer(this->context.executor, kRefreshInterval);
+    co_await timer.async_wait(kAsTuple);
+    this->Refresh();
+  }
+}
+
+std::size_t
+Node::Impl::PendingEnds() const
+{
+  std::size_t pending = 0;
+  for (const auto& journal : this->context.journals) {
+    pending += journal->PendingEnds();
+  }
+  return pending;
+}
+
+void
+Node::Impl::Stop(std::function<void()> aDone)
+{
+  if (this->context.draining) {
+    return;
+  }
+  this->context.draining = true;
+  LogLine("node_draining")
+    .With("in_flight", std::int64_t{ this->context.inFlight })
+    .Info();
+  asio::co_spawn(
+    this->context.executor,
+    [this, done = std::move(aDone)]() -> Task<void> {
+      co_await this->Drain(done);
+    },
+    asio::detached);
+}
+
+Task<void>
+Node::Impl::Drain(std::function<void()> aDone)
+{
+  asio::steady_timer timer(this->context.executor, this->settings.drainGrace);
+  co_await timer.async_wait(kAsTuple);
+  this->callerServer->Stop();
+  const auto pause = [&]() -> Task<void> {
+    timer.expires_after(milliseconds(20));
+    co_await timer.async_wait(kAsTuple);
+  };
+  while (this->callerServer->Connections() > 0) {
+    co_await pause();
+  }
+  this->plannerLease.Release();
+  this->registration.Release();
+  const Instant flushBy = MonotonicNow() + kJournalFlush;
+  while (this->PendingEnds() > 0 && MonotonicNow() < flushBy) {
+    co_await pause();
+  }
+  LogLine("node_stopped")
+    .With("unwritten_ends", static_cast<std::int64_t>(this->PendingEnds()))
+    .Info();
+  aDone();
+}
+
+Node::Node(std::unique_ptr<Impl> aImpl)
+  : impl(std::move(aImpl))
+{
+}
+
+Node::~Node() = default;
+
+Result<std::unique_ptr<Node>>
+Node::Make(asio::any_io_executor aExecutor, Settings aSettings)
+{
+  auto impl =
+    std::make_unique<Impl>(std::move(aExecutor), std::move(aSettings));
+  const auto started = impl->Start();
+  if (!started) {
+    return tl::unexpected(started.error());
+  }
+  return std::unique_ptr<Node>(new Node(std::move(impl)));
+}
+
+void
+Node::Stop(std::function<void()> aDone)
+{
+  this->impl->Stop(std::move(aDone));
+}
+
+} // namespace apricottrack
--- /dev/null
+++ b/src/node/NodeView.cpp
@@ -0,0 +1,156 @@
+#include "node/NodeView.h"
+
+namespace apricottrack {
+
+NodeView::NodeView(std::unique_ptr<GroupGate> aGate, Duration aHeardWithin)
+  : gate(std::move(aGate))
+  , heardWithin(aHeardWithin)
+{
+}
+
+void
+NodeView::SetVms(VmList aVms)
+{
+  this->vms = std::move(aVms);
+  this->zones.clear();
+  for (const Vm& vm : this->vms) {
+    this->zones[vm.id] = vm.availabilityZone;
+  }
+  std::erase_if(this->reports, [this](const auto& aItem) {
+    return !this->zones.contains(aItem.first);
+  });
+  this->UpdateLeaving();
+}
+
+void
+NodeView::SetDrained(std::set<std::string, std::less<>> aVms)
+{
+  this->drained = std::move(aVms);
+  this->UpdateLeaving();
+}
+
+void
+NodeView::UpdateLeaving()
+{
+  this->leaving = this->drained;
+  for (const Vm& vm : this->vms) {
+    if (vm.state == VmState::kLeaving) {
+      this->leaving.insert(vm.id);
+    }
+  }
+}
+
+void
+NodeView::SetPlan(DomainPlan aPlan)
+{
+  DomainPlan& plan = this->plans[aPlan.domain];
+  if (aPlan.epoch >= plan.epoch) {
+    plan = std::move(aPlan);
+  }
+}
+
+void
+NodeView::DropPlan(const std::string& aDomain)
+{
+  this->plans.erase(aDomain);
+}
+
+void
+NodeView::SetReport(const std::string& aVm, MemberReport aReport)
+{
+  MemberReport& report = this->reports[aVm];
+  if (aReport.heardAt >= report.heardAt) {
+    report = std::move(aReport);
+  }
+}
+
+std::string
+NodeView::ZoneOf(const std::string& aVm) const
+{
+  const auto found = this->zones.find(aVm);
+  return found == this->zones.end() ? std::string{} : found->second;
+}
+
+std::vector<Target>
+NodeView::TargetsFor(const Service& aService, Instant aNow) const
+{
+  std::vector<Target> targets;
+  if (aService.contract == Contract::kPlain) {
+    this->AddPlainTargets(aService, aNow, targets);
+  } else {
+    this->AddGroupTargets(aService, aNow, targets);
+  }
+  return targets;
+}
+
+void
+NodeView::AddPlainTargets(const Service& aService,
+                          Instant aNow,
+                          std::vector<Target>& aTargets) const
+{
+  for (const Vm& vm : this->vms) {
+    const auto report = this->reports.find(vm.id);
+    if (vm.role != aService.role || this->leaving.contains(vm.id) ||
+        report == this->reports.end() ||
+        aNow - report->second.heardAt > this->heardWithin) {
+      continue;
+    }
+    aTargets.push_back(Target{ .id = vm.id + "#" + report->second.incarnation,
+                               .address = vm.address,
+                               .availabilityZone = vm.availabilityZone,
+                               .group = {},
+                               .epoch = 0,
+                               .slots = aService.slotsPerTarget,
+                               .reportedRequests = report->second.requests,
+                               .reportedAt = report->second.heardAt });
+  }
+}
+
+void
+NodeView::AddGroupTargets(const Service& aService,
+                          Instant aNow,
+                          std::vector<Target>& aTargets) const
+{
+  const GateView view{ .reports = this->reports, .leaving = this->leaving };
+  for (const auto& [domain, plan] : this->plans) {
+    for (const Assignment& assignment : plan.assignments) {
+      if (assignment.service != aService.name || assignment.members.empty() ||
+          this->gate->Judge(assignment, view, aNow).reason !=
+            GateReason::kNone) {
+        continue;
+      }
+      const PlannedMember& first = assignment.members.front();
+      const auto report = this->reports.find(first.vm);
+      const bool heard = report != this->reports.end();
+      aTargets.push_back(
+        Target{ .id = assignment.group + "#" + std::to_string(assignment.epoch),
+                .address = first.address,
+                .availabilityZone = this->ZoneOf(first.vm),
+                .group = assignment.group,
+                .epoch = assignment.epoch,
+                .slots = aService.slotsPerTarget,
+                .reportedRequests = heard ? report->second.requests : 0,
+                .reportedAt = heard ? report->second.heardAt : Instant{} });
+    }
+  }
+}
+
+std::vector<GroupStatus>
+NodeView::Groups(Instant aNow) const
+{
+  std::vector<GroupStatus> groups;
+  const GateView view{ .reports = this->reports, .leaving = this->leaving };
+  for (const auto& [domain, plan] : this->plans) {
+    for (const Assignment& assignment : plan.assignments) {
+      if (!assignment.members.empty()) {
+        groups.push_back(
+          GroupStatus{ .domain = domain,
+                       .assignment = assignment,
+                       .verdict = this->gate->Judge(assignment, view, aNow) });
+      }
+    }
+  }
+  return groups;
+}
+
+} // namespace apricottrack
--- /dev/null
+++ b/src/node/PlatformTask.cpp
@@ -0,0 +1,97 @@
+#include "node/PlatformTask.h"
+
+#include "base/Log.h"
+#include "http/HttpTypes.h"
+#include "kv/PlatformKeys.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/steady_timer.hpp>
+
+namespace apricottrack {
+
+namespace asio = boost::asio;
+
+PlatformTask::PlatformTask(asio::any_io_executor aExecutor,
+                           KeyValueStore& aStore,
+                           Options aOptions,
+                           ChangeSink aSink)
+  : executor(std::move(aExecutor))
+  , store(aStore)
+  , options(aOptions)
+  , sink(std::move(aSink))
+  , random(std::random_device{}())
+{
+}
+
+void
+PlatformTask::Start()
+{
+  asio::co_spawn(
+    this->executor,
+    [this]() -> Task<void> { co_await this->FollowWatch(); },
+    asio::detached);
+  asio::co_spawn(
+    this->executor,
+    [this]() -> Task<void> { co_await this->CheckSlowly(); },
+    asio::detached);
+}
+
+Task<Revision>
+PlatformTask::ListAll()
+{
+  Revision revision = 0;
+  auto values =
+    co_await this->store.List(std::string(keys::kStatePrefix), revision);
+  if (!values) {
+    LogLine("platform_list_failed").With(values.error()).Warn();
+    co_return 0;
+  }
+  this->lastHeard = MonotonicNow();
+  this->sink(*values, true);
+  co_return revision;
+}
+
+Task<void>
+PlatformTask::Pause(Duration aMean)
+{
+  // Spread over half to one and a half of the mean, so that nodes do not
+  // return to the service all at once.
+  std::uniform_real_distribution<double> spread(0.5, 1.5);
+  asio::steady_timer timer(
+    this->executor, FromSeconds(ToSeconds(aMean) * spread(this->random)));
+  co_await timer.async_wait(kAsTuple);
+}
+
+Task<void>
+PlatformTask::FollowWatch()
+{
+  Duration delay = this->options.retryLeast;
+  for (;;) {
+    const Revision revision = co_await this->ListAll();
+    if (revision > 0) {
+      delay = this->options.retryLeast;
+      const Error ended = co_await this->store.Watch(
+        std::string(keys::kStatePrefix),
+        revision + 1,
+        [this](const std::vector<KeyValue>& aChanges) {
+          this->lastHeard = MonotonicNow();
+          this->sink(aChanges, false);
+        });
+      LogLine("platform_watch_ended").With(ended).Warn();
+    }
+    co_await this->Pause(delay);
+    delay = std::min(delay * 2, this->options.retryMost);
+  }
+}
+
+Task<void>
+PlatformTask::CheckSlowly()
+{
+  for (;;) {
+    co_await this->Pause(this->options.slowCheck);
+    co_await this->ListAll();
+  }
+}
+
+} // namespace apricottrack
--- /dev/null
+++ b/src/node/RequestRun.cpp
@@ -0,0 +1,413 @@
+#include "node/RequestRun.h"
+
+#include "base/Hash.h"
+#include "base/Log.h"
+#include "node/TargetAttempt.h"
+
+#include <boost/json.hpp>
+
+namespace apricottrack {
+
+namespace {
+
+/// Longest wait for the journal before a request is refused as not run.
+constexpr Duration kIntentWait = seconds(3);
+/// Longest wait for the journal before an answer is passed on regardless.
+constexpr Duration kEndWait = milliseconds(500);
+/// Answers up to this size are kept for callers that ask again.
+constexpr std::size_t kKeptBodyBytes = 2048;
+
+/// True if the text survives a JSON round trip, which needs valid UTF-8.
+bool
+IsJsonSafe(const std::string& aText)
+{
+  boost::system::error_code error;
+  boost::json::parse(boost::json::serialize(boost::json::value(aText)), error);
+  return !error;
+}
+
+} // namespace
+
+RequestRun::RequestRun(NodeContext& aContext, HttpExchange& aExchange)
+  : context(aContext)
+  , exchange(aExchange)
+  , arrived(MonotonicNow())
+  , relay(aExchange, RequestIdOf(aExchange.Request()))
+{
+  this->spec.requestId = this->relay.RequestId();
+}
+
+Task<void>
+RequestRun::Serve()
+{
+  ++this->context.inFlight;
+  Ending ending;
+  ending.refusal = this->ReadAndLimit();
+  if (!ending.refusal) {
+    ending.refusal = co_await this->Admit();
+  }
+  if (!ending.refusal) {
+    ending = co_await this->Execute();
+  }
+  co_await this->Tell(ending);
+  this->Account(ending);
+  --this->context.inFlight;
+}
+
+std::optional<Refusal>
+RequestRun::ReadAndLimit()
+{
+  auto read = ReadRequest(this->exchange.Request(),
+                          this->context.configuration.Current(),
+                          this->spec.requestId,
+                          this->arrived);
+  if (!read) {
+    return read.error();
+  }
+  this->spec = std::move(*read);
+  const auto wait = this->context.limiter.Admit(
+    *this->spec.account, this->spec.estimatedTokens, this->arrived);
+  if (wait) {
+    return Refusal{ .status = 429,
+                    .code = "account_limit",
+                    .outcome = Outcome::kNotRun,
+                    .message = "the account's limit is reached",
+                    .retryAfter = *wait };
+  }
+  return std::nullopt;
+}
+
+Task<std::optional<Refusal>>
+RequestRun::Admit()
+{
+  const auto found = this->context.dispatchers.find(this->spec.service->name);
+  if (found == this->context.dispatchers.end()) {
+    co_return Refusal{ .status = 503,
+                       .code = "no_target",
+                       .outcome = Outcome::kNotRun,
+                       .message = "the service is not set up yet",
+                       .retryAfter = seconds(1) };
+  }
+  this->dispatcher = found->second.get();
+  Ticket ticket;
+  ticket.account = this->spec.account->name;
+  ticket.weight = this->spec.account->weight;
+  ticket.priority = this->spec.kind->priority;
+  ticket.deadline = this->spec.deadline;
+  co_return co_await this->dispatcher->Admit(std::move(ticket));
+}
+
+Task<RequestRun::Ending>
+RequestRun::Execute()
+{
+  if (!this->spec.idempotent) {
+    const auto ended = co_await this->RecordIntent();
+    if (ended) {
+      this->dispatcher->Abandon();
+      co_return *ended;
+    }
+  }
+  this->dispatcher->Begin();
+  Ending ending = co_await this->RunAttempts();
+  if (!this->spec.idempotent) {
+    co_await this->RecordEnd(ending);
+  }
+  co_return ending;
+}
+
+JournalTask&
+RequestRun::Journal()
+{
+  auto& journals = this->context.journals;
+  return *journals[StableHash(this->journalKey) % journals.size()];
+}
+
+Task<std::optional<RequestRun::Ending>>
+RequestRun::RecordIntent()
+{
+  const std::string fingerprint = RequestFingerprint(this->exchange.Request());
+  this->nonce = RandomId();
+  this->journalKey = JournalKey(this->spec, fingerprint);
+  JournalIntent intent{ .key = this->journalKey,
+                        .nonce = this->nonce,
+                        .fingerprint = fingerprint,
+                        .requestId = this->spec.requestId,
+                        .account = this->spec.account->name,
+                        .service = this->spec.service->name,
+                        .kind = this->spec.kind->name,
+                        .node = this->context.settings.node,
+                        .at = WallNow() };
+  const Instant deadline =
+    std::min(this->spec.deadline, MonotonicNow() + kIntentWait);
+  const JournalResolution resolution =
+    co_await this->Journal().Append(std::move(intent), deadline);
+  switch (resolution.verdict) {
+    case IntentVerdict::kRun:
+      break;
+    case IntentVerdict::kDuplicate:
+      co_return this->AnswerDuplicate(*resolution.entry);
+    case IntentVerdict::kKeyReused:
+      co_return Ending{ .outcome = Outcome::kNotRun,
+                        .refusal = Refusal{
+                          .status = 422,
+                          .code = "idempotency_key_reused",
+                          .outcome = Outcome::kNotRun,
+                          .message = "the key belongs to a different request",
+                          .retryAfter = std::nullopt } };
+    case IntentVerdict::kUnavailable:
+      co_return Ending{ .outcome = Outcome::kNotRun,
+                        .refusal = Refusal{
+                          .status = 503,
+                          .code = "journal_unavailable",
+                          .outcome = Outcome::kNotRun,
+                          .message = "the request could not be recorded, "
+                                     "so it was not run",
+                          .retryAfter = seconds(2) } };
+  }
+  co_return std::nullopt;
+}
+
+RequestRun::Ending
+RequestRun::AnswerDuplicate(const JournalEntry& aEntry)
+{
+  this->replayed = true;
+  if (!aEntry.end) {
+    return Ending{ .outcome = Outcome::kUnknown,
+                   .refusal = Refusal{
+                     .status = 409,
+                     .code = "attempt_open",
+                     .outcome = Outcome::kUnknown,
+                     .message = "an earlier attempt with this key runs "
+                                "or its end is not known",
+                     .retryAfter = seconds(2) } };
+  }
+  const JournalEnd& end = *aEntry.end;
+  if (end.outcome == Outcome::kAnswered && end.bodyKept) {
+    this->relay.Replay(
+      static_cast<unsigned>(end.status), end.contentType, end.body);
+    return Ending{ .outcome = Outcome::kAnswered, .refusal = std::nullopt };
+  }
+  const bool answered = end.outcome == Outcome::kAnswered;
+  return Ending{ .outcome = end.outcome,
+                 .refusal = Refusal{
+                   .status = 409,
+                   .code = answered ? "already_answered" : "outcome_unknown",
+                   .outcome = end.outcome,
+                   .message = "an earlier attempt with this key ended; "
+                              "it is not run again",
+                   .retryAfter = std::nullopt } };
+}
+
+Task<void>
+RequestRun::RecordEnd(const Ending& aEnding)
+{
+  JournalEnd end;
+  end.key = this->journalKey;
+  end.nonce = this->nonce;
+  end.outcome = aEnding.outcome;
+  end.target = this->lastTarget;
+  end.at = WallNow();
+  const HttpResponse& answer = this->relay.Answer();
+  if (aEnding.outcome == Outcome::kAnswered) {
+    end.status = static_cast<int>(answer.result_int());
+    end.bodyKept = !this->relay.StreamStarted() &&
+                   answer.body().size() <= kKeptBodyBytes &&
+                   IsJsonSafe(answer.body());
+  }
+  if (end.bodyKept) {
+    end.contentType =
+      std::string(answer[boost::beast::http::field::content_type]);
+    end.body = answer.body();
+  }
+  const bool written = co_await this->Journal().End(std::move(end), kEndWait);
+  if (!written) {
+    this->context.counters.Add("journal_end_late_total");
+  }
+}
+
+Task<RequestRun::Ending>
+RequestRun::RunAttempts()
+{
+  for (;;) {
+    const RouteKey key{ .prefix = this->spec.prefixHash };
+    const auto target =
+      this->dispatcher->Choose(key, this->tried, MonotonicNow());
+    if (!target) {
+      co_return Ending{
+        .outcome = this->mayHaveRun ? Outcome::kUnknown : Outcome::kNotRun,
+        .refusal = Refusal{ .status = 503,
+                            .code = "no_target",
+                            .outcome = this->mayHaveRun ? Outcome::kUnknown
+                                                        : Outcome::kNotRun,
+                            .message = "no target has room now",
+                            .retryAfter = seconds(1) }
+      };
+    }
+    ++this->attempts;
+    const AttemptEnd end = co_await this->RunAttempt(*target);
+    const RetryQuestion question{
+      .end = end,
+      .idempotent = this->spec.idempotent,
+      .attempts = this->attempts,
+      .maxAttempts = this->spec.service->maxAttempts,
+      .mayHaveRun = this->mayHaveRun,
+      .streamStarted = this->relay.StreamStarted(),
+      .canResume = this->spec.service->resumesStreams,
+      .deadline = this->spec.deadline,
+    };
+    this->mayHaveRun = this->mayHaveRun || !ProvesNotRun(end);
+    const RetryDecision decision = this->context.retryPolicy->Decide(
+      question, this->dispatcher->Budget(), MonotonicNow());
+    if (decision.action == RetryAction::kDone ||
+        decision.action == RetryAction::kGiveUp) {
+      co_return this->EndAfter(decision, end);
+    }
+    this->relay.Discard();
+  }
+}
+
+RequestRun::Ending
+RequestRun::EndAfter(const RetryDecision& aDecision, AttemptEnd aEnd) const
+{
+  if (aDecision.action == RetryAction::kDone) {
+    return Ending{ .outcome = Outcome::kAnswered, .refusal = std::nullopt };
+  }
+  const bool late = MonotonicNow() >= this->spec.deadline;
+  return Ending{ .outcome = aDecision.outcome,
+                 .refusal = Refusal{
+                   .status = late ? 504U : 502U,
+                   .code = late ? "deadline_exceeded"
+                                : std::string(AttemptEndName(aEnd)),
+                   .outcome = aDecision.outcome,
+                   .message = aDecision.outcome == Outcome::kNotRun
+                                ? "no target took the request"
+                                : "the target's answer did not arrive whole",
+                   .retryAfter = seconds(1) } };
+}
+
+HttpRequest
+RequestRun::MessageFor(const Target& aTarget,
+                       const std::string& aAttemptId) const
+{
+  const HttpRequest& original = this->exchange.Request();
+  HttpRequest message(original.method(), this->spec.targetPath, 11);
+  for (const auto& field : original) {
+    if (!IsHopByHop(field.name_string()) &&
+        field.name() != boost::beast::http::field::authorization) {
+      message.insert(field.name_string(), field.value());
+    }
+  }
+  message.set(boost::beast::http::field::host, aTarget.address);
+  message.set("X-Request-Id", aAttemptId);
+  message.set("X-Original-Request-Id", this->spec.requestId);
+  message.set("X-Client-Account", this->spec.account->name);
+  if (!aTarget.group.empty()) {
+    message.set("X-Replica-Group", aTarget.group);
+    message.set("X-Fencing-Number", std::to_string(aTarget.epoch));
+  }
+  if (this->relay.StreamStarted()) {
+    message.set("X-Resume-From", std::to_string(this->relay.EventsPassed()));
+  }
+  message.body() = original.body();
+  return message;
+}
+
+Task<AttemptEnd>
+RequestRun::RunAttempt(const Target& aTarget)
+{
+  const Service& service = *this->spec.service;
+  const std::string attemptId = RandomId();
+  this->tried.insert(aTarget.id);
+  this->lastTarget = aTarget.id;
+  AttemptOptions options{
+    .address = aTarget.address,
+    .message = this->MessageFor(aTarget, attemptId),
+    .attemptId = attemptId,
+    .expectsEcho = service.echoesRequestId,
+    .freshConnection = !service.echoesRequestId || !this->spec.idempotent,
+    .firstByteTimeout = service.firstByteTimeout,
+    .stallTimeout = service.stallTimeout,
+    .deadline = this->spec.deadline,
+  };
+  TargetAttempt attempt(
+    this->context.targetPool, this->relay, std::move(options));
+  const Instant start = MonotonicNow();
+  this->dispatcher->OnStart(aTarget, start);
+  const AttemptEnd end = co_await attempt.Run();
+  const Instant now = MonotonicNow();
+  if (attempt.FirstByte() > Duration::zero()) {
+    this->dispatcher->OnFirstByte(aTarget, attempt.FirstByte());
+    this->firstByte = start + attempt.FirstByte() - this->arrived;
+  }
+  const bool failed =
+    end != AttemptEnd::kAnswered && end != AttemptEnd::kCallerGone;
+  this->dispatcher->OnEnd(aTarget, failed, now - start, now);
+  if (failed) {
+    LogLine("attempt_failed")
+      .With("request", this->spec.requestId)
+      .With("target", aTarget.id)
+      .With("end", AttemptEndName(end))
+      .With(attempt.Failure())
+      .Warn();
+  }
+  this->context.counters.Add(
+    "attempts_total",
+    { { "service", service.name }, { "end", AttemptEndName(end) } });
+  co_return end;
+}
+
+Task<void>
+RequestRun::Tell(const Ending& aEnding)
+{
+  if (!aEnding.refusal) {
+    co_await this->relay.Finish();
+  } else if (this->relay.StreamStarted()) {
+    co_await this->relay.Break(
+      RefusalBody(*aEnding.refusal, this->spec.requestId));
+  } else {
+    co_await this->exchange.Reply(
+      RefusalResponse(*aEnding.refusal, this->spec.requestId));
+  }
+}
+
+void
+RequestRun::Account(const Ending& aEnding)
+{
+  const bool known = this->spec.service != nullptr;
+  const std::string_view service =
+    known ? std::string_view(this->spec.service->name) : "none";
+  const std::string_view account =
+    this->spec.account == nullptr ? "none"
+                                  : std::string_view(this->spec.account->name);
+  const std::string_view code =
+    aEnding.refusal ? std::string_view(aEnding.refusal->code) : "none";
+  const double seconds = ToSeconds(MonotonicNow() - this->arrived);
+  this->context.counters.Add("requests_total",
+                             { { "service", service },
+                               { "account", account },
+                               { "outcome", OutcomeName(aEnding.outcome) },
+                               { "code", code } });
+  if (aEnding.outcome == Outcome::kAnswered && !this->replayed) {
+    this->context.counters.Observe("first_byte_seconds",
+                                   { { "service", service } },
+                                   ToSeconds(this->firstByte));
+  }
+  LogLine("request_end")
+    .With("request", this->spec.requestId)
+    .With("account", account)
+    .With("service", service)
+    .With("kind",
+          known && this->spec.kind != nullptr
+            ? std::string_view(this->spec.kind->name)
+            : "none")
+    .With("outcome", OutcomeName(aEnding.outcome))
+    .With("refusal", code)
+    .With("target", this->lastTarget)
+    .With("attempts", std::int64_t{ this->attempts })
+    .With("events", static_cast<std::int64_t>(this->relay.EventsPassed()))
+    .With("first_byte_s", ToSeconds(this->firstByte))
+    .With("total_s", seconds)
+    .Info();
+}
+
+} // namespace apricottrack
--- /dev/null
+++ b/src/node/VmListTask.cpp
@@ -0,0 +1,58 @@
+#include "node/VmListTask.h"
+
+#include "base/Log.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/steady_timer.hpp>
+
+namespace apricottrack {
+
+namespace asio = boost::asio;
+
+namespace {
+
+constexpr Duration kInterval = milliseconds(1000);
+constexpr Duration kTimeout = milliseconds(1000);
+
+} // namespace
+
+VmListTask::VmListTask(asio::any_io_executor aExecutor,
+                       std::string aAddress,
+                       std::function<void(VmList)> aSink)
+  : executor(std::move(aExecutor))
+  , address(std::move(aAddress))
+  , sink(std::move(aSink))
+  , pool(this->executor, HttpConnectionPool::Options{})
+{
+}
+
+void
+VmListTask::Start()
+{
+  asio::co_spawn(
+    this->executor,
+    [this]() -> Task<void> { co_await this->Run(); },
+    asio::detached);
+}
+
+Task<void>
+VmListTask::Run()
+{
+  for (;;) {
+    HttpRequest request(boost::beast::http::verb::get, "/v1/vms", 11);
+    auto answer =
+      co_await Fetch(this->pool, this->address, std::move(request), kTimeout);
+    const auto vms = answer ? ParseVmList(answer->body(), this->address)
+                            : Result<VmList>(tl::unexpected(answer.error()));
+    if (vms) {
+      this->sink(*vms);
+    } else {
+      LogLine("vm_list_failed").With(vms.error()).Warn();
+    }
+    asio::steady_timer timer(this->executor, kInterval);
+    co_await timer.async_wait(kAsTuple);
+  }
+}
+
+} // namespace apricottrack
--- /dev/null
+++ b/src/operators/ConfigurationDiff.cpp
@@ -0,0 +1,116 @@
+#include "operators/ConfigurationDiff.h"
+
+#include <algorithm>
+#include <fmt/format.h>
+
+namespace apricottrack {
+
+namespace {
+
+using Changes = std::vector<ConfigurationChange>;
+
+template<typename T>
+const T*
+FindByName(const std::vector<T>& aItems, const std::string& aName)
+{
+  const auto found =
+    std::find_if(aItems.begin(), aItems.end(), [&aName](const T& aItem) {
+      return aItem.name == aName;
+    });
+  return found == aItems.end() ? nullptr : &*found;
+}
+
+/// What the addition, removal and change of one kind of item bring about.
+struct Effects
+{
+  std::string_view added;
+  std::string_view removed;
+};
+
+template<typename T, typename ChangedEffect>
+void
+DiffItems(const std::vector<T>& aBefore,
+          const std::vector<T>& aAfter,
+          std::string_view aKind,
+          const Effects& aEffects,
+          ChangedEffect aChangedEffect,
+          Changes& aChanges)
+{
+  for (const T& item : aAfter) {
+    const std::string subject = fmt::format("{}.{}", aKind, item.name);
+    const T* const before = FindByName(aBefore, item.name);
+    if (before == nullptr) {
+      aChanges.push_back({ subject, "added", std::string(aEffects.added) });
+    } else if (*before != item) {
+      aChanges.push_back({ subject, "changed", aChangedEffect(*before, item) });
+    }
+  }
+  for (const T& item : aBefore) {
+    if (FindByName(aAfter, item.name) == nullptr) {
+      aChanges.push_back({ fmt::format("{}.{}", aKind, item.name),
+                           "removed",
+                           std::string(aEffects.removed) });
+    }
+  }
+}
+
+std::string
+GroupSetEffect(const GroupSet& aBefore, const GroupSet& aAfter)
+{
+  const bool reforms = aBefore.size != aAfter.size ||
+                       aBefore.service != aAfter.service ||
+                       aBefore.role != aAfter.role;
+  if (reforms) {
+    return fmt::format("all {} groups drain and form anew", aBefore.count);
+  }
+  if (aAfter.count > aBefore.count) {
+    return fmt::format("{} groups form", aAfter.count - aBefore.count);
+  }
+  if (aAfter.count < aBefore.count) {
+    return fmt::format("{} groups drain and end", aBefore.count - aAfter.count);
+  }
+  return "no group restarts";
+}
+
+} // namespace
+
+std::vector<ConfigurationChange>
+Diff(const Configuration& aBefore, const Configuration& aAfter)
+{
+  Changes changes;
+  if (aBefore.firm != aAfter.firm) {
+    changes.push_back({ "firm", "changed", "none" });
+  }
+  if (aBefore.policy != aAfter.policy) {
+    changes.push_back({ "policy", "changed", "spares are planned anew" });
+  }
+  DiffItems(
+    aBefore.accounts,
+    aAfter.accounts,
+    "accounts",
+    { "may call at once", "its requests are refused from now on" },
+    [](const ClientAccount& aOld, const ClientAccount& aNew) {
+      return std::string(aOld.keySha256 != aNew.keySha256
+                           ? "the old key is refused from now on"
+                           : "limits change at once");
+    },
+    changes);
+  DiffItems(
+    aBefore.services,
+    aAfter.services,
+    "services",
+    { "is answered once targets serve", "new requests are refused" },
+    [](const Service&, const Service&) {
+      return std::string("applies to new requests");
+    },
+    changes);
+  DiffItems(aBefore.groupSets,
+            aAfter.groupSets,
+            "groups",
+            { "its groups form", "its groups drain and end" },
+            GroupSetEffect,
+            changes);
+  return changes;
+}
+
+} // namespace apricottrack
--- /dev/null
+++ b/src/operators/Operators.cpp
@@ -0,0 +1,209 @@
+#include "operators/Operators.h"
+
+#include "base/JsonFields.h"
+#include "http/HttpClient.h"
+#include "kv/PlatformKeys.h"
+
+#include <boost/asio/steady_timer.hpp>
+#include <boost/json.hpp>
+#include <fmt/format.h>
+
+namespace apricottrack {
+
+namespace json = boost::json;
+
+namespace {
+
+constexpr int kDrainAttempts = 10;
+constexpr Duration kStatusTimeout = milliseconds(1500);
+
+StoredConfiguration
+ReadStored(const KeyValue& aValue)
+{
+  if (aValue.revision == 0) {
+    return {};
+  }
+  return ParseStoredConfiguration(aValue.value, aValue.key)
+    .value_or(StoredConfiguration{});
+}
+
+Error
+ConflictWith(const StoredConfiguration& aPresent, std::uint64_t aBase)
+{
+  return Error{ .code = ErrorCode::kConflict,
+                .step = "configuration.apply",
+                .peer = "platform",
+                .detail = fmt::format(
+                  "version {} (submission {}) is in force, the change was "
+                  "made against version {}; look at the difference with "
+                  "'apricottrack diff' and apply again with --base {}",
+                  aPresent.version,
+                  aPresent.submission,
+                  aBase,
+                  aPresent.version) };
+}
+
+} // namespace
+
+Task<Result<StoredConfiguration>>
+ReadConfiguration(KeyValueStore& aStore)
+{
+  const auto value = co_await aStore.Get(std::string(keys::kConfiguration));
+  if (!value) {
+    co_return tl::unexpected(value.error());
+  }
+  co_return ReadStored(*value);
+}
+
+Task<Result<StoredConfiguration>>
+ApplyConfiguration(KeyValueStore& aStore,
+                   std::string aText,
+                   ApplyOptions aOptions)
+{
+  Error last;
+  std::uint64_t base = aOptions.base;
+  for (int i = 0; i < aOptions.attempts; ++i) {
+    const auto present = co_await aStore.Get(std::string(keys::kConfiguration));
+    if (!present) {
+      last = present.error();
+      continue;
+    }
+    const StoredConfiguration before = ReadStored(*present);
+    if (before.submission == aOptions.submission) {
+      co_return before;
+    }
+    if (base == 0) {
+      base = before.version;
+    }
+    if (before.version != base) {
+      co_return tl::unexpected(ConflictWith(before, base));
+    }
+    const StoredConfiguration after{ .version = before.version + 1,
+                                     .submission = aOptions.submission,
+                                     .submittedAt = aOptions.now,
+                                     .text = aText };
+    Swap swap{ .key = std::string(keys::kConfiguration),
+               .expected = present->revision,
+               .value = EncodeStoredConfiguration(after),
+               .lease = 0 };
+    const auto swapped = co_await aStore.CompareAndSwap(std::move(swap));
+    if (swapped) {
+      co_return after;
+    }
+    last = swapped.error();
+  }
+  last.detail += "; whether the submission was accepted is not known, apply "
+                 "again with --submission " +
+                 aOptions.submission;
+  co_return tl::unexpected(last);
+}
+
+Task<Result<std::vector<NodeStatus>>>
+ReadNodes(boost::asio::any_io_executor aExecutor, KeyValueStore& aStore)
+{
+  Revision revision = 0;
+  const auto records =
+    co_await aStore.List(std::string(keys::kNodePrefix), revision);
+  if (!records) {
+    co_return tl::unexpected(records.error());
+  }
+  HttpConnectionPool pool(aExecutor, HttpConnectionPool::Options{});
+  std::vector<NodeStatus> nodes;
+  for (const KeyValue& record : *records) {
+    const auto object = ParseJsonObject(record.value, "node.read", record.key);
+    if (!object) {
+      continue;
+    }
+    NodeStatus node{ .node = JsonText(*object, "node"),
+                     .admin = JsonText(*object, "admin"),
+                     .status = {} };
+    HttpRequest request(boost::beast::http::verb::get, "/status", 11);
+    const auto answer =
+      co_await Fetch(pool, node.admin, std::move(request), kStatusTimeout);
+    if (answer) {
+      node.status = ParseJsonObject(answer->body(), "node.status", node.admin)
+                      .value_or(json::object{});
+    }
+    nodes.push_back(std::move(node));
+  }
+  co_return nodes;
+}
+
+namespace {
+
+std::string
+EncodeDrained(const std::set<std::string>& aVms)
+{
+  json::array vms;
+  for (const std::string& vm : aVms) {
+    vms.emplace_back(vm);
+  }
+  return json::serialize(vms);
+}
+
+std::set<std::string>
+ReadDrained(std::string_view aText)
+{
+  std::set<std::string> vms;
+  boost::system::error_code error;
+  const json::value value = json::parse(aText, error);
+  if (!error && value.is_array()) {
+    for (const json::value& item : value.get_array()) {
+      if (item.is_string()) {
+        vms.emplace(item.get_string());
+      }
+    }
+  }
+  return vms;
+}
+
+} // namespace
+
+Task<Result<std::set<std::string>>>
+ChangeDrained(KeyValueStore& aStore, std::vector<std::string> aVms, bool aDrain)
+{
+  Error last;
+  for (int i = 0; i < kDrainAttempts; ++i) {
+    const auto present = co_await aStore.Get(std::string(keys::kDrained));
+    if (!present) {
+      last = present.error();
+      continue;
+    }
+    std::set<std::string> vms = ReadDrained(present->value);
+    for (const std::string& vm : aVms) {
+      if (aDrain) {
+        vms.insert(vm);
+      } else {
+        vms.erase(vm);
+      }
+    }
+    Swap swap{ .key = std::string(keys::kDrained),
+               .expected = present->revision,
+               .value = EncodeDrained(vms),
+               .lease = 0 };
+    const auto swapped = co_await aStore.CompareAndSwap(std::move(swap));
+    if (swapped) {
+      co_return vms;
+    }
+    last = swapped.error();
+  }
+  co_return tl::unexpected(last);
+}
+
+Task<Result<JournalIndex>>
+ReadJournals(KeyValueStore& aStore)
+{
+  Revision revision = 0;
+  const auto segments =
+    co_await aStore.List(std::string(keys::kJournalPrefix), revision);
+  if (!segments) {
+    co_return tl::unexpected(segments.error());
+  }
+  JournalIndex index;
+  for (const KeyValue& segment : *segments) {
+    index.Apply(segment.value);
+  }
+  co_return index;
+}
+
+} // namespace apricottrack
--- /dev/null
+++ b/src/routing/Router.cpp
@@ -0,0 +1,224 @@
+#include "routing/Router.h"
+
+#include "base/Hash.h"
+
+#include <algorithm>
+
+namespace apricottrack {
+
+namespace {
+
+constexpr double kFirstByteGain = 0.2;
+constexpr int kSamplesToJudge = 5;
+/// Differences below this are noise, not slowness, seconds.
+constexpr double kSlownessFloor = 0.005;
+
+void
+ForgetUntil(std::deque<Instant>& aTimes, Instant aUntil)
+{
+  while (!aTimes.empty() && aTimes.front() <= aUntil) {
+    aTimes.pop_front();
+  }
+}
+
+} // namespace
+
+Router::Router(Options aOptions, std::unique_ptr<RoutingStrategy> aStrategy)
+  : options(std::move(aOptions))
+  , strategy(std::move(aStrategy))
+{
+}
+
+void
+Router::SetTargets(const std::vector<Target>& aTargets)
+{
+  std::set<std::string_view> present;
+  for (const Target& target : aTargets) {
+    present.insert(target.id);
+    Entry& entry = this->targets[target.id];
+    entry.target = target;
+    entry.identity =
+      StableHash(target.group.empty() ? target.id : target.group);
+    ForgetUntil(entry.recentStarts, target.reportedAt);
+    ForgetUntil(entry.recentEnds, target.reportedAt);
+  }
+  std::erase_if(this->targets, [&present](const auto& aItem) {
+    return !present.contains(aItem.first);
+  });
+}
+
+double
+Router::EstimatedRequests(const Entry& aEntry) const
+{
+  const double corrected = aEntry.target.reportedRequests +
+                           static_cast<double>(aEntry.recentStarts.size()) -
+                           static_cast<double>(aEntry.recentEnds.size());
+  return std::max(corrected, static_cast<double>(aEntry.inFlight));
+}
+
+bool
+Router::MayTake(const Entry& aEntry, Instant aNow) const
+{
+  if (aNow < aEntry.pausedUntil) {
+    return false;
+  }
+  if (aEntry.straggler) {
+    return aEntry.inFlight == 0 && aNow >= aEntry.nextTrial;
+  }
+  return this->EstimatedRequests(aEntry) <
+         aEntry.target.slots * this->options.overcommit;
+}
+
+std::optional<Target>
+Router::Choose(const RouteKey& aKey,
+               const std::set<std::string>& aTried,
+               Instant aNow,
+               Random& aRandom)
+{
+  std::vector<Candidate> candidates;
+  std::vector<Entry*> entries;
+  std::vector<Entry*> trials;
+  const auto collect = [&](bool aIncludeTried) {
+    for (auto& [id, entry] : this->targets) {
+      if (!this->MayTake(entry, aNow) ||
+          (!aIncludeTried && aTried.contains(id))) {
+        continue;
+      }
+      if (entry.straggler) {
+        trials.push_back(&entry);
+        continue;
+      }
+      candidates.push_back(Candidate{
+        .identity = entry.identity,
+        .reportedLoad = static_cast<double>(entry.target.reportedRequests) /
+                        entry.target.slots,
+        .estimatedLoad = this->EstimatedRequests(entry) / entry.target.slots,
+        .sameZone =
+          entry.target.availabilityZone == this->options.availabilityZone,
+      });
+      entries.push_back(&entry);
+    }
+  };
+  collect(false);
+  if (candidates.empty() && trials.empty() && !aTried.empty()) {
+    collect(true);
+  }
+  // First attempts carry the trials; a retry should not meet a straggler.
+  if (!trials.empty() && (aTried.empty() || candidates.empty())) {
+    trials.front()->nextTrial = aNow + this->options.stragglerTrial;
+    return trials.front()->target;
+  }
+  if (candidates.empty()) {
+    return std::nullopt;
+  }
+  return entries[this->strategy->Pick(candidates, aKey, aRandom)]->target;
+}
+
+void
+Router::OnStart(const std::string& aId, Instant aNow)
+{
+  const auto found = this->targets.find(aId);
+  if (found != this->targets.end()) {
+    ++found->second.inFlight;
+    found->second.recentStarts.push_back(aNow);
+  }
+}
+
+void
+Router::OnFirstByte(const std::string& aId, Duration aElapsed)
+{
+  const auto found = this->targets.find(aId);
+  if (found == this->targets.end()) {
+    return;
+  }
+  Entry& entry = found->second;
+  const double seconds = ToSeconds(aElapsed);
+  entry.meanFirstByte =
+    entry.samples == 0
+      ? seconds
+      : entry.meanFirstByte + kFirstByteGain * (seconds - entry.meanFirstByte);
+  ++entry.samples;
+  this->JudgeStragglers();
+}
+
+void
+Router::OnEnd(const std::string& aId, bool aFailed, Instant aNow)
+{
+  const auto found = this->targets.find(aId);
+  if (found == this->targets.end()) {
+    return;
+  }
+  Entry& entry = found->second;
+  entry.inFlight = std::max(0, entry.inFlight - 1);
+  entry.recentEnds.push_back(aNow);
+  if (aFailed) {
+    entry.pausedUntil = aNow + this->options.failurePause;
+  }
+}
+
+double
+Router::MedianFirstByte() const
+{
+  std::vector<double> means;
+  for (const auto& [id, entry] : this->targets) {
+    if (entry.samples >= kSamplesToJudge) {
+      means.push_back(entry.meanFirstByte);
+    }
+  }
+  if (means.size() < 3) {
+    return 0;
+  }
+  const auto middle =
+    means.begin() + static_cast<std::ptrdiff_t>(means.size() / 2);
+  std::nth_element(means.begin(), middle, means.end());
+  return *middle;
+}
+
+void
+Router::JudgeStragglers()
+{
+  const double median = this->MedianFirstByte();
+  if (median <= 0) {
+    return;
+  }
+  for (auto& [id, entry] : this->targets) {
+    const double factor = entry.straggler ? this->options.recoveredFactor
+                                          : this->options.stragglerFactor;
+    entry.straggler = entry.samples >= kSamplesToJudge &&
+                      entry.meanFirstByte > factor * median + kSlownessFloor;
+  }
+}
+
+int
+Router::FreeSlots(Instant aNow) const
+{
+  double free = 0;
+  for (const auto& [id, entry] : this->targets) {
+    if (!this->MayTake(entry, aNow)) {
+      continue;
+    }
+    free += entry.straggler ? 1
+                            : entry.target.slots * this->options.overcommit -
+                                this->EstimatedRequests(entry);
+  }
+  return static_cast<int>(free);
+}
+
+int
+Router::TotalSlots() const
+{
+  int total = 0;
+  for (const auto& [id, entry] : this->targets) {
+    total += entry.target.slots;
+  }
+  return total;
+}
+
+bool
+Router::IsStraggler(const std::string& aId) const
+{
+  const auto found = this->targets.find(aId);
+  return found != this->targets.end() && found->second.straggler;
+}
+
+} // namespace apricottrack
--- /dev/null
+++ b/src/routing/RoutingStrategy.cpp
@@ -0,0 +1,129 @@
+#include "routing/RoutingStrategy.h"
+
+#include "base/Hash.h"
+
+#include <algorithm>
+#include <cassert>
+
+namespace apricottrack {
+
+namespace {
+
+/// A preferred target may carry this many times the mean load...
+constexpr double kImbalanceFactor = 1.25;
+/// ...plus this much, so that an idle service does not spill at once.
+constexpr double kImbalanceSlack = 0.25;
+/// Extra load at which a target of another zone is as good as a local one.
+constexpr double kZoneCost = 0.1;
+
+double
+Cost(const Candidate& aCandidate)
+{
+  return aCandidate.estimatedLoad + (aCandidate.sameZone ? 0 : kZoneCost);
+}
+
+std::uint64_t
+Rank(std::uint64_t aPrefix, const Candidate& aCandidate)
+{
+  const std::uint64_t pair[2] = { aPrefix, aCandidate.identity };
+  return StableHash({ reinterpret_cast<const char*>(pair), sizeof pair });
+}
+
+double
+LoadBound(std::span<const Candidate> aCandidates)
+{
+  double total = 0;
+  for (const Candidate& candidate : aCandidates) {
+    total += candidate.estimatedLoad;
+  }
+  return kImbalanceFactor * total / static_cast<double>(aCandidates.size()) +
+         kImbalanceSlack;
+}
+
+std::size_t
+LighterOfTwo(std::span<const Candidate> aCandidates, Random& aRandom)
+{
+  std::uniform_int_distribution<std::size_t> any(0, aCandidates.size() - 1);
+  const std::size_t first = any(aRandom);
+  const std::size_t second = any(aRandom);
+  return Cost(aCandidates[second]) < Cost(aCandidates[first]) ? second : first;
+}
+
+class AffinityStrategy final : public RoutingStrategy
+{
+public:
+  std::size_t Pick(std::span<const Candidate> aCandidates,
+                   const RouteKey& aKey,
+                   Random& aRandom) override
+  {
+    if (aKey.prefix == 0) {
+      return LighterOfTwo(aCandidates, aRandom);
+    }
+    const double bound = LoadBound(aCandidates);
+    std::size_t best = aCandidates.size();
+    std::uint64_t bestRank = 0;
+    for (std::size_t i = 0; i < aCandidates.size(); ++i) {
+      const std::uint64_t rank = Rank(aKey.prefix, aCandidates[i]);
+      const bool fits = aCandidates[i].estimatedLoad <= bound;
+      if (fits && (best == aCandidates.size() || rank > bestRank)) {
+        best = i;
+        bestRank = rank;
+      }
+    }
+    assert(best < aCandidates.size());
+    return best;
+  }
+};
+
+class RoundRobinStrategy final : public RoutingStrategy
+{
+public:
+  std::size_t Pick(std::span<const Candidate> aCandidates,
+                   const RouteKey& /*aKey*/,
+                   Random& /*aRandom*/) override
+  {
+    return this->cursor++ % aCandidates.size();
+  }
+
+private:
+  std::size_t cursor = 0;
+};
+
+class LeastReportedLoadStrategy final : public RoutingStrategy
+{
+public:
+  std::size_t Pick(std::span<const Candidate> aCandidates,
+                   const RouteKey& /*aKey*/,
+                   Random& /*aRandom*/) override
+  {
+    const auto least =
+      std::min_element(aCandidates.begin(),
+                       aCandidates.end(),
+                       [](const Candidate& aLeft, const Candidate& aRight) {
+                         return aLeft.reportedLoad < aRight.reportedLoad;
+                       });
+    return static_cast<std::size_t>(least - aCandidates.begin());
+  }
+};
+
+} // namespace
+
+std::unique_ptr<RoutingStrategy>
+MakeAffinityStrategy()
+{
+  return std::make_unique<AffinityStrategy>();
+}
+
+std::unique_ptr<RoutingStrategy>
+MakeRoundRobinStrategy()
+{
+  return std::make_unique<RoundRobinStrategy>();
+}
+
+std::unique_ptr<RoutingStrategy>
+MakeLeastReportedLoadStrategy()
+{
+  return std::make_unique<LeastReportedLoadStrategy>();
+}
+
+} // namespace apricottrack
--- /dev/null
+++ b/tests/standins/KvStandin.cpp
@@ -0,0 +1,315 @@
+#include "standins/KvStandin.h"
+
+#include "base/JsonFields.h"
+#include "kv/EtcdMessages.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/json.hpp>
+
+namespace apricottrack::standins {
+
+namespace asio = boost::asio;
+namespace json = boost::json;
+using detail::DecodeBase64;
+using detail::EncodeBase64;
+using detail::NumberField;
+
+namespace {
+
+constexpr Duration kExpiryInterval = milliseconds(100);
+constexpr Duration kProgressInterval = seconds(5);
+
+std::string
+Decoded(const json::object& aObject, std::string_view aName)
+{
+  return DecodeBase64(JsonText(aObject, aName)).value_or(std::string{});
+}
+
+} // namespace
+
+KvStandin::KvStandin(asio::any_io_executor aExecutor)
+  : executor(std::move(aExecutor))
+{
+  asio::co_spawn(
+    this->executor,
+    [this]() -> Task<void> { co_await this->ExpireRegularly(); },
+    asio::detached);
+}
+
+Task<void>
+KvStandin::Handle(HttpExchange& aExchange)
+{
+  const std::string path(aExchange.Request().target());
+  if (path == "/control") {
+    co_await this->Control(aExchange);
+    co_return;
+  }
+  ++this->calls[path];
+  if (this->faults.outage) {
+    aExchange.Abort();
+    co_return;
+  }
+  if (this->faults.delayMs > 0) {
+    asio::steady_timer timer(this->executor,
+                             milliseconds(this->faults.delayMs));
+    co_await timer.async_wait(kAsTuple);
+  }
+  if (this->OverLimit()) {
+    co_await aExchange.Reply(JsonResponse(429, R"({"error":"rate limit"})"));
+    co_return;
+  }
+  const auto body = ParseJsonObject(aExchange.Request().body(), "kv", "caller");
+  if (!body) {
+    co_await aExchange.Reply(JsonResponse(400, R"({"error":"json"})"));
+    co_return;
+  }
+  if (path == "/v3/watch") {
+    co_await this->Watch(aExchange, *body);
+    co_return;
+  }
+  bool wrote = false;
+  const std::string answer = this->Answer(path, *body, wrote);
+  if (wrote && this->faults.loseReplies > 0) {
+    --this->faults.loseReplies;
+    aExchange.Abort();
+    co_return;
+  }
+  co_await aExchange.Reply(JsonResponse(answer.empty() ? 404 : 200, answer));
+}
+
+bool
+KvStandin::OverLimit()
+{
+  const Instant now = MonotonicNow();
+  if (now - this->windowStart >= seconds(1)) {
+    this->windowStart = now;
+    this->windowCalls = 0;
+  }
+  ++this->windowCalls;
+  return this->faults.rateLimit > 0 &&
+         this->windowCalls > this->faults.rateLimit;
+}
+
+Task<void>
+KvStandin::Control(HttpExchange& aExchange)
+{
+  const auto body =
+    ParseJsonObject(aExchange.Request().body(), "control", "caller");
+  if (body) {
+    if (body->contains("outage")) {
+      this->faults.outage = JsonFlag(*body, "outage");
+    }
+    if (body->contains("delay_ms")) {
+      this->faults.delayMs = static_cast<int>(JsonInteger(*body, "delay_ms"));
+    }
+    if (body->contains("lose_replies")) {
+      this->faults.loseReplies =
+        static_cast<int>(JsonInteger(*body, "lose_replies"));
+    }
+    if (body->contains("rate_limit")) {
+      this->faults.rateLimit =
+        static_cast<int>(JsonInteger(*body, "rate_limit"));
+    }
+  }
+  json::object counts;
+  for (const auto& [path, count] : this->calls) {
+    counts[path] = count;
+  }
+  co_await aExchange.Reply(JsonResponse(200, json::serialize(counts)));
+}
+
+json::object
+KvStandin::Header() const
+{
+  return json::object{ { "revision", std::to_string(this->revision) } };
+}
+
+std::string
+KvStandin::Answer(std::string_view aPath,
+                  const json::object& aBody,
+                  bool& aWrote)
+{
+  if (aPath == "/v3/kv/range") {
+    return this->Range(aBody);
+  }
+  if (aPath == "/v3/kv/txn") {
+    return this->Txn(aBody, aWrote);
+  }
+  if (aPath == "/v3/lease/grant") {
+    return this->Grant(aBody);
+  }
+  if (aPath == "/v3/lease/keepalive") {
+    return this->KeepAlive(aBody);
+  }
+  return {};
+}
+
+std::string
+KvStandin::Range(const json::object& aBody) const
+{
+  const std::string first = Decoded(aBody, "key");
+  const std::string end = aBody.contains("range_end")
+                            ? Decoded(aBody, "range_end")
+                            : first + std::string(1, '\0');
+  json::array kvs;
+  for (auto item = this->items.lower_bound(first);
+       item != this->items.end() && item->first < end;
+       ++item) {
+    kvs.push_back(json::object{
+      { "key", EncodeBase64(item->first) },
+      { "value", EncodeBase64(item->second.value) },
+      { "mod_revision", std::to_string(item->second.revision) } });
+  }
+  return json::serialize(
+    json::object{ { "header", this->Header() }, { "kvs", kvs } });
+}
+
+std::string
+KvStandin::Txn(const json::object& aBody, bool& aWrote)
+{
+  const json::object& compare = JsonArray(aBody, "compare")->at(0).as_object();
+  const std::string key = Decoded(compare, "key");
+  const auto found = this->items.find(key);
+  const std::int64_t present =
+    found == this->items.end() ? 0 : found->second.revision;
+  const bool matches = present == NumberField(compare, "mod_revision");
+  if (matches) {
+    const json::object& put = JsonArray(aBody, "success")
+                                ->at(0)
+                                .as_object()
+                                .at("request_put")
+                                .as_object();
+    this->Put(
+      Decoded(put, "key"), Decoded(put, "value"), NumberField(put, "lease"));
+    aWrote = true;
+  }
+  return json::serialize(
+    json::object{ { "header", this->Header() }, { "succeeded", matches } });
+}
+
+void
+KvStandin::Put(const std::string& aKey, std::string aValue, std::int64_t aLease)
+{
+  ++this->revision;
+  this->events.push_back(Event{ .revision = this->revision,
+                                .key = aKey,
+                                .value = aValue,
+                                .deleted = false });
+  this->items[aKey] = Item{ .value = std::move(aValue),
+                            .revision = this->revision,
+                            .lease = aLease };
+}
+
+std::string
+KvStandin::Grant(const json::object& aBody)
+{
+  const std::int64_t ttl = NumberField(aBody, "TTL");
+  const std::int64_t id = this->nextLease++;
+  this->leases[id] = { MonotonicNow() + seconds(ttl), ttl };
+  return json::serialize(json::object{ { "ID", std::to_string(id) },
+                                       { "TTL", std::to_string(ttl) } });
+}
+
+std::string
+KvStandin::KeepAlive(const json::object& aBody)
+{
+  const std::int64_t id = NumberField(aBody, "ID");
+  const auto found = this->leases.find(id);
+  std::int64_t ttl = 0;
+  if (found != this->leases.end()) {
+    ttl = found->second.second;
+    found->second.first = MonotonicNow() + seconds(ttl);
+  }
+  return json::serialize(
+    json::object{ { "result",
+                    json::object{ { "ID", std::to_string(id) },
+                                  { "TTL", std::to_string(ttl) } } } });
+}
+
+void
+KvStandin::ExpireLeases()
+{
+  const Instant now = MonotonicNow();
+  std::erase_if(this->leases, [&](const auto& aLease) {
+    if (aLease.second.first > now) {
+      return false;
+    }
+    std::erase_if(this->items, [&](const auto& aItem) {
+      if (aItem.second.lease != aLease.first) {
+        return false;
+      }
+      ++this->revision;
+      this->events.push_back(Event{ .revision = this->revision,
+                                    .key = aItem.first,
+                                    .value = {},
+                                    .deleted = true });
+      return true;
+    });
+    return true;
+  });
+}
+
+Task<void>
+KvStandin::ExpireRegularly()
+{
+  for (;;) {
+    asio::steady_timer timer(this->executor, kExpiryInterval);
+    co_await timer.async_wait(kAsTuple);
+    this->ExpireLeases();
+  }
+}
+
+json::object
+KvStandin::EncodeEvent(const Event& aEvent)
+{
+  const json::object kv{ { "key", EncodeBase64(aEvent.key) },
+                         { "value", EncodeBase64(aEvent.value) },
+                         { "mod_revision", std::to_string(aEvent.revision) } };
+  return json::object{ { "type", aEvent.deleted ? "DELETE" : "PUT" },
+                       { "kv", kv } };
+}
+
+std::string
+KvStandin::WatchLine(const json::array& aChanges) const
+{
+  const json::object result{ { "header", this->Header() },
+                             { "events", aChanges } };
+  return json::serialize(json::object{ { "result", result } }) + "\n";
+}
+
+Task<void>
+KvStandin::Watch(HttpExchange& aExchange, const json::object& aBody)
+{
+  const json::object* const create = JsonObject(aBody, "create_request");
+  if (create == nullptr) {
+    co_return;
+  }
+  const std::string first = Decoded(*create, "key");
+  const std::string end = Decoded(*create, "range_end");
+  const std::int64_t from = NumberField(*create, "start_revision");
+  HttpHeaders headers;
+  headers.emplace_back("Content-Type", "application/json");
+  bool alive = co_await aExchange.BeginStream(200, std::move(headers));
+  std::size_t next = 0;
+  Instant lastSent;
+  while (alive && !this->faults.outage) {
+    json::array changes;
+    for (; next < this->events.size(); ++next) {
+      const Event& event = this->events[next];
+      if (event.revision >= from && event.key >= first && event.key < end) {
+        changes.push_back(EncodeEvent(event));
+      }
+    }
+    if (!changes.empty() || MonotonicNow() - lastSent >= kProgressInterval) {
+      lastSent = MonotonicNow();
+      alive = co_await aExchange.WriteChunk(this->WatchLine(changes));
+      continue;
+    }
+    asio::steady_timer timer(this->executor, milliseconds(20));
+    co_await timer.async_wait(kAsTuple);
+  }
+  aExchange.Abort();
+}
+
+} // namespace apricottrack::standins
--- /dev/null
+++ b/tests/standins/KvStandin.h
@@ -0,0 +1,82 @@
+#ifndef APRICOTTRACK_TESTS_STANDINS_KVSTANDIN_H
+#define APRICOTTRACK_TESTS_STANDINS_KVSTANDIN_H
+
+#include "apricottrack/Time.h"
+#include "http/HttpServer.h"
+
+#include <boost/asio/steady_timer.hpp>
+#include <boost/json/array.hpp>
+#include <boost/json/object.hpp>
+#include <map>
+#include <string>
+#include <vector>
+
+namespace apricottrack::standins {
+
+/// Stands in for the platform's key-value service: the part of etcd's JSON
+/// gateway that the system uses, and switches for faults at /control.
+class KvStandin
+{
+public:
+  explicit KvStandin(boost::asio::any_io_executor aExecutor);
+
+  Task<void> Handle(HttpExchange& aExchange);
+
+private:
+  struct Item
+  {
+    std::string value;
+    std::int64_t revision = 0;
+    std::int64_t lease = 0;
+  };
+
+  struct Event
+  {
+    std::int64_t revision = 0;
+    std::string key;
+    std::string value;
+    bool deleted = false;
+  };
+
+  struct Faults
+  {
+    bool outage = false;
+    int delayMs = 0;
+    /// Writes whose reply is still to be lost after they took effect.
+    int loseReplies = 0;
+    /// Calls a second; zero: unlimited.
+    int rateLimit = 0;
+  };
+
+  Task<void> Control(HttpExchange& aExchange);
+  Task<void> Watch(HttpExchange& aExchange, const boost::json::object& aBody);
+  std::string Answer(std::string_view aPath,
+                     const boost::json::object& aBody,
+                     bool& aWrote);
+  std::string Range(const boost::json::object& aBody) const;
+  std::string Txn(const boost::json::object& aBody, bool& aWrote);
+  std::string Grant(const boost::json::object& aBody);
+  std::string KeepAlive(const boost::json::object& aBody);
+  void Put(const std::string& aKey, std::string aValue, std::int64_t aLease);
+  void ExpireLeases();
+  Task<void> ExpireRegularly();
+  bool OverLimit();
+  boost::json::object Header() const;
+  static boost::json::object EncodeEvent(const Event& aEvent);
+  std::string WatchLine(const boost::json::array& aChanges) const;
+
+  boost::asio::any_io_executor executor;
+  std::map<std::string, Item> items;
+  std::vector<Event> events;
+  std::map<std::int64_t, std::pair<Instant, std::int64_t>> leases;
+  std::int64_t revision = 1;
+  std::int64_t nextLease = 1000;
+  Faults faults;
+  std::map<std::string, std::int64_t> calls;
+  Instant windowStart;
+  int windowCalls = 0;
+};
+
+} // namespace apricottrack::standins
+
+#endif
--- /dev/null
+++ b/tests/wholepath/deployment.py
@@ -0,0 +1,267 @@
+"""Starts the system and its stand-ins as separate processes on loopback."""
+
+import http.client
+import json
+import os
+import signal
+import socket
+import subprocess
+import sys
+import tempfile
+import time
+from dataclasses import dataclass, field
+
+ROOT = os.path.abspath(os.path.join(os.path.dirname(__file__), "../.."))
+sys.path.insert(0, os.path.join(ROOT, "examples"))
+
+ZONES = ["ie-south-a", "ie-south-b", "ie-south-c"]
+
+
+def free_port() -> int:
+    """A port that was free a moment ago."""
+    with socket.socket() as probe:
+        probe.bind(("127.0.0.1", 0))
+        return probe.getsockname()[1]
+
+
+@dataclass
+class Vm:
+    """One target VM: an engine or a plain service."""
+
+    name: str
+    address: str
+    domain: str
+    zone: str
+    role: str
+    plain: bool
+    state: str = "live"
+    process: subprocess.Popen | None = None
+
+
+@dataclass
+class NodeProcess:
+    """One entry VM's daemon."""
+
+    name: str
+    listen: str
+    admin: str
+    settings: str
+    process: subprocess.Popen | None = None
+
+
+@dataclass
+class Shape:
+    """How large a deployment to start."""
+
+    nodes: int = 2
+    domains: int = 2
+    engines_per_domain: int = 5
+    group_size: int = 2
+    groups: int = 4
+    plain: int = 2
+    checks_fencing: bool = True
+    target_flags: list[str] = field(default_factory=list)
+    list_lag_ms: int = 300
+
+
+class Deployment:
+    """Processes of one test, ended together. Use as a context manager."""
+
+    def __init__(self, build: str, shape: Shape):
+        self.build = build
+        self.shape = shape
+        self.folder = tempfile.mkdtemp(prefix="apricottrack-")
+        self.record = os.path.join(self.folder, "record.jsonl")
+        self.kv = f"127.0.0.1:{free_port()}"
+        self.vm_list = f"127.0.0.1:{free_port()}"
+        self.vms: list[Vm] = []
+        self.nodes: list[NodeProcess] = []
+        self.processes: list[subprocess.Popen] = []
+
+    def __enter__(self):
+        self.start()
+        return self
+
+    def __exit__(self, *_):
+        self.stop()
+
+    def spawn(self, name: str, *command: str) -> subprocess.Popen:
+        """Starts a program of the build with its log in the test's folder."""
+        log = open(os.path.join(self.folder, name + ".log"), "ab")
+        process = subprocess.Popen(
+            [os.path.join(self.build, command[0]), *command[1:]],
+            stdout=log,
+            stderr=log,
+        )
+        log.close()
+        self.processes.append(process)
+        return process
+
+    def start(self):
+        self.spawn("kv", "standin", "kv", "--listen", self.kv)
+        self._make_vms()
+        listing = os.path.join(self.folder, "vms.json")
+        with open(listing, "w") as file:
+            file.write(self._listing())
+        self.spawn(
+            "vms", "standin", "vms", "--listen", self.vm_list,
+            "--file", listing, "--lag-ms", str(self.shape.list_lag_ms),
+        )  # fmt: skip
+        for vm in self.vms:
+            self.start_vm(vm)
+        for i in range(self.shape.nodes):
+            self.start_node(self.add_node(f"entry-{i}", ZONES[i % 3]))
+
+    def _make_vms(self):
+        for domain in range(self.shape.domains):
+            for i in range(self.shape.engines_per_domain):
+                self.vms.append(
+                    Vm(
+                        f"engine-{domain}-{i}", f"127.0.0.1:{free_port()}",
+                        f"fabric-{domain}", ZONES[domain % 3],
+                        "advisor-engine", False,
+                    )
+                )  # fmt: skip
+        for i in range(self.shape.plain):
+            self.vms.append(
+                Vm(
+                    f"booking-{i}", f"127.0.0.1:{free_port()}", "",
+                    ZONES[i % 3], "booking", True,
+                )
+            )  # fmt: skip
+
+    def _listing(self) -> str:
+        return json.dumps(
+            {
+                "vms": [
+                    {
+                        "vm": vm.name,
+                        "address": vm.address,
+                        "availability_zone": vm.zone,
+                        "fabric_domain": vm.domain,
+                        "role": vm.role,
+                        "state": vm.state,
+                    }
+                    for vm in self.vms
+                ]
+            }
+        )
+
+    def publish_vms(self):
+        """Hands the present list to its stand-in, which shows it later."""
+        call(self.vm_list, "POST", "/control", self._listing())
+
+    def start_vm(self, vm: Vm):
+        flags = ["--plain"] if vm.plain else []
+        if not self.shape.checks_fencing:
+            flags.append("--ignore-fencing")
+        vm.process = self.spawn(
+            vm.name, "standin", "target", "--listen", vm.address, "--vm", vm.name,
+            "--record", self.record, *flags, *self.shape.target_flags,
+        )  # fmt: skip
+
+    def add_node(self, name: str, zone: str) -> NodeProcess:
+        listen, admin, peer = (f"127.0.0.1:{free_port()}" for _ in range(3))
+        settings = os.path.join(self.folder, name + ".toml")
+        with open(settings, "w") as file:
+            file.write(
+                f'node = "{name}"\navailability_zone = "{zone}"\n'
+                f'listen = "{listen}"\nadmin_listen = "{admin}"\n'
+                f'peer_listen = "{peer}"\nplatform = "{self.kv}"\n'
+                f'vm_list = "{self.vm_list}"\ndrain_grace_ms = 500\n'
+            )
+        node = NodeProcess(name, listen, admin, settings)
+        self.nodes.append(node)
+        return node
+
+    def start_node(self, node: NodeProcess):
+        node.process = self.spawn(node.name, "apricottrackd", node.settings)
+
+    def command(self, *words: str, stdin: str | None = None):
+        """Runs the operators' command against this deployment."""
+        return subprocess.run(
+            [os.path.join(self.build, "apricottrack"), *words, "--platform", self.kv],
+            input=stdin,
+            capture_output=True,
+            text=True,
+            timeout=60,
+        )
+
+    def apply(self, text: str):
+        """Applies a configuration once the platform's stand-in is up."""
+        wait_until(lambda: call(self.kv, "POST", "/control", "{}")[0] == 200)
+        return self.command("apply", "-", stdin=text)
+
+    def status(self, node: int = 0) -> dict:
+        return json.loads(call(self.nodes[node].admin, "GET", "/status")[1])
+
+    def serving(self, service: str, node: int = 0) -> int:
+        try:
+            return self.status(node)["services"][service]["targets"]
+        except (OSError, KeyError, ValueError):
+            return 0
+
+    def records(self) -> list[dict]:
+        """What the targets recorded of themselves."""
+        if not os.path.exists(self.record):
+            return []
+        with open(self.record) as file:
+            return [json.loads(line) for line in file]
+
+    def stop(self):
+        for process in self.processes:
+            if process.poll() is None:
+                process.send_signal(signal.SIGCONT)
+                process.kill()
+        for process in self.processes:
+            process.wait()
+
+
+def call(address, method, path, body=None, headers=None, timeout=20):
+    """One request on a connection of its own: status, body, headers."""
+    host, port = address.split(":")
+    connection = http.client.HTTPConnection(host, int(port), timeout=timeout)
+    try:
+        connection.request(method, path, body, headers or {})
+        answer = connection.getresponse()
+        return answer.status, answer.read().decode(), dict(answer.getheaders())
+    finally:
+        connection.close()
+
+
+def wait_until(condition, limit_s: float = 30.0):
+    """Polls until the condition holds; the limit only ends a hung test."""
+    end = time.monotonic() + limit_s
+    while time.monotonic() < end:
+        try:
+            if condition():
+                return
+        except OSError:
+            pass
+        time.sleep(0.05)
+    raise AssertionError("the awaited condition did not come about")
+
+
+def chat(address, prompt, key="brennock-shop-0", stream=False, tokens=8, **headers):
+    """A chat completion through a node."""
+    body = json.dumps(
+        {
+            "model": "advisor",
+            "stream": stream,
+            "max_tokens": tokens,
+            "messages": [{"role": "user", "content": prompt}],
+        }
+    )
+    headers = {name.replace("_", "-"): value for name, value in headers.items()}
+    headers["Authorization"] = "Bearer " + key
+    return call(address, "POST", "/v1/chat/completions", body, headers)
+
+
+def book(address, key, body="{}", account="brennock-shop-0", timeout_ms=None):
+    """A booking, marked non-idempotent by its key."""
+    headers = {"Authorization": "Bearer " + account}
+    if key:
+        headers["Idempotency-Key"] = key
+    if timeout_ms:
+        headers["X-Request-Timeout-Ms"] = str(timeout_ms)
+    return call(address, "POST", "/services/booking/bookings", body, headers)
--- /dev/null
+++ b/tools/apricottrack.cpp
@@ -0,0 +1,458 @@
+/// The operators' command.
+
+#include "apricottrack/Configuration.h"
+#include "base/Hash.h"
+#include "base/JsonFields.h"
+#include "base/Log.h"
+#include "kv/EtcdStore.h"
+#include "operators/ConfigurationDiff.h"
+#include "operators/Operators.h"
+
+#include <CLI/CLI.hpp>
+#include <algorithm>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/json.hpp>
+#include <fmt/chrono.h>
+#include <fstream>
+#include <iostream>
+#include <optional>
+#include <sstream>
+
+using namespace apricottrack;
+namespace asio = boost::asio;
+namespace json = boost::json;
+
+namespace {
+
+constexpr int kExitOk = 0;
+constexpr int kExitFailed = 1;
+constexpr int kExitInvalid = 2;
+constexpr int kExitConflict = 3;
+constexpr int kExitUnconfirmed = 4;
+constexpr std::string_view kDefaultPlatform = "127.0.0.1:2379";
+
+/// What the command line said.
+struct Arguments
+{
+  std::string platform{ kDefaultPlatform };
+  std::string file;
+  std::string submission;
+  std::uint64_t base = 0;
+  double waitSeconds = 13;
+  std::vector<std::string> vms;
+  bool undo = false;
+  std::string request;
+  std::string account;
+  std::string key;
+  std::string since;
+  std::string until;
+  bool asJson = false;
+};
+
+/// The service and its loop, for one command.
+struct Session
+{
+  explicit Session(const Arguments& aArguments)
+    : store(loop.get_executor(),
+            EtcdStore::Options{ .address = aArguments.platform })
+  {
+  }
+
+  template<typename T>
+  T Run(Task<T> aTask)
+  {
+    std::optional<T> result;
+    asio::co_spawn(this->loop,
+                   std::move(aTask),
+                   [&result](std::exception_ptr aError, T aValue) {
+                     if (!aError) {
+                       result = std::move(aValue);
+                     }
+                   });
+    this->loop.run();
+    this->loop.restart();
+    return std::move(*result);
+  }
+
+  asio::io_context loop{ 1 };
+  EtcdStore store;
+};
+
+int
+Fail(const Error& aError)
+{
+  std::cerr << Describe(aError) << "\n";
+  return aError.code == ErrorCode::kConflict ? kExitConflict : kExitFailed;
+}
+
+std::optional<std::string>
+ReadFile(const std::string& aPath)
+{
+  if (aPath == "-") {
+    return std::string(std::istreambuf_iterator<char>(std::cin), {});
+  }
+  std::ifstream file(aPath);
+  if (!file) {
+    std::cerr << aPath << ": cannot be read\n";
+    return std::nullopt;
+  }
+  std::stringstream text;
+  text << file.rdbuf();
+  return text.str();
+}
+
+/// The text of a configuration file that parses, or nothing.
+std::optional<std::string>
+ReadValidFile(const std::string& aPath)
+{
+  auto text = ReadFile(aPath);
+  if (!text) {
+    return std::nullopt;
+  }
+  const auto parsed = ParseConfiguration(*text);
+  if (!parsed) {
+    std::cerr << Describe(parsed.error(), aPath);
+    return std::nullopt;
+  }
+  return text;
+}
+
+int
+Check(const Arguments& aArguments)
+{
+  if (!ReadValidFile(aArguments.file)) {
+    return kExitInvalid;
+  }
+  std::cout << aArguments.file << ": ok\n";
+  return kExitOk;
+}
+
+void
+PrintChanges(const std::vector<ConfigurationChange>& aChanges, bool aAsJson)
+{
+  for (const ConfigurationChange& change : aChanges) {
+    if (aAsJson) {
+      std::cout << json::serialize(json::object{ { "subject", change.subject },
+                                                 { "change", change.change },
+                                                 { "effect", change.effect } })
+                << "\n";
+    } else {
+      std::cout << fmt::format(
+        "{:<32} {:<8} {}\n", change.subject, change.change, change.effect);
+    }
+  }
+}
+
+int
+ShowDiff(const Arguments& aArguments)
+{
+  const auto text = ReadValidFile(aArguments.file);
+  if (!text) {
+    return kExitInvalid;
+  }
+  Session session(aArguments);
+  const auto present = session.Run(ReadConfiguration(session.store));
+  if (!present) {
+    return Fail(present.error());
+  }
+  const Configuration before =
+    ParseConfiguration(present->text).value_or(Configuration{});
+  const auto changes = Diff(before, *ParseConfiguration(*text));
+  if (!aArguments.asJson) {
+    std::cout << "against version " << present->version << ", "
+              << changes.size() << " changes\n";
+  }
+  PrintChanges(changes, aArguments.asJson);
+  return kExitOk;
+}
+
+/// Names of nodes that do not confirm a version yet.
+std::vector<std::string>
+Unconfirmed(const std::vector<NodeStatus>& aNodes, std::uint64_t aVersion)
+{
+  std::vector<std::string> names;
+  for (const NodeStatus& node : aNodes) {
+    const auto version = static_cast<std::uint64_t>(
+      JsonInteger(node.status, "configuration_version"));
+    if (version < aVersion) {
+      names.push_back(node.node);
+    }
+  }
+  return names;
+}
+
+int
+Apply(const Arguments& aArguments)
+{
+  const auto text = ReadValidFile(aArguments.file);
+  if (!text) {
+    return kExitInvalid;
+  }
+  Session session(aArguments);
+  ApplyOptions options{ .base = aArguments.base,
+                        .submission = aArguments.submission.empty()
+                                        ? RandomId()
+                                        : aArguments.submission,
+                        .now = WallNow() };
+  const auto accepted =
+    session.Run(ApplyConfiguration(session.store, *text, options));
+  if (!accepted) {
+    return Fail(accepted.error());
+  }
+  std::cout << "accepted version=" << accepted->version
+            << " submission=" << accepted->submission << "\n";
+  const Instant until = MonotonicNow() + FromSeconds(aArguments.waitSeconds);
+  std::vector<std::string> missing{ "(nodes not read)" };
+  while (!missing.empty()) {
+    const auto nodes =
+      session.Run(ReadNodes(session.loop.get_executor(), session.store));
+    if (nodes) {
+      missing = Unconfirmed(*nodes, accepted->version);
+      if (missing.empty()) {
+        std::cout << "in force on " << nodes->size() << " nodes\n";
+        break;
+      }
+    }
+    if (MonotonicNow() >= until) {
+      std::cout << fmt::format("not confirmed by: {}\n",
+                               fmt::join(missing, ", "));
+      return kExitUnconfirmed;
+    }
+    asio::steady_timer timer(session.loop, milliseconds(100));
+    timer.wait();
+  }
+  return kExitOk;
+}
+
+void
+PrintNode(const NodeStatus& aNode)
+{
+  if (aNode.status.empty()) {
+    std::cout << fmt::format("node {:<12} does not answer\n", aNode.node);
+    return;
+  }
+  std::cout << fmt::format(
+    "node {:<12} zone {:<14} configuration {:<4} in flight {:<4}{}\n",
+    aNode.node,
+    JsonText(aNode.status, "availability_zone"),
+    JsonInteger(aNode.status, "configuration_version"),
+    JsonInteger(aNode.status, "in_flight"),
+    JsonFlag(aNode.status, "draining") ? " draining" : "");
+}
+
+void
+PrintGroups(const json::object& aStatus)
+{
+  const json::array* const groups = JsonArray(aStatus, "groups");
+  if (groups == nullptr) {
+    return;
+  }
+  for (const json::value& item : *groups) {
+    const json::object& group = item.as_object();
+    const std::string vm = JsonText(group, "vm");
+    std::cout << fmt::format("group {:<14} domain {:<12} epoch {:<4} {}{}\n",
+                             JsonText(group, "group"),
+                             JsonText(group, "domain"),
+                             JsonInteger(group, "epoch"),
+                             JsonText(group, "state"),
+                             vm.empty() ? "" : " (" + vm + ")");
+  }
+}
+
+int
+ShowStatus(const Arguments& aArguments)
+{
+  Session session(aArguments);
+  const auto nodes =
+    session.Run(ReadNodes(session.loop.get_executor(), session.store));
+  if (!nodes) {
+    return Fail(nodes.error());
+  }
+  bool groupsShown = false;
+  for (const NodeStatus& node : *nodes) {
+    if (aArguments.asJson) {
+      std::cout << json::serialize(node.status) << "\n";
+      continue;
+    }
+    PrintNode(node);
+  }
+  for (const NodeStatus& node : *nodes) {
+    if (!aArguments.asJson && !groupsShown && !node.status.empty()) {
+      PrintGroups(node.status);
+      groupsShown = true;
+    }
+  }
+  return kExitOk;
+}
+
+int
+DrainVms(const Arguments& aArguments)
+{
+  Session session(aArguments);
+  const auto vms =
+    session.Run(ChangeDrained(session.store, aArguments.vms, !aArguments.undo));
+  if (!vms) {
+    return Fail(vms.error());
+  }
+  std::cout << fmt::format("drained VMs: {}\n", fmt::join(*vms, ", "));
+  return kExitOk;
+}
+
+std::string
+WallText(UnixMillis aAt)
+{
+  const std::time_t wholeSeconds = aAt / 1000;
+  return fmt::format(
+    "{:%Y-%m-%dT%H:%M:%S}.{:03}Z", fmt::gmtime(wholeSeconds), aAt % 1000);
+}
+
+/// The state of an entry in one word, as callers are told it.
+std::string_view
+EntryOutcome(const JournalEntry& aEntry)
+{
+  return aEntry.end ? OutcomeName(aEntry.end->outcome) : "outcome_unknown";
+}
+
+void
+PrintEntry(const JournalEntry& aEntry, bool aAsJson)
+{
+  const JournalIntent& intent = aEntry.intent;
+  if (aAsJson) {
+    std::cout << json::serialize(json::object{
+                   { "request", intent.requestId },
+                   { "account", intent.account },
+                   { "service", intent.service },
+                   { "kind", intent.kind },
+                   { "node", intent.node },
+                   { "at", intent.at },
+                   { "ended_at", aEntry.end ? aEntry.end->at : 0 },
+                   { "outcome", EntryOutcome(aEntry) },
+                   { "status", aEntry.end ? aEntry.end->status : 0 },
+                   { "target", aEntry.end ? aEntry.end->target : "" } })
+              << "\n";
+    return;
+  }
+  std::string verdict = "may have run; its end was never recorded";
+  if (aEntry.end && aEntry.end->outcome == Outcome::kAnswered) {
+    verdict = fmt::format("ran at {} and was answered with status {} at {}",
+                          aEntry.end->target,
+                          aEntry.end->status,
+                          WallText(aEntry.end->at));
+  } else if (aEntry.end && aEntry.end->outcome == Outcome::kNotRun) {
+    verdict = "was not run";
+  } else if (aEntry.end) {
+    verdict =
+      fmt::format("was sent to {} and may have run; no whole answer came",
+                  aEntry.end->target);
+  }
+  std::cout << fmt::format("{} request {} of account {} for {}/{}: {}\n",
+                           WallText(intent.at),
+                           intent.requestId,
+                           intent.account,
+                           intent.service,
+                           intent.kind,
+                           verdict);
+}
+
+int
+Audit(const Arguments& aArguments)
+{
+  Session session(aArguments);
+  const auto index = session.Run(ReadJournals(session.store));
+  if (!index) {
+    return Fail(index.error());
+  }
+  std::vector<JournalEntry> entries;
+  index->ForEach([&](const JournalEntry& aEntry) {
+    const std::string at = WallText(aEntry.intent.at);
+    const bool wanted = (aArguments.request.empty() ||
+                         aEntry.intent.requestId == aArguments.request) &&
+                        (aArguments.account.empty() ||
+                         aEntry.intent.account == aArguments.account) &&
+                        (aArguments.since.empty() || at >= aArguments.since) &&
+                        (aArguments.until.empty() || at < aArguments.until);
+    if (wanted) {
+      entries.push_back(aEntry);
+    }
+  });
+  std::sort(entries.begin(),
+            entries.end(),
+            [](const JournalEntry& aLeft, const JournalEntry& aRight) {
+              return aLeft.intent.at < aRight.intent.at;
+            });
+  for (const JournalEntry& entry : entries) {
+    PrintEntry(entry, aArguments.asJson);
+  }
+  if (entries.empty() && !aArguments.asJson) {
+    std::cout << "no record of a non-idempotent request matches\n";
+  }
+  return kExitOk;
+}
+
+int
+HashKey(const Arguments& aArguments)
+{
+  std::cout << Sha256Hex(aArguments.key) << "\n";
+  return kExitOk;
+}
+
+} // namespace
+
+int
+main(int argc, char** argv)
+{
+  CLI::App app("apricottrack: operate a serving system");
+  app.require_subcommand(1);
+  Arguments arguments;
+  int (*command)(const Arguments&) = nullptr;
+  const auto add = [&](const char* aName,
+                       const char* aHelp,
+                       int (*aCommand)(const Arguments&)) {
+    auto* const sub = app.add_subcommand(aName, aHelp);
+    sub->callback([&command, aCommand] { command = aCommand; });
+    return sub;
+  };
+  const auto withPlatform = [&](CLI::App* aSub) {
+    aSub->add_option("--platform",
+                     arguments.platform,
+                     "IP:port of the platform's key-value service");
+    aSub->add_flag("--json", arguments.asJson, "print JSON lines");
+    return aSub;
+  };
+
+  add("check", "report every mistake in a configuration", Check)
+    ->add_option("file", arguments.file, "configuration, or - for stdin")
+    ->required();
+  auto* const diff = withPlatform(
+    add("diff", "show what a configuration would change", ShowDiff));
+  diff->add_option("file", arguments.file)->required();
+  auto* const apply = withPlatform(
+    add("apply", "submit a configuration and wait until in force", Apply));
+  apply->add_option("file", arguments.file)->required();
+  apply->add_option(
+    "--base", arguments.base, "version the change was reviewed against");
+  apply->add_option(
+    "--submission", arguments.submission, "id of this submission");
+  apply->add_option(
+    "--wait", arguments.waitSeconds, "seconds to wait for confirmation");
+  withPlatform(
+    add("status", "nodes, groups and why one does not serve", ShowStatus));
+  auto* const drain =
+    withPlatform(add("drain", "take VMs out of service", DrainVms));
+  drain->add_option("vms", arguments.vms)->required();
+  drain->add_flag("--undo", arguments.undo, "bring them back");
+  auto* const audit =
+    withPlatform(add("audit", "whether non-idempotent requests ran", Audit));
+  audit->add_option("--request", arguments.request, "one request id");
+  audit->add_option("--account", arguments.account, "one client account");
+  audit->add_option("--since", arguments.since, "UTC, YYYY-MM-DDTHH:MM:SS");
+  audit->add_option("--until", arguments.until, "UTC, exclusive");
+  add("hash-key", "the SHA-256 of an account's key", HashKey)
+    ->add_option("key", arguments.key)
+    ->required();
+  CLI11_PARSE(app, argc, argv);
+  StartLogging("warn");
+  return command(arguments);
+}
