--- a/src/http/HttpServer.cpp
+++ b/src/http/HttpServer.cpp
@@ -131,19 +131,9 @@
   }
   std::shared_ptr<HttpServer> server(
     new HttpServer(std::move(aExecutor), std::move(aOptions)));
-  boost::system::error_code error;
-  auto& acceptor = server->acceptor;
-  acceptor.open(endpoint->protocol(), error);
-  acceptor.set_option(tcp::acceptor::reuse_address(true), error);
-  acceptor.bind(*endpoint, error);
-  if (!error) {
-    acceptor.listen(asio::socket_base::max_listen_connections, error);
-  }
-  if (error) {
-    return Failure(ErrorCode::kInvalidInput,
-                   "http.listen",
-                   server->options.address,
-                   error.message());
+  const auto bound = Bind(server->acceptor, *endpoint, "http.listen");
+  if (!bound) {
+    return tl::unexpected(bound.error());
   }
   asio::co_spawn(
     server->executor,
--- a/src/http/HttpTypes.cpp
+++ b/src/http/HttpTypes.cpp
@@ -28,6 +28,28 @@
   return boost::asio::ip::tcp::endpoint(ip, port);
 }
 
+Result<void>
+Bind(boost::asio::ip::tcp::acceptor& aAcceptor,
+     const boost::asio::ip::tcp::endpoint& aEndpoint,
+     std::string_view aStep)
+{
+  using boost::asio::ip::tcp;
+  boost::system::error_code error;
+  aAcceptor.open(aEndpoint.protocol(), error);
+  aAcceptor.set_option(tcp::acceptor::reuse_address(true), error);
+  aAcceptor.bind(aEndpoint, error);
+  if (!error) {
+    aAcceptor.listen(boost::asio::socket_base::max_listen_connections, error);
+  }
+  if (error) {
+    const std::string address = aEndpoint.address().to_string() + ":" +
+                                std::to_string(aEndpoint.port());
+    return Failure(
+      ErrorCode::kInvalidInput, aStep, address, error.message());
+  }
+  return {};
+}
+
 HttpResponse
 JsonResponse(unsigned aStatus, std::string aBody)
 {
--- a/src/http/HttpTypes.h
+++ b/src/http/HttpTypes.h
@@ -30,6 +30,12 @@
 Result<boost::asio::ip::tcp::endpoint>
 ParseEndpoint(const std::string& aAddress);
 
+/// Opens, binds and listens.
+Result<void>
+Bind(boost::asio::ip::tcp::acceptor& aAcceptor,
+     const boost::asio::ip::tcp::endpoint& aEndpoint,
+     std::string_view aStep);
+
 /// A response with a JSON body.
 HttpResponse
 JsonResponse(unsigned aStatus, std::string aBody);
--- /dev/null
+++ b/src/membership/NodeDirectory.cpp
@@ -0,0 +1,110 @@
+#include "membership/NodeDirectory.h"
+
+#include "base/Hash.h"
+#include "base/JsonFields.h"
+
+#include <algorithm>
+#include <boost/json.hpp>
+
+namespace apricottrack {
+
+namespace json = boost::json;
+
+std::string
+EncodeNodeRecord(const NodeRecord& aRecord)
+{
+  return json::serialize(
+    json::object{ { "node", aRecord.node },
+                  { "incarnation", aRecord.incarnation },
+                  { "availability_zone", aRecord.availabilityZone },
+                  { "admin", aRecord.admin },
+                  { "peer", aRecord.peer } });
+}
+
+std::optional<NodeRecord>
+ParseNodeRecord(std::string_view aText)
+{
+  const auto object = ParseJsonObject(aText, "node.read", "");
+  if (!object || JsonText(*object, "node").empty()) {
+    return std::nullopt;
+  }
+  return NodeRecord{ .node = JsonText(*object, "node"),
+                     .incarnation = JsonText(*object, "incarnation"),
+                     .availabilityZone =
+                       JsonText(*object, "availability_zone"),
+                     .admin = JsonText(*object, "admin"),
+                     .peer = JsonText(*object, "peer") };
+}
+
+NodeDirectory::NodeDirectory(std::string aOwnNode)
+  : ownNode(std::move(aOwnNode))
+{
+}
+
+void
+NodeDirectory::Set(const NodeRecord& aRecord)
+{
+  this->records[aRecord.node] = aRecord;
+}
+
+void
+NodeDirectory::Remove(std::string_view aNode)
+{
+  const auto found = this->records.find(aNode);
+  if (found != this->records.end()) {
+    this->records.erase(found);
+  }
+}
+
+void
+NodeDirectory::KeepOnly(const std::vector<std::string>& aNodes)
+{
+  std::erase_if(this->records, [&aNodes](const auto& aItem) {
+    return std::find(aNodes.begin(), aNodes.end(), aItem.first) ==
+           aNodes.end();
+  });
+}
+
+std::string
+NodeDirectory::OwnerOf(std::string_view aAccount) const
+{
+  const std::uint64_t seed = StableHash(aAccount);
+  std::string owner = this->ownNode;
+  std::uint64_t highest = StableHash(owner, seed);
+  for (const auto& [node, record] : this->records) {
+    const std::uint64_t rank = StableHash(node, seed);
+    if (rank > highest) {
+      highest = rank;
+      owner = node;
+    }
+  }
+  return owner;
+}
+
+const NodeRecord*
+NodeDirectory::Find(std::string_view aNode) const
+{
+  const auto found = this->records.find(aNode);
+  return found == this->records.end() ? nullptr : &found->second;
+}
+
+std::vector<NodeRecord>
+NodeDirectory::Others() const
+{
+  std::vector<NodeRecord> others;
+  for (const auto& [node, record] : this->records) {
+    if (node != this->ownNode) {
+      others.push_back(record);
+    }
+  }
+  return others;
+}
+
+int
+NodeDirectory::Count() const
+{
+  const bool ownListed = this->records.contains(this->ownNode);
+  return static_cast<int>(this->records.size()) + (ownListed ? 0 : 1);
+}
+
+} // namespace apricottrack
--- /dev/null
+++ b/src/membership/PeerTask.cpp
@@ -0,0 +1,187 @@
+#include "membership/PeerTask.h"
+
+#include "http/HttpTypes.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/steady_timer.hpp>
+
+namespace apricottrack {
+
+namespace asio = boost::asio;
+
+namespace {
+
+/// Reports count for this many intervals.
+constexpr int kLapseIntervals = 4;
+/// Demand below this is not worth a report.
+constexpr double kNegligibleRequests = 0.01;
+
+} // namespace
+
+PeerTask::PeerTask(asio::any_io_executor aExecutor,
+                   Options aOptions,
+                   NodeDirectory& aDirectory,
+                   AccountLimiter& aLimiter,
+                   const ConfigurationHolder& aConfiguration,
+                   ConfigurationSink aSink)
+  : executor(std::move(aExecutor))
+  , options(std::move(aOptions))
+  , directory(aDirectory)
+  , limiter(aLimiter)
+  , configuration(aConfiguration)
+  , sink(std::move(aSink))
+  , ledger(this->options.interval * kLapseIntervals)
+  , random(std::random_device{}())
+{
+}
+
+Result<void>
+PeerTask::Start()
+{
+  auto made = PeerServer::Make(
+    this->executor, this->options.listen, [this](PeerMessage aQuestion) {
+      return this->Answer(std::move(aQuestion));
+    });
+  if (!made) {
+    return tl::unexpected(made.error());
+  }
+  this->server = *made;
+  asio::co_spawn(
+    this->executor,
+    [this]() -> Task<void> { co_await this->Run(); },
+    asio::detached);
+  return {};
+}
+
+std::map<std::string, Demands>
+PeerTask::GroupByOwner(Instant aNow)
+{
+  std::map<std::string, Demands> byOwner;
+  for (const auto& [account, rates] : this->limiter.OwnDemand(aNow)) {
+    if (rates.requests >= kNegligibleRequests) {
+      byOwner[this->directory.OwnerOf(account)][account] = rates;
+    }
+  }
+  const std::vector<NodeRecord> others = this->directory.Others();
+  if (!others.empty()) {
+    byOwner.try_emplace(others[this->random() % others.size()].node);
+  }
+  return byOwner;
+}
+
+Task<void>
+PeerTask::Run()
+{
+  for (;;) {
+    asio::steady_timer timer(this->executor, this->options.interval);
+    co_await timer.async_wait(kAsTuple);
+    const Instant now = MonotonicNow();
+    this->ledger.Prune(now);
+    this->ApplyTotals({});
+    for (const auto& [owner, demands] : this->GroupByOwner(now)) {
+      if (owner == this->options.node) {
+        const DemandReport own{ .node = owner, .demands = demands };
+        this->ApplyTotals(this->AnswerReport(own).totals);
+        continue;
+      }
+      const NodeRecord* const record = this->directory.Find(owner);
+      if (record != nullptr) {
+        asio::co_spawn(
+          this->executor,
+          this->ExchangeWith(*record, demands),
+          asio::detached);
+      }
+    }
+    std::erase_if(this->links, [this](const auto& aItem) {
+      return this->directory.Find(aItem.first) == nullptr;
+    });
+  }
+}
+
+std::shared_ptr<PeerLink>
+PeerTask::LinkTo(const NodeRecord& aPeer)
+{
+  auto& link = this->links[aPeer.node];
+  if (link == nullptr || link->Address() != aPeer.peer) {
+    link = std::make_shared<PeerLink>(this->executor, aPeer.peer);
+  }
+  return link;
+}
+
+Task<void>
+PeerTask::ExchangeWith(NodeRecord aPeer, Demands aDemands)
+{
+  const auto link = this->LinkTo(aPeer);
+  if (link.use_count() > 2) {
+    // The last exchange on this link has not ended yet.
+    co_return;
+  }
+  DemandReport report;
+  report.node = this->options.node;
+  report.configurationVersion = this->configuration.Stored().version;
+  report.demands = std::move(aDemands);
+  const auto answer =
+    co_await link->Ask(std::move(report), this->options.timeout);
+  const auto* const totals =
+    answer ? std::get_if<DemandTotals>(&*answer) : nullptr;
+  if (totals == nullptr) {
+    co_return;
+  }
+  ++this->exchanges;
+  this->ApplyTotals(totals->totals);
+  if (totals->configurationVersion > this->configuration.Stored().version) {
+    co_await this->FetchConfiguration(link);
+  }
+}
+
+Task<void>
+PeerTask::FetchConfiguration(std::shared_ptr<PeerLink> aLink)
+{
+  ConfigurationRequest request;
+  request.knownVersion = this->configuration.Stored().version;
+  const auto answer =
+    co_await aLink->Ask(std::move(request), this->options.timeout);
+  const auto* const stored =
+    answer ? std::get_if<StoredConfiguration>(&*answer) : nullptr;
+  if (stored != nullptr) {
+    this->sink(*stored);
+  }
+}
+
+void
+PeerTask::ApplyTotals(const Demands& aTotals)
+{
+  for (const auto& [account, rates] : aTotals) {
+    this->otherDemand[account] = rates;
+  }
+  this->limiter.SetOtherDemand(this->otherDemand, this->directory.Count());
+}
+
+DemandTotals
+PeerTask::AnswerReport(const DemandReport& aReport)
+{
+  const Instant now = MonotonicNow();
+  this->ledger.Report(aReport.node, aReport.demands, now);
+  DemandTotals answer;
+  answer.configurationVersion = this->configuration.Stored().version;
+  for (const auto& [account, rates] : aReport.demands) {
+    answer.totals[account] =
+      this->ledger.OthersOf(aReport.node, account, now);
+  }
+  return answer;
+}
+
+std::optional<PeerMessage>
+PeerTask::Answer(PeerMessage aQuestion)
+{
+  if (const auto* const report = std::get_if<DemandReport>(&aQuestion)) {
+    return this->AnswerReport(*report);
+  }
+  if (std::holds_alternative<ConfigurationRequest>(aQuestion)) {
+    return this->configuration.Stored();
+  }
+  return std::nullopt;
+}
+
+} // namespace apricottrack
--- a/src/node/LeaseTask.cpp
+++ b/src/node/LeaseTask.cpp
@@ -16,6 +16,7 @@
   : executor(std::move(aExecutor))
   , store(aStore)
   , options(std::move(aOptions))
+  , random(std::random_device{}())
 {
 }
 
@@ -31,20 +32,35 @@
 Task<void>
 LeaseTask::Run()
 {
+  std::uniform_real_distribution<double> spread(0.5, 1.5);
   while (!this->released) {
     // The lease counts from before the call, so that this node never
     // believes in it longer than the service does.
     const Instant asked = MonotonicNow();
-    const bool held =
-      this->lease != 0 ? co_await this->Renew() : co_await this->Acquire();
+    bool held = false;
+    if (this->lease != 0) {
+      held = co_await this->Renew();
+    } else if (this->MayTry()) {
+      held = co_await this->Acquire();
+    }
     if (held) {
       this->validUntil = asked + seconds(this->options.ttlSeconds);
     }
-    asio::steady_timer timer(this->executor, this->options.renewEvery);
+    // The spread keeps nodes from asking for a freed key all at once.
+    asio::steady_timer timer(
+      this->executor,
+      FromSeconds(ToSeconds(this->options.renewEvery) *
+                  spread(this->random)));
     co_await timer.async_wait(kAsTuple);
   }
 }
 
+bool
+LeaseTask::MayTry() const
+{
+  return !this->options.mayTry || this->options.mayTry();
+}
+
 Task<bool>
 LeaseTask::Renew()
 {
--- a/src/node/LeaseTask.h
+++ b/src/node/LeaseTask.h
@@ -5,6 +5,8 @@
 #include "apricottrack/Time.h"
 
 #include <boost/asio/any_io_executor.hpp>
+#include <functional>
+#include <random>
 #include <string>
 
 namespace apricottrack {
@@ -21,6 +23,9 @@
     std::string value;
     std::int64_t ttlSeconds = 5;
     Duration renewEvery = milliseconds(1500);
+    /// Whether it is worth asking for a key that this node does not hold;
+    /// keeps those who only wait from calling the service. May be empty.
+    std::function<bool()> mayTry;
   };
 
   LeaseTask(boost::asio::any_io_executor aExecutor,
@@ -37,12 +42,14 @@
 
 private:
   Task<void> Run();
+  bool MayTry() const;
   Task<bool> Acquire();
   Task<bool> Renew();
 
   boost::asio::any_io_executor executor;
   KeyValueStore& store;
   Options options;
+  std::mt19937_64 random;
   LeaseId lease = 0;
   Instant validUntil;
   bool released = false;
--- a/src/node/Node.cpp
+++ b/src/node/Node.cpp
@@ -5,6 +5,7 @@
 #include "http/HttpServer.h"
 #include "kv/EtcdStore.h"
 #include "kv/PlatformKeys.h"
+#include "membership/PeerTask.h"
 #include "node/AdminEndpoint.h"
 #include "node/KeeperTask.h"
 #include "node/LeaseTask.h"
@@ -31,15 +32,14 @@
 /// Longest wait, at a planned stop, for ends still to be journaled.
 constexpr Duration kJournalFlush = seconds(5);
 
-std::string
-NodeRecord(const NodeContext& aContext)
+NodeRecord
+OwnRecord(const NodeContext& aContext)
 {
-  return json::serialize(
-    json::object{ { "node", aContext.settings.node },
-                  { "incarnation", aContext.incarnation },
-                  { "availability_zone", aContext.settings.availabilityZone },
-                  { "admin", aContext.settings.adminListen },
-                  { "peer", aContext.settings.peerListen } });
+  return NodeRecord{ .node = aContext.settings.node,
+                     .incarnation = aContext.incarnation,
+                     .availabilityZone = aContext.settings.availabilityZone,
+                     .admin = aContext.settings.adminListen,
+                     .peer = aContext.settings.peerListen };
 }
 
 std::set<std::string, std::less<>>
@@ -71,7 +71,9 @@
 private:
   void OnPlatformValues(const std::vector<KeyValue>& aValues, bool aComplete);
   void OnPlatformValue(const KeyValue& aValue);
-  void OnConfiguration(const KeyValue& aValue);
+  void OnConfiguration(const StoredConfiguration& aStored);
+  void OnNode(const KeyValue& aValue);
+  void DropAbsent(const std::vector<KeyValue>& aValues);
   void OnPlan(const KeyValue& aValue);
   void OnVms(VmList aVms);
   void Refresh();
@@ -92,6 +94,9 @@
   LeaseTask registration;
   LeaseTask plannerLease;
   KeeperTask keeper;
+  PeerTask peers;
+  /// Somebody holds the planner's lease, as last heard.
+  bool plannerSeen = false;
 };
 
 Node::Impl::Impl(asio::any_io_executor aExecutor, Settings aSettings)
@@ -103,6 +108,7 @@
     .counters = {},
     .configuration = {},
     .limiter = {},
+    .directory = NodeDirectory(this->settings.node),
     .view = NodeView(
       std::make_unique<WholeGroupGate>(this->settings.heardWithin),
       this->settings.heardWithin),
@@ -131,19 +137,31 @@
       aExecutor,
       this->store,
       LeaseTask::Options{ .key = keys::NodeOf(this->settings.node),
-                          .value = NodeRecord(this->context),
+                          .value = EncodeNodeRecord(OwnRecord(this->context)),
                           .ttlSeconds = kNodeLeaseSeconds,
                           .renewEvery = seconds(3) })
   , plannerLease(aExecutor,
                  this->store,
                  LeaseTask::Options{ .key = std::string(keys::kPlanner),
-                                     .value = NodeRecord(this->context),
+                                     .value = EncodeNodeRecord(OwnRecord(this->context)),
                                      .ttlSeconds = kPlannerLeaseSeconds,
-                                     .renewEvery = milliseconds(1000) })
+                                     .renewEvery = milliseconds(1000),
+                                     .mayTry =
+                                       [this] { return !this->plannerSeen; } })
   , keeper(this->context,
            this->store,
            GroupPlanner::Options{},
            [this](Instant aNow) { return this->plannerLease.Holds(aNow); })
+  , peers(aExecutor,
+          PeerTask::Options{ .node = this->settings.node,
+                             .listen = this->settings.peerListen },
+          this->context.directory,
+          this->context.limiter,
+          this->context.configuration,
+          [this](const StoredConfiguration& aStored) {
+            this->OnConfiguration(aStored);
+            this->Refresh();
+          })
 {
 }
 
@@ -191,6 +209,10 @@
     return tl::unexpected(operators.error());
   }
   this->adminServer = *operators;
+  const auto linked = this->peers.Start();
+  if (!linked) {
+    return tl::unexpected(linked.error());
+  }
   this->StartTasks();
   return {};
 }
@@ -225,49 +247,83 @@
 void
 Node::Impl::OnPlatformValues(const std::vector<KeyValue>& aValues,
                              bool aComplete)
+{
+  if (aComplete) {
+    this->DropAbsent(aValues);
+  }
+  for (const KeyValue& value : aValues) {
+    this->OnPlatformValue(value);
+  }
+  this->Refresh();
+}
+
+void
+Node::Impl::DropAbsent(const std::vector<KeyValue>& aValues)
 {
   bool drainedSeen = false;
+  bool plannerThere = false;
+  std::vector<std::string> nodes;
   for (const KeyValue& value : aValues) {
     drainedSeen = drainedSeen || value.key == keys::kDrained;
-    this->OnPlatformValue(value);
+    plannerThere = plannerThere || value.key == keys::kPlanner;
+    if (value.key.starts_with(keys::kNodePrefix)) {
+      nodes.push_back(value.key.substr(keys::kNodePrefix.size()));
+    }
   }
-  if (aComplete && !drainedSeen) {
+  if (!drainedSeen) {
     this->context.view.SetDrained({});
   }
-  this->Refresh();
+  this->plannerSeen = plannerThere;
+  this->context.directory.KeepOnly(nodes);
 }
 
 void
 Node::Impl::OnPlatformValue(const KeyValue& aValue)
 {
   if (aValue.key == keys::kConfiguration) {
-    this->OnConfiguration(aValue);
+    const auto stored =
+      ParseStoredConfiguration(aValue.value, this->settings.platform);
+    if (stored) {
+      this->OnConfiguration(*stored);
+    } else {
+      LogLine("configuration_unreadable").With(stored.error()).Warn();
+    }
   } else if (aValue.key == keys::kDrained) {
     this->context.view.SetDrained(ParseDrained(aValue.value));
+  } else if (aValue.key == keys::kPlanner) {
+    this->plannerSeen = aValue.revision != 0;
   } else if (aValue.key.starts_with(keys::kPlanPrefix)) {
     this->OnPlan(aValue);
+  } else if (aValue.key.starts_with(keys::kNodePrefix)) {
+    this->OnNode(aValue);
   }
 }
 
 void
-Node::Impl::OnConfiguration(const KeyValue& aValue)
+Node::Impl::OnNode(const KeyValue& aValue)
 {
-  const auto stored =
-    ParseStoredConfiguration(aValue.value, this->settings.platform);
-  if (!stored) {
-    LogLine("configuration_unreadable").With(stored.error()).Warn();
-    return;
+  const auto record = ParseNodeRecord(aValue.value);
+  if (aValue.revision != 0 && record) {
+    this->context.directory.Set(*record);
+  } else {
+    this->context.directory.Remove(
+      std::string_view(aValue.key).substr(keys::kNodePrefix.size()));
   }
-  const OfferResult result = this->context.configuration.Offer(*stored);
+}
+
+void
+Node::Impl::OnConfiguration(const StoredConfiguration& aStored)
+{
+  const OfferResult result = this->context.configuration.Offer(aStored);
   if (result == OfferResult::kTaken) {
     LogLine("configuration_in_force")
-      .With("version", static_cast<std::int64_t>(stored->version))
-      .With("submission", stored->submission)
-      .With("delay_ms", WallNow() - stored->submittedAt)
+      .With("version", static_cast<std::int64_t>(aStored.version))
+      .With("submission", aStored.submission)
+      .With("delay_ms", WallNow() - aStored.submittedAt)
       .Info();
   } else if (result == OfferResult::kInvalid) {
     LogLine("configuration_invalid")
-      .With("version", static_cast<std::int64_t>(stored->version))
+      .With("version", static_cast<std::int64_t>(aStored.version))
       .Warn();
   }
 }
--- a/src/node/NodeContext.h
+++ b/src/node/NodeContext.h
@@ -6,6 +6,7 @@
 #include "config/ConfigurationHolder.h"
 #include "http/HttpClient.h"
 #include "limits/AccountLimiter.h"
+#include "membership/NodeDirectory.h"
 #include "node/Dispatcher.h"
 #include "node/JournalTask.h"
 #include "node/NodeView.h"
@@ -28,6 +29,7 @@
   Counters counters;
   ConfigurationHolder configuration;
   AccountLimiter limiter;
+  NodeDirectory directory;
   NodeView view;
   HttpConnectionPool targetPool;
   std::unique_ptr<RetryPolicy> retryPolicy;
--- /dev/null
+++ b/tests/AccountLimiterTest.cpp
@@ -0,0 +1,92 @@
+#include "limits/AccountLimiter.h"
+
+#include "apricottrack/Configuration.h"
+
+#include <catch2/catch.hpp>
+#include <vector>
+
+using namespace apricottrack;
+
+namespace {
+
+ClientAccount
+Account(double aRequests, double aTokens)
+{
+  ClientAccount account;
+  account.name = "shop";
+  account.requestsPerSecond = aRequests;
+  account.tokensPerSecond = aTokens;
+  return account;
+}
+
+/// Requests admitted by one limiter that is offered a steady rate.
+int
+Admitted(AccountLimiter& aLimiter,
+         const ClientAccount& aAccount,
+         int aOfferedPerSecond,
+         int aSeconds)
+{
+  int admitted = 0;
+  for (int i = 0; i < aOfferedPerSecond * aSeconds; ++i) {
+    const Instant now{ Duration(seconds(1)) * i / aOfferedPerSecond };
+    admitted += aLimiter.Admit(aAccount, 1, now) ? 0 : 1;
+  }
+  return admitted;
+}
+
+} // namespace
+
+TEST_CASE("a lone node holds an account to its request limit")
+{
+  AccountLimiter limiter;
+  const int admitted = Admitted(limiter, Account(10, 1e6), 100, 20);
+  CHECK(admitted >= 200);
+  CHECK(admitted <= 200 + 20);
+}
+
+TEST_CASE("tokens limit as well, and refusals say how long to wait")
+{
+  AccountLimiter limiter;
+  const ClientAccount account = Account(1000, 100);
+  CHECK_FALSE(limiter.Admit(account, 150, Instant{}));
+  const auto wait = limiter.Admit(account, 100, Instant{});
+  REQUIRE(wait);
+  CHECK(ToSeconds(*wait) == Approx(0.5).epsilon(0.01));
+  CHECK_FALSE(limiter.Admit(account, 100, Instant{} + *wait));
+}
+
+TEST_CASE("shares of nodes with the same view add up to the limit")
+{
+  const std::vector<double> demands{ 100, 20, 0, 5 };
+  double total = 0;
+  double sum = 0;
+  for (const double demand : demands) {
+    sum += demand;
+  }
+  for (const double demand : demands) {
+    total += LimitShare(50, demand, sum - demand, 4);
+  }
+  CHECK(total == Approx(50));
+  CHECK(LimitShare(50, 0, 125, 4) > 0);
+}
+
+TEST_CASE("two nodes that know of each other's demand keep the limit together")
+{
+  AccountLimiter first;
+  AccountLimiter second;
+  const ClientAccount account = Account(20, 1e6);
+  int admitted = 0;
+  for (int i = 0; i < 2000; ++i) {
+    const Instant now{ milliseconds(10 * i) };
+    if (i % 100 == 0) {
+      first.SetOtherDemand(second.OwnDemand(now), 2);
+      second.SetOtherDemand(first.OwnDemand(now), 2);
+    }
+    admitted += first.Admit(account, 1, now) ? 0 : 1;
+    if (i % 5 == 0) {
+      admitted += second.Admit(account, 1, now) ? 0 : 1;
+    }
+  }
+  CHECK(admitted <= 20 * 20 * 1.15 + 40);
+  CHECK(admitted >= 20 * 20 * 0.85);
+}
--- /dev/null
+++ b/tests/AdmissionQueueTest.cpp
@@ -0,0 +1,114 @@
+#include "limits/AdmissionQueue.h"
+
+#include <catch2/catch.hpp>
+
+using namespace apricottrack;
+
+namespace {
+
+constexpr Instant kNow{ seconds(10) };
+
+Ticket
+MakeTicket(TicketId aId,
+           std::string aAccount,
+           Priority aPriority = Priority::kInteractive,
+           Duration aAllowed = seconds(60))
+{
+  return Ticket{ .id = aId,
+                 .account = std::move(aAccount),
+                 .weight = 1,
+                 .priority = aPriority,
+                 .arrived = kNow,
+                 .deadline = kNow + aAllowed };
+}
+
+} // namespace
+
+TEST_CASE("a small account's request does not wait behind a large account's")
+{
+  AdmissionQueue queue{ { .limit = 100 } };
+  for (TicketId id = 1; id <= 40; ++id) {
+    REQUIRE(queue.Add(MakeTicket(id, "large"), kNow) ==
+            AdmissionRefusal::kNone);
+  }
+  REQUIRE(queue.Add(MakeTicket(99, "small"), kNow) == AdmissionRefusal::kNone);
+  const auto ready = queue.Dispatch(2, kNow);
+  CHECK(std::find(ready.begin(), ready.end(), 99) != ready.end());
+}
+
+TEST_CASE("accounts share by weight")
+{
+  AdmissionQueue queue{ { .limit = 100 } };
+  for (TicketId id = 1; id <= 30; ++id) {
+    Ticket heavy = MakeTicket(id, "heavy");
+    heavy.weight = 3;
+    queue.Add(heavy, kNow);
+    queue.Add(MakeTicket(100 + id, "light"), kNow);
+  }
+  int heavyRan = 0;
+  for (const TicketId id : queue.Dispatch(20, kNow)) {
+    heavyRan += id < 100 ? 1 : 0;
+  }
+  CHECK(heavyRan >= 14);
+  CHECK(heavyRan <= 16);
+}
+
+TEST_CASE("interactive work goes first, and batch work is not starved")
+{
+  AdmissionQueue queue{ { .limit = 1000, .batchEvery = 10 } };
+  for (TicketId id = 1; id <= 100; ++id) {
+    queue.Add(MakeTicket(id, "a"), kNow);
+    queue.Add(MakeTicket(1000 + id, "b", Priority::kBatch), kNow);
+  }
+  int batch = 0;
+  for (const TicketId id : queue.Dispatch(50, kNow)) {
+    batch += id >= 1000 ? 1 : 0;
+  }
+  CHECK(batch == 5);
+}
+
+TEST_CASE("one account fills at most half of the queue")
+{
+  AdmissionQueue queue{ { .limit = 10 } };
+  int taken = 0;
+  for (TicketId id = 1; id <= 10; ++id) {
+    taken += queue.Add(MakeTicket(id, "large"), kNow) ==
+                 AdmissionRefusal::kNone
+               ? 1
+               : 0;
+  }
+  CHECK(taken == 5);
+  CHECK(queue.Add(MakeTicket(20, "small"), kNow) == AdmissionRefusal::kNone);
+}
+
+TEST_CASE("a request that would be late is refused at once")
+{
+  AdmissionQueue queue{ { .limit = 100 } };
+  queue.SetConcurrency(1);
+  queue.OnFinished(seconds(1));
+  for (TicketId id = 1; id <= 5; ++id) {
+    REQUIRE(queue.Add(MakeTicket(id, "a"), kNow) == AdmissionRefusal::kNone);
+  }
+  const Ticket hurried =
+    MakeTicket(9, "a", Priority::kInteractive, seconds(3));
+  CHECK(queue.Add(hurried, kNow) == AdmissionRefusal::kDeadlineUnreachable);
+}
+
+TEST_CASE("a slow spell does not refuse everything for good")
+{
+  AdmissionQueue queue{ { .limit = 100 } };
+  queue.OnFinished(seconds(300));
+  const Ticket ticket = MakeTicket(1, "a", Priority::kInteractive, seconds(2));
+  CHECK(queue.Add(ticket, kNow) == AdmissionRefusal::kNone);
+}
+
+TEST_CASE("waiting requests that became late are dropped")
+{
+  AdmissionQueue queue{ { .limit = 100 } };
+  queue.Add(MakeTicket(1, "a", Priority::kInteractive, seconds(1)), kNow);
+  queue.Add(MakeTicket(2, "a", Priority::kInteractive, seconds(9)), kNow);
+  CHECK(queue.Expire(kNow + seconds(2)) == std::vector<TicketId>{ 1 });
+  CHECK(queue.Size() == 1);
+  queue.Remove(2);
+  CHECK(queue.Size() == 0);
+}
--- /dev/null
+++ b/tests/ConfigurationTest.cpp
@@ -0,0 +1,95 @@
+#include "apricottrack/Configuration.h"
+
+#include "config/ConfigurationHolder.h"
+#include "operators/ConfigurationDiff.h"
+
+#include <catch2/catch.hpp>
+
+using namespace apricottrack;
+
+namespace {
+
+const std::string kHash(64, 'a');
+
+std::string
+ValidText()
+{
+  return "firm = \"f\"\n[[accounts]]\nname = \"a\"\nkey_sha256 = \"" + kHash +
+         "\"\n[[services]]\nname = \"s\"\ncontract = \"plain\"\n"
+         "role = \"r\"\naccounts = [\"*\"]\n[[services.kinds]]\nname = \"k\"\n";
+}
+
+Mistakes
+MistakesIn(const std::string& aText)
+{
+  const auto parsed = ParseConfiguration(aText);
+  return parsed ? Mistakes{} : parsed.error();
+}
+
+bool
+Mentions(const Mistakes& aMistakes, std::string_view aText)
+{
+  return Describe(aMistakes, "file").find(aText) != std::string::npos;
+}
+
+} // namespace
+
+TEST_CASE("a valid configuration parses with its defaults")
+{
+  const auto parsed = ParseConfiguration(ValidText());
+  REQUIRE(parsed);
+  CHECK(parsed->services[0].kinds[0].idempotent);
+  CHECK(MayCall(parsed->services[0], parsed->accounts[0]));
+}
+
+TEST_CASE("every mistake is reported at once, with its place")
+{
+  const Mistakes mistakes = MistakesIn("frim = \"f\"\n[[accounts]]\n"
+                                       "name = \"a\"\nkey_sha256 = \"xyz\"\n"
+                                       "weight = -1\n[[services]]\n"
+                                       "name = \"s\"\naccounts = [\"b\"]\n"
+                                       "queue_limit = \"many\"\n");
+  CHECK(Mentions(mistakes, "file:1:8: frim: is not a known key"));
+  CHECK(Mentions(mistakes, "firm: is missing"));
+  CHECK(Mentions(mistakes, "file:4:14: accounts[0].key_sha256"));
+  CHECK(Mentions(mistakes, "file:5:10: accounts[0].weight: -1 is out"));
+  CHECK(Mentions(mistakes, "services[0].queue_limit: is not a whole number"));
+  CHECK(Mentions(mistakes, "services[0].kinds: is missing"));
+  CHECK(Mentions(mistakes, "names unknown account \"b\""));
+}
+
+TEST_CASE("broken TOML is one mistake with its place")
+{
+  const Mistakes mistakes = MistakesIn("firm = \n");
+  REQUIRE(mistakes.size() == 1);
+  CHECK(mistakes[0].line == 1);
+}
+
+TEST_CASE("the version in force only grows, whatever order offers come in")
+{
+  ConfigurationHolder holder;
+  const auto offer = [&](std::uint64_t aVersion, std::string aText) {
+    StoredConfiguration stored;
+    stored.version = aVersion;
+    stored.text = std::move(aText);
+    return holder.Offer(stored);
+  };
+  CHECK(offer(3, ValidText()) == OfferResult::kTaken);
+  CHECK(offer(2, ValidText()) == OfferResult::kOld);
+  CHECK(offer(3, ValidText()) == OfferResult::kOld);
+  CHECK(offer(4, "nonsense") == OfferResult::kInvalid);
+  CHECK(holder.Stored().version == 3);
+  CHECK(offer(5, ValidText()) == OfferResult::kTaken);
+}
+
+TEST_CASE("a difference says what happens to running work")
+{
+  Configuration before;
+  before.groupSets = { { .name = "g", .count = 4, .size = 2 } };
+  Configuration after = before;
+  after.groupSets[0].count = 2;
+  CHECK(Diff(before, after)[0].effect == "2 groups drain and end");
+  after.groupSets[0].size = 3;
+  CHECK(Diff(before, after)[0].effect == "all 4 groups drain and form anew");
+  CHECK(Diff(before, before).empty());
+}
--- /dev/null
+++ b/tests/JournalWriterTest.cpp
@@ -0,0 +1,240 @@
+#include "journal/JournalWriter.h"
+
+#include <catch2/catch.hpp>
+
+using namespace apricottrack;
+
+namespace {
+
+constexpr Instant kNow{ seconds(10) };
+
+JournalIntent
+Intent(std::string aKey, std::string aNonce, std::string aPrint = "p")
+{
+  JournalIntent intent;
+  intent.key = std::move(aKey);
+  intent.nonce = std::move(aNonce);
+  intent.fingerprint = std::move(aPrint);
+  return intent;
+}
+
+JournalEnd
+EndOf(std::string aKey, std::string aNonce, Outcome aOutcome)
+{
+  JournalEnd end;
+  end.key = std::move(aKey);
+  end.nonce = std::move(aNonce);
+  end.outcome = aOutcome;
+  return end;
+}
+
+/// A key-value service in memory that one or more writers share.
+class Store
+{
+public:
+  /// Makes one call of the writer, if it has one.
+  bool Step(JournalWriter& aWriter,
+            Instant aNow,
+            bool aApply = true,
+            bool aReply = true)
+  {
+    const auto call = aWriter.NextCall(aNow);
+    if (!call) {
+      return false;
+    }
+    if (call->kind == JournalCall::Kind::kLoad) {
+      std::vector<KeyValue> all;
+      for (const auto& [key, value] : this->values) {
+        all.push_back(value);
+      }
+      aWriter.OnLoaded(all, aNow);
+    } else if (call->kind == JournalCall::Kind::kRead) {
+      KeyValue value = this->values[call->key];
+      aWriter.OnRead(value, aNow);
+    } else {
+      aWriter.OnSwapped(this->Swapped(call->swap, aApply, aReply), aNow);
+    }
+    return true;
+  }
+
+  Result<Revision> Swapped(const Swap& aSwap, bool aApply, bool aReply)
+  {
+    KeyValue& value = this->values[aSwap.key];
+    if (value.revision != aSwap.expected) {
+      return Failure(ErrorCode::kConflict, "test", "", "");
+    }
+    if (aApply) {
+      value = KeyValue{ aSwap.key, aSwap.value, ++this->revision };
+    }
+    if (!aReply) {
+      return Failure(ErrorCode::kNoReply, "test", "", "");
+    }
+    return value.revision;
+  }
+
+  /// Steps until the writer has nothing to do.
+  void Settle(JournalWriter& aWriter, Instant aFrom = kNow)
+  {
+    for (int i = 0; i < 50; ++i) {
+      this->Step(aWriter, aFrom + milliseconds(100 * i));
+    }
+  }
+
+  std::map<std::string, KeyValue> values;
+  Revision revision = 0;
+};
+
+JournalWriter
+Writer(std::size_t aSegmentBytes = 64 * 1024)
+{
+  JournalWriter::Options options;
+  options.prefix = "j/";
+  options.segmentBytes = aSegmentBytes;
+  return JournalWriter(options);
+}
+
+IntentVerdict
+OnlyVerdict(JournalWriter& aWriter)
+{
+  const auto resolutions = aWriter.TakeResolutions();
+  REQUIRE(resolutions.size() == 1);
+  return resolutions.front().verdict;
+}
+
+} // namespace
+
+TEST_CASE("an intent may run once it is written")
+{
+  Store store;
+  JournalWriter writer = Writer();
+  writer.AddIntent(Intent("k", "n1"), kNow + seconds(3));
+  store.Settle(writer);
+  CHECK(OnlyVerdict(writer) == IntentVerdict::kRun);
+  CHECK(writer.Index().Find("k")->intent.nonce == "n1");
+}
+
+TEST_CASE("many intents share one write")
+{
+  Store store;
+  JournalWriter writer = Writer();
+  for (int i = 0; i < 100; ++i) {
+    const std::string name = std::to_string(i);
+    writer.AddIntent(Intent("k" + name, "n" + name), kNow + seconds(3));
+  }
+  store.Settle(writer);
+  CHECK(store.revision == 1);
+  CHECK(writer.TakeResolutions().size() == 100);
+}
+
+TEST_CASE("of two nodes that write the same key one runs it")
+{
+  Store store;
+  JournalWriter first = Writer();
+  JournalWriter second = Writer();
+  store.Step(first, kNow);
+  store.Step(second, kNow);
+  first.AddIntent(Intent("k", "n1"), kNow + seconds(3));
+  second.AddIntent(Intent("k", "n2"), kNow + seconds(3));
+  store.Settle(first);
+  store.Settle(second);
+  CHECK(OnlyVerdict(first) == IntentVerdict::kRun);
+  CHECK(OnlyVerdict(second) == IntentVerdict::kDuplicate);
+  CHECK(second.Conflicts() == 1);
+}
+
+TEST_CASE("a reply lost after the write is resolved by reading back")
+{
+  Store store;
+  JournalWriter writer = Writer();
+  store.Step(writer, kNow);
+  writer.AddIntent(Intent("k", "n1"), kNow + seconds(3));
+  store.Step(writer, kNow, true, false);
+  CHECK(writer.TakeResolutions().empty());
+  store.Settle(writer, kNow + seconds(1));
+  CHECK(OnlyVerdict(writer) == IntentVerdict::kRun);
+  CHECK(store.revision == 1);
+}
+
+TEST_CASE("an intent given up is closed as not run when it turns up")
+{
+  Store store;
+  JournalWriter writer = Writer();
+  store.Step(writer, kNow);
+  writer.AddIntent(Intent("k", "n1"), kNow + seconds(1));
+  store.Step(writer, kNow, true, false);
+  writer.Expire(kNow + seconds(1));
+  CHECK(OnlyVerdict(writer) == IntentVerdict::kUnavailable);
+  store.Settle(writer, kNow + seconds(2));
+  const JournalEntry* const entry = writer.Index().Find("k");
+  REQUIRE(entry);
+  REQUIRE(entry->end);
+  CHECK(entry->end->outcome == Outcome::kNotRun);
+
+  JournalWriter other = Writer();
+  other.AddIntent(Intent("k", "n2"), kNow + seconds(30));
+  store.Settle(other, kNow + seconds(10));
+  CHECK(OnlyVerdict(other) == IntentVerdict::kRun);
+}
+
+TEST_CASE("a write that lands after the intent was given up is closed too")
+{
+  Store store;
+  JournalWriter writer = Writer();
+  store.Step(writer, kNow);
+  writer.AddIntent(Intent("k", "n1"), kNow + seconds(1));
+  const auto delayed = writer.NextCall(kNow);
+  REQUIRE(delayed);
+  writer.OnSwapped(Failure(ErrorCode::kTimeout, "test", "", ""), kNow);
+  writer.Expire(kNow + seconds(1));
+  store.Settle(writer, kNow + seconds(1));
+  store.Swapped(delayed->swap, true, true);
+
+  writer.AddIntent(Intent("other", "n2"), kNow + seconds(60));
+  store.Settle(writer, kNow + seconds(20));
+  const JournalEntry* const entry = writer.Index().Find("k");
+  REQUIRE(entry);
+  REQUIRE(entry->end);
+  CHECK(entry->end->outcome == Outcome::kNotRun);
+}
+
+TEST_CASE("a repeat finds the recorded end, another request is told apart")
+{
+  Store store;
+  JournalWriter writer = Writer();
+  writer.AddIntent(Intent("k", "n1"), kNow + seconds(3));
+  store.Settle(writer);
+  writer.TakeResolutions();
+  writer.AddEnd(EndOf("k", "n1", Outcome::kAnswered));
+  store.Settle(writer, kNow + seconds(10));
+  CHECK(writer.TakeWrittenEnds() == std::vector<std::string>{ "n1" });
+
+  JournalWriter other = Writer();
+  other.AddIntent(Intent("k", "n2"), kNow + seconds(60));
+  other.AddIntent(Intent("k", "n3", "different"), kNow + seconds(60));
+  store.Settle(other, kNow + seconds(20));
+  const auto resolutions = other.TakeResolutions();
+  REQUIRE(resolutions.size() == 2);
+  CHECK(resolutions[0].verdict == IntentVerdict::kDuplicate);
+  CHECK(resolutions[0].entry->end->outcome == Outcome::kAnswered);
+  CHECK(resolutions[1].verdict == IntentVerdict::kKeyReused);
+}
+
+TEST_CASE("a full segment is sealed and the next one is found by all")
+{
+  Store store;
+  JournalWriter first = Writer(400);
+  JournalWriter second = Writer(400);
+  for (int i = 0; i < 12; ++i) {
+    JournalWriter& writer = i % 2 == 0 ? first : second;
+    const std::string name = std::to_string(i);
+    const Instant now = kNow + seconds(10 * i);
+    writer.AddIntent(Intent("k" + name, "n" + name), now + seconds(9));
+    store.Settle(writer, now);
+    CHECK(OnlyVerdict(writer) == IntentVerdict::kRun);
+  }
+  CHECK(store.values.size() > 2);
+  JournalWriter late = Writer(400);
+  late.AddIntent(Intent("k0", "late"), kNow + seconds(900));
+  store.Settle(late, kNow + seconds(800));
+  CHECK(OnlyVerdict(late) == IntentVerdict::kDuplicate);
+}
--- /dev/null
+++ b/tests/PeerMessagesTest.cpp
@@ -0,0 +1,78 @@
+#include "membership/PeerMessages.h"
+
+#include "membership/NodeDirectory.h"
+
+#include <catch2/catch.hpp>
+#include <random>
+
+using namespace apricottrack;
+
+TEST_CASE("peer messages survive encoding")
+{
+  const std::vector<PeerMessage> messages{
+    DemandReport{ .node = "n",
+                  .configurationVersion = 3,
+                  .demands = { { "a", { 1.5, 200 } } } },
+    DemandTotals{ .configurationVersion = 4, .totals = { { "b", { 2, 3 } } } },
+    ConfigurationRequest{ .knownVersion = 9 },
+    StoredConfiguration{ .version = 5,
+                         .submission = "s",
+                         .submittedAt = 7,
+                         .text = "firm = \"f\"" },
+  };
+  for (const PeerMessage& message : messages) {
+    const auto parsed = ParsePeerMessage(EncodePeerMessage(message), "p");
+    REQUIRE(parsed);
+    CHECK(*parsed == message);
+  }
+}
+
+TEST_CASE("damaged peer messages are refused or read, and never crash")
+{
+  DemandReport report{ .node = "n", .demands = { { "a", { 1, 2 } } } };
+  const std::string good = EncodePeerMessage(report);
+  std::mt19937_64 random(7);
+  int refused = 0;
+  for (int i = 0; i < 20'000; ++i) {
+    std::string bytes = good;
+    const int flips = 1 + static_cast<int>(random() % 4);
+    for (int flip = 0; flip < flips; ++flip) {
+      bytes[random() % bytes.size()] = static_cast<char>(random());
+    }
+    bytes.resize(random() % 2 == 0 ? bytes.size() : random() % bytes.size());
+    refused += ParsePeerMessage(bytes, "p") ? 0 : 1;
+  }
+  CHECK(refused > 1000);
+}
+
+TEST_CASE("accounts have one owner, spread over nodes, stable under loss")
+{
+  NodeDirectory directory("n0");
+  for (int i = 0; i < 20; ++i) {
+    directory.Set({ .node = "n" + std::to_string(i) });
+  }
+  std::map<std::string, int> owned;
+  std::map<std::string, std::string> before;
+  for (int i = 0; i < 2000; ++i) {
+    const std::string account = "a" + std::to_string(i);
+    before[account] = directory.OwnerOf(account);
+    ++owned[before[account]];
+  }
+  CHECK(owned.size() == 20);
+  directory.Remove("n7");
+  int moved = 0;
+  for (const auto& [account, owner] : before) {
+    moved += directory.OwnerOf(account) != owner ? 1 : 0;
+  }
+  CHECK(moved == owned["n7"]);
+}
+
+TEST_CASE("a lost node's demand lapses")
+{
+  DemandLedger ledger(seconds(4));
+  ledger.Report("n1", { { "a", { 5, 50 } } }, Instant{ seconds(1) });
+  ledger.Report("n2", { { "a", { 7, 70 } } }, Instant{ seconds(3) });
+  CHECK(ledger.OthersOf("n3", "a", Instant{ seconds(4) }).requests == 12);
+  CHECK(ledger.OthersOf("n2", "a", Instant{ seconds(4) }).requests == 5);
+  CHECK(ledger.OthersOf("n3", "a", Instant{ seconds(6) }).requests == 7);
+}
--- /dev/null
+++ b/tests/RequestIntakeTest.cpp
@@ -0,0 +1,151 @@
+#include "intake/RequestIntake.h"
+
+#include "base/Hash.h"
+
+#include <catch2/catch.hpp>
+
+using namespace apricottrack;
+namespace http = boost::beast::http;
+
+namespace {
+
+std::shared_ptr<const Configuration>
+MakeConfiguration()
+{
+  auto configuration = std::make_shared<Configuration>();
+  ClientAccount account;
+  account.name = "shop";
+  account.keySha256 = Sha256Hex("secret");
+  Service chat;
+  chat.name = "advisor";
+  chat.contract = Contract::kChat;
+  chat.accounts = { "*" };
+  chat.kinds = { { .name = "question", .method = "POST", .path = "/" } };
+  Service plain;
+  plain.name = "booking";
+  plain.accounts = { "shop" };
+  plain.kinds = {
+    { .name = "slots", .method = "GET", .path = "/slots" },
+    { .name = "confirm",
+      .method = "POST",
+      .path = "/bookings",
+      .idempotent = false },
+  };
+  Service closed = plain;
+  closed.name = "closed";
+  closed.accounts = { "other" };
+  configuration->accounts = { account };
+  configuration->services = { chat, plain, closed };
+  return configuration;
+}
+
+HttpRequest
+Request(http::verb aMethod, std::string aPath, std::string aBody = {})
+{
+  HttpRequest request(aMethod, aPath, 11);
+  request.set(http::field::authorization, "Bearer secret");
+  request.body() = std::move(aBody);
+  return request;
+}
+
+tl::expected<RequestSpec, Refusal>
+Read(const HttpRequest& aRequest)
+{
+  return ReadRequest(aRequest, MakeConfiguration(), "id", Instant{});
+}
+
+const std::string kChatBody =
+  R"({"model":"advisor","messages":[{"role":"user","content":"hi"}]})";
+
+} // namespace
+
+TEST_CASE("a chat request is understood")
+{
+  const auto spec = Read(
+    Request(http::verb::post, "/v1/chat/completions", kChatBody));
+  REQUIRE(spec);
+  CHECK(spec->service->name == "advisor");
+  CHECK(spec->idempotent);
+  CHECK(spec->prefixHash != 0);
+}
+
+TEST_CASE("a plain request keeps its path, and its kind marks it")
+{
+  const auto spec =
+    Read(Request(http::verb::post, "/services/booking/bookings?x=1"));
+  REQUIRE(spec);
+  CHECK(spec->targetPath == "/bookings?x=1");
+  CHECK(spec->kind->name == "confirm");
+  CHECK_FALSE(spec->idempotent);
+}
+
+TEST_CASE("an idempotency key marks any request as non-idempotent")
+{
+  HttpRequest request =
+    Request(http::verb::post, "/v1/chat/completions", kChatBody);
+  request.set("Idempotency-Key", "k1");
+  const auto spec = Read(request);
+  REQUIRE(spec);
+  CHECK_FALSE(spec->idempotent);
+}
+
+TEST_CASE("bad requests are refused with a stable code, as not run")
+{
+  struct Case
+  {
+    HttpRequest request;
+    std::string code;
+  };
+  HttpRequest stranger = Request(http::verb::get, "/services/booking/slots");
+  stranger.set(http::field::authorization, "Bearer wrong");
+  HttpRequest late = Request(http::verb::get, "/services/booking/slots");
+  late.set("X-Request-Timeout-Ms", "soon");
+  HttpRequest emptyKey =
+    Request(http::verb::post, "/services/booking/bookings");
+  emptyKey.set("Idempotency-Key", "");
+  const std::string chat = "/v1/chat/completions";
+  const std::vector<Case> cases{
+    { stranger, "unknown_account" },
+    { late, "malformed_deadline" },
+    { emptyKey, "malformed_idempotency_key" },
+    { Request(http::verb::get, "/elsewhere"), "unknown_path" },
+    { Request(http::verb::get, "/services/none/x"), "unknown_service" },
+    { Request(http::verb::get, "/services/closed/slots"),
+      "account_not_allowed" },
+    { Request(http::verb::put, "/services/booking/slots"), "unknown_kind" },
+    { Request(http::verb::post, chat, "{"), "malformed_body" },
+    { Request(http::verb::post, chat, R"({"model":"x"})"), "unknown_service" },
+    { Request(http::verb::post, chat, R"({"model":"advisor"})"),
+      "malformed_body" },
+    { Request(http::verb::get, chat), "method_not_allowed" },
+  };
+  for (const Case& item : cases) {
+    const auto spec = Read(item.request);
+    REQUIRE_FALSE(spec);
+    CHECK(spec.error().code == item.code);
+    CHECK(spec.error().outcome == Outcome::kNotRun);
+  }
+}
+
+TEST_CASE("a node without a configuration refuses everything")
+{
+  const auto spec = ReadRequest(
+    Request(http::verb::get, "/"), nullptr, "id", Instant{});
+  REQUIRE_FALSE(spec);
+  CHECK(spec.error().code == "no_configuration");
+}
+
+TEST_CASE("journal keys separate accounts, services and requests")
+{
+  HttpRequest request =
+    Request(http::verb::post, "/services/booking/bookings", "one");
+  request.set("Idempotency-Key", "k1");
+  auto spec = *Read(request);
+  const std::string key = JournalKey(spec, RequestFingerprint(request));
+  request.body() = "two";
+  CHECK(JournalKey(spec, RequestFingerprint(request)) == key);
+  spec.idempotencyKey.clear();
+  const std::string byId = JournalKey(spec, "p1");
+  CHECK(byId != key);
+  CHECK(JournalKey(spec, "p2") != byId);
+}
--- /dev/null
+++ b/tests/RouterTest.cpp
@@ -0,0 +1,141 @@
+#include "routing/Router.h"
+
+#include <catch2/catch.hpp>
+#include <fmt/format.h>
+
+using namespace apricottrack;
+
+namespace {
+
+constexpr Instant kNow{ seconds(10) };
+
+std::vector<Target>
+Targets(int aCount, int aSlots = 8)
+{
+  std::vector<Target> targets;
+  for (int i = 0; i < aCount; ++i) {
+    Target target;
+    target.id = fmt::format("group-{}#1", i);
+    target.group = fmt::format("group-{}", i);
+    target.slots = aSlots;
+    target.reportedAt = kNow - seconds(1);
+    targets.push_back(target);
+  }
+  return targets;
+}
+
+Router
+MakeRouter(const std::vector<Target>& aTargets)
+{
+  Router router({ .availabilityZone = "a" }, MakeAffinityStrategy());
+  router.SetTargets(aTargets);
+  return router;
+}
+
+void
+RunOne(Router& aRouter, const std::string& aId, Duration aFirstByte)
+{
+  aRouter.OnStart(aId, kNow);
+  aRouter.OnFirstByte(aId, aFirstByte);
+  aRouter.OnEnd(aId, false, kNow);
+}
+
+} // namespace
+
+TEST_CASE("requests with the same prefix go to the same target")
+{
+  Router router = MakeRouter(Targets(10));
+  Random random(1);
+  const auto first = router.Choose({ .prefix = 42 }, {}, kNow, random);
+  REQUIRE(first);
+  for (int i = 0; i < 5; ++i) {
+    CHECK(router.Choose({ .prefix = 42 }, {}, kNow, random) == first);
+  }
+}
+
+TEST_CASE("a popular prefix spills over before its target is much fuller")
+{
+  Router router = MakeRouter(Targets(4, 100));
+  Random random(1);
+  std::map<std::string, int> sent;
+  for (int i = 0; i < 200; ++i) {
+    const auto target = router.Choose({ .prefix = 42 }, {}, kNow, random);
+    REQUIRE(target);
+    router.OnStart(target->id, kNow);
+    ++sent[target->id];
+  }
+  CHECK(sent.size() >= 3);
+  for (const auto& [id, count] : sent) {
+    CHECK(count <= 200 / 4 * 1.25 + 100 * 0.25 + 2);
+  }
+}
+
+TEST_CASE("own requests since the last report count as load")
+{
+  Router router = MakeRouter(Targets(2, 2));
+  Random random(1);
+  for (int i = 0; i < 4; ++i) {
+    const auto target = router.Choose({}, {}, kNow, random);
+    REQUIRE(target);
+    router.OnStart(target->id, kNow);
+  }
+  CHECK(router.FreeSlots(kNow) == 0);
+  CHECK_FALSE(router.Choose({}, {}, kNow, random));
+}
+
+TEST_CASE("a report that includes the requests replaces the correction")
+{
+  auto targets = Targets(1, 4);
+  Router router = MakeRouter(targets);
+  router.OnStart(targets[0].id, kNow);
+  targets[0].reportedRequests = 3;
+  targets[0].reportedAt = kNow + seconds(1);
+  router.SetTargets(targets);
+  CHECK(router.FreeSlots(kNow + seconds(1)) == 1);
+}
+
+TEST_CASE("a straggler gets only trials until it is fast again")
+{
+  Router router = MakeRouter(Targets(4));
+  for (int i = 0; i < 10; ++i) {
+    for (int t = 0; t < 4; ++t) {
+      RunOne(router,
+             fmt::format("group-{}#1", t),
+             milliseconds(t == 3 ? 200 : 20));
+    }
+  }
+  REQUIRE(router.IsStraggler("group-3#1"));
+  Random random(1);
+  int trials = 0;
+  for (int i = 0; i < 100; ++i) {
+    const auto target =
+      router.Choose({}, {}, kNow + milliseconds(i), random);
+    trials += target->id == "group-3#1" ? 1 : 0;
+  }
+  CHECK(trials == 1);
+  for (int i = 0; i < 20; ++i) {
+    RunOne(router, "group-3#1", milliseconds(20));
+  }
+  CHECK_FALSE(router.IsStraggler("group-3#1"));
+}
+
+TEST_CASE("a retry avoids targets that were tried, if there is another")
+{
+  Router router = MakeRouter(Targets(2));
+  Random random(1);
+  const auto target = router.Choose({}, { "group-0#1" }, kNow, random);
+  CHECK(target->id == "group-1#1");
+  const auto again =
+    router.Choose({}, { "group-0#1", "group-1#1" }, kNow, random);
+  CHECK(again);
+}
+
+TEST_CASE("a target that failed rests for a moment")
+{
+  Router router = MakeRouter(Targets(1));
+  Random random(1);
+  router.OnStart("group-0#1", kNow);
+  router.OnEnd("group-0#1", true, kNow);
+  CHECK_FALSE(router.Choose({}, {}, kNow, random));
+  CHECK(router.Choose({}, {}, kNow + seconds(1), random));
+}
--- /dev/null
+++ b/tests/SettingsTest.cpp
@@ -0,0 +1,44 @@
+#include "apricottrack/Settings.h"
+
+#include <catch2/catch.hpp>
+
+using namespace apricottrack;
+
+namespace {
+
+const std::string kValid = "node = \"n\"\navailability_zone = \"z\"\n"
+                           "listen = \"127.0.0.1:1\"\n"
+                           "admin_listen = \"127.0.0.1:2\"\n"
+                           "peer_listen = \"127.0.0.1:3\"\n"
+                           "platform = \"127.0.0.1:4\"\n"
+                           "vm_list = \"127.0.0.1:5\"\n";
+
+} // namespace
+
+TEST_CASE("settings parse with their defaults")
+{
+  const auto settings = ParseSettings(kValid);
+  REQUIRE(settings);
+  CHECK(settings->heardWithin == seconds(2));
+}
+
+TEST_CASE("wrong settings are all reported, with remedies")
+{
+  const auto settings =
+    ParseSettings("node = \"\"\nlisten = \"nowhere\"\n"
+                  "admin_listen = \"127.0.0.1:70000\"\nprobe_interval_ms = 1\n"
+                  "heard_within_ms = 300\ncolour = \"red\"\n");
+  REQUIRE_FALSE(settings);
+  const std::string text = Describe(settings.error(), "f");
+  for (const std::string_view part :
+       { "node: is empty",
+         "listen: is not IP:port",
+         "admin_listen: is not IP:port",
+         "peer_listen: is missing",
+         "probe_interval_ms: 1 is out of range; use a number from 50",
+         "heard_within_ms: is shorter than two probe intervals",
+         "colour: is not a known key" }) {
+    INFO(part);
+    CHECK(text.find(part) != std::string::npos);
+  }
+}
--- /dev/null
+++ b/tests/TestMain.cpp
@@ -0,0 +1,2 @@
+#define CATCH_CONFIG_MAIN
+#include <catch2/catch.hpp>
--- /dev/null
+++ b/tests/wholepath/test_stops.py
@@ -0,0 +1,113 @@
+"""Planned stops cut off nothing, and leaving targets get no new work."""
+
+import concurrent.futures
+import os
+import signal
+import threading
+import time
+import unittest
+
+from deployment import Deployment, Shape, book, call, chat, wait_until
+
+import brennock
+from checks import content_of, runs_by_key
+
+BUILD = os.environ["BUILD_DIR"]
+
+
+class StopsTest(unittest.TestCase):
+    def setUp(self):
+        shape = Shape(nodes=2, target_flags=["--token-ms", "20"])
+        self.deployment = Deployment(BUILD, shape)
+        self.deployment.start()
+        self.addCleanup(self.deployment.stop)
+        self.deployment.apply(brennock.configuration(4, 2).to_toml())
+        for node in range(2):
+            wait_until(lambda n=node: self.deployment.serving("advisor", n) == 4)
+            wait_until(lambda n=node: self.deployment.serving("booking", n) == 2)
+
+    def node(self, index=0):
+        return self.deployment.nodes[index].listen
+
+    def test_a_nodes_stop_finishes_what_is_in_flight(self):
+        whole = content_of(chat(self.node(1), "stop", tokens=100)[1])
+        stopping = self.deployment.nodes[0]
+        with concurrent.futures.ThreadPoolExecutor(6) as pool:
+            streams = [
+                pool.submit(chat, stopping.listen, "stop", stream=True, tokens=100)
+                for _ in range(6)
+            ]
+            wait_until(lambda: self.deployment.status(0)["in_flight"] == 6)
+            stopping.process.send_signal(signal.SIGTERM)
+            wait_until(lambda: call(stopping.admin, "GET", "/healthz")[0] == 503)
+            for stream in streams:
+                self.assertEqual(content_of(stream.result()[1]), whole)
+        self.assertEqual(stopping.process.wait(20), 0)
+        wait_until(lambda: self.deployment.command("status").stdout.count("node ") == 1)
+        self.assertEqual(chat(self.node(1), "after")[0], 200)
+
+    def test_a_drained_vm_gets_no_new_work_and_loses_none(self):
+        groups = self.deployment.status()["groups"]
+        leaving = groups[0]["members"][0]
+        whole = content_of(chat(self.node(), "drain", tokens=60)[1])
+        stop = threading.Event()
+        failures = []
+
+        def keep_asking(index):
+            while not stop.is_set():
+                status, body, _ = chat(
+                    self.node(index % 2), "drain", stream=True, tokens=60
+                )
+                if status != 200 or content_of(body) != whole:
+                    failures.append((status, body))
+
+        threads = [threading.Thread(target=keep_asking, args=(i,)) for i in range(4)]
+        for thread in threads:
+            thread.start()
+        time.sleep(0.5)
+        self.deployment.command("drain", leaving, "booking-0")
+        drained_at = time.time() * 1000
+
+        def left_group():
+            return all(
+                leaving not in group["members"]
+                for group in self.deployment.status()["groups"]
+            )
+
+        wait_until(left_group)
+        time.sleep(1)
+        stop.set()
+        for thread in threads:
+            thread.join()
+        self.assertEqual(failures, [])
+        for i in range(4):
+            book(self.node(), f"drained-{i}")
+        late = [
+            record
+            for record in self.deployment.records()
+            if record["event"] == "run"
+            and record["vm"] in (leaving, "booking-0")
+            and record["at"] > drained_at + 3000
+        ]
+        self.assertEqual(late, [])
+        self.assertEqual(len(runs_by_key(self.deployment.records())), 4)
+
+    def test_a_vm_that_the_list_calls_leaving_is_replaced(self):
+        leaving = self.deployment.status()["groups"][1]["members"][1]
+        for vm in self.deployment.vms:
+            if vm.name == leaving:
+                vm.state = "leaving"
+        self.deployment.publish_vms()
+
+        def replaced():
+            groups = self.deployment.status()["groups"]
+            return len(groups) == 4 and all(
+                leaving not in group["members"] for group in groups
+            )
+
+        wait_until(replaced)
+        wait_until(lambda: self.deployment.serving("advisor") == 4)
+
+
+if __name__ == "__main__":
+    unittest.main()
--- /dev/null
+++ b/tools/generate.sh
@@ -0,0 +1,5 @@
+#!/usr/bin/env bash
+# Regenerates the committed FlatBuffers code; needs flatbuffers-compiler.
+set -euo pipefail
+cd "$(dirname "$0")/.."
+flatc --cpp --scoped-enums --cpp-std c++17 -o src/generated wire/peer.fbs
