--- a/src/http/HttpTypes.cpp
+++ b/src/http/HttpTypes.cpp
@@ -42,10 +42,9 @@
     aAcceptor.listen(boost::asio::socket_base::max_listen_connections, error);
   }
   if (error) {
-    const std::string address = aEndpoint.address().to_string() + ":" +
-                                std::to_string(aEndpoint.port());
-    return Failure(
-      ErrorCode::kInvalidInput, aStep, address, error.message());
+    const std::string address =
+      aEndpoint.address().to_string() + ":" + std::to_string(aEndpoint.port());
+    return Failure(ErrorCode::kInvalidInput, aStep, address, error.message());
   }
   return {};
 }
--- a/src/limits/AccountLimiter.cpp
+++ b/src/limits/AccountLimiter.cpp
@@ -38,13 +38,13 @@
 double
 LimitShare(double aLimit, double aOwnDemand, double aOtherDemand, int aNodes)
 {
-  const double equal = aLimit / std::max(1, aNodes);
+  const int nodes = std::max(1, aNodes);
   const double total = aOwnDemand + aOtherDemand;
-  if (total <= 0) {
-    return equal;
+  if (total < aLimit) {
+    return aOwnDemand + (aLimit - total) / nodes;
   }
-  const double byDemand = aLimit * aOwnDemand / total;
-  return kFloorShare * equal + (1 - kFloorShare) * byDemand;
+  const double byDemand = total > 0 ? aLimit * aOwnDemand / total : 0;
+  return kFloorShare * aLimit / nodes + (1 - kFloorShare) * byDemand;
 }
 
 Rates
--- a/src/limits/AccountLimiter.h
+++ b/src/limits/AccountLimiter.h
@@ -21,8 +21,10 @@
 };
 
 /// This node's part of an account's limit, given the demand seen here and by
-/// all other nodes. The parts of nodes with the same view add up to at most
-/// the limit; a node without demand keeps a small part to start from.
+/// all other nodes. Below the limit every node has its own demand and an equal
+/// part of the rest, so that traffic can move between nodes; above it, a part
+/// by demand and a small floor. The parts of nodes with the same view add up
+/// to the limit.
 double
 LimitShare(double aLimit, double aOwnDemand, double aOtherDemand, int aNodes);
 
--- a/src/membership/NodeDirectory.cpp
+++ b/src/membership/NodeDirectory.cpp
@@ -30,8 +30,7 @@
   }
   return NodeRecord{ .node = JsonText(*object, "node"),
                      .incarnation = JsonText(*object, "incarnation"),
-                     .availabilityZone =
-                       JsonText(*object, "availability_zone"),
+                     .availabilityZone = JsonText(*object, "availability_zone"),
                      .admin = JsonText(*object, "admin"),
                      .peer = JsonText(*object, "peer") };
 }
@@ -60,8 +59,7 @@
 NodeDirectory::KeepOnly(const std::vector<std::string>& aNodes)
 {
   std::erase_if(this->records, [&aNodes](const auto& aItem) {
-    return std::find(aNodes.begin(), aNodes.end(), aItem.first) ==
-           aNodes.end();
+    return std::find(aNodes.begin(), aNodes.end(), aItem.first) == aNodes.end();
   });
 }
 
--- a/src/membership/PeerLink.cpp
+++ b/src/membership/PeerLink.cpp
@@ -47,8 +47,7 @@
     co_await asio::async_read(aStream, asio::buffer(head), kAsTuple);
   const std::uint32_t length = boost::endian::load_big_u32(head.data());
   if (error) {
-    co_return Failure(
-      ErrorCode::kNoReply, "peer.read", aPeer, error.message());
+    co_return Failure(ErrorCode::kNoReply, "peer.read", aPeer, error.message());
   }
   if (length > kMaxPeerMessageBytes) {
     co_return Failure(
@@ -58,8 +57,7 @@
   std::tie(error, size) =
     co_await asio::async_read(aStream, asio::buffer(body), kAsTuple);
   if (error) {
-    co_return Failure(
-      ErrorCode::kNoReply, "peer.read", aPeer, error.message());
+    co_return Failure(ErrorCode::kNoReply, "peer.read", aPeer, error.message());
   }
   co_return ParsePeerMessage(body, aPeer);
 }
@@ -86,10 +84,8 @@
   fresh->expires_after(aTimeout);
   auto [error] = co_await fresh->async_connect(*endpoint, kAsTuple);
   if (error) {
-    co_return Failure(ErrorCode::kUnreachable,
-                      "peer.connect",
-                      this->address,
-                      error.message());
+    co_return Failure(
+      ErrorCode::kUnreachable, "peer.connect", this->address, error.message());
   }
   fresh->socket().set_option(tcp::no_delay(true), error);
   this->stream = std::move(fresh);
@@ -104,8 +100,8 @@
     co_return tl::unexpected(connected.error());
   }
   this->stream->expires_after(aTimeout);
-  const auto written = co_await WriteFrame(
-    *this->stream, std::move(aQuestion), this->address);
+  const auto written =
+    co_await WriteFrame(*this->stream, std::move(aQuestion), this->address);
   if (!written) {
     this->stream.reset();
     co_return tl::unexpected(written.error());
--- a/src/membership/PeerTask.cpp
+++ b/src/membership/PeerTask.cpp
@@ -88,9 +88,7 @@
       const NodeRecord* const record = this->directory.Find(owner);
       if (record != nullptr) {
         asio::co_spawn(
-          this->executor,
-          this->ExchangeWith(*record, demands),
-          asio::detached);
+          this->executor, this->ExchangeWith(*record, demands), asio::detached);
       }
     }
     std::erase_if(this->links, [this](const auto& aItem) {
@@ -166,8 +164,7 @@
   DemandTotals answer;
   answer.configurationVersion = this->configuration.Stored().version;
   for (const auto& [account, rates] : aReport.demands) {
-    answer.totals[account] =
-      this->ledger.OthersOf(aReport.node, account, now);
+    answer.totals[account] = this->ledger.OthersOf(aReport.node, account, now);
   }
   return answer;
 }
--- a/src/node/LeaseTask.cpp
+++ b/src/node/LeaseTask.cpp
@@ -49,8 +49,7 @@
     // The spread keeps nodes from asking for a freed key all at once.
     asio::steady_timer timer(
       this->executor,
-      FromSeconds(ToSeconds(this->options.renewEvery) *
-                  spread(this->random)));
+      FromSeconds(ToSeconds(this->options.renewEvery) * spread(this->random)));
     co_await timer.async_wait(kAsTuple);
   }
 }
--- a/tests/AccountLimiterTest.cpp
+++ b/tests/AccountLimiterTest.cpp
@@ -70,6 +70,21 @@
   CHECK(LimitShare(50, 0, 125, 4) > 0);
 }
 
+TEST_CASE("below the limit, what is unused is open to every node")
+{
+  CHECK(LimitShare(200, 0, 100, 2) == Approx(50));
+  CHECK(LimitShare(200, 100, 0, 2) == Approx(150));
+  AccountLimiter limiter;
+  limiter.SetOtherDemand({ { "shop", { 100, 0 } } }, 2);
+  const ClientAccount account = Account(200, 1e9);
+  int admitted = 0;
+  for (int i = 0; i < 100; ++i) {
+    const Instant now{ milliseconds(i) };
+    admitted += limiter.Admit(account, 1, now) ? 0 : 1;
+  }
+  CHECK(admitted == 100);
+}
+
 TEST_CASE("two nodes that know of each other's demand keep the limit together")
 {
   AccountLimiter first;
