Measure routing, overload and the latency a node adds

Ruled out: logging, which is one line a request and unchanged. Change: histograms keep their buckets under one key.

--- /dev/null
+++ b/bench/RoutingExperiment.cpp
@@ -0,0 +1,381 @@
+/// Compares routing strategies, and goodput under overload, on the same
+/// seeded arrivals in virtual time. Targets are small queues with a prefix
+/// cache; the router and the admission queue are the real ones.
+
+#include "limits/AdmissionQueue.h"
+#include "routing/Router.h"
+
+#include <CLI/CLI.hpp>
+#include <algorithm>
+#include <deque>
+#include <fmt/format.h>
+#include <functional>
+#include <iostream>
+#include <queue>
+
+using namespace apricottrack;
+
+namespace {
+
+struct Setup
+{
+  int targets = 50;
+  int slots = 8;
+  int prefixes = 400;
+  std::size_t cachedPrefixes = 16;
+  double prefillSeconds = 0.25;
+  double cachedPrefillSeconds = 0.06;
+  double decodeSeconds = 1.0;
+  double reportSeconds = 0.5;
+  /// The first target is slower by this factor.
+  double stragglerFactor = 4;
+  double load = 0.7;
+  double deadlineSeconds = 6;
+  int requests = 40'000;
+  bool earlyRefusal = true;
+  /// Baselines know neither stragglers nor free slots.
+  bool plainRouter = false;
+  std::uint64_t seed = 1;
+};
+
+struct Outcomes
+{
+  std::vector<double> firstTokens;
+  int hits = 0;
+  int served = 0;
+  int inTime = 0;
+  int refused = 0;
+  double endSeconds = 0;
+};
+
+/// One engine: slots, a queue, and the prefixes it keeps.
+struct Engine
+{
+  int running = 0;
+  std::deque<std::function<void()>> waiting;
+  std::deque<std::uint64_t> cache;
+
+  bool Touch(std::uint64_t aPrefix, std::size_t aKept)
+  {
+    const auto found =
+      std::find(this->cache.begin(), this->cache.end(), aPrefix);
+    const bool hit = found != this->cache.end();
+    if (hit) {
+      this->cache.erase(found);
+    }
+    this->cache.push_front(aPrefix);
+    if (this->cache.size() > aKept) {
+      this->cache.pop_back();
+    }
+    return hit;
+  }
+
+  int Requests() const
+  {
+    return this->running + static_cast<int>(this->waiting.size());
+  }
+};
+
+struct Arrival
+{
+  Instant at;
+  Instant deadline;
+  std::uint64_t prefix = 0;
+  std::string account;
+};
+
+class Experiment
+{
+public:
+  Experiment(Setup aSetup, std::unique_ptr<RoutingStrategy> aStrategy)
+    : setup(aSetup)
+    , router({ .availabilityZone = "a",
+               .stragglerFactor = aSetup.plainRouter ? 1e9 : 2.5,
+               .overcommit = aSetup.plainRouter ? 1e6 : 1.0 },
+             std::move(aStrategy))
+    , queue({ .limit = aSetup.earlyRefusal ? 2000 : 1'000'000 })
+    , engines(static_cast<std::size_t>(aSetup.targets))
+    , random(aSetup.seed)
+  {
+    for (int i = 0; i < aSetup.targets; ++i) {
+      Target target;
+      target.id = std::to_string(i);
+      target.group = fmt::format("g{}", i);
+      target.availabilityZone = "a";
+      target.slots = aSetup.slots;
+      this->targets.push_back(target);
+    }
+  }
+
+  Outcomes Run()
+  {
+    this->Report();
+    this->ScheduleArrival();
+    while (!this->events.empty() && this->arrived < this->setup.requests) {
+      this->Step();
+    }
+    const Instant lastArrival = this->now;
+    while (!this->events.empty() && this->pending > 0) {
+      this->Step();
+    }
+    this->outcomes.endSeconds = ToSeconds(lastArrival - Instant{});
+    return std::move(this->outcomes);
+  }
+
+private:
+  struct Event
+  {
+    Instant at;
+    std::uint64_t order = 0;
+    std::function<void()> run;
+    bool operator<(const Event& aOther) const
+    {
+      return std::tie(aOther.at, aOther.order) <
+             std::tie(this->at, this->order);
+    }
+  };
+
+  void Step()
+  {
+    Event event = this->events.top();
+    this->events.pop();
+    this->now = event.at;
+    event.run();
+  }
+
+  void After(double aSeconds, std::function<void()> aRun)
+  {
+    this->events.push(
+      { this->now + FromSeconds(aSeconds), this->order++, std::move(aRun) });
+  }
+
+  double ServiceSeconds() const
+  {
+    return this->setup.prefillSeconds + this->setup.decodeSeconds;
+  }
+
+  void ScheduleArrival()
+  {
+    if (this->arrived >= this->setup.requests) {
+      return;
+    }
+    const double capacity =
+      this->setup.targets * this->setup.slots / this->ServiceSeconds();
+    std::exponential_distribution<double> gap(capacity * this->setup.load);
+    this->After(gap(this->random), [this] {
+      this->Arrive();
+      this->ScheduleArrival();
+    });
+  }
+
+  /// Prefixes follow a Zipf-like law: a few are very popular.
+  std::uint64_t DrawPrefix()
+  {
+    std::uniform_real_distribution<double> uniform(0, 1);
+    const double share = uniform(this->random);
+    return 1 + static_cast<std::uint64_t>(this->setup.prefixes * share * share);
+  }
+
+  void Arrive()
+  {
+    ++this->arrived;
+    const TicketId id = static_cast<TicketId>(this->arrived);
+    const Arrival arrival{ .at = this->now,
+                           .deadline = this->now +
+                                       FromSeconds(this->setup.deadlineSeconds),
+                           .prefix = this->DrawPrefix(),
+                           .account = fmt::format("a{}", id % 10) };
+    this->arrivals[id] = arrival;
+    const Ticket ticket{ .id = id,
+                         .account = arrival.account,
+                         .arrived = this->now,
+                         .deadline = this->setup.earlyRefusal
+                                       ? arrival.deadline
+                                       : this->now + seconds(100'000) };
+    if (this->queue.Add(ticket, this->now) != AdmissionRefusal::kNone) {
+      ++this->outcomes.refused;
+      this->arrivals.erase(id);
+      return;
+    }
+    ++this->pending;
+    this->Pump();
+  }
+
+  void Pump()
+  {
+    this->queue.SetConcurrency(this->router.TotalSlots());
+    for (const TicketId id : this->queue.Expire(this->now)) {
+      ++this->outcomes.refused;
+      --this->pending;
+      this->arrivals.erase(id);
+    }
+    for (const TicketId id :
+         this->queue.Dispatch(this->router.FreeSlots(this->now), this->now)) {
+      const RouteKey key{ .prefix = this->arrivals[id].prefix };
+      const auto target = this->router.Choose(key, {}, this->now, this->random);
+      if (target) {
+        this->Send(id, *target);
+      } else {
+        ++this->outcomes.refused;
+        --this->pending;
+      }
+    }
+  }
+
+  void Send(TicketId aId, const Target& aTarget)
+  {
+    const auto index = static_cast<std::size_t>(std::stoi(aTarget.id));
+    this->router.OnStart(aTarget.id, this->now);
+    const Instant sentAt = this->now;
+    const auto start = [this, aId, index, sentAt] {
+      this->Start(aId, index, sentAt);
+    };
+    Engine& engine = this->engines[index];
+    if (engine.running < this->setup.slots) {
+      ++engine.running;
+      start();
+    } else {
+      engine.waiting.emplace_back(start);
+    }
+  }
+
+  void Start(TicketId aId, std::size_t aIndex, Instant aSentAt)
+  {
+    const Arrival arrival = this->arrivals[aId];
+    Engine& engine = this->engines[aIndex];
+    const bool hit = engine.Touch(arrival.prefix, this->setup.cachedPrefixes);
+    const double slow = aIndex == 0 ? this->setup.stragglerFactor : 1;
+    const double prefill = slow * (hit ? this->setup.cachedPrefillSeconds
+                                       : this->setup.prefillSeconds);
+    this->outcomes.hits += hit ? 1 : 0;
+    const std::string id = std::to_string(aIndex);
+    this->After(prefill, [this, id, arrival, aSentAt] {
+      this->outcomes.firstTokens.push_back(ToSeconds(this->now - arrival.at));
+      this->router.OnFirstByte(id, this->now - aSentAt);
+    });
+    this->After(prefill + slow * this->setup.decodeSeconds,
+                [this, aId, aIndex, id, arrival, aSentAt] {
+                  this->router.OnEnd(id, false, this->now);
+                  this->queue.OnFinished(this->now - aSentAt);
+                  this->Finish(aId, aIndex, arrival);
+                });
+  }
+
+  void Finish(TicketId aId, std::size_t aIndex, const Arrival& aArrival)
+  {
+    ++this->outcomes.served;
+    this->outcomes.inTime += this->now <= aArrival.deadline ? 1 : 0;
+    --this->pending;
+    this->arrivals.erase(aId);
+    Engine& engine = this->engines[aIndex];
+    if (engine.waiting.empty()) {
+      --engine.running;
+    } else {
+      auto next = std::move(engine.waiting.front());
+      engine.waiting.pop_front();
+      next();
+    }
+    this->Pump();
+  }
+
+  void Report()
+  {
+    for (std::size_t i = 0; i < this->targets.size(); ++i) {
+      this->targets[i].reportedRequests = this->engines[i].Requests();
+      this->targets[i].reportedAt = this->now;
+    }
+    this->router.SetTargets(this->targets);
+    this->After(this->setup.reportSeconds, [this] { this->Report(); });
+  }
+
+  Setup setup;
+  Router router;
+  AdmissionQueue queue;
+  std::vector<Engine> engines;
+  std::vector<Target> targets;
+  Random random;
+  Instant now;
+  std::priority_queue<Event> events;
+  std::uint64_t order = 0;
+  std::map<TicketId, Arrival> arrivals;
+  int arrived = 0;
+  int pending = 0;
+  Outcomes outcomes;
+};
+
+double
+Quantile(std::vector<double> aValues, double aShare)
+{
+  std::sort(aValues.begin(), aValues.end());
+  return aValues.empty() ? 0
+                         : aValues[static_cast<std::size_t>(
+                             aShare * static_cast<double>(aValues.size() - 1))];
+}
+
+using MakeStrategy = std::unique_ptr<RoutingStrategy> (*)();
+
+void
+CompareStrategies(Setup aSetup)
+{
+  const std::pair<std::string_view, MakeStrategy> strategies[] = {
+    { "affinity", MakeAffinityStrategy },
+    { "round_robin", MakeRoundRobinStrategy },
+    { "least_reported", MakeLeastReportedLoadStrategy },
+  };
+  for (const auto& [name, make] : strategies) {
+    aSetup.plainRouter = name != "affinity";
+    const Outcomes result = Experiment(aSetup, make()).Run();
+    std::cout << fmt::format(
+      "experiment=routing strategy={} seed={} load={} served={} refused={} "
+      "ttft_p50_s={:.3f} ttft_p95_s={:.3f} ttft_p99_s={:.3f} "
+      "hit_share={:.3f}\n",
+      name,
+      aSetup.seed,
+      aSetup.load,
+      result.served,
+      result.refused,
+      Quantile(result.firstTokens, 0.5),
+      Quantile(result.firstTokens, 0.95),
+      Quantile(result.firstTokens, 0.99),
+      static_cast<double>(result.hits) / result.served);
+  }
+}
+
+void
+CompareOverload(Setup aSetup)
+{
+  for (const bool early : { true, false }) {
+    for (const double load : { 0.5, 1.0, 2.0, 4.0 }) {
+      aSetup.load = load;
+      aSetup.earlyRefusal = early;
+      aSetup.plainRouter = !early;
+      const Outcomes result = Experiment(aSetup, MakeAffinityStrategy()).Run();
+      std::cout << fmt::format(
+        "experiment=overload early_refusal={} seed={} load={} served={} "
+        "refused={} in_time={} goodput_per_s={:.1f}\n",
+        early,
+        aSetup.seed,
+        load,
+        result.served,
+        result.refused,
+        result.inTime,
+        result.inTime / result.endSeconds);
+    }
+  }
+}
+
+} // namespace
+
+int
+main(int argc, char** argv)
+{
+  CLI::App app("routing and overload experiments in virtual time");
+  Setup setup;
+  app.add_option("--seed", setup.seed);
+  app.add_option("--targets", setup.targets);
+  app.add_option("--requests", setup.requests);
+  app.add_option("--load", setup.load);
+  CLI11_PARSE(app, argc, argv);
+  CompareStrategies(setup);
+  CompareOverload(setup);
+}
--- /dev/null
+++ b/bench/latency.py
@@ -0,0 +1,113 @@
+"""Compares requests through a node with the same ones sent straight on.
+
+Starts a deployment with stand-ins on loopback. All routes run in turns
+within one run, so that their ratios hold whatever else the machine does.
+"""
+
+import argparse
+import os
+import subprocess
+import sys
+
+sys.path.insert(0, os.path.join(os.path.dirname(__file__), "../tests/wholepath"))
+
+from deployment import Deployment, Shape, wait_until  # noqa: E402
+
+import brennock  # noqa: E402
+
+
+def without_limits(text: str) -> str:
+    """The configuration with accounts that no limit holds back."""
+    lines = []
+    for line in text.splitlines():
+        if line.startswith(("requests_per_second", "tokens_per_second")):
+            line = line.split("=")[0] + "= 1e7"
+        lines.append(line)
+    return "\n".join(lines).replace("slots_per_target = 8", "slots_per_target = 512")
+
+
+def cpu_seconds(pid: int) -> float:
+    """Processor time that a process has used."""
+    with open(f"/proc/{pid}/stat") as file:
+        fields = file.read().rsplit(")", 1)[1].split()
+    return (int(fields[11]) + int(fields[12])) / os.sysconf("SC_CLK_TCK")
+
+
+def memory_kb(pid: int) -> int:
+    """Resident memory of a process."""
+    with open(f"/proc/{pid}/status") as file:
+        for line in file:
+            if line.startswith("VmRSS"):
+                return int(line.split()[1])
+    return 0
+
+
+def main():
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--build", default="build")
+    parser.add_argument("--requests", type=int, default=400)
+    arguments = parser.parse_args()
+    build = os.path.abspath(arguments.build)
+    for work_ms in ("0", "5"):
+        flags = ["--work-ms", work_ms, "--token-ms", "5", "--slots", "512"]
+        shape = Shape(nodes=1, plain=1, target_flags=flags)
+        with Deployment(build, shape) as deployment:
+            deployment.apply(without_limits(brennock.configuration(4, 2).to_toml()))
+            wait_until(lambda: deployment.serving("booking") == 1)
+            wait_until(lambda: deployment.serving("advisor") == 4)
+            target = next(vm for vm in deployment.vms if vm.plain)
+            node = deployment.nodes[0]
+            for connections in (1, 64):
+                per = max(20, arguments.requests // connections)
+                print(f"plain work_ms={work_ms} connections={connections}", flush=True)
+                used = cpu_seconds(node.process.pid)
+                run(
+                    build,
+                    f"direct={target.address}/slots",
+                    f"node={node.listen}/services/booking/slots",
+                    connections,
+                    per,
+                )
+                used = cpu_seconds(node.process.pid) - used
+                each = used / (5 * per * connections)
+                print(f"node_cpu_us_per_request={each * 1e6:.0f}", flush=True)
+            if work_ms == "5":
+                stream(build, deployment)
+
+
+def stream(build: str, deployment: Deployment):
+    """Streamed tokens: processor time each, and memory of open streams."""
+    node = deployment.nodes[0]
+    body = (
+        '{"model":"advisor","stream":true,"max_tokens":100,'
+        '"messages":[{"role":"user","content":"hello"}]}'
+    )
+    route = f"node={node.listen}/v1/chat/completions"
+    for connections in (64, 256):
+        used, before = cpu_seconds(node.process.pid), memory_kb(node.process.pid)
+        run(build, route, None, connections, 2, ["--body", body])
+        used = cpu_seconds(node.process.pid) - used
+        grown = memory_kb(node.process.pid) - before
+        tokens = 5 * connections * 2 * 100
+        print(
+            f"streams={connections} node_cpu_us_per_token={used / tokens * 1e6:.1f} "
+            f"memory_kb={memory_kb(node.process.pid)} grown_kb={grown}",
+            flush=True,
+        )
+
+
+def run(build, first, second, connections, requests, extra=()):
+    routes = [route for route in (first, second) if route]
+    subprocess.run(
+        [
+            os.path.join(build, "apricotload"), *routes,
+            "--header", "Authorization: Bearer brennock-chain-0",
+            "--connections", str(connections), "--requests", str(requests), *extra,
+        ],
+        check=True,
+        timeout=300,
+    )  # fmt: skip
+
+
+if __name__ == "__main__":
+    main()
--- a/src/base/Counters.cpp
+++ b/src/base/Counters.cpp
@@ -1,5 +1,6 @@
 #include "base/Counters.h"
 
+#include <algorithm>
 #include <array>
 #include <fmt/format.h>
 
@@ -12,28 +13,35 @@
 constexpr std::array kBounds{ 0.005, 0.01, 0.02, 0.037, 0.05, 0.1, 0.2,
                               0.3,   0.56, 1.0,  2.0,   5.0,  10.0 };
 
+void
+AppendEscaped(std::string& aText, std::string_view aValue)
+{
+  for (const char byte : aValue) {
+    if (byte == '"' || byte == '\\') {
+      aText.push_back('\\');
+    }
+    aText.push_back(byte == '\n' ? ' ' : byte);
+  }
+}
+
+/// NAME{LABEL="VALUE",...}, or just the name without labels.
 std::string
-Key(std::string_view aName,
-    std::initializer_list<Label> aLabels,
-    std::string_view aExtra = {})
+Key(std::string_view aName, std::initializer_list<Label> aLabels)
 {
   std::string key = "apricottrack_";
   key.append(aName);
-  std::string labels;
+  char separator = '{';
   for (const auto& [name, value] : aLabels) {
-    labels += fmt::format("{}{}=\"", labels.empty() ? "" : ",", name);
-    for (const char byte : value) {
-      if (byte == '"' || byte == '\\') {
-        labels.push_back('\\');
-      }
-      labels.push_back(byte == '\n' ? ' ' : byte);
-    }
-    labels.push_back('"');
+    key.push_back(separator);
+    key.append(name).append("=\"");
+    AppendEscaped(key, value);
+    key.push_back('"');
+    separator = ',';
   }
-  if (!aExtra.empty()) {
-    labels += fmt::format("{}{}", labels.empty() ? "" : ",", aExtra);
+  if (aLabels.size() > 0) {
+    key.push_back('}');
   }
-  return labels.empty() ? key : fmt::format("{}{{{}}}", key, labels);
+  return key;
 }
 
 } // namespace
@@ -59,16 +67,38 @@
                   std::initializer_list<Label> aLabels,
                   double aSeconds)
 {
-  const std::string name(aName);
-  for (const double bound : kBounds) {
-    if (aSeconds <= bound) {
-      const std::string extra = fmt::format("le=\"{}\"", bound);
-      this->values[Key(name + "_bucket", aLabels, extra)] += 1;
-    }
+  Histogram& histogram = this->histograms[Key(aName, aLabels)];
+  histogram.buckets.resize(kBounds.size() + 1);
+  const auto bucket =
+    std::lower_bound(kBounds.begin(), kBounds.end(), aSeconds) -
+    kBounds.begin();
+  ++histogram.buckets[static_cast<std::size_t>(bucket)];
+  histogram.sum += aSeconds;
+  ++histogram.count;
+}
+
+void
+Counters::AppendHistogram(std::string& aText,
+                          const std::string& aKey,
+                          const Histogram& aHistogram)
+{
+  const std::size_t brace = std::min(aKey.find('{'), aKey.size());
+  const std::string name = aKey.substr(0, brace);
+  std::string labels = aKey.substr(brace);
+  const std::string suffix = labels;
+  if (!labels.empty()) {
+    labels = labels.substr(1, labels.size() - 2) + ",";
+  }
+  std::int64_t total = 0;
+  for (std::size_t i = 0; i < aHistogram.buckets.size(); ++i) {
+    total += aHistogram.buckets[i];
+    const std::string bound =
+      i < kBounds.size() ? fmt::format("{}", kBounds[i]) : "+Inf";
+    aText +=
+      fmt::format("{}_bucket{{{}le=\"{}\"}} {}\n", name, labels, bound, total);
   }
-  this->values[Key(name + "_bucket", aLabels, "le=\"+Inf\"")] += 1;
-  this->values[Key(name + "_sum", aLabels)] += aSeconds;
-  this->values[Key(name + "_count", aLabels)] += 1;
+  aText += fmt::format("{}_sum{} {}\n", name, suffix, aHistogram.sum);
+  aText += fmt::format("{}_count{} {}\n", name, suffix, aHistogram.count);
 }
 
 std::string
@@ -78,6 +108,9 @@
   for (const auto& [key, value] : this->values) {
     text += fmt::format("{} {}\n", key, value);
   }
+  for (const auto& [key, histogram] : this->histograms) {
+    AppendHistogram(text, key, histogram);
+  }
   return text;
 }
 
--- a/src/base/Counters.h
+++ b/src/base/Counters.h
@@ -7,6 +7,7 @@
 #include <string>
 #include <string_view>
 #include <utility>
+#include <vector>
 
 namespace apricottrack {
 
@@ -34,7 +35,20 @@
   std::string Text() const;
 
 private:
+  struct Histogram
+  {
+    /// Counts by upper bound; the last one has none.
+    std::vector<std::int64_t> buckets;
+    double sum = 0;
+    std::int64_t count = 0;
+  };
+
+  static void AppendHistogram(std::string& aText,
+                              const std::string& aKey,
+                              const Histogram& aHistogram);
+
   std::map<std::string, double, std::less<>> values;
+  std::map<std::string, Histogram, std::less<>> histograms;
 };
 
 } // namespace apricottrack
--- a/src/http/HttpClient.cpp
+++ b/src/http/HttpClient.cpp
@@ -13,7 +13,7 @@
 
 namespace {
 
-constexpr std::size_t kPieceBytes = 16 * 1024;
+constexpr std::size_t kPieceBytes = std::size_t{ 16 } * 1024;
 
 /// Unacknowledged data older than this ends the connection.
 constexpr Duration kUnackedTimeout = seconds(5);
@@ -234,7 +234,7 @@
 Task<Result<HttpResponse>>
 FetchOver(HttpConnection& aConnection, HttpRequest aRequest, Duration aTimeout)
 {
-  static constexpr std::uint64_t kBodyLimit = 64 * 1024 * 1024;
+  static constexpr std::uint64_t kBodyLimit = std::uint64_t{ 64 } * 1024 * 1024;
   auto sent = co_await aConnection.Send(std::move(aRequest), aTimeout);
   if (!sent) {
     co_return tl::unexpected(sent.error());
--- a/src/http/HttpServer.h
+++ b/src/http/HttpServer.h
@@ -18,7 +18,7 @@
 struct HttpServerLimits
 {
   std::uint32_t headerBytes = 16 * 1024;
-  std::uint64_t bodyBytes = 1024 * 1024;
+  std::uint64_t bodyBytes = std::uint64_t{ 1024 } * 1024;
   std::size_t connections = 4096;
   /// Time to receive one whole request once its first byte is awaited.
   Duration receiveTimeout = seconds(30);
--- a/src/journal/JournalWriter.h
+++ b/src/journal/JournalWriter.h
@@ -63,7 +63,7 @@
   {
     /// Key prefix of this journal's segments, ending in a slash.
     std::string prefix;
-    std::size_t segmentBytes = 64 * 1024;
+    std::size_t segmentBytes = std::size_t{ 64 } * 1024;
     Duration flushInterval = milliseconds(20);
     /// Pause after a failed call; doubled up to the most.
     Duration retryLeast = milliseconds(50);
--- a/src/membership/PeerMessages.cpp
+++ b/src/membership/PeerMessages.cpp
@@ -1,6 +1,6 @@
 #include "membership/PeerMessages.h"
 
-#include "generated/peer_generated.h"
+#include <wire/peer_generated.h>
 
 namespace apricottrack {
 
--- a/src/membership/PeerTask.cpp
+++ b/src/membership/PeerTask.cpp
@@ -138,8 +138,7 @@
 {
   ConfigurationRequest request;
   request.knownVersion = this->configuration.Stored().version;
-  const auto answer =
-    co_await aLink->Ask(std::move(request), this->options.timeout);
+  const auto answer = co_await aLink->Ask(request, this->options.timeout);
   const auto* const stored =
     answer ? std::get_if<StoredConfiguration>(&*answer) : nullptr;
   if (stored != nullptr) {
--- a/src/node/TargetAttempt.h
+++ b/src/node/TargetAttempt.h
@@ -24,7 +24,7 @@
   Duration firstByteTimeout = seconds(5);
   Duration stallTimeout = seconds(2);
   Instant deadline;
-  std::uint64_t bodyLimit = 16 * 1024 * 1024;
+  std::uint64_t bodyLimit = std::uint64_t{ 16 } * 1024 * 1024;
 };
 
 /// Sends one request to one target and relays the answer as it comes.
--- a/tests/JournalWriterTest.cpp
+++ b/tests/JournalWriterTest.cpp
@@ -85,7 +85,7 @@
 };
 
 JournalWriter
-Writer(std::size_t aSegmentBytes = 64 * 1024)
+Writer(std::size_t aSegmentBytes = 65'536)
 {
   JournalWriter::Options options;
   options.prefix = "j/";
--- a/tests/RouterTest.cpp
+++ b/tests/RouterTest.cpp
@@ -66,7 +66,7 @@
   }
   CHECK(sent.size() >= 3);
   for (const auto& [id, count] : sent) {
-    CHECK(count <= 200 / 4 * 1.25 + 100 * 0.25 + 2);
+    CHECK(count <= 50 * 1.25 + 100 * 0.25 + 2);
   }
 }
 
--- a/tests/standins/main.cpp
+++ b/tests/standins/main.cpp
@@ -24,7 +24,7 @@
        std::shared_ptr<Standin> aStandin)
 {
   HttpServerLimits limits;
-  limits.bodyBytes = 16 * 1024 * 1024;
+  limits.bodyBytes = std::uint64_t{ 16 } * 1024 * 1024;
   limits.receiveTimeout = seconds(3600);
   const auto server = HttpServer::Make(
     aContext.get_executor(),
--- a/tools/generate.sh
+++ b/tools/generate.sh
@@ -2,4 +2,4 @@
 # Regenerates the committed FlatBuffers code; needs flatbuffers-compiler.
 set -euo pipefail
 cd "$(dirname "$0")/.."
-flatc --cpp --scoped-enums --cpp-std c++17 -o src/generated wire/peer.fbs
+flatc --cpp --scoped-enums --cpp-std c++17 -o generated/wire wire/peer.fbs
--- a/tools/lint.sh
+++ b/tools/lint.sh
@@ -4,7 +4,7 @@
 set -euo pipefail
 cd "$(dirname "$0")/.."
 build="${1:-${BUILD_DIR:-build}}"
-mapfile -t files < <(git ls-files '*.cpp' '*.h' | grep -v '^src/generated/')
+mapfile -t files < <(git ls-files '*.cpp' '*.h' | grep -v '^generated/')
 clang-format --dry-run --Werror "${files[@]}"
 mapfile -t sources < <(git ls-files '*.cpp' | grep -v BoostSources)
 # Version 14 does not announce coroutines to the standard library by itself.
