Prove bookings, groups and configurations by scenarios in virtual time

Found by it: a planner that was paused for longer than three seconds but less than its lease took everybody for lost when it woke up, and dissolved healthy groups. Cause: silence was measured from the last report without asking whether this node had listened. Ruled out: the lease, which still held, and compare-and-swap, whose revision was current.

--- a/bench/DecisionBench.cpp
+++ b/bench/DecisionBench.cpp
@@ -97,7 +97,8 @@
              .vms = this->vms,
              .reports = this->reports,
              .leaving = this->leaving,
-             .plans = this->plans };
+             .plans = this->plans,
+             .observingSince = {} };
   }
 
   Configuration configuration;
--- a/src/groups/GroupPlanner.cpp
+++ b/src/groups/GroupPlanner.cpp
@@ -119,10 +119,24 @@
     return this->view.leaving.contains(aVm);
   }
 
+  /// A planner that was paused, or that hears no target at all, knows of its
+  /// own trouble only; it must not take it for that of the members.
+  bool MayJudgeSilence() const
+  {
+    if (this->options.silence == SilenceRule::kAlways) {
+      return true;
+    }
+    return this->now - this->view.observingSince > this->options.lostAfter &&
+           std::any_of(
+             this->view.reports.begin(),
+             this->view.reports.end(),
+             [this](const auto& aItem) { return this->IsHeard(aItem.first); });
+  }
+
   bool IsLost(const PlannedMember& aMember) const
   {
     if (!this->IsHeard(aMember.vm)) {
-      return true;
+      return this->MayJudgeSilence();
     }
     const auto& report = this->view.reports.find(aMember.vm)->second;
     return report.incarnation != aMember.incarnation;
@@ -397,8 +411,10 @@
         this->planner.SparesWanted(this->view.configuration.policy,
                                    aSet.size,
                                    static_cast<int>(plan.assignments.size()));
-      if (left >= spares &&
-          (best == nullptr || free.size() < bestFree.size())) {
+      const bool better =
+        best == nullptr || (this->options.placement == Placement::kBestFit &&
+                            free.size() < bestFree.size());
+      if (left >= spares && better) {
         best = &plan;
         bestFree = std::move(free);
       }
--- a/src/groups/GroupPlanner.h
+++ b/src/groups/GroupPlanner.h
@@ -20,6 +20,9 @@
   /// VMs that the platform's list or an operator calls leaving.
   const std::set<std::string, std::less<>>& leaving;
   const DomainPlans& plans;
+  /// Since when this node's probes have run without a gap. Before it nothing
+  /// can be said of a member that was not heard.
+  Instant observingSince;
 };
 
 /// An order that a target should be given.
@@ -43,8 +46,27 @@
 class GroupPlanner
 {
 public:
+  enum class Placement
+  {
+    /// Into the domain that is left with the fewest free VMs.
+    kBestFit,
+    /// Into the first domain with room; a baseline for measurements.
+    kFirstFit,
+  };
+
+  enum class SilenceRule
+  {
+    /// A member is lost if it stays silent to a planner that was listening
+    /// all the while and hears others.
+    kWhileListening,
+    /// Silence means loss. For proofs only: it must be caught by checkers.
+    kAlways,
+  };
+
   struct Options
   {
+    SilenceRule silence = SilenceRule::kWhileListening;
+    Placement placement = Placement::kBestFit;
     /// A member unheard for longer is replaced.
     Duration lostAfter = seconds(3);
     /// Time for all nodes to have stopped sending to a draining group.
--- a/src/node/KeeperTask.cpp
+++ b/src/node/KeeperTask.cpp
@@ -16,6 +16,8 @@
 namespace {
 
 constexpr Duration kRound = milliseconds(250);
+/// A longer gap between rounds means that this process was paused.
+constexpr Duration kLongestGap = milliseconds(1000);
 constexpr Duration kOrderTimeout = milliseconds(1000);
 
 std::string
@@ -69,7 +71,8 @@
                       .vms = this->context.view.Vms(),
                       .reports = this->context.view.Reports(),
                       .leaving = this->context.view.Leaving(),
-                      .plans = this->context.view.Plans() };
+                      .plans = this->context.view.Plans(),
+                      .observingSince = this->observingSince };
 }
 
 Task<void>
@@ -78,7 +81,12 @@
   for (;;) {
     asio::steady_timer timer(this->context.executor, kRound);
     co_await timer.async_wait(kAsTuple);
-    if (this->mayPlan(MonotonicNow()) &&
+    const Instant now = MonotonicNow();
+    if (now - this->lastRound > kLongestGap) {
+      this->observingSince = now;
+    }
+    this->lastRound = now;
+    if (this->mayPlan(now) &&
         this->context.configuration.Current() != nullptr) {
       co_await this->PlanOnce();
       this->SendOrders();
--- a/src/node/KeeperTask.h
+++ b/src/node/KeeperTask.h
@@ -43,6 +43,8 @@
   std::function<bool(Instant)> mayPlan;
   HttpConnectionPool pool;
   std::map<std::string, Revision> revisions;
+  Instant lastRound;
+  Instant observingSince;
   /// VMs with an order on its way.
   std::set<std::string> ordering;
 };
--- /dev/null
+++ b/tests/scenarios/BookingScenario.cpp
@@ -0,0 +1,482 @@
+/// Bookings under failure: the real journal writer and retry policy, with a
+/// fake platform, fake targets and callers that retry through other nodes.
+
+#include "journal/JournalWriter.h"
+#include "retry/RetryBudget.h"
+#include "retry/RetryPolicy.h"
+#include "scenarios/FakeStore.h"
+#include "scenarios/Scenario.h"
+
+#include <fmt/format.h>
+#include <memory>
+
+namespace apricottrack::scenarios {
+
+namespace {
+
+constexpr Duration kTick = milliseconds(5);
+constexpr Duration kIntentWait = seconds(3);
+constexpr Duration kWork = milliseconds(20);
+constexpr Duration kAnswerTimeout = seconds(2);
+constexpr Duration kCallerPatience = seconds(8);
+constexpr int kCallerAttempts = 5;
+
+/// One run that the target recorded.
+struct Run
+{
+  std::string key;
+  std::string nonce;
+};
+
+/// One word that a caller was told.
+struct Told
+{
+  std::string key;
+  std::string nonce;
+  Outcome outcome;
+};
+
+struct Target
+{
+  bool dropsAnswers = false;
+  bool answersLate = false;
+  bool refusesConnections = false;
+  std::vector<Run> runs;
+};
+
+using TellCaller = std::function<void(Outcome, std::string aNonce)>;
+
+class World;
+
+/// One node's path of a booking: journal, attempts, end.
+class BookingNode
+{
+public:
+  BookingNode(World& aWorld, int aIndex);
+
+  void Book(std::string aKey, TellCaller aTell);
+  void Tick();
+
+  bool dead = false;
+  Instant pausedUntil;
+
+  bool Runs(Instant aNow) const
+  {
+    return !this->dead && aNow >= this->pausedUntil;
+  }
+
+private:
+  struct Request
+  {
+    std::string key;
+    std::string nonce;
+    TellCaller tell;
+    int attempts = 0;
+    bool mayHaveRun = false;
+    Instant deadline;
+  };
+  using RequestPtr = std::shared_ptr<Request>;
+
+  void Resume(std::function<void()> aRun);
+  void Perform(JournalCall aCall);
+  void Deliver();
+  void OnVerdict(const RequestPtr& aRequest, const JournalResolution& aResult);
+  void Attempt(const RequestPtr& aRequest);
+  void OnAttemptEnd(const RequestPtr& aRequest, AttemptEnd aEnd);
+  void Finish(const RequestPtr& aRequest, Outcome aOutcome);
+
+  World& world;
+  int index;
+  JournalWriter writer;
+  RetryBudget budget{ RetryBudget::Options{} };
+  std::map<std::string, RequestPtr> waiting;
+  int nextNonce = 0;
+};
+
+class World
+{
+public:
+  explicit World(const Scenario& aScenario)
+    : scenario(aScenario)
+    , store(this->time, aScenario.seed)
+    , random(aScenario.seed * 7919)
+    , start(this->time.Now())
+  {
+    if (aScenario.naive == "retry_on_error") {
+      this->policy = std::make_unique<RetryOnErrorPolicy>();
+    } else {
+      this->policy = std::make_unique<SafeRetryPolicy>();
+    }
+    for (int i = 0; i < aScenario.nodes; ++i) {
+      this->nodes.push_back(std::make_unique<BookingNode>(*this, i));
+    }
+  }
+
+  Findings Run();
+
+  const Scenario& scenario;
+  VirtualTime time;
+  FakeStore store;
+  std::mt19937_64 random;
+  Instant start;
+  Target target;
+  std::unique_ptr<RetryPolicy> policy;
+  std::vector<std::unique_ptr<BookingNode>> nodes;
+  std::vector<Told> told;
+
+private:
+  void Schedule(const Fault& aFault);
+  void Apply(const Fault& aFault, bool aOn);
+  void Call(const std::string& aKey, int aAttempt);
+  void Check();
+  void TickAll();
+
+  Findings findings;
+  std::map<std::string, Outcome> lastTold;
+};
+
+BookingNode::BookingNode(World& aWorld, int aIndex)
+  : world(aWorld)
+  , index(aIndex)
+  , writer(JournalWriter::Options{ .prefix = "j/", .segmentBytes = 8 * 1024 })
+{
+}
+
+/// Runs on this node: not at all once it is dead, later while it is paused.
+void
+BookingNode::Resume(std::function<void()> aRun)
+{
+  if (this->dead) {
+    return;
+  }
+  const Instant now = this->world.time.Now();
+  if (now < this->pausedUntil) {
+    this->world.time.After(
+      this->pausedUntil - now,
+      [this, run = std::move(aRun)] { this->Resume(run); });
+    return;
+  }
+  aRun();
+}
+
+void
+BookingNode::Book(std::string aKey, TellCaller aTell)
+{
+  this->Resume([this, key = std::move(aKey), tell = std::move(aTell)] {
+    auto request = std::make_shared<Request>();
+    request->key = key;
+    request->nonce = fmt::format("{}-{}", this->index, this->nextNonce++);
+    request->tell = tell;
+    request->deadline = this->world.time.Now() + kCallerPatience;
+    if (this->world.scenario.naive == "no_journal") {
+      this->Attempt(request);
+      return;
+    }
+    JournalIntent intent;
+    intent.key = key;
+    intent.nonce = request->nonce;
+    intent.fingerprint = key;
+    intent.at = this->world.time.Wall();
+    this->waiting[request->nonce] = request;
+    this->writer.AddIntent(intent, this->world.time.Now() + kIntentWait);
+  });
+}
+
+void
+BookingNode::Tick()
+{
+  const Instant now = this->world.time.Now();
+  if (!this->Runs(now)) {
+    return;
+  }
+  this->writer.Expire(now);
+  if (auto call = this->writer.NextCall(now)) {
+    this->Perform(std::move(*call));
+  }
+  this->Deliver();
+}
+
+void
+BookingNode::Perform(JournalCall aCall)
+{
+  const auto now = [this] { return this->world.time.Now(); };
+  FakeStore& store = this->world.store;
+  switch (aCall.kind) {
+    case JournalCall::Kind::kLoad:
+      store.List(aCall.key, [this, now](Result<std::vector<KeyValue>> aReply) {
+        this->Resume([this, now, aReply] {
+          this->writer.OnLoaded(aReply, now());
+          this->Deliver();
+        });
+      });
+      break;
+    case JournalCall::Kind::kRead:
+      store.Get(aCall.key, [this, now](Result<KeyValue> aReply) {
+        this->Resume([this, now, aReply] {
+          this->writer.OnRead(aReply, now());
+          this->Deliver();
+        });
+      });
+      break;
+    case JournalCall::Kind::kSwap:
+      store.CompareAndSwap(std::move(aCall.swap),
+                           [this, now](Result<Revision> aReply) {
+                             this->Resume([this, now, aReply] {
+                               this->writer.OnSwapped(aReply, now());
+                               this->Deliver();
+                             });
+                           });
+      break;
+  }
+}
+
+void
+BookingNode::Deliver()
+{
+  for (const JournalResolution& result : this->writer.TakeResolutions()) {
+    const auto found = this->waiting.find(result.nonce);
+    if (found != this->waiting.end()) {
+      const RequestPtr request = found->second;
+      this->waiting.erase(found);
+      this->OnVerdict(request, result);
+    }
+  }
+  this->writer.TakeWrittenEnds();
+}
+
+void
+BookingNode::OnVerdict(const RequestPtr& aRequest,
+                       const JournalResolution& aResult)
+{
+  switch (aResult.verdict) {
+    case IntentVerdict::kRun:
+      this->Attempt(aRequest);
+      break;
+    case IntentVerdict::kDuplicate: {
+      const auto& end = aResult.entry->end;
+      aRequest->tell(end ? end->outcome : Outcome::kUnknown,
+                     aResult.entry->intent.nonce);
+      break;
+    }
+    case IntentVerdict::kKeyReused:
+    case IntentVerdict::kUnavailable:
+      if (this->world.scenario.naive == "run_unrecorded") {
+        this->Attempt(aRequest);
+      } else {
+        aRequest->tell(Outcome::kNotRun, aRequest->nonce);
+      }
+      break;
+  }
+}
+
+void
+BookingNode::Attempt(const RequestPtr& aRequest)
+{
+  ++aRequest->attempts;
+  Target& target = this->world.target;
+  const auto end = [this, aRequest](AttemptEnd aEnd) {
+    this->Resume(
+      [this, aRequest, aEnd] { this->OnAttemptEnd(aRequest, aEnd); });
+  };
+  VirtualTime& time = this->world.time;
+  if (target.refusesConnections) {
+    time.After(milliseconds(1), [end] { end(AttemptEnd::kNotSent); });
+    return;
+  }
+  time.After(milliseconds(1), [this, &target, &time, aRequest, end] {
+    target.runs.push_back({ aRequest->key, aRequest->nonce });
+    if (target.dropsAnswers) {
+      time.After(kWork, [end] { end(AttemptEnd::kNoAnswer); });
+    } else if (target.answersLate) {
+      time.After(kAnswerTimeout, [end] { end(AttemptEnd::kNoAnswer); });
+    } else {
+      time.After(kWork, [end] { end(AttemptEnd::kAnswered); });
+    }
+  });
+}
+
+void
+BookingNode::OnAttemptEnd(const RequestPtr& aRequest, AttemptEnd aEnd)
+{
+  RetryQuestion question;
+  question.end = aEnd;
+  question.idempotent = false;
+  question.attempts = aRequest->attempts;
+  question.mayHaveRun = aRequest->mayHaveRun;
+  question.deadline = aRequest->deadline;
+  aRequest->mayHaveRun = aRequest->mayHaveRun || !ProvesNotRun(aEnd);
+  const RetryDecision decision =
+    this->world.policy->Decide(question, this->budget, this->world.time.Now());
+  if (decision.action == RetryAction::kRetry) {
+    this->Attempt(aRequest);
+  } else {
+    this->Finish(aRequest, decision.outcome);
+  }
+}
+
+void
+BookingNode::Finish(const RequestPtr& aRequest, Outcome aOutcome)
+{
+  JournalEnd end;
+  end.key = aRequest->key;
+  end.nonce = aRequest->nonce;
+  end.outcome = aOutcome;
+  end.at = this->world.time.Wall();
+  if (this->world.scenario.naive != "no_journal") {
+    this->writer.AddEnd(end);
+  }
+  aRequest->tell(aOutcome, aRequest->nonce);
+}
+
+void
+World::Apply(const Fault& aFault, bool aOn)
+{
+  if (aFault.what == "kill_node" && aOn) {
+    this->nodes[std::stoul(aFault.where)]->dead = true;
+  } else if (aFault.what == "pause_node" && aOn) {
+    this->nodes[std::stoul(aFault.where)]->pausedUntil =
+      this->time.Now() + aFault.lasts;
+  } else if (aFault.what == "platform_down") {
+    this->store.down = aOn;
+  } else if (aFault.what == "platform_slow") {
+    this->store.slow = aOn;
+  } else if (aFault.what == "lose_replies") {
+    this->store.losesReplies = aOn;
+  } else if (aFault.what == "drop_answers") {
+    this->target.dropsAnswers = aOn;
+  } else if (aFault.what == "late_answers") {
+    this->target.answersLate = aOn;
+  } else if (aFault.what == "refuse_connections") {
+    this->target.refusesConnections = aOn;
+  }
+}
+
+void
+World::Schedule(const Fault& aFault)
+{
+  this->time.After(aFault.at, [this, aFault] { this->Apply(aFault, true); });
+  this->time.After(aFault.at + aFault.lasts,
+                   [this, aFault] { this->Apply(aFault, false); });
+}
+
+/// A caller asks a random node, and asks another one after silence or a
+/// refusal, always with the same key.
+void
+World::Call(const std::string& aKey, int aAttempt)
+{
+  if (aAttempt >= kCallerAttempts) {
+    return;
+  }
+  const auto heard = std::make_shared<bool>(false);
+  BookingNode& node = *this->nodes[this->random() % this->nodes.size()];
+  const auto again = [this, aKey, aAttempt] { this->Call(aKey, aAttempt + 1); };
+  node.Book(aKey, [=, this](Outcome aOutcome, std::string aNonce) {
+    if (*heard) {
+      return;
+    }
+    *heard = true;
+    this->told.push_back({ aKey, aNonce, aOutcome });
+    this->lastTold[aKey] = aOutcome;
+    if (aOutcome != Outcome::kAnswered) {
+      this->time.After(seconds(1), again);
+    }
+  });
+  this->time.After(kCallerPatience, [heard, again] {
+    if (!*heard) {
+      *heard = true;
+      again();
+    }
+  });
+}
+
+void
+World::TickAll()
+{
+  for (const auto& node : this->nodes) {
+    node->Tick();
+  }
+  this->time.After(kTick, [this] { this->TickAll(); });
+}
+
+Findings
+World::Run()
+{
+  for (const Fault& fault : this->scenario.faults) {
+    this->Schedule(fault);
+  }
+  std::uniform_real_distribution<double> when(0,
+                                              ToSeconds(this->scenario.length));
+  for (int i = 0; i < this->scenario.bookings; ++i) {
+    const std::string key = fmt::format("booking-{}", i);
+    this->time.After(FromSeconds(when(this->random)),
+                     [this, key] { this->Call(key, 0); });
+  }
+  this->TickAll();
+  // Callers retry up to five times with eight seconds of patience; faults
+  // end before the length does.
+  this->time.RunUntil(this->start + this->scenario.length + seconds(60));
+  this->Check();
+  return this->findings;
+}
+
+void
+World::Check()
+{
+  std::map<std::string, int> runs;
+  std::map<std::string, int> runsByNonce;
+  for (const apricottrack::scenarios::Run& run : this->target.runs) {
+    ++runs[run.key];
+    ++runsByNonce[run.nonce];
+  }
+  for (const auto& [key, count] : runs) {
+    if (count > 1) {
+      ++this->findings.ranTwice;
+      this->findings.violations.push_back("ran_twice " + key);
+    }
+  }
+  for (const Told& told : this->told) {
+    if (told.outcome == Outcome::kNotRun && runsByNonce[told.nonce] > 0) {
+      ++this->findings.falseNotRun;
+      this->findings.violations.push_back("false_not_run " + told.key);
+    }
+    if (told.outcome == Outcome::kAnswered && runs[told.key] == 0) {
+      this->findings.violations.push_back("false_answer " + told.key);
+    }
+  }
+  JournalIndex index;
+  for (const auto& [key, value] : this->store.Values()) {
+    index.Apply(value.value);
+  }
+  index.ForEach([&](const JournalEntry& aEntry) {
+    const int ran = runsByNonce[aEntry.intent.nonce];
+    const bool saysRan =
+      aEntry.end && aEntry.end->outcome == Outcome::kAnswered;
+    const bool saysNot = aEntry.end && aEntry.end->outcome == Outcome::kNotRun;
+    if ((saysRan && ran == 0) || (saysNot && ran > 0)) {
+      this->findings.violations.push_back("false_record " + aEntry.intent.key);
+    }
+  });
+  for (const auto& [key, count] : runs) {
+    if (this->scenario.naive.empty() && index.Find(key) == nullptr) {
+      this->findings.violations.push_back("unrecorded_run " + key);
+    }
+  }
+  this->findings.asked = this->scenario.bookings;
+  for (const auto& [key, outcome] : this->lastTold) {
+    this->findings.answered += outcome == Outcome::kAnswered ? 1 : 0;
+    this->findings.refused += outcome == Outcome::kNotRun ? 1 : 0;
+    this->findings.unknown += outcome == Outcome::kUnknown ? 1 : 0;
+  }
+  this->findings.writes = this->store.writes;
+  this->findings.reads = this->store.reads;
+}
+
+} // namespace
+
+Findings
+RunBookings(const Scenario& aScenario)
+{
+  return World(aScenario).Run();
+}
+
+} // namespace apricottrack::scenarios
--- /dev/null
+++ b/tests/scenarios/ConfigurationScenario.cpp
@@ -0,0 +1,228 @@
+/// Configurations under failure: the real holder at many nodes, reached by a
+/// watch, a slow check and a random peer, any of which may be cut.
+
+#include "config/ConfigurationHolder.h"
+#include "scenarios/FakeStore.h"
+#include "scenarios/Scenario.h"
+
+#include <fmt/format.h>
+#include <memory>
+
+namespace apricottrack::scenarios {
+
+namespace {
+
+constexpr Duration kSlowCheck = seconds(10);
+constexpr Duration kPeerRound = seconds(1);
+constexpr Duration kInForceBound = seconds(13);
+const std::string kKey = "configuration";
+
+struct ConfiguredNode
+{
+  ConfigurationHolder holder;
+  /// The node's own link to the platform is cut.
+  bool cut = false;
+  std::uint64_t highest = 0;
+  bool naiveFell = false;
+};
+
+class World
+{
+public:
+  explicit World(const Scenario& aScenario)
+    : scenario(aScenario)
+    , store(this->time, aScenario.seed)
+    , random(aScenario.seed)
+    , start(this->time.Now())
+    , nodes(static_cast<std::size_t>(aScenario.nodes))
+  {
+  }
+
+  Findings Run();
+
+private:
+  void Offer(std::size_t aNode, const StoredConfiguration& aStored);
+  void Submit(std::string aSubmission, int aAttempt);
+  void AskPeer(std::size_t aNode);
+  void Check(std::size_t aNode, Duration aEvery);
+  void Schedule(const Fault& aFault);
+  void CheckInForce(std::uint64_t aVersion);
+  static std::string Text(const std::string& aFirm)
+  {
+    return fmt::format("firm = \"{}\"\n", aFirm);
+  }
+
+  const Scenario& scenario;
+  VirtualTime time;
+  FakeStore store;
+  std::mt19937_64 random;
+  Instant start;
+  std::vector<ConfiguredNode> nodes;
+  std::map<std::uint64_t, std::string> accepted;
+  Findings findings;
+};
+
+void
+World::Offer(std::size_t aNode, const StoredConfiguration& aStored)
+{
+  ConfiguredNode& node = this->nodes[aNode];
+  if (this->scenario.naive == "last_heard_wins") {
+    // The naive form takes whatever arrives last.
+    if (aStored.version < node.highest) {
+      this->findings.violations.push_back(
+        fmt::format("reverted node {}", aNode));
+    }
+    node.highest = aStored.version;
+    return;
+  }
+  node.holder.Offer(aStored);
+  const std::uint64_t version = node.holder.Stored().version;
+  if (version < node.highest) {
+    this->findings.violations.push_back(fmt::format("reverted node {}", aNode));
+  }
+  node.highest = version;
+}
+
+void
+World::Submit(std::string aSubmission, int aAttempt)
+{
+  if (aAttempt > 20) {
+    return;
+  }
+  this->store.Get(kKey, [=, this](Result<KeyValue> aReply) {
+    const auto retry = [=, this] { this->Submit(aSubmission, aAttempt + 1); };
+    if (!aReply) {
+      this->time.After(milliseconds(500), retry);
+      return;
+    }
+    const auto before = ParseStoredConfiguration(aReply->value, "store")
+                          .value_or(StoredConfiguration{});
+    if (before.submission == aSubmission) {
+      return;
+    }
+    const StoredConfiguration after{ .version = before.version + 1,
+                                     .submission = aSubmission,
+                                     .text = Text(aSubmission) };
+    const Swap swap{ .key = kKey,
+                     .expected = aReply->revision,
+                     .value = EncodeStoredConfiguration(after) };
+    this->store.CompareAndSwap(swap, [=, this](Result<Revision> aSwapped) {
+      if (aSwapped) {
+        const auto [known, fresh] =
+          this->accepted.emplace(after.version, aSubmission);
+        if (!fresh) {
+          this->findings.violations.push_back("two accepted as one version");
+        }
+        this->CheckInForce(after.version);
+      } else {
+        retry();
+      }
+    });
+    // Watches deliver within seconds and in any order across reconnects.
+    for (std::size_t i = 0; i < this->nodes.size(); ++i) {
+      const Duration delay = milliseconds(this->random() % 3000);
+      this->time.After(delay, [this, i, delay] {
+        const auto stored =
+          ParseStoredConfiguration(this->store.Values()[kKey].value, "store");
+        if (stored && !this->nodes[i].cut && !this->store.down) {
+          this->time.After(milliseconds(this->random() % 2000),
+                           [this, i, stored] { this->Offer(i, *stored); });
+        }
+      });
+    }
+  });
+}
+
+void
+World::CheckInForce(std::uint64_t aVersion)
+{
+  this->time.After(kInForceBound, [this, aVersion] {
+    for (std::size_t i = 0; i < this->nodes.size(); ++i) {
+      if (this->nodes[i].highest < aVersion) {
+        this->findings.violations.push_back(
+          fmt::format("late node {} version {}", i, aVersion));
+      }
+    }
+  });
+}
+
+void
+World::AskPeer(std::size_t aNode)
+{
+  const std::size_t peer = this->random() % this->nodes.size();
+  const StoredConfiguration theirs = this->nodes[peer].holder.Stored();
+  if (theirs.version > 0) {
+    this->time.After(milliseconds(5),
+                     [this, aNode, theirs] { this->Offer(aNode, theirs); });
+  }
+  this->time.After(kPeerRound, [this, aNode] { this->AskPeer(aNode); });
+}
+
+void
+World::Check(std::size_t aNode, Duration aEvery)
+{
+  this->time.After(aEvery, [this, aNode] {
+    if (!this->nodes[aNode].cut) {
+      this->store.Get(kKey, [this, aNode](Result<KeyValue> aReply) {
+        const auto stored =
+          aReply ? ParseStoredConfiguration(aReply->value, "store")
+                 : Result<StoredConfiguration>(tl::unexpected(aReply.error()));
+        if (stored) {
+          this->Offer(aNode, *stored);
+        }
+      });
+    }
+    this->Check(aNode, kSlowCheck);
+  });
+}
+
+void
+World::Schedule(const Fault& aFault)
+{
+  const auto set = [this, aFault](bool aOn) {
+    if (aFault.what == "cut_nodes") {
+      const std::size_t count = std::stoul(aFault.where);
+      for (std::size_t i = 0; i < count; ++i) {
+        this->nodes[i].cut = aOn;
+      }
+    } else if (aFault.what == "platform_down") {
+      this->store.down = aOn;
+    } else if (aFault.what == "platform_slow") {
+      this->store.slow = aOn;
+    } else if (aFault.what == "lose_replies") {
+      this->store.losesReplies = aOn;
+    } else if (aFault.what == "submit" && aOn) {
+      this->Submit("operator-" + aFault.where, 0);
+    }
+  };
+  this->time.After(aFault.at, [set] { set(true); });
+  this->time.After(aFault.at + aFault.lasts, [set] { set(false); });
+}
+
+Findings
+World::Run()
+{
+  for (const Fault& fault : this->scenario.faults) {
+    this->Schedule(fault);
+  }
+  for (std::size_t i = 0; i < this->nodes.size(); ++i) {
+    this->Check(i, milliseconds(this->random() % 10'000));
+    if (this->scenario.naive != "no_peers") {
+      this->AskPeer(i);
+    }
+  }
+  this->time.RunUntil(this->start + this->scenario.length + seconds(20));
+  this->findings.writes = this->store.writes;
+  this->findings.reads = this->store.reads;
+  return std::move(this->findings);
+}
+
+} // namespace
+
+Findings
+RunConfiguration(const Scenario& aScenario)
+{
+  return World(aScenario).Run();
+}
+
+} // namespace apricottrack::scenarios
--- /dev/null
+++ b/tests/scenarios/FakeStore.cpp
@@ -0,0 +1,110 @@
+#include "scenarios/FakeStore.h"
+
+#include <memory>
+
+namespace apricottrack::scenarios {
+
+namespace {
+
+constexpr Duration kCallTimeout = seconds(2);
+
+template<typename T>
+Result<T>
+NoReply()
+{
+  return Failure(ErrorCode::kNoReply, "store", "fake", "no reply");
+}
+
+} // namespace
+
+FakeStore::FakeStore(VirtualTime& aTime, std::uint64_t aSeed)
+  : time(aTime)
+  , random(aSeed)
+{
+}
+
+Duration
+FakeStore::Delay()
+{
+  const int most = this->slow ? 1'500'000 : 3'000;
+  return microseconds(
+    500 + static_cast<int>(this->random() % static_cast<unsigned>(most)));
+}
+
+template<typename T>
+void
+FakeStore::Call(std::function<Result<T>()> aEffect,
+                Reply<T> aReply,
+                bool aWrites)
+{
+  ++(aWrites ? this->writes : this->reads);
+  const auto answered = std::make_shared<bool>(false);
+  const auto answer = [answered, reply = std::move(aReply)](Result<T> aResult) {
+    if (!*answered) {
+      *answered = true;
+      reply(std::move(aResult));
+    }
+  };
+  this->time.After(kCallTimeout, [answer] { answer(NoReply<T>()); });
+  if (this->down) {
+    this->time.After(this->Delay(), [answer] { answer(NoReply<T>()); });
+    return;
+  }
+  this->time.After(this->Delay(), [this, answer, aEffect, aWrites] {
+    Result<T> result = aEffect();
+    if (aWrites && this->losesReplies && this->random() % 2 == 0) {
+      return;
+    }
+    this->time.After(this->Delay(), [answer, result] { answer(result); });
+  });
+}
+
+void
+FakeStore::Get(std::string aKey, Reply<KeyValue> aReply)
+{
+  this->Call<KeyValue>(
+    [this, key = std::move(aKey)]() -> Result<KeyValue> {
+      const auto found = this->values.find(key);
+      return found == this->values.end() ? KeyValue{ .key = key }
+                                         : found->second;
+    },
+    std::move(aReply),
+    false);
+}
+
+void
+FakeStore::List(std::string aPrefix, Reply<std::vector<KeyValue>> aReply)
+{
+  this->Call<std::vector<KeyValue>>(
+    [this, prefix = std::move(aPrefix)]() -> Result<std::vector<KeyValue>> {
+      std::vector<KeyValue> found;
+      for (const auto& [key, value] : this->values) {
+        if (key.starts_with(prefix)) {
+          found.push_back(value);
+        }
+      }
+      return found;
+    },
+    std::move(aReply),
+    false);
+}
+
+void
+FakeStore::CompareAndSwap(Swap aSwap, Reply<Revision> aReply)
+{
+  this->Call<Revision>(
+    [this, swap = std::move(aSwap)]() -> Result<Revision> {
+      KeyValue& value = this->values[swap.key];
+      if (value.revision != swap.expected && !this->unconditional) {
+        return Failure(ErrorCode::kConflict, "store", "fake", "revision");
+      }
+      value = KeyValue{ .key = swap.key,
+                        .value = swap.value,
+                        .revision = ++this->revision };
+      return value.revision;
+    },
+    std::move(aReply),
+    true);
+}
+
+} // namespace apricottrack::scenarios
