Retry over a fresh connection when a kept one is silent

Cause: with all kept connections gone silent, each of the three attempts took another kept connection and ended in 502 after three timeouts. Ruled out: the retry budget (20 saved) and the deadline (60 s). Change: attempts after the first make a connection; a kept connection that times out closes the other idle ones to its address.

The number of journals is a constant now: as a setting, nodes that disagreed on it would have looked for one key in different journals.

--- a/include/apricottrack/Settings.h
+++ b/include/apricottrack/Settings.h
@@ -34,8 +34,6 @@
   Duration drainGrace = milliseconds(2000);
   int maxConnections = 4096;
   int maxBodyBytes = 1024 * 1024;
-  /// Values that share the journal of non-idempotent requests.
-  int journalCount = 8;
   /// Shortest time between two writes to one journal by this node.
   Duration journalFlushInterval = milliseconds(20);
 
--- a/src/config/Settings.cpp
+++ b/src/config/Settings.cpp
@@ -69,10 +69,6 @@
     reader.Integer("max_body_bytes",
                    { .least = 1024, .most = 1 << 30, .unit = "bytes" },
                    settings.maxBodyBytes);
-  settings.journalCount =
-    reader.Integer("journal_count",
-                   { .least = 1, .most = 4096, .unit = "values" },
-                   settings.journalCount);
   settings.journalFlushInterval =
     ReadMilliseconds(reader,
                      "journal_flush_interval_ms",
--- a/src/http/HttpClient.cpp
+++ b/src/http/HttpClient.cpp
@@ -17,14 +17,23 @@
 
 /// Unacknowledged data older than this ends the connection.
 constexpr Duration kUnackedTimeout = seconds(5);
+/// Idle time before, and between, the kernel's probes of a quiet connection.
+constexpr int kKeepAliveSeconds = 2;
 
 void
 SetLivenessOptions(tcp::socket& aSocket)
 {
   using UserTimeout =
     asio::detail::socket_option::integer<IPPROTO_TCP, TCP_USER_TIMEOUT>;
+  using KeepIdle =
+    asio::detail::socket_option::integer<IPPROTO_TCP, TCP_KEEPIDLE>;
+  using KeepInterval =
+    asio::detail::socket_option::integer<IPPROTO_TCP, TCP_KEEPINTVL>;
   boost::system::error_code ignored;
   aSocket.set_option(tcp::no_delay(true), ignored);
+  aSocket.set_option(asio::socket_base::keep_alive(true), ignored);
+  aSocket.set_option(KeepIdle(kKeepAliveSeconds), ignored);
+  aSocket.set_option(KeepInterval(kKeepAliveSeconds), ignored);
   aSocket.set_option(
     UserTimeout(static_cast<int>(
       std::chrono::duration_cast<milliseconds>(kUnackedTimeout).count())),
@@ -215,6 +224,12 @@
   co_return connection;
 }
 
+void
+HttpConnectionPool::DropIdle(const std::string& aAddress)
+{
+  this->idle.erase(aAddress);
+}
+
 void
 HttpConnectionPool::GiveBack(std::unique_ptr<HttpConnection> aConnection,
                              Instant aNow)
--- a/src/http/HttpClient.h
+++ b/src/http/HttpClient.h
@@ -75,6 +75,9 @@
 
   Task<Result<std::unique_ptr<HttpConnection>>> OpenFresh(std::string aAddress);
 
+  /// Closes the idle connections to an address.
+  void DropIdle(const std::string& aAddress);
+
   void GiveBack(std::unique_ptr<HttpConnection> aConnection, Instant aNow);
 
 private:
--- a/src/kv/PlatformKeys.h
+++ b/src/kv/PlatformKeys.h
@@ -18,6 +18,11 @@
 inline constexpr std::string_view kPlanPrefix = "apricottrack/state/plans/";
 inline constexpr std::string_view kJournalPrefix = "apricottrack/journal/";
 
+/// Journals that non-idempotent requests hash onto. All nodes must agree on
+/// it, or two of them would look for one key in different journals; so it is
+/// no setting.
+inline constexpr int kJournalCount = 16;
+
 /// Prefix of the segments of one journal.
 inline std::string
 JournalOf(int aIndex)
--- a/src/node/Node.cpp
+++ b/src/node/Node.cpp
@@ -220,7 +220,7 @@
 void
 Node::Impl::StartTasks()
 {
-  for (int i = 0; i < this->settings.journalCount; ++i) {
+  for (int i = 0; i < keys::kJournalCount; ++i) {
     JournalWriter::Options options;
     options.prefix = keys::JournalOf(i);
     options.flushInterval = this->settings.journalFlushInterval;
--- a/src/node/RequestRun.cpp
+++ b/src/node/RequestRun.cpp
@@ -324,7 +324,11 @@
     .message = this->MessageFor(aTarget, attemptId),
     .attemptId = attemptId,
     .expectsEcho = service.echoesRequestId,
-    .freshConnection = !service.echoesRequestId || !this->spec.idempotent,
+    // A request that may run once goes only over a connection known to be
+    // alive, and a retry is the test of whether only the first one was not.
+    .mayReuse = service.echoesRequestId && this->spec.idempotent &&
+                this->attempts == 1,
+    .mayKeep = service.echoesRequestId,
     .firstByteTimeout = service.firstByteTimeout,
     .stallTimeout = service.stallTimeout,
     .deadline = this->spec.deadline,
--- a/src/node/TargetAttempt.cpp
+++ b/src/node/TargetAttempt.cpp
@@ -33,7 +33,7 @@
 TargetAttempt::Run()
 {
   bool reused = false;
-  if (!this->options.freshConnection) {
+  if (this->options.mayReuse) {
     this->connection =
       this->pool.TakeIdle(this->options.address, MonotonicNow());
     reused = this->connection != nullptr;
@@ -45,6 +45,10 @@
     head = co_await this->SendAndReceiveHead();
   }
   if (!head) {
+    if (reused && head.error().code == ErrorCode::kTimeout) {
+      // What silenced this connection may have silenced the others too.
+      this->pool.DropIdle(this->options.address);
+    }
     co_return this->JudgeFailure(head.error());
   }
   if (this->IsForeign(*head)) {
@@ -137,7 +141,7 @@
                            .detail = "the stream ended without its end mark" };
     co_return AttemptEnd::kTruncated;
   }
-  if (!this->options.freshConnection) {
+  if (this->options.mayKeep) {
     this->pool.GiveBack(std::move(this->connection), MonotonicNow());
   }
   co_return AttemptEnd::kAnswered;
--- a/src/node/TargetAttempt.h
+++ b/src/node/TargetAttempt.h
@@ -19,8 +19,10 @@
   /// Sent as X-Request-Id; the answer must repeat it if `expectsEcho`.
   std::string attemptId;
   bool expectsEcho = false;
-  /// Only a connection made for this request will do.
-  bool freshConnection = false;
+  /// A kept connection will do; otherwise one is made for this request.
+  bool mayReuse = true;
+  /// The connection may carry further requests afterwards.
+  bool mayKeep = true;
   Duration firstByteTimeout = seconds(5);
   Duration stallTimeout = seconds(2);
   Instant deadline;
