Report service-level burn, and plan in linear time

Cause of 5.8 ms a planning round at 600 groups: for each group the names of all declared groups were built, and all plans were searched. Change: a name gives its index, and present names are collected once. Targets are judged every 200 ms instead of 50: at 600 groups that costs 0.6 ms, which at 50 ms was 1.1% of a core by itself; waiting requests are still looked at every 50 ms.

--- a/src/groups/GroupPlanner.cpp
+++ b/src/groups/GroupPlanner.cpp
@@ -1,6 +1,7 @@
 #include "groups/GroupPlanner.h"
 
 #include <algorithm>
+#include <charconv>
 #include <cmath>
 
 namespace apricottrack {
@@ -35,12 +36,11 @@
       set->size != static_cast<int>(aAssignment.members.size())) {
     return false;
   }
-  for (int i = 0; i < set->count; ++i) {
-    if (GroupName(*set, i) == aAssignment.group) {
-      return true;
-    }
-  }
-  return false;
+  const std::string_view group = aAssignment.group;
+  const std::string_view digits = group.substr(group.rfind('-') + 1);
+  int index = -1;
+  std::from_chars(digits.data(), digits.data() + digits.size(), index);
+  return index >= 0 && index < set->count && GroupName(*set, index) == group;
 }
 
 } // namespace
@@ -374,29 +374,22 @@
 
   void FormMissing()
   {
+    std::set<std::string> present;
+    for (const auto& [domain, plan] : this->plans) {
+      for (const Assignment& assignment : plan.assignments) {
+        present.insert(assignment.group);
+      }
+    }
     for (const GroupSet& set : this->view.configuration.groupSets) {
       for (int i = 0; i < set.count; ++i) {
         const std::string name = GroupName(set, i);
-        if (!this->Exists(name) && !this->Form(set, name)) {
+        if (!present.contains(name) && !this->Form(set, name)) {
           break;
         }
       }
     }
   }
 
-  bool Exists(const std::string& aGroup) const
-  {
-    return std::any_of(
-      this->plans.begin(), this->plans.end(), [&](const auto& aItem) {
-        const auto& assignments = aItem.second.assignments;
-        return std::any_of(assignments.begin(),
-                           assignments.end(),
-                           [&](const Assignment& aAssignment) {
-                             return aAssignment.group == aGroup;
-                           });
-      });
-  }
-
   /// A domain that keeps its wanted spares comes first, but no declared
   /// group is left out for the sake of a spare: it would be down for good.
   bool Form(const GroupSet& aSet, const std::string& aName)
--- a/src/node/AdminEndpoint.cpp
+++ b/src/node/AdminEndpoint.cpp
@@ -31,6 +31,9 @@
   if (aPath == "/status") {
     return this->Status();
   }
+  if (aPath == "/report") {
+    return JsonResponse(200, EncodeBurnLedger(this->context.burn));
+  }
   return JsonResponse(404, R"({"error":{"code":"unknown_path"}})");
 }
 
--- a/src/node/AdminEndpoint.h
+++ b/src/node/AdminEndpoint.h
@@ -7,7 +7,7 @@
 namespace apricottrack {
 
 /// Answers the balancer's health check, metric collectors and operators:
-/// /healthz, /metrics and /status.
+/// /healthz, /metrics, /status and /report.
 class AdminEndpoint
 {
 public:
--- a/src/node/Node.cpp
+++ b/src/node/Node.cpp
@@ -26,7 +26,11 @@
 
 namespace {
 
-constexpr Duration kRefreshInterval = milliseconds(50);
+/// Targets are judged anew this often; what is heard counts for seconds.
+constexpr Duration kRefreshInterval = milliseconds(200);
+/// Waiting requests are looked at this often.
+constexpr Duration kPumpInterval = milliseconds(50);
+constexpr Duration kFleetInterval = seconds(1);
 constexpr std::int64_t kNodeLeaseSeconds = 10;
 constexpr std::int64_t kPlannerLeaseSeconds = 4;
 /// Longest wait, at a planned stop, for ends still to be journaled.
@@ -78,6 +82,8 @@
   void OnVms(VmList aVms);
   void Refresh();
   Task<void> RefreshRegularly();
+  Task<void> PumpRegularly();
+  Task<void> WatchFleet();
   Task<void> Drain(std::function<void()> aDone);
   void StartTasks();
   std::size_t PendingEnds() const;
@@ -106,6 +112,7 @@
     .executor = aExecutor,
     .incarnation = RandomId(),
     .counters = {},
+    .burn = {},
     .configuration = {},
     .limiter = {},
     .directory = NodeDirectory(this->settings.node),
@@ -237,6 +244,14 @@
     this->context.executor,
     [this]() -> Task<void> { co_await this->RefreshRegularly(); },
     asio::detached);
+  asio::co_spawn(
+    this->context.executor,
+    [this]() -> Task<void> { co_await this->PumpRegularly(); },
+    asio::detached);
+  asio::co_spawn(
+    this->context.executor,
+    [this]() -> Task<void> { co_await this->WatchFleet(); },
+    asio::detached);
   LogLine("node_started")
     .With("node", this->settings.node)
     .With("incarnation", this->context.incarnation)
@@ -368,6 +383,36 @@
   }
 }
 
+Task<void>
+Node::Impl::WatchFleet()
+{
+  for (;;) {
+    asio::steady_timer timer(this->context.executor, kFleetInterval);
+    co_await timer.async_wait(kAsTuple);
+    const auto configuration = this->context.configuration.Current();
+    if (configuration != nullptr) {
+      const UnixMillis now = WallNow();
+      this->context.burn.CountFleet(
+        this->context.view.MeasureFleet(
+          *configuration, kFleetInterval, MonotonicNow()),
+        now);
+      this->context.burn.Prune(now);
+    }
+  }
+}
+
+Task<void>
+Node::Impl::PumpRegularly()
+{
+  for (;;) {
+    asio::steady_timer timer(this->context.executor, kPumpInterval);
+    co_await timer.async_wait(kAsTuple);
+    for (const auto& [name, dispatcher] : this->context.dispatchers) {
+      dispatcher->Pump(MonotonicNow());
+    }
+  }
+}
+
 Task<void>
 Node::Impl::RefreshRegularly()
 {
--- a/src/node/NodeContext.h
+++ b/src/node/NodeContext.h
@@ -10,6 +10,7 @@
 #include "node/Dispatcher.h"
 #include "node/JournalTask.h"
 #include "node/NodeView.h"
+#include "report/BurnLedger.h"
 #include "retry/RetryPolicy.h"
 
 #include <map>
@@ -27,6 +28,7 @@
   /// Identifies this process among the node's lives.
   std::string incarnation;
   Counters counters;
+  BurnLedger burn;
   ConfigurationHolder configuration;
   AccountLimiter limiter;
   NodeDirectory directory;
--- a/src/node/NodeView.cpp
+++ b/src/node/NodeView.cpp
@@ -1,5 +1,7 @@
 #include "node/NodeView.h"
 
+#include <algorithm>
+
 namespace apricottrack {
 
 NodeView::NodeView(std::unique_ptr<GroupGate> aGate, Duration aHeardWithin)
@@ -153,4 +155,39 @@
   return groups;
 }
 
+FleetTime
+NodeView::MeasureFleet(const Configuration& aConfiguration,
+                       Duration aInterval,
+                       Instant aNow) const
+{
+  std::set<std::string_view> roles;
+  int declared = 0;
+  for (const GroupSet& groupSet : aConfiguration.groupSets) {
+    roles.insert(groupSet.role);
+    declared += groupSet.count * groupSet.size;
+  }
+  int serving = 0;
+  for (const GroupStatus& status : this->Groups(aNow)) {
+    if (status.verdict.reason == GateReason::kNone) {
+      serving += static_cast<int>(status.assignment.members.size());
+    }
+  }
+  int vmCount = 0;
+  int healthy = 0;
+  for (const Vm& vm : this->vms) {
+    if (!roles.contains(vm.role)) {
+      continue;
+    }
+    const auto report = this->reports.find(vm.id);
+    const bool heard = report != this->reports.end() &&
+                       aNow - report->second.heardAt <= this->heardWithin;
+    ++vmCount;
+    healthy += heard && !this->leaving.contains(vm.id) ? 1 : 0;
+  }
+  const double length = ToSeconds(aInterval);
+  return FleetTime{ .downtime = length * std::max(0, declared - serving),
+                    .stranded = length * std::max(0, healthy - serving),
+                    .total = length * vmCount };
+}
+
 } // namespace apricottrack
--- a/src/node/NodeView.h
+++ b/src/node/NodeView.h
@@ -5,6 +5,7 @@
 #include "groups/DomainPlan.h"
 #include "groups/GroupGate.h"
 #include "groups/Vm.h"
+#include "report/BurnLedger.h"
 #include "routing/Router.h"
 
 #include <memory>
@@ -40,6 +41,11 @@
 
   std::vector<GroupStatus> Groups(Instant aNow) const;
 
+  /// Group downtime and stranded VMs over the last interval, in VM-seconds.
+  FleetTime MeasureFleet(const Configuration& aConfiguration,
+                         Duration aInterval,
+                         Instant aNow) const;
+
   const VmList& Vms() const { return this->vms; }
   const DomainPlans& Plans() const { return this->plans; }
   const MemberReports& Reports() const { return this->reports; }
--- a/src/node/RequestRun.cpp
+++ b/src/node/RequestRun.cpp
@@ -326,8 +326,8 @@
     .expectsEcho = service.echoesRequestId,
     // A request that may run once goes only over a connection known to be
     // alive, and a retry is the test of whether only the first one was not.
-    .mayReuse = service.echoesRequestId && this->spec.idempotent &&
-                this->attempts == 1,
+    .mayReuse =
+      service.echoesRequestId && this->spec.idempotent && this->attempts == 1,
     .mayKeep = service.echoesRequestId,
     .firstByteTimeout = service.firstByteTimeout,
     .stallTimeout = service.stallTimeout,
@@ -374,6 +374,13 @@
   }
 }
 
+bool
+RequestRun::Ending::CountsForObjective() const
+{
+  // What the caller brought about itself is not the service's failure.
+  return !this->refusal || this->refusal->status >= 500;
+}
+
 void
 RequestRun::Account(const Ending& aEnding)
 {
@@ -391,6 +398,12 @@
                                { "account", account },
                                { "outcome", OutcomeName(aEnding.outcome) },
                                { "code", code } });
+  if (known && aEnding.CountsForObjective()) {
+    const bool good =
+      aEnding.outcome == Outcome::kAnswered &&
+      this->firstByte <= this->spec.service->objective.firstToken;
+    this->context.burn.Count(service, account, good, WallNow());
+  }
   if (aEnding.outcome == Outcome::kAnswered && !this->replayed) {
     this->context.counters.Observe("first_byte_seconds",
                                    { { "service", service } },
--- a/src/node/RequestRun.h
+++ b/src/node/RequestRun.h
@@ -26,6 +26,9 @@
   {
     Outcome outcome = Outcome::kNotRun;
     std::optional<Refusal> refusal;
+
+    /// True unless the caller itself was at fault.
+    bool CountsForObjective() const;
   };
 
   std::optional<Refusal> ReadAndLimit();
--- a/src/operators/Operators.cpp
+++ b/src/operators/Operators.cpp
@@ -98,8 +98,15 @@
   co_return tl::unexpected(last);
 }
 
-Task<Result<std::vector<NodeStatus>>>
-ReadNodes(boost::asio::any_io_executor aExecutor, KeyValueStore& aStore)
+namespace {
+
+using NodeAnswers = std::vector<std::pair<NodeRecord, std::string>>;
+
+/// Asks every registered node's admin endpoint; empty text for no answer.
+Task<Result<NodeAnswers>>
+AskNodes(boost::asio::any_io_executor aExecutor,
+         KeyValueStore& aStore,
+         std::string aPath)
 {
   Revision revision = 0;
   const auto records =
@@ -108,27 +115,57 @@
     co_return tl::unexpected(records.error());
   }
   HttpConnectionPool pool(aExecutor, HttpConnectionPool::Options{});
-  std::vector<NodeStatus> nodes;
+  NodeAnswers answers;
   for (const KeyValue& record : *records) {
-    const auto object = ParseJsonObject(record.value, "node.read", record.key);
-    if (!object) {
+    const auto node = ParseNodeRecord(record.value);
+    if (!node) {
       continue;
     }
-    NodeStatus node{ .node = JsonText(*object, "node"),
-                     .admin = JsonText(*object, "admin"),
-                     .status = {} };
-    HttpRequest request(boost::beast::http::verb::get, "/status", 11);
+    HttpRequest request(boost::beast::http::verb::get, aPath, 11);
     const auto answer =
-      co_await Fetch(pool, node.admin, std::move(request), kStatusTimeout);
-    if (answer) {
-      node.status = ParseJsonObject(answer->body(), "node.status", node.admin)
-                      .value_or(json::object{});
-    }
+      co_await Fetch(pool, node->admin, std::move(request), kStatusTimeout);
+    answers.emplace_back(*node, answer ? answer->body() : std::string{});
+  }
+  co_return answers;
+}
+
+} // namespace
+
+Task<Result<std::vector<NodeStatus>>>
+ReadNodes(boost::asio::any_io_executor aExecutor, KeyValueStore& aStore)
+{
+  const std::string path = "/status";
+  const auto answers = co_await AskNodes(aExecutor, aStore, path);
+  if (!answers) {
+    co_return tl::unexpected(answers.error());
+  }
+  std::vector<NodeStatus> nodes;
+  for (const auto& [record, text] : *answers) {
+    NodeStatus node;
+    node.node = record.node;
+    node.admin = record.admin;
+    node.status = ParseJsonObject(text, "node.status", record.admin)
+                    .value_or(json::object());
     nodes.push_back(std::move(node));
   }
   co_return nodes;
 }
 
+Task<Result<BurnLedger>>
+ReadBurn(boost::asio::any_io_executor aExecutor, KeyValueStore& aStore)
+{
+  const std::string path = "/report";
+  const auto answers = co_await AskNodes(aExecutor, aStore, path);
+  if (!answers) {
+    co_return tl::unexpected(answers.error());
+  }
+  BurnLedger sum;
+  for (const auto& [record, text] : *answers) {
+    sum.Merge(ParseBurnLedger(text));
+  }
+  co_return sum;
+}
+
 namespace {
 
 std::string
--- a/src/operators/Operators.h
+++ b/src/operators/Operators.h
@@ -5,6 +5,8 @@
 #include "apricottrack/Time.h"
 #include "config/StoredConfiguration.h"
 #include "journal/JournalIndex.h"
+#include "membership/NodeDirectory.h"
+#include "report/BurnLedger.h"
 
 #include <boost/asio/any_io_executor.hpp>
 #include <boost/json/object.hpp>
@@ -47,6 +49,10 @@
 Task<Result<std::vector<NodeStatus>>>
 ReadNodes(boost::asio::any_io_executor aExecutor, KeyValueStore& aStore);
 
+/// The counts of all nodes that answer, added up.
+Task<Result<BurnLedger>>
+ReadBurn(boost::asio::any_io_executor aExecutor, KeyValueStore& aStore);
+
 /// Adds VMs to, or takes them off, the list of VMs that operators drain.
 Task<Result<std::set<std::string>>>
 ChangeDrained(KeyValueStore& aStore,
--- /dev/null
+++ b/src/report/BurnLedger.cpp
@@ -0,0 +1,154 @@
+#include "report/BurnLedger.h"
+
+#include "base/JsonFields.h"
+
+#include <boost/json.hpp>
+
+namespace apricottrack {
+
+namespace json = boost::json;
+
+namespace {
+
+UnixMillis
+SlotOf(UnixMillis aNow)
+{
+  return aNow - aNow % BurnLedger::kSlotMillis;
+}
+
+double
+NumberOf(const json::object& aObject, std::string_view aName)
+{
+  const json::value* const field = aObject.if_contains(aName);
+  boost::system::error_code error;
+  const double number = field == nullptr ? 0 : field->to_number<double>(error);
+  return error ? 0 : number;
+}
+
+} // namespace
+
+void
+BurnLedger::Count(std::string_view aService,
+                  std::string_view aAccount,
+                  bool aGood,
+                  UnixMillis aNow)
+{
+  this->Add({ SlotOf(aNow), std::string(aService), std::string(aAccount) },
+            { .good = aGood ? 1 : 0, .total = 1 });
+}
+
+void
+BurnLedger::CountFleet(const FleetTime& aTime, UnixMillis aNow)
+{
+  FleetTime& slot = this->fleet[SlotOf(aNow)];
+  slot.downtime += aTime.downtime;
+  slot.stranded += aTime.stranded;
+  slot.total += aTime.total;
+}
+
+void
+BurnLedger::Prune(UnixMillis aNow)
+{
+  const UnixMillis oldest = aNow - kKeptMillis;
+  this->counts.erase(this->counts.begin(),
+                     this->counts.lower_bound({ oldest, "", "" }));
+  this->fleet.erase(this->fleet.begin(), this->fleet.lower_bound(oldest));
+}
+
+void
+BurnLedger::Merge(const BurnLedger& aOther)
+{
+  for (const auto& [key, count] : aOther.counts) {
+    this->Add(key, count);
+  }
+  // Every node watches the same fleet: of two views of a slot the one that
+  // covers more time stands.
+  for (const auto& [slot, time] : aOther.fleet) {
+    FleetTime& own = this->fleet[slot];
+    own = time.total > own.total ? time : own;
+  }
+}
+
+BurnCount
+BurnLedger::Sum(std::string_view aService,
+                std::string_view aAccount,
+                UnixMillis aFrom) const
+{
+  BurnCount sum;
+  for (auto item = this->counts.lower_bound({ aFrom, "", "" });
+       item != this->counts.end();
+       ++item) {
+    const auto& [slot, service, account] = item->first;
+    if ((aService.empty() || service == aService) &&
+        (aAccount.empty() || account == aAccount)) {
+      sum.good += item->second.good;
+      sum.total += item->second.total;
+    }
+  }
+  return sum;
+}
+
+std::string
+EncodeBurnLedger(const BurnLedger& aLedger)
+{
+  json::array counts;
+  for (const auto& [key, count] : aLedger.Counts()) {
+    const auto& [slot, service, account] = key;
+    counts.push_back(json::object{ { "slot", slot },
+                                   { "service", service },
+                                   { "account", account },
+                                   { "good", count.good },
+                                   { "total", count.total } });
+  }
+  json::array fleet;
+  for (const auto& [slot, time] : aLedger.Fleet()) {
+    fleet.push_back(json::object{ { "slot", slot },
+                                  { "downtime", time.downtime },
+                                  { "stranded", time.stranded },
+                                  { "total", time.total } });
+  }
+  return json::serialize(
+    json::object{ { "counts", counts }, { "fleet", fleet } });
+}
+
+BurnLedger
+ParseBurnLedger(std::string_view aText)
+{
+  BurnLedger ledger;
+  const auto object = ParseJsonObject(aText, "report.read", "");
+  if (!object) {
+    return ledger;
+  }
+  if (const json::array* const counts = JsonArray(*object, "counts")) {
+    for (const json::value& item : *counts) {
+      if (const json::object* const count = item.if_object()) {
+        ledger.Add({ JsonInteger(*count, "slot"),
+                     JsonText(*count, "service"),
+                     JsonText(*count, "account") },
+                   { .good = JsonInteger(*count, "good"),
+                     .total = JsonInteger(*count, "total") });
+      }
+    }
+  }
+  if (const json::array* const fleet = JsonArray(*object, "fleet")) {
+    for (const json::value& item : *fleet) {
+      if (const json::object* const time = item.if_object()) {
+        ledger.CountFleet({ .downtime = NumberOf(*time, "downtime"),
+                            .stranded = NumberOf(*time, "stranded"),
+                            .total = NumberOf(*time, "total") },
+                          JsonInteger(*time, "slot"));
+      }
+    }
+  }
+  return ledger;
+}
+
+void
+BurnLedger::Add(Key aKey, const BurnCount& aCount)
+{
+  BurnCount& count = this->counts[std::move(aKey)];
+  count.good += aCount.good;
+  count.total += aCount.total;
+}
+
+} // namespace apricottrack
--- a/tools/apricottrack.cpp
+++ b/tools/apricottrack.cpp
@@ -7,6 +7,7 @@
 #include "kv/EtcdStore.h"
 #include "operators/ConfigurationDiff.h"
 #include "operators/Operators.h"
+#include "report/BurnReport.h"
 
 #include <CLI/CLI.hpp>
 #include <algorithm>
@@ -48,6 +49,7 @@
   std::string key;
   std::string since;
   std::string until;
+  std::string htmlFile;
   bool asJson = false;
 };
 
@@ -391,6 +393,36 @@
   return kExitOk;
 }
 
+int
+Report(const Arguments& aArguments)
+{
+  Session session(aArguments);
+  const auto stored = session.Run(ReadConfiguration(session.store));
+  const auto ledger =
+    session.Run(ReadBurn(session.loop.get_executor(), session.store));
+  if (!stored || !ledger) {
+    return Fail(stored ? ledger.error() : stored.error());
+  }
+  const Configuration configuration =
+    ParseConfiguration(stored->text).value_or(Configuration{});
+  const UnixMillis now = WallNow();
+  const auto rows = MakeBurnRows(configuration, *ledger, now);
+  if (aArguments.asJson) {
+    std::cout << EncodeBurnLedger(*ledger) << "\n";
+  } else {
+    std::cout << RenderBurnText(rows, *ledger);
+  }
+  if (!aArguments.htmlFile.empty()) {
+    std::ofstream file(aArguments.htmlFile);
+    file << RenderBurnHtml(configuration, rows, *ledger, now);
+    if (!file.flush()) {
+      std::cerr << aArguments.htmlFile << ": cannot be written\n";
+      return kExitFailed;
+    }
+  }
+  return kExitOk;
+}
+
 int
 HashKey(const Arguments& aArguments)
 {
@@ -449,6 +481,8 @@
   audit->add_option("--account", arguments.account, "one client account");
   audit->add_option("--since", arguments.since, "UTC, YYYY-MM-DDTHH:MM:SS");
   audit->add_option("--until", arguments.until, "UTC, exclusive");
+  withPlatform(add("report", "service-level burn and fleet use", Report))
+    ->add_option("--html", arguments.htmlFile, "also write a page with plots");
   add("hash-key", "the SHA-256 of an account's key", HashKey)
     ->add_option("key", arguments.key)
     ->required();
