--- a/src/journal/JournalWriter.cpp
+++ b/src/journal/JournalWriter.cpp
@@ -59,16 +59,18 @@
                         .swap = {} };
   }
   if (this->stale) {
-    this->calling = true;
-    return JournalCall{ .kind = JournalCall::Kind::kRead,
-                        .key = this->SegmentKey(),
-                        .swap = {} };
+    return this->MakeRead();
   }
   this->Settle();
   if (this->intents.empty() && this->ends.empty()) {
     return std::nullopt;
   }
+  // One read is enough, however late this call comes after it.
+  if (!this->justRead && aNow - this->syncedAt > this->options.freshFor) {
+    return this->MakeRead();
+  }
   this->calling = true;
+  this->justRead = false;
   this->nextAt = aNow + this->options.flushInterval;
   return this->MakeSwap();
 }
@@ -81,6 +83,15 @@
   return waiting && !this->calling ? std::optional(this->nextAt) : std::nullopt;
 }
 
+JournalCall
+JournalWriter::MakeRead()
+{
+  this->calling = true;
+  return JournalCall{ .kind = JournalCall::Kind::kRead,
+                      .key = this->SegmentKey(),
+                      .swap = {} };
+}
+
 JournalCall
 JournalWriter::MakeSwap()
 {
@@ -147,6 +158,7 @@
               return aLeft.key < aRight.key;
             });
   this->loaded = true;
+  this->syncedAt = aNow;
   this->retryDelay = this->options.retryLeast;
   for (const KeyValue& segmentValue : *aSegments) {
     // Segments past their retention are gone from the front.
@@ -167,6 +179,8 @@
     return;
   }
   this->retryDelay = this->options.retryLeast;
+  this->syncedAt = aNow;
+  this->justRead = true;
   this->Ingest(aSegment->value, aSegment->revision);
   this->Settle();
 }
@@ -177,6 +191,7 @@
   this->calling = false;
   if (aRevision) {
     this->retryDelay = this->options.retryLeast;
+    this->syncedAt = aNow;
     const std::string written = std::move(this->swapText);
     this->Ingest(written, *aRevision);
     this->Settle();
--- a/src/journal/JournalWriter.h
+++ b/src/journal/JournalWriter.h
@@ -65,6 +65,9 @@
     std::string prefix;
     std::size_t segmentBytes = std::size_t{ 64 } * 1024;
     Duration flushInterval = milliseconds(20);
+    /// A last segment seen longer ago is read again before a write: other
+    /// nodes have probably written, and reads are cheaper than conflicts.
+    Duration freshFor = milliseconds(30);
     /// Pause after a failed call; doubled up to the most.
     Duration retryLeast = milliseconds(50);
     Duration retryMost = seconds(2);
@@ -112,6 +115,7 @@
   };
 
   std::string SegmentKey() const;
+  JournalCall MakeRead();
   JournalCall MakeSwap();
   void Ingest(std::string_view aText, Revision aRevision);
   void Settle();
@@ -148,6 +152,10 @@
   bool stale = false;
   bool calling = false;
   Instant nextAt;
+  /// When the last segment's text was last known to be current.
+  Instant syncedAt;
+  /// Nothing was written since the last read.
+  bool justRead = false;
   Duration retryDelay;
   std::int64_t conflicts = 0;
 };
--- a/src/node/Node.cpp
+++ b/src/node/Node.cpp
@@ -31,7 +31,8 @@
 /// Waiting requests are looked at this often.
 constexpr Duration kPumpInterval = milliseconds(50);
 constexpr Duration kFleetInterval = seconds(1);
-constexpr std::int64_t kNodeLeaseSeconds = 10;
+constexpr std::int64_t kNodeLeaseSeconds = 20;
+constexpr Duration kNodeLeaseRenewal = seconds(6);
 constexpr std::int64_t kPlannerLeaseSeconds = 4;
 /// Longest wait, at a planned stop, for ends still to be journaled.
 constexpr Duration kJournalFlush = seconds(5);
@@ -146,7 +147,7 @@
       LeaseTask::Options{ .key = keys::NodeOf(this->settings.node),
                           .value = EncodeNodeRecord(OwnRecord(this->context)),
                           .ttlSeconds = kNodeLeaseSeconds,
-                          .renewEvery = seconds(3) })
+                          .renewEvery = kNodeLeaseRenewal })
   , plannerLease(aExecutor,
                  this->store,
                  LeaseTask::Options{ .key = std::string(keys::kPlanner),
