--- /dev/null
+++ b/bench/reaction.py
@@ -0,0 +1,127 @@
+"""Measures how fast the system reacts, on real processes over loopback:
+accepted configuration to in force, lost member to out of service, drained
+target to its last new request."""
+
+import argparse
+import glob
+import os
+import re
+import signal
+import sys
+import threading
+import time
+
+sys.path.insert(0, os.path.join(os.path.dirname(__file__), "../tests/wholepath"))
+
+from deployment import Deployment, Shape, book, wait_until  # noqa: E402
+from latency import without_limits  # noqa: E402
+
+import brennock  # noqa: E402
+
+
+def show(name: str, seconds: list[float]):
+    """Prints quantiles of a measurement."""
+    ordered = sorted(seconds)
+    middle = ordered[len(ordered) // 2]
+    high = ordered[min(len(ordered) - 1, int(len(ordered) * 0.99))]
+    print(
+        f"{name} n={len(ordered)} p50_s={middle:.3f} p99_s={high:.3f} "
+        f"worst_s={ordered[-1]:.3f}",
+        flush=True,
+    )
+
+
+def in_force(deployment: Deployment, text: str, times: int):
+    for i in range(times):
+        deployment.command("apply", "-", stdin=text.replace("Software", f"S{i}"))
+    delays = []
+    for path in glob.glob(os.path.join(deployment.folder, "entry-*.log")):
+        with open(path) as log:
+            found = re.findall(r"configuration_in_force version=(\d+).*delay_ms=(\d+)", log.read())
+        delays += [int(delay) / 1000 for version, delay in found if version != "1"]
+    show("accepted_to_in_force", delays)
+
+
+def lost_member(deployment: Deployment, how: int, times: int) -> list[float]:
+    seconds = []
+    by_name = {vm.name: vm for vm in deployment.vms}
+    for i in range(times):
+        groups = deployment.status()["groups"]
+        group = groups[i % len(groups)]
+        victim = by_name[group["members"][1]]
+        began = time.monotonic()
+        victim.process.send_signal(how)
+
+        def out(node, epoch=group["epoch"], name=group["group"]):
+            for seen in deployment.status(node)["groups"]:
+                if seen["group"] == name and seen["epoch"] == epoch:
+                    return seen["state"] != "serving"
+            return True
+
+        for node in range(len(deployment.nodes)):
+            wait_until(lambda n=node: out(n))
+            seconds.append(time.monotonic() - began)
+        if how == signal.SIGKILL:
+            victim.process.wait()
+            deployment.start_vm(victim)
+        else:
+            victim.process.send_signal(signal.SIGCONT)
+        wait_until(lambda: deployment.serving("advisor") == len(groups))
+    return seconds
+
+
+def last_work(deployment: Deployment, times: int):
+    """Keeps booking slots while targets are drained in turn."""
+    stop = threading.Event()
+    seconds = []
+
+    def keep_booking(index):
+        number = 0
+        while not stop.is_set():
+            number += 1
+            node = deployment.nodes[index % len(deployment.nodes)].listen
+            book(node, f"r-{index}-{number}")
+
+    threads = [threading.Thread(target=keep_booking, args=(i,)) for i in range(6)]
+    for thread in threads:
+        thread.start()
+    for i in range(times):
+        name = f"booking-{i % 2}"
+        time.sleep(0.5)
+        asked = time.time()
+        deployment.command("drain", name)
+        time.sleep(2)
+        late = [
+            record["at"] / 1000 - asked
+            for record in deployment.records()
+            if record["event"] == "run" and record["vm"] == name
+            and record["at"] / 1000 > asked
+        ]  # fmt: skip
+        seconds.append(max(late, default=0))
+        deployment.command("drain", name, "--undo")
+        wait_until(lambda: deployment.serving("booking") == 2)
+    stop.set()
+    for thread in threads:
+        thread.join()
+    show("drained_to_last_new_work", seconds)
+
+
+def main():
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--build", default="build")
+    parser.add_argument("--times", type=int, default=8)
+    arguments = parser.parse_args()
+    with Deployment(os.path.abspath(arguments.build), Shape(nodes=6)) as deployment:
+        text = without_limits(brennock.configuration(4, 2).to_toml())
+        deployment.apply(text)
+        for node in range(6):
+            wait_until(lambda n=node: deployment.serving("advisor", n) == 4)
+            wait_until(lambda n=node: deployment.serving("booking", n) == 2)
+        in_force(deployment, text, arguments.times)
+        show("member_killed_to_out", lost_member(deployment, signal.SIGKILL, arguments.times))
+        show("member_paused_to_out", lost_member(deployment, signal.SIGSTOP, arguments.times))
+        last_work(deployment, arguments.times)
+
+
+if __name__ == "__main__":
+    main()
