Leave out callers that are gone, and split what had grown large

A request whose caller closed while it waited is dropped as not run before its intent is written: test_a_caller_that_leaves_while_waiting_is_not_served shows 16 of 20 run (the slots), where all 20 would have run.

Split: PlanningRound from GroupPlanner, PlatformState from Node, DrainedVms from two copies, one way to build a refusal of a request that was not run. A changed queue_limit applies to running nodes.

--- a/bench/RoutingExperiment.cpp
+++ b/bench/RoutingExperiment.cpp
@@ -4,6 +4,7 @@
 
 #include "limits/AdmissionQueue.h"
 #include "routing/Router.h"
+#include "scenarios/VirtualTime.h"
 
 #include <CLI/CLI.hpp>
 #include <algorithm>
@@ -11,7 +12,6 @@
 #include <fmt/format.h>
 #include <functional>
 #include <iostream>
-#include <queue>
 
 using namespace apricottrack;
 
@@ -111,42 +111,20 @@
   {
     this->Report();
     this->ScheduleArrival();
-    while (!this->events.empty() && this->arrived < this->setup.requests) {
-      this->Step();
+    while (this->arrived < this->setup.requests) {
+      this->time.RunUntil(this->time.Now() + milliseconds(100));
     }
-    const Instant lastArrival = this->now;
-    while (!this->events.empty() && this->pending > 0) {
-      this->Step();
+    this->outcomes.endSeconds = ToSeconds(this->time.Now() - this->start);
+    while (this->pending > 0) {
+      this->time.RunUntil(this->time.Now() + seconds(1));
     }
-    this->outcomes.endSeconds = ToSeconds(lastArrival - Instant{});
     return std::move(this->outcomes);
   }
 
 private:
-  struct Event
-  {
-    Instant at;
-    std::uint64_t order = 0;
-    std::function<void()> run;
-    bool operator<(const Event& aOther) const
-    {
-      return std::tie(aOther.at, aOther.order) <
-             std::tie(this->at, this->order);
-    }
-  };
-
-  void Step()
-  {
-    Event event = this->events.top();
-    this->events.pop();
-    this->now = event.at;
-    event.run();
-  }
-
   void After(double aSeconds, std::function<void()> aRun)
   {
-    this->events.push(
-      { this->now + FromSeconds(aSeconds), this->order++, std::move(aRun) });
+    this->time.After(FromSeconds(aSeconds), std::move(aRun));
   }
 
   double ServiceSeconds() const
@@ -180,19 +158,19 @@
   {
     ++this->arrived;
     const TicketId id = static_cast<TicketId>(this->arrived);
-    const Arrival arrival{ .at = this->now,
-                           .deadline = this->now +
+    const Arrival arrival{ .at = this->time.Now(),
+                           .deadline = this->time.Now() +
                                        FromSeconds(this->setup.deadlineSeconds),
                            .prefix = this->DrawPrefix(),
                            .account = fmt::format("a{}", id % 10) };
     this->arrivals[id] = arrival;
     const Ticket ticket{ .id = id,
                          .account = arrival.account,
-                         .arrived = this->now,
+                         .arrived = this->time.Now(),
                          .deadline = this->setup.earlyRefusal
                                        ? arrival.deadline
-                                       : this->now + seconds(100'000) };
-    if (this->queue.Add(ticket, this->now) != AdmissionRefusal::kNone) {
+                                       : this->time.Now() + seconds(100'000) };
+    if (this->queue.Add(ticket, this->time.Now()) != AdmissionRefusal::kNone) {
       ++this->outcomes.refused;
       this->arrivals.erase(id);
       return;
@@ -204,15 +182,16 @@
   void Pump()
   {
     this->queue.SetConcurrency(this->router.TotalSlots());
-    for (const TicketId id : this->queue.Expire(this->now)) {
+    for (const TicketId id : this->queue.Expire(this->time.Now())) {
       ++this->outcomes.refused;
       --this->pending;
       this->arrivals.erase(id);
     }
-    for (const TicketId id :
-         this->queue.Dispatch(this->router.FreeSlots(this->now), this->now)) {
+    for (const TicketId id : this->queue.Dispatch(
+           this->router.FreeSlots(this->time.Now()), this->time.Now())) {
       const RouteKey key{ .prefix = this->arrivals[id].prefix };
-      const auto target = this->router.Choose(key, {}, this->now, this->random);
+      const auto target =
+        this->router.Choose(key, {}, this->time.Now(), this->random);
       if (target) {
         this->Send(id, *target);
       } else {
@@ -225,8 +204,8 @@
   void Send(TicketId aId, const Target& aTarget)
   {
     const auto index = static_cast<std::size_t>(std::stoi(aTarget.id));
-    this->router.OnStart(aTarget.id, this->now);
-    const Instant sentAt = this->now;
+    this->router.OnStart(aTarget.id, this->time.Now());
+    const Instant sentAt = this->time.Now();
     const auto start = [this, aId, index, sentAt] {
       this->Start(aId, index, sentAt);
     };
@@ -250,13 +229,14 @@
     this->outcomes.hits += hit ? 1 : 0;
     const std::string id = std::to_string(aIndex);
     this->After(prefill, [this, id, arrival, aSentAt] {
-      this->outcomes.firstTokens.push_back(ToSeconds(this->now - arrival.at));
-      this->router.OnFirstByte(id, this->now - aSentAt);
+      this->outcomes.firstTokens.push_back(
+        ToSeconds(this->time.Now() - arrival.at));
+      this->router.OnFirstByte(id, this->time.Now() - aSentAt);
     });
     this->After(prefill + slow * this->setup.decodeSeconds,
                 [this, aId, aIndex, id, arrival, aSentAt] {
-                  this->router.OnEnd(id, false, this->now);
-                  this->queue.OnFinished(this->now - aSentAt);
+                  this->router.OnEnd(id, false, this->time.Now());
+                  this->queue.OnFinished(this->time.Now() - aSentAt);
                   this->Finish(aId, aIndex, arrival);
                 });
   }
@@ -264,7 +244,7 @@
   void Finish(TicketId aId, std::size_t aIndex, const Arrival& aArrival)
   {
     ++this->outcomes.served;
-    this->outcomes.inTime += this->now <= aArrival.deadline ? 1 : 0;
+    this->outcomes.inTime += this->time.Now() <= aArrival.deadline ? 1 : 0;
     --this->pending;
     this->arrivals.erase(aId);
     Engine& engine = this->engines[aIndex];
@@ -282,7 +262,7 @@
   {
     for (std::size_t i = 0; i < this->targets.size(); ++i) {
       this->targets[i].reportedRequests = this->engines[i].Requests();
-      this->targets[i].reportedAt = this->now;
+      this->targets[i].reportedAt = this->time.Now();
     }
     this->router.SetTargets(this->targets);
     this->After(this->setup.reportSeconds, [this] { this->Report(); });
@@ -294,9 +274,8 @@
   std::vector<Engine> engines;
   std::vector<Target> targets;
   Random random;
-  Instant now;
-  std::priority_queue<Event> events;
-  std::uint64_t order = 0;
+  scenarios::VirtualTime time;
+  Instant start = this->time.Now();
   std::map<TicketId, Arrival> arrivals;
   int arrived = 0;
   int pending = 0;
--- a/src/groups/GroupPlanner.h
+++ b/src/groups/GroupPlanner.h
@@ -96,8 +96,6 @@
                    int aGroupsInDomain) const;
 
 private:
-  class Round;
-
   Options options;
 };
 
--- /dev/null
+++ b/src/groups/PlanningRound.cpp
@@ -0,0 +1,440 @@
+#include "groups/PlanningRound.h"
+
+#include <algorithm>
+#include <charconv>
+#include <set>
+
+namespace apricottrack {
+
+namespace {
+
+const GroupSet*
+FindSet(const Configuration& aConfiguration, std::string_view aName)
+{
+  const auto& sets = aConfiguration.groupSets;
+  const auto found =
+    std::find_if(sets.begin(), sets.end(), [aName](const GroupSet& aSet) {
+      return aSet.name == aName;
+    });
+  return found == sets.end() ? nullptr : &*found;
+}
+
+std::string
+GroupName(const GroupSet& aSet, int aIndex)
+{
+  return aSet.name + "-" + std::to_string(aIndex);
+}
+
+/// True if the configuration still asks for the group as it was formed.
+bool
+IsDeclared(const Configuration& aConfiguration, const Assignment& aAssignment)
+{
+  const GroupSet* const set = FindSet(aConfiguration, aAssignment.set);
+  if (set == nullptr || set->service != aAssignment.service ||
+      set->size != static_cast<int>(aAssignment.members.size())) {
+    return false;
+  }
+  const std::string_view group = aAssignment.group;
+  const std::string_view digits = group.substr(group.rfind('-') + 1);
+  int index = -1;
+  std::from_chars(digits.data(), digits.data() + digits.size(), index);
+  return index >= 0 && index < set->count && GroupName(*set, index) == group;
+}
+
+} // namespace
+
+PlanningRound::PlanningRound(const GroupPlanner::Options& aOptions,
+                             const GroupPlanner& aPlanner,
+                             const PlannerView& aView,
+                             UnixMillis aWallNow,
+                             Instant aNow)
+  : options(aOptions)
+  , planner(aPlanner)
+  , view(aView)
+  , wallNow(aWallNow)
+  , now(aNow)
+  , plans(aView.plans)
+{
+  for (const Vm& vm : aView.vms) {
+    this->byId[vm.id] = &vm;
+    if (!vm.fabricDomain.empty()) {
+      this->plans.try_emplace(vm.fabricDomain,
+                              DomainPlan{ .domain = vm.fabricDomain,
+                                          .epoch = 0,
+                                          .author = {},
+                                          .assignments = {},
+                                          .releases = {} });
+    }
+  }
+}
+
+std::vector<DomainPlan>
+PlanningRound::Run()
+{
+  for (auto& [domain, plan] : this->plans) {
+    this->SettleReleases(plan);
+    this->DrainUnwanted(plan);
+    this->EndDrained(plan);
+    this->Repair(plan);
+  }
+  this->FormMissing();
+  return this->Changed();
+}
+
+bool
+PlanningRound::IsHeard(std::string_view aVm) const
+{
+  const auto found = this->view.reports.find(aVm);
+  return found != this->view.reports.end() &&
+         this->now - found->second.heardAt <= this->options.lostAfter;
+}
+
+bool
+PlanningRound::IsLeaving(std::string_view aVm) const
+{
+  return this->view.leaving.contains(aVm);
+}
+
+bool
+PlanningRound::MayJudgeSilence() const
+{
+  if (this->options.silence == GroupPlanner::SilenceRule::kAlways) {
+    return true;
+  }
+  return this->now - this->view.observingSince > this->options.lostAfter &&
+         std::any_of(
+           this->view.reports.begin(),
+           this->view.reports.end(),
+           [this](const auto& aItem) { return this->IsHeard(aItem.first); });
+}
+
+bool
+PlanningRound::IsLost(const PlannedMember& aMember) const
+{
+  if (!this->IsHeard(aMember.vm)) {
+    return this->MayJudgeSilence();
+  }
+  const auto& report = this->view.reports.find(aMember.vm)->second;
+  return report.incarnation != aMember.incarnation;
+}
+
+int
+PlanningRound::LostMembers(const Assignment& aAssignment) const
+{
+  return static_cast<int>(std::count_if(
+    aAssignment.members.begin(),
+    aAssignment.members.end(),
+    [this](const PlannedMember& aMember) { return this->IsLost(aMember); }));
+}
+
+void
+PlanningRound::SettleReleases(DomainPlan& aPlan) const
+{
+  std::erase_if(aPlan.releases, [this](const Release& aRelease) {
+    const auto found = this->view.reports.find(aRelease.vm);
+    if (found == this->view.reports.end() || !this->IsHeard(aRelease.vm)) {
+      return !this->byId.contains(aRelease.vm);
+    }
+    return found->second.incarnation != aRelease.incarnation ||
+           found->second.group.empty();
+  });
+}
+
+void
+PlanningRound::DrainUnwanted(DomainPlan& aPlan) const
+{
+  for (Assignment& assignment : aPlan.assignments) {
+    const bool leaving = std::any_of(assignment.members.begin(),
+                                     assignment.members.end(),
+                                     [this](const PlannedMember& aMember) {
+                                       return this->IsLeaving(aMember.vm);
+                                     });
+    const bool declared = IsDeclared(this->view.configuration, assignment);
+    if (assignment.state == AssignmentState::kActive &&
+        (leaving || !declared)) {
+      assignment.state = AssignmentState::kDraining;
+      assignment.drainingSince = this->wallNow;
+    }
+  }
+}
+
+bool
+PlanningRound::HasDrained(const Assignment& aAssignment) const
+{
+  const Duration since =
+    milliseconds(this->wallNow - aAssignment.drainingSince);
+  const PlannedMember& first = aAssignment.members.front();
+  const bool idle = this->IsHeard(first.vm) &&
+                    this->view.reports.find(first.vm)->second.requests == 0;
+  return this->LostMembers(aAssignment) > 0 ||
+         (since >= this->options.drainSettle && idle) ||
+         since >= this->options.drainLimit;
+}
+
+void
+PlanningRound::EndDrained(DomainPlan& aPlan) const
+{
+  for (std::size_t i = aPlan.assignments.size(); i-- > 0;) {
+    const Assignment& assignment = aPlan.assignments[i];
+    if (assignment.state == AssignmentState::kDraining &&
+        this->HasDrained(assignment)) {
+      this->Dissolve(aPlan, i);
+    }
+  }
+}
+
+void
+PlanningRound::Dissolve(DomainPlan& aPlan, std::size_t aIndex) const
+{
+  const Assignment assignment = aPlan.assignments[aIndex];
+  aPlan.assignments.erase(aPlan.assignments.begin() +
+                          static_cast<std::ptrdiff_t>(aIndex));
+  for (const PlannedMember& member : assignment.members) {
+    this->AddRelease(aPlan, assignment, member);
+  }
+}
+
+void
+PlanningRound::AddRelease(DomainPlan& aPlan,
+                          const Assignment& aAssignment,
+                          const PlannedMember& aMember) const
+{
+  const GroupSet* const set =
+    FindSet(this->view.configuration, aAssignment.set);
+  if (set == nullptr || !set->checksFencing) {
+    aPlan.releases.push_back(
+      Release{ .vm = aMember.vm, .incarnation = aMember.incarnation });
+  }
+}
+
+std::vector<const Vm*>
+PlanningRound::FreeVms(const DomainPlan& aPlan, const std::string& aRole) const
+{
+  std::vector<const Vm*> free;
+  for (const Vm& vm : this->view.vms) {
+    if (vm.fabricDomain == aPlan.domain && vm.role == aRole &&
+        !this->IsLeaving(vm.id) && this->IsHeard(vm.id) &&
+        !this->IsTaken(vm.id)) {
+      free.push_back(&vm);
+    }
+  }
+  return free;
+}
+
+bool
+PlanningRound::IsTaken(const std::string& aVm) const
+{
+  for (const auto& [domain, plan] : this->plans) {
+    for (const Release& release : plan.releases) {
+      if (release.vm == aVm) {
+        return true;
+      }
+    }
+    for (const Assignment& assignment : plan.assignments) {
+      for (const PlannedMember& member : assignment.members) {
+        if (member.vm == aVm) {
+          return true;
+        }
+      }
+    }
+  }
+  return false;
+}
+
+PlannedMember
+PlanningRound::MakeMember(const Vm& aVm) const
+{
+  return PlannedMember{
+    .vm = aVm.id,
+    .incarnation = this->view.reports.find(aVm.id)->second.incarnation,
+    .address = aVm.address,
+  };
+}
+
+bool
+PlanningRound::Replace(DomainPlan& aPlan, Assignment& aAssignment) const
+{
+  const GroupSet* const set =
+    FindSet(this->view.configuration, aAssignment.set);
+  std::vector<const Vm*> free =
+    set == nullptr ? std::vector<const Vm*>{} : this->FreeVms(aPlan, set->role);
+  std::vector<PlannedMember> members = aAssignment.members;
+  std::vector<PlannedMember> replaced;
+  for (PlannedMember& member : members) {
+    if (!this->IsLost(member)) {
+      continue;
+    }
+    const auto known = this->byId.find(member.vm);
+    const bool restarted = this->IsHeard(member.vm) &&
+                           known != this->byId.end() &&
+                           !this->IsLeaving(member.vm);
+    if (!restarted && free.empty()) {
+      return false;
+    }
+    const Vm* const vm = restarted ? known->second : free.back();
+    if (!restarted) {
+      free.pop_back();
+      replaced.push_back(member);
+    }
+    member = this->MakeMember(*vm);
+  }
+  for (const PlannedMember& member : replaced) {
+    this->AddRelease(aPlan, aAssignment, member);
+  }
+  aAssignment.members = std::move(members);
+  aAssignment.epoch = aPlan.epoch + 1;
+  return true;
+}
+
+void
+PlanningRound::Repair(DomainPlan& aPlan) const
+{
+  for (;;) {
+    std::vector<std::size_t> broken = this->BrokenGroups(aPlan);
+    std::erase_if(broken, [this, &aPlan](std::size_t aIndex) {
+      return this->Replace(aPlan, aPlan.assignments[aIndex]);
+    });
+    if (broken.empty() || !this->GiveUpOne(aPlan, broken)) {
+      return;
+    }
+  }
+}
+
+std::vector<std::size_t>
+PlanningRound::BrokenGroups(const DomainPlan& aPlan) const
+{
+  std::vector<std::size_t> broken;
+  for (std::size_t i = 0; i < aPlan.assignments.size(); ++i) {
+    if (aPlan.assignments[i].state == AssignmentState::kActive &&
+        this->LostMembers(aPlan.assignments[i]) > 0) {
+      broken.push_back(i);
+    }
+  }
+  std::stable_sort(
+    broken.begin(), broken.end(), [&](std::size_t aLeft, std::size_t aRight) {
+      return this->LostMembers(aPlan.assignments[aLeft]) <
+             this->LostMembers(aPlan.assignments[aRight]);
+    });
+  return broken;
+}
+
+bool
+PlanningRound::GiveUpOne(DomainPlan& aPlan,
+                         const std::vector<std::size_t>& aBroken) const
+{
+  const std::size_t worst = aBroken.back();
+  const Assignment& assignment = aPlan.assignments[worst];
+  const bool helpsAnother =
+    aBroken.size() > 1 &&
+    this->LostMembers(assignment) < static_cast<int>(assignment.members.size());
+  const bool allLost = this->LostMembers(assignment) ==
+                       static_cast<int>(assignment.members.size());
+  if (!helpsAnother && !allLost && !this->FitsElsewhere(aPlan, assignment)) {
+    return false;
+  }
+  this->Dissolve(aPlan, worst);
+  return true;
+}
+
+bool
+PlanningRound::FitsElsewhere(const DomainPlan& aPlan,
+                             const Assignment& aAssignment) const
+{
+  const GroupSet* const set =
+    FindSet(this->view.configuration, aAssignment.set);
+  return set != nullptr &&
+         std::any_of(
+           this->plans.begin(), this->plans.end(), [&](const auto& aItem) {
+             return aItem.first != aPlan.domain &&
+                    static_cast<int>(
+                      this->FreeVms(aItem.second, set->role).size()) >=
+                      set->size;
+           });
+}
+
+void
+PlanningRound::FormMissing()
+{
+  std::set<std::string> present;
+  for (const auto& [domain, plan] : this->plans) {
+    for (const Assignment& assignment : plan.assignments) {
+      present.insert(assignment.group);
+    }
+  }
+  for (const GroupSet& set : this->view.configuration.groupSets) {
+    for (int i = 0; i < set.count; ++i) {
+      const std::string name = GroupName(set, i);
+      if (!present.contains(name) && !this->Form(set, name)) {
+        break;
+      }
+    }
+  }
+}
+
+bool
+PlanningRound::Form(const GroupSet& aSet, const std::string& aName)
+{
+  DomainPlan* best = this->FindDomain(aSet, true);
+  if (best == nullptr) {
+    best = this->FindDomain(aSet, false);
+  }
+  if (best == nullptr) {
+    return false;
+  }
+  const std::vector<const Vm*> free = this->FreeVms(*best, aSet.role);
+  Assignment assignment{ .group = aName,
+                         .set = aSet.name,
+                         .service = aSet.service,
+                         .epoch = best->epoch + 1,
+                         .state = AssignmentState::kActive,
+                         .drainingSince = 0,
+                         .members = {} };
+  for (int i = 0; i < aSet.size; ++i) {
+    assignment.members.push_back(
+      this->MakeMember(*free[static_cast<std::size_t>(i)]));
+  }
+  best->assignments.push_back(std::move(assignment));
+  return true;
+}
+
+DomainPlan*
+PlanningRound::FindDomain(const GroupSet& aSet, bool aKeepSpares)
+{
+  DomainPlan* best = nullptr;
+  int bestFree = 0;
+  for (auto& [domain, plan] : this->plans) {
+    const int free = static_cast<int>(this->FreeVms(plan, aSet.role).size());
+    const int spares = aKeepSpares
+                         ? this->planner.SparesWanted(
+                             this->view.configuration.policy,
+                             aSet.size,
+                             static_cast<int>(plan.assignments.size()) + 1)
+                         : 0;
+    const bool better =
+      best == nullptr ||
+      (this->options.placement == GroupPlanner::Placement::kBestFit &&
+       free < bestFree);
+    if (free - aSet.size >= spares && better) {
+      best = &plan;
+      bestFree = free;
+    }
+  }
+  return best;
+}
+
+std::vector<DomainPlan>
+PlanningRound::Changed() const
+{
+  std::vector<DomainPlan> changed;
+  for (const auto& [domain, plan] : this->plans) {
+    const auto before = this->view.plans.find(domain);
+    const bool isNew = before == this->view.plans.end();
+    if (isNew ? !plan.assignments.empty() : plan != before->second) {
+      changed.push_back(plan);
+      ++changed.back().epoch;
+    }
+  }
+  return changed;
+}
+
+} // namespace apricottrack
--- a/src/intake/Refusal.cpp
+++ b/src/intake/Refusal.cpp
@@ -7,6 +7,19 @@
 
 namespace json = boost::json;
 
+Refusal
+RefuseNotRun(unsigned aStatus,
+             std::string_view aCode,
+             std::string_view aMessage,
+             std::optional<Duration> aRetryAfter)
+{
+  return Refusal{ .status = aStatus,
+                  .code = std::string(aCode),
+                  .outcome = Outcome::kNotRun,
+                  .message = std::string(aMessage),
+                  .retryAfter = aRetryAfter };
+}
+
 std::string
 RefusalBody(const Refusal& aRefusal, std::string_view aRequestId)
 {
--- a/src/intake/Refusal.h
+++ b/src/intake/Refusal.h
@@ -24,6 +24,13 @@
   friend bool operator==(const Refusal&, const Refusal&) = default;
 };
 
+/// A refusal of a request that was provably not run.
+Refusal
+RefuseNotRun(unsigned aStatus,
+             std::string_view aCode,
+             std::string_view aMessage,
+             std::optional<Duration> aRetryAfter = std::nullopt);
+
 /// The JSON body of a refusal.
 std::string
 RefusalBody(const Refusal& aRefusal, std::string_view aRequestId);
--- a/src/intake/RequestIntake.cpp
+++ b/src/intake/RequestIntake.cpp
@@ -36,11 +36,7 @@
 tl::unexpected<Refusal>
 Refuse(unsigned aStatus, std::string_view aCode, std::string_view aMessage)
 {
-  return tl::unexpected(Refusal{ .status = aStatus,
-                                 .code = std::string(aCode),
-                                 .outcome = Outcome::kNotRun,
-                                 .message = std::string(aMessage),
-                                 .retryAfter = std::nullopt });
+  return tl::unexpected(RefuseNotRun(aStatus, aCode, aMessage));
 }
 
 std::string_view
@@ -209,11 +205,10 @@
 {
   if (aConfiguration == nullptr) {
     return tl::unexpected(
-      Refusal{ .status = 503,
-               .code = "no_configuration",
-               .outcome = Outcome::kNotRun,
-               .message = "this node has not learnt a configuration yet",
-               .retryAfter = seconds(1) });
+      RefuseNotRun(503,
+                   "no_configuration",
+                   "this node has not learnt a configuration yet",
+                   seconds(1)));
   }
   RequestSpec spec;
   spec.configuration = std::move(aConfiguration);
--- a/src/limits/AdmissionQueue.h
+++ b/src/limits/AdmissionQueue.h
@@ -61,6 +61,7 @@
   /// Feeds the estimate of waiting time.
   void OnFinished(Duration aServiceTime);
   void SetConcurrency(int aSlots);
+  void SetLimit(int aLimit) { this->options.limit = aLimit; }
 
   /// Time that a ticket with this many before it will wait for its slot.
   Duration EstimatedWait(int aAhead) const;
--- a/src/node/Dispatcher.cpp
+++ b/src/node/Dispatcher.cpp
@@ -29,11 +29,10 @@
 Refusal
 Dispatcher::LateRefusal() const
 {
-  return Refusal{ .status = 503,
-                  .code = "deadline_unreachable",
-                  .outcome = Outcome::kNotRun,
-                  .message = "the request would be answered too late",
-                  .retryAfter = this->queue.EstimatedWait(this->queue.Size()) };
+  return RefuseNotRun(503,
+                      "deadline_unreachable",
+                      "the request would be answered too late",
+                      this->queue.EstimatedWait(this->queue.Size()));
 }
 
 Task<std::optional<Refusal>>
@@ -46,12 +45,10 @@
   aTicket.arrived = now;
   const AdmissionRefusal refused = this->queue.Add(std::move(aTicket), now);
   if (refused == AdmissionRefusal::kQueueFull) {
-    co_return Refusal{ .status = 503,
-                       .code = "queue_full",
-                       .outcome = Outcome::kNotRun,
-                       .message = "too many requests wait for this service",
-                       .retryAfter =
-                         this->queue.EstimatedWait(this->queue.Size()) };
+    co_return RefuseNotRun(503,
+                           "queue_full",
+                           "too many requests wait for this service",
+                           this->queue.EstimatedWait(this->queue.Size()));
   }
   if (refused == AdmissionRefusal::kDeadlineUnreachable) {
     co_return this->LateRefusal();
@@ -136,12 +133,8 @@
     if (!waiter->admitted &&
         aNow - waiter->since >= this->options.noTargetPatience) {
       this->queue.Remove(id);
-      this->RefuseWaiter(id,
-                         Refusal{ .status = 503,
-                                  .code = "no_target",
-                                  .outcome = Outcome::kNotRun,
-                                  .message = "no target serves now",
-                                  .retryAfter = seconds(2) });
+      this->RefuseWaiter(
+        id, RefuseNotRun(503, "no_target", "no target serves now", seconds(2)));
     }
   }
 }
--- a/src/node/Dispatcher.h
+++ b/src/node/Dispatcher.h
@@ -28,6 +28,9 @@
 
   Dispatcher(boost::asio::any_io_executor aExecutor, Options aOptions);
 
+  /// Applies a changed configuration to requests that come from now on.
+  void SetQueueLimit(int aLimit) { this->queue.SetLimit(aLimit); }
+
   void SetTargets(const std::vector<Target>& aTargets, Instant aNow);
 
   /// Waits for a slot. Done with nothing once the request may start, or with
--- a/src/node/Node.cpp
+++ b/src/node/Node.cpp
@@ -10,6 +10,7 @@
 #include "node/KeeperTask.h"
 #include "node/LeaseTask.h"
 #include "node/NodeContext.h"
+#include "node/PlatformState.h"
 #include "node/PlatformTask.h"
 #include "node/ProbeTask.h"
 #include "node/RequestRun.h"
@@ -47,22 +48,6 @@
                      .peer = aContext.settings.peerListen };
 }
 
-std::set<std::string, std::less<>>
-ParseDrained(std::string_view aText)
-{
-  std::set<std::string, std::less<>> vms;
-  boost::system::error_code error;
-  const json::value value = json::parse(aText, error);
-  if (!error && value.is_array()) {
-    for (const json::value& item : value.get_array()) {
-      if (item.is_string()) {
-        vms.emplace(item.get_string());
-      }
-    }
-  }
-  return vms;
-}
-
 } // namespace
 
 class Node::Impl
@@ -74,12 +59,6 @@
   void Stop(std::function<void()> aDone);
 
 private:
-  void OnPlatformValues(const std::vector<KeyValue>& aValues, bool aComplete);
-  void OnPlatformValue(const KeyValue& aValue);
-  void OnConfiguration(const StoredConfiguration& aStored);
-  void OnNode(const KeyValue& aValue);
-  void DropAbsent(const std::vector<KeyValue>& aValues);
-  void OnPlan(const KeyValue& aValue);
   void OnVms(VmList aVms);
   void Refresh();
   Task<void> RefreshRegularly();
@@ -93,6 +72,7 @@
   NodeContext context;
   EtcdStore store;
   AdminEndpoint admin;
+  PlatformState state;
   std::shared_ptr<HttpServer> callerServer;
   std::shared_ptr<HttpServer> adminServer;
   PlatformTask platform;
@@ -102,8 +82,6 @@
   LeaseTask plannerLease;
   KeeperTask keeper;
   PeerTask peers;
-  /// Somebody holds the planner's lease, as last heard.
-  bool plannerSeen = false;
 };
 
 Node::Impl::Impl(asio::any_io_executor aExecutor, Settings aSettings)
@@ -127,11 +105,16 @@
   }
   , store(aExecutor, EtcdStore::Options{ .address = this->settings.platform })
   , admin(this->context)
+  , state(this->context,
+          [this](const std::string& aDomain, Revision aRevision) {
+            this->keeper.SetRevision(aDomain, aRevision);
+          })
   , platform(aExecutor,
              this->store,
              PlatformTask::Options{},
              [this](const std::vector<KeyValue>& aValues, bool aComplete) {
-               this->OnPlatformValues(aValues, aComplete);
+               this->state.Take(aValues, aComplete);
+               this->Refresh();
              })
   , vmList(aExecutor,
            this->settings.vmList,
@@ -155,7 +138,7 @@
                                      .ttlSeconds = kPlannerLeaseSeconds,
                                      .renewEvery = milliseconds(1000),
                                      .mayTry =
-                                       [this] { return !this->plannerSeen; } })
+                                       [this] { return !this->state.PlannerSeen(); } })
   , keeper(this->context,
            this->store,
            GroupPlanner::Options{},
@@ -167,7 +150,7 @@
           this->context.limiter,
           this->context.configuration,
           [this](const StoredConfiguration& aStored) {
-            this->OnConfiguration(aStored);
+            this->state.TakeConfiguration(aStored);
             this->Refresh();
           })
 {
@@ -260,102 +243,6 @@
     .Info();
 }
 
-void
-Node::Impl::OnPlatformValues(const std::vector<KeyValue>& aValues,
-                             bool aComplete)
-{
-  if (aComplete) {
-    this->DropAbsent(aValues);
-  }
-  for (const KeyValue& value : aValues) {
-    this->OnPlatformValue(value);
-  }
-  this->Refresh();
-}
-
-void
-Node::Impl::DropAbsent(const std::vector<KeyValue>& aValues)
-{
-  bool drainedSeen = false;
-  bool plannerThere = false;
-  std::vector<std::string> nodes;
-  for (const KeyValue& value : aValues) {
-    drainedSeen = drainedSeen || value.key == keys::kDrained;
-    plannerThere = plannerThere || value.key == keys::kPlanner;
-    if (value.key.starts_with(keys::kNodePrefix)) {
-      nodes.push_back(value.key.substr(keys::kNodePrefix.size()));
-    }
-  }
-  if (!drainedSeen) {
-    this->context.view.SetDrained({});
-  }
-  this->plannerSeen = plannerThere;
-  this->context.directory.KeepOnly(nodes);
-}
-
-void
-Node::Impl::OnPlatformValue(const KeyValue& aValue)
-{
-  if (aValue.key == keys::kConfiguration) {
-    const auto stored =
-      ParseStoredConfiguration(aValue.value, this->settings.platform);
-    if (stored) {
-      this->OnConfiguration(*stored);
-    } else {
-      LogLine("configuration_unreadable").With(stored.error()).Warn();
-    }
-  } else if (aValue.key == keys::kDrained) {
-    this->context.view.SetDrained(ParseDrained(aValue.value));
-  } else if (aValue.key == keys::kPlanner) {
-    this->plannerSeen = aValue.revision != 0;
-  } else if (aValue.key.starts_with(keys::kPlanPrefix)) {
-    this->OnPlan(aValue);
-  } else if (aValue.key.starts_with(keys::kNodePrefix)) {
-    this->OnNode(aValue);
-  }
-}
-
-void
-Node::Impl::OnNode(const KeyValue& aValue)
-{
-  const auto record = ParseNodeRecord(aValue.value);
-  if (aValue.revision != 0 && record) {
-    this->context.directory.Set(*record);
-  } else {
-    this->context.directory.Remove(
-      std::string_view(aValue.key).substr(keys::kNodePrefix.size()));
-  }
-}
-
-void
-Node::Impl::OnConfiguration(const StoredConfiguration& aStored)
-{
-  const OfferResult result = this->context.configuration.Offer(aStored);
-  if (result == OfferResult::kTaken) {
-    LogLine("configuration_in_force")
-      .With("version", static_cast<std::int64_t>(aStored.version))
-      .With("submission", aStored.submission)
-      .With("delay_ms", WallNow() - aStored.submittedAt)
-      .Info();
-  } else if (result == OfferResult::kInvalid) {
-    LogLine("configuration_invalid")
-      .With("version", static_cast<std::int64_t>(aStored.version))
-      .Warn();
-  }
-}
-
-void
-Node::Impl::OnPlan(const KeyValue& aValue)
-{
-  auto plan = ParseDomainPlan(aValue.value, this->settings.platform);
-  if (!plan || plan->domain.empty()) {
-    LogLine("plan_unreadable").With("key", aValue.key).Warn();
-    return;
-  }
-  this->keeper.SetRevision(plan->domain, aValue.revision);
-  this->context.view.SetPlan(std::move(*plan));
-}
-
 void
 Node::Impl::OnVms(VmList aVms)
 {
@@ -380,6 +267,7 @@
                                this->settings.availabilityZone,
                              .queueLimit = service.queueLimit });
     }
+    dispatcher->SetQueueLimit(service.queueLimit);
     dispatcher->SetTargets(this->context.view.TargetsFor(service, now), now);
   }
 }
--- a/src/node/NodeView.cpp
+++ b/src/node/NodeView.cpp
@@ -25,7 +25,7 @@
 }
 
 void
-NodeView::SetDrained(std::set<std::string, std::less<>> aVms)
+NodeView::SetDrained(DrainedVms aVms)
 {
   this->drained = std::move(aVms);
   this->UpdateLeaving();
--- a/src/node/NodeView.h
+++ b/src/node/NodeView.h
@@ -3,6 +3,7 @@
 
 #include "apricottrack/Configuration.h"
 #include "groups/DomainPlan.h"
+#include "groups/DrainedVms.h"
 #include "groups/GroupGate.h"
 #include "groups/Vm.h"
 #include "report/BurnLedger.h"
@@ -33,7 +34,7 @@
   void SetVms(VmList aVms);
   void SetPlan(DomainPlan aPlan);
   void DropPlan(const std::string& aDomain);
-  void SetDrained(std::set<std::string, std::less<>> aVms);
+  void SetDrained(DrainedVms aVms);
   void SetReport(const std::string& aVm, MemberReport aReport);
 
   /// The targets of a service that may take requests now.
@@ -71,7 +72,7 @@
   VmList vms;
   DomainPlans plans;
   MemberReports reports;
-  std::set<std::string, std::less<>> drained;
+  DrainedVms drained;
   std::set<std::string, std::less<>> leaving;
   std::map<std::string, std::string, std::less<>> zones;
 };
--- a/src/node/RequestRun.cpp
+++ b/src/node/RequestRun.cpp
@@ -68,11 +68,8 @@
   const auto wait = this->context.limiter.Admit(
     *this->spec.account, this->spec.estimatedTokens, this->arrived);
   if (wait) {
-    return Refusal{ .status = 429,
-                    .code = "account_limit",
-                    .outcome = Outcome::kNotRun,
-                    .message = "the account's limit is reached",
-                    .retryAfter = *wait };
+    return RefuseNotRun(
+      429, "account_limit", "the account's limit is reached", *wait);
   }
   return std::nullopt;
 }
@@ -82,11 +79,8 @@
 {
   const auto found = this->context.dispatchers.find(this->spec.service->name);
   if (found == this->context.dispatchers.end()) {
-    co_return Refusal{ .status = 503,
-                       .code = "no_target",
-                       .outcome = Outcome::kNotRun,
-                       .message = "the service is not set up yet",
-                       .retryAfter = seconds(1) };
+    co_return RefuseNotRun(
+      503, "no_target", "the service is not set up yet", seconds(1));
   }
   this->dispatcher = found->second.get();
   Ticket ticket;
@@ -100,6 +94,12 @@
 Task<RequestRun::Ending>
 RequestRun::Execute()
 {
+  if (!this->exchange.CallerPresent()) {
+    this->dispatcher->Abandon();
+    co_return Ending{ .outcome = Outcome::kNotRun,
+                      .refusal = RefuseNotRun(
+                        499, "caller_gone", "the caller did not wait") };
+  }
   if (!this->spec.idempotent) {
     const auto ended = co_await this->RecordIntent();
     if (ended) {
@@ -148,21 +148,18 @@
       co_return this->AnswerDuplicate(*resolution.entry);
     case IntentVerdict::kKeyReused:
       co_return Ending{ .outcome = Outcome::kNotRun,
-                        .refusal = Refusal{
-                          .status = 422,
-                          .code = "idempotency_key_reused",
-                          .outcome = Outcome::kNotRun,
-                          .message = "the key belongs to a different request",
-                          .retryAfter = std::nullopt } };
+                        .refusal = RefuseNotRun(
+                          422,
+                          "idempotency_key_reused",
+                          "the key belongs to a different request") };
     case IntentVerdict::kUnavailable:
       co_return Ending{ .outcome = Outcome::kNotRun,
-                        .refusal = Refusal{
-                          .status = 503,
-                          .code = "journal_unavailable",
-                          .outcome = Outcome::kNotRun,
-                          .message = "the request could not be recorded, "
-                                     "so it was not run",
-                          .retryAfter = seconds(2) } };
+                        .refusal =
+                          RefuseNotRun(503,
+                                       "journal_unavailable",
+                                       "the request could not be recorded, "
+                                       "so it was not run",
+                                       seconds(2)) };
   }
   co_return std::nullopt;
 }
--- a/src/operators/Operators.cpp
+++ b/src/operators/Operators.cpp
@@ -166,37 +166,7 @@
   co_return sum;
 }
 
-namespace {
-
-std::string
-EncodeDrained(const std::set<std::string>& aVms)
-{
-  json::array vms;
-  for (const std::string& vm : aVms) {
-    vms.emplace_back(vm);
-  }
-  return json::serialize(vms);
-}
-
-std::set<std::string>
-ReadDrained(std::string_view aText)
-{
-  std::set<std::string> vms;
-  boost::system::error_code error;
-  const json::value value = json::parse(aText, error);
-  if (!error && value.is_array()) {
-    for (const json::value& item : value.get_array()) {
-      if (item.is_string()) {
-        vms.emplace(item.get_string());
-      }
-    }
-  }
-  return vms;
-}
-
-} // namespace
-
-Task<Result<std::set<std::string>>>
+Task<Result<DrainedVms>>
 ChangeDrained(KeyValueStore& aStore, std::vector<std::string> aVms, bool aDrain)
 {
   Error last;
@@ -206,7 +176,7 @@
       last = present.error();
       continue;
     }
-    std::set<std::string> vms = ReadDrained(present->value);
+    DrainedVms vms = ParseDrainedVms(present->value);
     for (const std::string& vm : aVms) {
       if (aDrain) {
         vms.insert(vm);
@@ -216,7 +186,7 @@
     }
     Swap swap{ .key = std::string(keys::kDrained),
                .expected = present->revision,
-               .value = EncodeDrained(vms),
+               .value = EncodeDrainedVms(vms),
                .lease = 0 };
     const auto swapped = co_await aStore.CompareAndSwap(std::move(swap));
     if (swapped) {
--- a/src/operators/Operators.h
+++ b/src/operators/Operators.h
@@ -4,13 +4,13 @@
 #include "apricottrack/KeyValueStore.h"
 #include "apricottrack/Time.h"
 #include "config/StoredConfiguration.h"
+#include "groups/DrainedVms.h"
 #include "journal/JournalIndex.h"
 #include "membership/NodeDirectory.h"
 #include "report/BurnLedger.h"
 
 #include <boost/asio/any_io_executor.hpp>
 #include <boost/json/object.hpp>
-#include <set>
 #include <string>
 #include <vector>
 
@@ -54,7 +54,7 @@
 ReadBurn(boost::asio::any_io_executor aExecutor, KeyValueStore& aStore);
 
 /// Adds VMs to, or takes them off, the list of VMs that operators drain.
-Task<Result<std::set<std::string>>>
+Task<Result<DrainedVms>>
 ChangeDrained(KeyValueStore& aStore,
               std::vector<std::string> aVms,
               bool aDrain);
--- a/tests/wholepath/test_serving.py
+++ b/tests/wholepath/test_serving.py
@@ -149,6 +149,34 @@
         for connection in idle:
             connection.close()
 
+    def test_a_caller_that_leaves_while_waiting_is_not_served(self):
+        for vm in self.deployment.vms:
+            if vm.plain:
+                slow = json.dumps({"slow_percent": 50_000})
+                call(vm.address, "POST", "/control", slow)
+        host, port = self.node().split(":")
+        head = (
+            "POST /services/booking/bookings HTTP/1.1\r\nHost: x\r\n"
+            "Authorization: Bearer brennock-chain-1\r\nContent-Length: 0\r\n"
+        )
+        callers = []
+        for i in range(20):
+            caller = socket.create_connection((host, int(port)))
+            key = f"Idempotency-Key: leaver-{i}\r\n\r\n"
+            caller.sendall((head + key).encode())
+            callers.append(caller)
+        wait_until(
+            lambda: self.deployment.status()["services"]["booking"]["waiting"] > 0
+        )
+        for caller in callers:
+            caller.close()
+        wait_until(lambda: self.deployment.status()["in_flight"] == 0)
+        for vm in self.deployment.vms:
+            call(vm.address, "POST", "/control", "{}")
+        runs = runs_by_key(self.deployment.records())
+        ran = sum(runs[f"leaver-{i}"] for i in range(20))
+        self.assertEqual(ran, 16)
+
     def test_an_account_is_held_to_its_limit(self):
         answers = [
             call(self.node(), "GET", "/services/booking/slots", None,
--- a/tools/apricottrack.cpp
+++ b/tools/apricottrack.cpp
@@ -174,6 +174,9 @@
 std::vector<std::string>
 Unconfirmed(const std::vector<NodeStatus>& aNodes, std::uint64_t aVersion)
 {
+  if (aNodes.empty()) {
+    return { "(no node is registered)" };
+  }
   std::vector<std::string> names;
   for (const NodeStatus& node : aNodes) {
     const auto version = static_cast<std::uint64_t>(
