Run nothing after its deadline, and give back unused tokens

A request whose node was paused between its intent and its first attempt is refused as not run once its deadline has passed, and its key may be used again. Tokens charged to an account by estimate are given back when the request was not run, or when a stream ended earlier than allowed.

--- a/src/intake/RequestIntake.cpp
+++ b/src/intake/RequestIntake.cpp
@@ -106,8 +106,9 @@
     return Refuse(400, "malformed_body", "\"max_tokens\" is negative");
   }
   aSpec.prefixHash = StableHash(prefix, StableHash(aSpec.account->name));
+  aSpec.promptTokens = static_cast<double>(bytes) / kBytesPerToken;
   aSpec.estimatedTokens =
-    static_cast<double>(bytes) / kBytesPerToken +
+    aSpec.promptTokens +
     (maxTokens > 0 ? static_cast<double>(maxTokens) : kDefaultMaxTokens);
   aSpec.targetPath = kChatPath;
   return {};
--- a/src/intake/RequestIntake.h
+++ b/src/intake/RequestIntake.h
@@ -28,6 +28,8 @@
   std::string targetPath;
   /// Hash of the prompt's beginning; zero for plain services.
   std::uint64_t prefixHash = 0;
+  /// Tokens of the prompt, by its length.
+  double promptTokens = 0;
   /// Tokens that the request may cost, for the account's limit.
   double estimatedTokens = 0;
   Instant deadline;
--- a/src/node/RequestRun.cpp
+++ b/src/node/RequestRun.cpp
@@ -50,6 +50,7 @@
     ending = co_await this->Execute();
   }
   co_await this->Tell(ending);
+  this->SettleTokens(ending);
   this->Account(ending);
   --this->context.inFlight;
 }
@@ -71,6 +72,7 @@
     return RefuseNotRun(
       429, "account_limit", "the account's limit is reached", *wait);
   }
+  this->charged = true;
   return std::nullopt;
 }
 
@@ -108,7 +110,12 @@
     }
   }
   this->dispatcher->Begin();
-  Ending ending = co_await this->RunAttempts();
+  Ending ending = Ending{ .outcome = Outcome::kNotRun,
+                          .refusal = RefuseNotRun(
+                            504, "deadline_exceeded", "too late to be run") };
+  if (MonotonicNow() < this->spec.deadline) {
+    ending = co_await this->RunAttempts();
+  }
   if (!this->spec.idempotent) {
     co_await this->RecordEnd(ending);
   }
@@ -378,6 +385,22 @@
   return !this->refusal || this->refusal->status >= 500;
 }
 
+void
+RequestRun::SettleTokens(const Ending& aEnding)
+{
+  double used = this->spec.estimatedTokens;
+  if (aEnding.outcome == Outcome::kNotRun || this->replayed) {
+    used = 0;
+  } else if (this->relay.StreamStarted()) {
+    used =
+      this->spec.promptTokens + static_cast<double>(this->relay.EventsPassed());
+  }
+  if (this->charged) {
+    this->context.limiter.Settle(
+      this->spec.account->name, this->spec.estimatedTokens, used);
+  }
+}
+
 void
 RequestRun::Account(const Ending& aEnding)
 {
--- a/src/node/RequestRun.h
+++ b/src/node/RequestRun.h
@@ -45,6 +45,8 @@
                          const std::string& aAttemptId) const;
   Task<void> Tell(const Ending& aEnding);
   void Account(const Ending& aEnding);
+  /// Gives back tokens that the limit was charged and that were not used.
+  void SettleTokens(const Ending& aEnding);
   JournalTask& Journal();
 
   NodeContext& context;
@@ -60,6 +62,8 @@
   Duration firstByte = Duration::zero();
   int attempts = 0;
   bool mayHaveRun = false;
+  /// The account's limit was charged.
+  bool charged = false;
   /// The answer was recorded by an earlier attempt.
   bool replayed = false;
 };
--- a/tests/AccountLimiterTest.cpp
+++ b/tests/AccountLimiterTest.cpp
@@ -55,6 +55,16 @@
   CHECK_FALSE(limiter.Admit(account, 100, Instant{} + *wait));
 }
 
+TEST_CASE("tokens that were not used are given back")
+{
+  AccountLimiter limiter;
+  const ClientAccount account = Account(1000, 100);
+  REQUIRE_FALSE(limiter.Admit(account, 200, Instant{}));
+  REQUIRE(limiter.Admit(account, 150, Instant{}));
+  limiter.Settle("shop", 200, 20);
+  CHECK_FALSE(limiter.Admit(account, 150, Instant{}));
+}
+
 TEST_CASE("shares of nodes with the same view add up to the limit")
 {
   const std::vector<double> demands{ 100, 20, 0, 5 };
--- a/tests/wholepath/test_platform.py
+++ b/tests/wholepath/test_platform.py
@@ -4,6 +4,7 @@
 import json
 import os
 import signal
+import time
 import unittest
 
 from deployment import Deployment, Shape, book, call, chat, wait_until
@@ -54,6 +55,22 @@
         self.assertEqual(book(self.node(), "slow-1")[0], 200)
         self.assertEqual(chat(self.node(), "fast")[0], 200)
 
+    def test_a_booking_whose_node_wakes_up_too_late_is_not_run(self):
+        self.platform(delay_ms=300)
+        node = self.deployment.nodes[0]
+        with concurrent.futures.ThreadPoolExecutor(1) as pool:
+            answer = pool.submit(book, node.listen, "late-wake", timeout_ms=1000)
+            time.sleep(0.15)
+            node.process.send_signal(signal.SIGSTOP)
+            time.sleep(1.5)
+            node.process.send_signal(signal.SIGCONT)
+            status, body, headers = answer.result()
+        self.assertEqual(outcome_of(status, body, headers), "not_run")
+        self.assertEqual(runs_by_key(self.deployment.records())["late-wake"], 0)
+        self.platform(delay_ms=0)
+        wait_until(lambda: book(self.node(1), "late-wake")[0] == 200)
+        self.assertEqual(runs_by_key(self.deployment.records())["late-wake"], 1)
+
     def test_of_racing_submissions_one_is_accepted(self):
         def submit(i):
             text = self.text.replace("Brennock Software", f"Brennock {i}")
