--- /dev/null
+++ b/tests/NodeViewTest.cpp
@@ -0,0 +1,114 @@
+#include "node/NodeView.h"
+
+#include <catch2/catch.hpp>
+
+using namespace apricottrack;
+
+namespace {
+
+constexpr Instant kNow{ seconds(10) };
+
+Vm
+MakeVm(std::string aId, std::string aRole)
+{
+  return Vm{ .id = aId,
+             .address = aId + ":1",
+             .availabilityZone = "a",
+             .fabricDomain = "d",
+             .role = std::move(aRole) };
+}
+
+MemberReport
+Report(std::string aIncarnation, std::string aGroup = {})
+{
+  return MemberReport{ .incarnation = std::move(aIncarnation),
+                       .group = std::move(aGroup),
+                       .epoch = 1,
+                       .ready = true,
+                       .requests = 3,
+                       .heardAt = kNow };
+}
+
+NodeView
+MakeView()
+{
+  NodeView view(std::make_unique<WholeGroupGate>(seconds(2)), seconds(2));
+  view.SetVms({ MakeVm("p1", "web"), MakeVm("e1", "engine") });
+  view.SetReport("p1", Report("i1"));
+  view.SetReport("e1", Report("i2", "g-0"));
+  Assignment assignment;
+  assignment.group = "g-0";
+  assignment.service = "chat";
+  assignment.epoch = 1;
+  assignment.members = { { "e1", "i2", "e1:1" } };
+  DomainPlan plan;
+  plan.domain = "d";
+  plan.epoch = 1;
+  plan.assignments = { assignment };
+  view.SetPlan(plan);
+  return view;
+}
+
+Service
+MakeService(Contract aContract)
+{
+  Service service;
+  service.name = "chat";
+  service.contract = aContract;
+  service.role = "web";
+  return service;
+}
+
+} // namespace
+
+TEST_CASE("plain targets are heard VMs of the role, groups come from plans")
+{
+  const NodeView view = MakeView();
+  const auto plain = view.TargetsFor(MakeService(Contract::kPlain), kNow);
+  REQUIRE(plain.size() == 1);
+  CHECK(plain[0].id == "p1#i1");
+  CHECK(plain[0].reportedRequests == 3);
+  const auto groups = view.TargetsFor(MakeService(Contract::kChat), kNow);
+  REQUIRE(groups.size() == 1);
+  CHECK(groups[0].id == "g-0#1");
+  CHECK(groups[0].address == "e1:1");
+}
+
+TEST_CASE("drained, leaving and unheard VMs are no targets")
+{
+  NodeView view = MakeView();
+  const Service plain = MakeService(Contract::kPlain);
+  const Service chat = MakeService(Contract::kChat);
+  CHECK(view.TargetsFor(plain, kNow + seconds(3)).empty());
+  CHECK(view.TargetsFor(chat, kNow + seconds(3)).empty());
+  view.SetDrained({ "p1", "e1" });
+  CHECK(view.TargetsFor(plain, kNow).empty());
+  CHECK(view.TargetsFor(chat, kNow).empty());
+  view.SetDrained({});
+  CHECK(view.TargetsFor(chat, kNow).size() == 1);
+}
+
+TEST_CASE("an older plan or report does not replace a newer one")
+{
+  NodeView view = MakeView();
+  DomainPlan older;
+  older.domain = "d";
+  view.SetPlan(older);
+  CHECK(view.Plans().at("d").epoch == 1);
+  MemberReport late = Report("old");
+  late.heardAt = kNow - seconds(1);
+  view.SetReport("p1", late);
+  CHECK(view.Reports().find("p1")->second.incarnation == "i1");
+}
+
+TEST_CASE("the fleet's time is split into serving, down and stranded")
+{
+  NodeView view = MakeView();
+  Configuration configuration;
+  configuration.groupSets = { { .name = "g", .role = "engine", .count = 2 } };
+  const FleetTime time = view.MeasureFleet(configuration, seconds(1), kNow);
+  CHECK(time == FleetTime{ .downtime = 1, .stranded = 0, .total = 1 });
+  view.SetDrained({ "e1" });
+  const FleetTime drained = view.MeasureFleet(configuration, seconds(1), kNow);
+  CHECK(drained.downtime == 2);
+}
