--- a/tests/wholepath/test_faults.py
+++ b/tests/wholepath/test_faults.py
@@ -109,6 +109,27 @@
         group = self.deployment.status()["groups"][0]
         self.assertNotIn(victim.name, group["members"])
 
+    def test_a_dark_domain_leaves_the_other_serving_and_comes_back(self):
+        whole = content_of(chat(self.node(), "dark", tokens=20)[1])
+        dark = [vm for vm in self.engines() if vm.domain == "fabric-0"]
+        with concurrent.futures.ThreadPoolExecutor(6) as pool:
+            answers = [
+                pool.submit(chat, self.node(i % 2), "dark", stream=True, tokens=20)
+                for i in range(6)
+            ]
+            time.sleep(0.2)
+            for vm in dark:
+                vm.process.send_signal(signal.SIGKILL)
+            for answer in answers:
+                status, body, _ = answer.result()
+                self.assertEqual((status, content_of(body)), (200, whole))
+        wait_until(lambda: self.deployment.serving("advisor") == 2)
+        self.assertEqual(content_of(chat(self.node(), "dark", tokens=20)[1]), whole)
+        for vm in dark:
+            vm.process.wait()
+            self.deployment.start_vm(vm)
+        wait_until(lambda: self.deployment.serving("advisor") == 4)
+
     def test_requests_survive_the_kill_of_a_leader(self):
         whole = content_of(chat(self.node(), "survive", tokens=30)[1])
         with concurrent.futures.ThreadPoolExecutor(8) as pool:
