--- a/tests/scenarios/BookingScenario.cpp
+++ b/tests/scenarios/BookingScenario.cpp
@@ -138,7 +138,7 @@
 BookingNode::BookingNode(World& aWorld, int aIndex)
   : world(aWorld)
   , index(aIndex)
-  , writer(JournalWriter::Options{ .prefix = "j/", .segmentBytes = 8 * 1024 })
+  , writer(JournalWriter::Options{ .prefix = "j/", .segmentBytes = 8192 })
 {
 }
 
@@ -283,7 +283,7 @@
     time.After(milliseconds(1), [end] { end(AttemptEnd::kNotSent); });
     return;
   }
-  time.After(milliseconds(1), [this, &target, &time, aRequest, end] {
+  time.After(milliseconds(1), [&target, &time, aRequest, end] {
     target.runs.push_back({ aRequest->key, aRequest->nonce });
     if (target.dropsAnswers) {
       time.After(kWork, [end] { end(AttemptEnd::kNoAnswer); });
--- a/tests/scenarios/ConfigurationScenario.cpp
+++ b/tests/scenarios/ConfigurationScenario.cpp
@@ -121,7 +121,7 @@
     // Watches deliver within seconds and in any order across reconnects.
     for (std::size_t i = 0; i < this->nodes.size(); ++i) {
       const Duration delay = milliseconds(this->random() % 3000);
-      this->time.After(delay, [this, i, delay] {
+      this->time.After(delay, [this, i] {
         const auto stored =
           ParseStoredConfiguration(this->store.Values()[kKey].value, "store");
         if (stored && !this->nodes[i].cut && !this->store.down) {
