End the processes of a test deployment that fails to start

Cause: a deployment whose daemon could not be started left its stand-ins running, because clean-up was registered only after the start. Seen as 28 stand-ins left by two set-ups. Change: start ends what it began on failure. After: serving, silence and stop tests pass and leave no process.

--- a/tests/wholepath/deployment.py
+++ b/tests/wholepath/deployment.py
@@ -115,6 +115,14 @@
         return process
 
     def start(self):
+        """Starts all processes, or ends those that did start."""
+        try:
+            self._start_all()
+        except BaseException:
+            self.stop()
+            raise
+
+    def _start_all(self):
         self.spawn("kv", "standin", "kv", "--listen", self.kv)
         self._make_vms()
         listing = os.path.join(self.folder, "vms.json")
