--- a/include/apricottrack/Error.h
+++ b/include/apricottrack/Error.h
@@ -18,6 +18,8 @@
   kNoReply,
   /// The peer refused and did not act.
   kRefused,
+  /// The peer takes no calls for now; it did not act.
+  kBusy,
   /// A compare-and-swap found another revision than the expected one.
   kConflict,
   kTimeout,
--- a/include/apricottrack/Time.h
+++ b/include/apricottrack/Time.h
@@ -3,6 +3,7 @@
 
 #include <chrono>
 #include <cstdint>
+#include <ctime>
 
 /// Time types. Decisions take the present time as an argument and never read
 /// a clock themselves, so that they run the same on virtual time.
@@ -20,12 +21,16 @@
 using std::chrono::milliseconds;
 using std::chrono::seconds;
 
-/// Reads the monotonic clock. Only tasks call this.
+/// Reads a monotonic clock that also counts time in which the VM was
+/// suspended, so that a lease or a proof of freshness ages during a freeze.
+/// Only tasks call this. Timers run on another clock: arm them with durations.
 inline Instant
 MonotonicNow()
 {
-  return std::chrono::time_point_cast<Duration>(
-    std::chrono::steady_clock::now());
+  timespec now{};
+  clock_gettime(CLOCK_BOOTTIME, &now);
+  return Instant(std::chrono::duration_cast<Duration>(
+    std::chrono::seconds(now.tv_sec) + std::chrono::nanoseconds(now.tv_nsec)));
 }
 
 /// Reads the wall clock. Only tasks call this.
--- a/src/base/Error.cpp
+++ b/src/base/Error.cpp
@@ -16,6 +16,8 @@
       return "no_reply";
     case ErrorCode::kRefused:
       return "refused";
+    case ErrorCode::kBusy:
+      return "busy";
     case ErrorCode::kConflict:
       return "conflict";
     case ErrorCode::kTimeout:
--- a/src/base/JsonFields.cpp
+++ b/src/base/JsonFields.cpp
@@ -22,6 +22,14 @@
   return field != nullptr && field->is_int64() ? field->get_int64() : 0;
 }
 
+double
+JsonNumber(const json::object& aObject, std::string_view aName)
+{
+  const json::value* const field = aObject.if_contains(aName);
+  return field != nullptr && field->is_number() ? field->to_number<double>()
+                                                : 0;
+}
+
 bool
 JsonFlag(const json::object& aObject, std::string_view aName)
 {
--- a/src/base/JsonFields.h
+++ b/src/base/JsonFields.h
@@ -20,6 +20,10 @@
 std::int64_t
 JsonInteger(const boost::json::object& aObject, std::string_view aName);
 
+/// Any number, whole or not.
+double
+JsonNumber(const boost::json::object& aObject, std::string_view aName);
+
 bool
 JsonFlag(const boost::json::object& aObject, std::string_view aName);
 
--- a/src/config/Settings.cpp
+++ b/src/config/Settings.cpp
@@ -32,6 +32,31 @@
                     fallback));
 }
 
+ServingSettings
+ReadServing(TomlReader& aReader)
+{
+  ServingSettings serving;
+  serving.readyListen = ReadAddress(aReader, "ready_listen");
+  serving.revokeBound = ReadMilliseconds(
+    aReader, "revoke_bound_ms", 500, 600'000, serving.revokeBound);
+  serving.retryRatio =
+    aReader.Number("retry_ratio",
+                   { .least = 0, .most = 10, .unit = "repeats a request" },
+                   serving.retryRatio);
+  serving.retrySlack =
+    aReader.Integer("retry_slack",
+                    { .least = 0, .most = 1'000'000, .unit = "repeats" },
+                    serving.retrySlack);
+  serving.stopLimit =
+    FromSeconds(aReader.Number("stop_limit_s",
+                               { .least = 1, .most = 600, .unit = "seconds" },
+                               ToSeconds(serving.stopLimit)));
+  serving.drainBound = ReadMilliseconds(
+    aReader, "drain_bound_ms", 100, 600'000, serving.drainBound);
+  serving.firstStart = aReader.Flag("first_start", serving.firstStart);
+  return serving;
+}
+
 } // namespace
 
 tl::expected<Settings, Mistakes>
@@ -53,7 +78,12 @@
   settings.adminListen = ReadAddress(reader, "admin_listen");
   settings.peerListen = ReadAddress(reader, "peer_listen");
   settings.platform = ReadAddress(reader, "platform");
-  settings.vmList = ReadAddress(reader, "vm_list");
+  reader.Table("serving", [&](TomlReader& aServing) {
+    settings.serving = ReadServing(aServing);
+  });
+  if (!settings.serving) {
+    settings.vmList = ReadAddress(reader, "vm_list");
+  }
   settings.logLevel = kLevels[reader.Choice("log_level", kLevels, 0)];
   settings.probeInterval = ReadMilliseconds(
     reader, "probe_interval_ms", 50, 10'000, settings.probeInterval);
--- /dev/null
+++ b/src/fleet/Fleet.h
@@ -0,0 +1,61 @@
+#ifndef APRICOTTRACK_FLEET_FLEET_H
+#define APRICOTTRACK_FLEET_FLEET_H
+
+#include "fleet/TargetRecord.h"
+
+#include <functional>
+#include <map>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace apricottrack {
+
+/// The targets that the platform's store lists.
+class Fleet
+{
+public:
+  struct Options
+  {
+    /// Entries that lapsed during an outage of the store are back within
+    /// this time after it, if their targets live.
+    Duration returnGrace = milliseconds(2200);
+  };
+
+  using Records = std::map<std::string, TargetRecord, std::less<>>;
+
+  explicit Fleet(Options aOptions)
+    : options(aOptions)
+  {
+  }
+
+  void Put(TargetRecord aRecord);
+
+  /// Entries that vanish soon after an outage may come back, and are kept
+  /// until the grace is over.
+  void Remove(const std::string& aId, Instant aNow);
+
+  /// Takes a whole listing; whatever it lacks is removed.
+  void ReplaceAll(std::vector<TargetRecord> aRecords, Instant aNow);
+
+  /// The store answers again after it did not.
+  void OnStoreReturned(Instant aNow) { this->returnedAt = aNow; }
+
+  /// Drops the entries whose grace is over; true if there were any.
+  bool DropLapsed(Instant aNow);
+
+  const Records& All() const { return this->records; }
+  /// Null where there is no such target.
+  const TargetRecord* Find(std::string_view aId) const;
+
+private:
+  Options options;
+  Records records;
+  /// Targets that are missing from the store, by the end of their grace.
+  std::map<std::string, Instant, std::less<>> missing;
+  Instant returnedAt = Instant::min();
+};
+
+} // namespace apricottrack
+
+#endif
--- /dev/null
+++ b/src/fleet/TargetRecord.cpp
@@ -0,0 +1,25 @@
+#include "fleet/TargetRecord.h"
+
+namespace apricottrack {
+
+std::string_view
+MemberStateName(MemberState aState)
+{
+  switch (aState) {
+    case MemberState::kJoining:
+      return "joining";
+    case MemberState::kReady:
+      return "ready";
+    case MemberState::kOpen:
+      return "open";
+    case MemberState::kClosing:
+      return "closing";
+    case MemberState::kBroken:
+      return "broken";
+    case MemberState::kNone:
+      break;
+  }
+  return "none";
+}
+
+} // namespace apricottrack
--- a/src/http/HttpClient.cpp
+++ b/src/http/HttpClient.cpp
@@ -126,7 +126,7 @@
                         this->address,
                         error);
   }
-  if (parser.need_eof()) {
+  if (parser.need_eof() && !this->acceptsUnframed) {
     co_return Failure(ErrorCode::kBadReply,
                       "http.receive_head",
                       this->address,
@@ -284,8 +284,24 @@
       aPool.GiveBack(std::move(connection), MonotonicNow());
       co_return answer;
     }
+    if (answer.error().code == ErrorCode::kTimeout) {
+      // What silenced this connection may have silenced the others too.
+      aPool.DropIdle(aAddress);
+    }
   }
-  auto fresh = co_await aPool.OpenFresh(aAddress);
+  co_return co_await FetchFresh(
+    aPool, std::move(aAddress), std::move(aRequest), aTimeout);
+}
+
+Task<Result<HttpResponse>>
+FetchFresh(HttpConnectionPool& aPool,
+           std::string aAddress,
+           HttpRequest aRequest,
+           Duration aTimeout)
+{
+  aRequest.version(11);
+  aRequest.set(http::field::host, aAddress);
+  auto fresh = co_await aPool.OpenFresh(std::move(aAddress));
   if (!fresh) {
     co_return tl::unexpected(fresh.error());
   }
--- a/src/http/HttpClient.h
+++ b/src/http/HttpClient.h
@@ -29,6 +29,9 @@
   /// Sends a whole request. On failure bytes may have been sent.
   Task<Result<void>> Send(HttpRequest aRequest, Duration aTimeout);
 
+  /// Takes answers that have no length and end with the connection.
+  void AcceptUnframed() { this->acceptsUnframed = true; }
+
   /// Receives the head of the answer to the last request sent.
   Task<Result<HttpResponse>> ReceiveHead(Duration aTimeout,
                                          std::uint64_t aBodyLimit);
@@ -53,6 +56,7 @@
   struct State;
   std::string address;
   std::unique_ptr<State> state;
+  bool acceptsUnframed = false;
 };
 
 /// Idle connections by address. A connection is taken by one request at a
@@ -100,6 +104,13 @@
       HttpRequest aRequest,
       Duration aTimeout);
 
+/// One request and its whole answer over a fresh connection; sent once.
+Task<Result<HttpResponse>>
+FetchFresh(HttpConnectionPool& aPool,
+           std::string aAddress,
+           HttpRequest aRequest,
+           Duration aTimeout);
+
 } // namespace apricottrack
 
 #endif
--- a/src/http/HttpServer.cpp
+++ b/src/http/HttpServer.cpp
@@ -102,6 +102,23 @@
   return error == asio::error::would_block || (!error && size > 0);
 }
 
+void
+HttpExchange::WatchCaller(std::function<void()> aOnGone)
+{
+  this->onGone = std::make_shared<std::function<void()>>(std::move(aOnGone));
+  this->stream.socket().async_wait(tcp::socket::wait_read,
+                                   [this, weak = std::weak_ptr(this->onGone)](
+                                     const boost::system::error_code& aError) {
+                                     // Readable means closed, unless a further
+                                     // request is on its way.
+                                     const auto callback = weak.lock();
+                                     if (callback != nullptr && !aError &&
+                                         !this->CallerPresent()) {
+                                       (*callback)();
+                                     }
+                                   });
+}
+
 struct HttpServer::Session
 {
   explicit Session(tcp::socket aSocket)
@@ -198,11 +215,12 @@
 Task<bool>
 HttpServer::ServeOne(Session& aSession)
 {
-  const auto& limits = this->options.limits;
+  // A copy: limits may change while this request is received.
+  const HttpServerLimits limits = this->options.limits;
   http::request_parser<http::string_body> parser;
   parser.header_limit(limits.headerBytes);
   parser.body_limit(limits.bodyBytes);
-  aSession.stream.expires_after(limits.receiveTimeout);
+  aSession.stream.expires_after(limits.idleTimeout);
   if (aSession.buffer.size() == 0) {
     auto [waitError, read] = co_await aSession.stream.async_read_some(
       aSession.buffer.prepare(4096), kAsTuple);
@@ -212,6 +230,7 @@
     aSession.buffer.commit(read);
   }
   aSession.busy = true;
+  aSession.stream.expires_after(limits.receiveTimeout);
   auto [error, size] = co_await http::async_read_header(
     aSession.stream, aSession.buffer, parser, kAsTuple);
   if (!error && parser.get()[http::field::expect] == "100-continue") {
@@ -229,7 +248,7 @@
     co_return false;
   }
   HttpExchange exchange(aSession.stream, parser.release(), limits.sendTimeout);
-  if (this->stopping) {
+  if (this->stopping || this->reconnecting) {
     exchange.Abort();
   }
   aSession.stream.expires_never();
--- a/src/http/HttpServer.h
+++ b/src/http/HttpServer.h
@@ -20,7 +20,9 @@
   std::uint32_t headerBytes = 16 * 1024;
   std::uint64_t bodyBytes = std::uint64_t{ 1024 } * 1024;
   std::size_t connections = 4096;
-  /// Time to receive one whole request once its first byte is awaited.
+  /// Time that a connection may stay without a request.
+  Duration idleTimeout = seconds(30);
+  /// Time to receive one whole request from its first byte on.
   Duration receiveTimeout = seconds(30);
   /// Time for the caller to take what is written to it.
   Duration sendTimeout = seconds(15);
@@ -54,6 +56,10 @@
   /// False once the caller is seen to have closed its connection.
   bool CallerPresent();
 
+  /// Calls back once if the caller closes its connection while this exchange
+  /// lives.
+  void WatchCaller(std::function<void()> aOnGone);
+
 private:
   Task<bool> Write(std::string aBytes);
 
@@ -62,6 +68,7 @@
   Duration sendTimeout;
   bool started = false;
   bool keepAlive = true;
+  std::shared_ptr<std::function<void()>> onGone;
 };
 
 using HttpHandler = std::function<Task<void>(HttpExchange&)>;
@@ -94,6 +101,12 @@
 
   std::size_t Connections() const { return this->sessions.size(); }
 
+  /// Holds for connections as they await their next request.
+  void SetLimits(HttpServerLimits aLimits) { this->options.limits = aLimits; }
+
+  /// Answers from now on ask callers to connect anew.
+  void AskToReconnect() { this->reconnecting = true; }
+
 private:
   struct Session;
 
@@ -108,6 +121,7 @@
   boost::asio::ip::tcp::acceptor acceptor;
   std::set<std::shared_ptr<Session>> sessions;
   bool stopping = false;
+  bool reconnecting = false;
 };
 
 } // namespace apricottrack
--- a/src/node/AnswerRelay.cpp
+++ b/src/node/AnswerRelay.cpp
@@ -1,6 +1,6 @@
 #include "node/AnswerRelay.h"
 
-#include <boost/beast/core/string.hpp>
+#include "http/HopByHop.h"
 
 namespace apricottrack {
 
@@ -13,23 +13,6 @@
 
 } // namespace
 
-bool
-IsHopByHop(std::string_view aName)
-{
-  static constexpr std::string_view kNames[] = {
-    "Connection",       "Keep-Alive", "Proxy-Authenticate",
-    "Proxy-Connection", "TE",         "Trailer",
-    "Upgrade",          "Expect",     "Transfer-Encoding",
-    "Content-Length",   "Host",       "Proxy-Authorization"
-  };
-  for (const std::string_view name : kNames) {
-    if (boost::beast::iequals(name, aName)) {
-      return true;
-    }
-  }
-  return false;
-}
-
 AnswerRelay::AnswerRelay(HttpExchange& aExchange, std::string aRequestId)
   : exchange(aExchange)
   , requestId(std::move(aRequestId))
--- a/src/node/AnswerRelay.h
+++ b/src/node/AnswerRelay.h
@@ -54,10 +54,6 @@
   std::size_t events = 0;
 };
 
-/// True for headers that concern one connection only.
-bool
-IsHopByHop(std::string_view aName);
-
 } // namespace apricottrack
 
 #endif
--- a/src/node/JournalTask.cpp
+++ b/src/node/JournalTask.cpp
@@ -71,7 +71,7 @@
 {
   const auto wakeAt = this->writer.WakeAt();
   if (wakeAt) {
-    this->wake.expires_at(*wakeAt);
+    this->wake.expires_after(*wakeAt - MonotonicNow());
   } else {
     this->wake.expires_at(asio::steady_timer::time_point::max());
   }
--- a/src/node/LeaseTask.cpp
+++ b/src/node/LeaseTask.cpp
@@ -94,8 +94,16 @@
   const auto swapped = co_await this->store.CompareAndSwap(std::move(swap));
   if (swapped) {
     this->lease = *granted;
+    this->takenAt = *swapped;
   }
   co_return swapped.has_value();
 }
 
+void
+LeaseTask::Abandon()
+{
+  this->lease = 0;
+  this->validUntil = Instant{};
+}
+
 } // namespace apricottrack
--- a/src/node/LeaseTask.h
+++ b/src/node/LeaseTask.h
@@ -37,6 +37,17 @@
   /// True while the lease has not run out by this node's own clock.
   bool Holds(Instant aNow) const { return aNow < this->validUntil; }
 
+  /// Revision at which this node last took the key; grows with each holder,
+  /// and so serves as a fencing token.
+  Revision TakenAt() const { return this->takenAt; }
+
+  /// The lease was neither refused nor ended: while the service cannot be
+  /// reached, nobody else can have taken the key with its knowledge.
+  bool NotKnownLost() const { return this->lease != 0; }
+
+  /// Gives up a key that somebody else proved to hold.
+  void Abandon();
+
   /// Stops renewing, so that the key goes with its lease.
   void Release() { this->released = true; }
 
@@ -51,6 +62,7 @@
   Options options;
   std::mt19937_64 random;
   LeaseId lease = 0;
+  Revision takenAt = 0;
   Instant validUntil;
   bool released = false;
 };
--- a/src/node/RequestRun.cpp
+++ b/src/node/RequestRun.cpp
@@ -2,6 +2,7 @@
 
 #include "base/Hash.h"
 #include "base/Log.h"
+#include "http/HopByHop.h"
 #include "node/TargetAttempt.h"
 
 #include <boost/json.hpp>
--- /dev/null
+++ b/src/replicas/FleetPlanner.h
@@ -0,0 +1,119 @@
+#ifndef APRICOTTRACK_REPLICAS_FLEETPLANNER_H
+#define APRICOTTRACK_REPLICAS_FLEETPLANNER_H
+
+#include "catalog/Catalog.h"
+#include "fleet/TargetRecord.h"
+#include "replicas/LoadLimiter.h"
+#include "replicas/ReplicaOrder.h"
+
+#include <functional>
+#include <map>
+#include <set>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace apricottrack {
+
+/// A target as the planner sees it.
+struct PlannerMember
+{
+  TargetRecord record;
+  /// Does not answer when it is asked.
+  bool silent = false;
+
+  bool IsUsable() const { return !this->silent && !this->record.leaving; }
+};
+
+using PlannerMembers = std::map<std::string, PlannerMember, std::less<>>;
+
+struct FleetPlannerView
+{
+  /// Its engine is present.
+  const CatalogService& service;
+  /// The service's targets that the store lists.
+  const PlannerMembers& members;
+  /// No request has come yet; loads are fast and not counted.
+  bool beforeTraffic = false;
+};
+
+/// Where a replica stands in the planner's view.
+enum class ReplicaPhase
+{
+  /// Its members were told to join.
+  kJoining,
+  /// Its head was told to serve.
+  kOpening,
+  kServing,
+  /// Its head was told to stop serving, for a new list of members or none.
+  kClosing,
+};
+
+struct PlannedReplica
+{
+  std::string name;
+  std::string model;
+  std::string domain;
+  std::int64_t epoch = 0;
+  /// The first is the head.
+  std::vector<std::string> members;
+  ReplicaPhase phase = ReplicaPhase::kJoining;
+  Instant since;
+
+  friend bool operator==(const PlannedReplica&,
+                         const PlannedReplica&) = default;
+};
+
+/// Forms, repairs and dissolves the replicas of one service, and keeps spare
+/// targets warm. Answers the steady loss of targets: a member that is lost is
+/// replaced by a spare of its fabric domain that has the weights already.
+///
+/// It holds only what it has ordered; what is so is read from the targets'
+/// own records, from which another planner can take over at any time.
+class FleetPlanner
+{
+public:
+  struct Options
+  {
+    /// Spares that a fabric domain keeps while enough replicas serve.
+    int sparesPerDomain = 1;
+    /// Added to the expected time of an order before it is given again.
+    Duration orderSlack = milliseconds(1200);
+    /// Longest time to let a head finish what runs.
+    Duration gentleClose = milliseconds(2500);
+  };
+
+  /// Hands out epochs that no other planner can have used.
+  using EpochSource = std::function<std::int64_t()>;
+
+  FleetPlanner(Options aOptions, EpochSource aEpochs);
+
+  /// Takes over from another planner, or begins.
+  void Adopt(const FleetPlannerView& aView, Instant aNow);
+
+  /// The orders that are due. Targets get them in any order.
+  std::vector<ReplicaOrder> Round(const FleetPlannerView& aView, Instant aNow);
+
+  /// Targets whose next report is awaited.
+  std::set<std::string> Awaited() const;
+
+  const std::map<std::string, PlannedReplica, std::less<>>& Replicas() const
+  {
+    return this->replicas;
+  }
+
+private:
+  friend class FleetPlanningRound;
+
+  Options options;
+  EpochSource epochs;
+  LoadLimiter loads;
+  std::map<std::string, PlannedReplica, std::less<>> replicas;
+  /// Targets that are loading or staging for later, until when.
+  std::map<std::string, Instant, std::less<>> preparing;
+  std::int64_t named = 0;
+};
+
+} // namespace apricottrack
+
+#endif
--- /dev/null
+++ b/src/replicas/FleetPlanningRound.cpp
@@ -0,0 +1,562 @@
+#include "replicas/FleetPlanningRound.h"
+
+#include <algorithm>
+#include <fmt/format.h>
+
+namespace apricottrack {
+
+namespace {
+
+/// Joining with weights that the target holds.
+constexpr Duration kHeldJoinTime = milliseconds(200);
+/// Before the first request loads take this share of their time.
+constexpr double kEarlyLoadFactor = 0.1;
+constexpr std::string_view kSparePrefix = "spare-";
+
+} // namespace
+
+FleetPlanningRound::FleetPlanningRound(FleetPlanner& aPlanner,
+                                       const FleetPlannerView& aView,
+                                       Instant aNow)
+  : planner(aPlanner)
+  , view(aView)
+  , engine(*aView.service.engine)
+  , now(aNow)
+{
+}
+
+std::vector<ReplicaOrder>
+FleetPlanningRound::Run()
+{
+  std::erase_if(this->planner.preparing,
+                [&](const auto& aEntry) { return aEntry.second <= this->now; });
+  this->Advance();
+  this->FreeStrays();
+  this->FormReplicas();
+  this->PrepareSpares();
+  return std::move(this->orders);
+}
+
+const PlannerMember*
+FleetPlanningRound::Find(std::string_view aId) const
+{
+  const auto found = this->view.members.find(aId);
+  return found == this->view.members.end() ? nullptr : &found->second;
+}
+
+bool
+FleetPlanningRound::IsUsable(std::string_view aId) const
+{
+  const PlannerMember* const member = this->Find(aId);
+  return member != nullptr && member->IsUsable();
+}
+
+const ReplicaModel&
+FleetPlanningRound::ModelOf(const PlannedReplica& aReplica) const
+{
+  const ReplicaModel* const model =
+    FindModel(this->view.service, aReplica.model);
+  // A model that the catalog dropped keeps its replicas' present size.
+  return model == nullptr ? this->engine.models.front() : *model;
+}
+
+FleetPlanningRound::Warmth
+FleetPlanningRound::WarmthOf(const TargetRecord& aRecord,
+                             std::string_view aModel) const
+{
+  if (aRecord.model == aModel) {
+    return Warmth::kHeld;
+  }
+  const auto& staged = aRecord.stagedModels;
+  return std::find(staged.begin(), staged.end(), aModel) == staged.end()
+           ? Warmth::kCold
+           : Warmth::kStaged;
+}
+
+Duration
+FleetPlanningRound::JoinTime(const TargetRecord& aRecord,
+                             const ReplicaModel& aModel) const
+{
+  const Warmth warmth = this->WarmthOf(aRecord, aModel.name);
+  if (warmth == Warmth::kHeld) {
+    return kHeldJoinTime;
+  }
+  const Duration time =
+    warmth == Warmth::kStaged ? aModel.warmTime : aModel.loadTime;
+  return this->view.beforeTraffic
+           ? FromSeconds(ToSeconds(time) * kEarlyLoadFactor)
+           : time;
+}
+
+const Membership*
+FleetPlanningRound::CurrentMembership(const PlannedReplica& aReplica,
+                                      std::string_view aMember) const
+{
+  const PlannerMember* const member = this->Find(aMember);
+  if (member == nullptr || !member->record.membership) {
+    return nullptr;
+  }
+  const Membership& membership = *member->record.membership;
+  return membership.replica == aReplica.name &&
+             membership.epoch == aReplica.epoch
+           ? &membership
+           : nullptr;
+}
+
+bool
+FleetPlanningRound::AllReady(const PlannedReplica& aReplica) const
+{
+  return std::all_of(
+    aReplica.members.begin(), aReplica.members.end(), [&](const auto& aId) {
+      const Membership* const membership =
+        this->CurrentMembership(aReplica, aId);
+      return membership != nullptr &&
+             (membership->state == MemberState::kReady ||
+              membership->state == MemberState::kOpen);
+    });
+}
+
+bool
+FleetPlanningRound::IsIntact(const PlannedReplica& aReplica) const
+{
+  const bool whole = aReplica.members.size() ==
+                     static_cast<std::size_t>(this->ModelOf(aReplica).size);
+  return whole &&
+         std::all_of(aReplica.members.begin(),
+                     aReplica.members.end(),
+                     [&](const auto& aId) {
+                       const PlannerMember* const member = this->Find(aId);
+                       return member != nullptr && !member->silent &&
+                              this->CurrentMembership(aReplica, aId) != nullptr;
+                     });
+}
+
+bool
+FleetPlanningRound::AnyLeaving(const PlannedReplica& aReplica) const
+{
+  return std::any_of(
+    aReplica.members.begin(), aReplica.members.end(), [&](const auto& aId) {
+      const PlannerMember* const member = this->Find(aId);
+      return member != nullptr && member->record.leaving;
+    });
+}
+
+void
+FleetPlanningRound::Advance()
+{
+  auto& replicas = this->planner.replicas;
+  for (auto it = replicas.begin(); it != replicas.end();) {
+    PlannedReplica& replica = it->second;
+    bool ended = false;
+    switch (replica.phase) {
+      case ReplicaPhase::kJoining:
+        this->AdvanceJoining(replica);
+        break;
+      case ReplicaPhase::kOpening:
+        this->AdvanceOpening(replica);
+        break;
+      case ReplicaPhase::kServing:
+        this->AdvanceServing(replica);
+        break;
+      case ReplicaPhase::kClosing:
+        break;
+    }
+    if (replica.phase == ReplicaPhase::kClosing) {
+      ended = this->AdvanceClosing(replica);
+    }
+    it = ended ? replicas.erase(it) : std::next(it);
+  }
+}
+
+void
+FleetPlanningRound::AdvanceJoining(PlannedReplica& aReplica)
+{
+  const bool usable =
+    std::all_of(aReplica.members.begin(),
+                aReplica.members.end(),
+                [&](const auto& aId) { return this->IsUsable(aId); });
+  const bool whole = aReplica.members.size() ==
+                     static_cast<std::size_t>(this->ModelOf(aReplica).size);
+  if (!usable || !whole) {
+    if (!this->Repair(aReplica)) {
+      this->Dissolve(aReplica);
+    }
+    return;
+  }
+  if (this->AllReady(aReplica)) {
+    aReplica.phase = ReplicaPhase::kOpening;
+    aReplica.since = this->now;
+    this->Give(OrderKind::kOpen, aReplica, aReplica.members.front());
+    return;
+  }
+  Duration expected = Duration::zero();
+  for (const std::string& id : aReplica.members) {
+    expected =
+      std::max(expected,
+               this->JoinTime(this->Find(id)->record, this->ModelOf(aReplica)));
+  }
+  if (this->now - aReplica.since >
+      expected + this->planner.options.orderSlack) {
+    aReplica.since = this->now;
+    this->OrderJoins(aReplica, true);
+  }
+}
+
+void
+FleetPlanningRound::AdvanceOpening(PlannedReplica& aReplica)
+{
+  if (!this->IsIntact(aReplica)) {
+    if (!this->Repair(aReplica)) {
+      this->Dissolve(aReplica);
+    }
+    return;
+  }
+  const Membership* const head =
+    this->CurrentMembership(aReplica, aReplica.members.front());
+  if (head->state == MemberState::kOpen) {
+    aReplica.phase = ReplicaPhase::kServing;
+    aReplica.since = this->now;
+  } else if (this->now - aReplica.since >
+             this->engine.openTime + this->planner.options.orderSlack) {
+    aReplica.since = this->now;
+    this->Give(OrderKind::kOpen, aReplica, aReplica.members.front());
+  }
+}
+
+void
+FleetPlanningRound::AdvanceServing(PlannedReplica& aReplica)
+{
+  const Membership* const head =
+    this->CurrentMembership(aReplica, aReplica.members.front());
+  const bool serving = head != nullptr && head->state == MemberState::kOpen;
+  if (!serving || !this->IsIntact(aReplica)) {
+    if (!this->Repair(aReplica)) {
+      this->Dissolve(aReplica);
+    }
+    return;
+  }
+  if (this->AnyLeaving(aReplica)) {
+    // What runs is finished first; the replacement joins afterwards.
+    aReplica.phase = ReplicaPhase::kClosing;
+    aReplica.since = this->now;
+    this->Give(OrderKind::kCloseGently, aReplica, aReplica.members.front());
+  }
+}
+
+bool
+FleetPlanningRound::AdvanceClosing(PlannedReplica& aReplica)
+{
+  const std::string& headId = aReplica.members.front();
+  const PlannerMember* const head = this->Find(headId);
+  const Membership* const membership =
+    this->CurrentMembership(aReplica, headId);
+  const bool running = head != nullptr && !head->silent &&
+                       membership != nullptr &&
+                       (membership->state == MemberState::kOpen ||
+                        membership->state == MemberState::kClosing);
+  if (running &&
+      this->now - aReplica.since < this->planner.options.gentleClose) {
+    return false;
+  }
+  if (running) {
+    aReplica.since = this->now;
+    this->Give(OrderKind::kCloseNow, aReplica, headId);
+    return false;
+  }
+  if (this->Repair(aReplica)) {
+    return false;
+  }
+  this->Release(aReplica);
+  return true;
+}
+
+bool
+FleetPlanningRound::Repair(PlannedReplica& aReplica)
+{
+  const auto size = static_cast<std::size_t>(this->ModelOf(aReplica).size);
+  std::vector<std::string> members;
+  for (const std::string& id : aReplica.members) {
+    if (this->IsUsable(id) && members.size() < size) {
+      members.push_back(id);
+    }
+  }
+  if (members.empty()) {
+    return false;
+  }
+  for (const std::string& id : this->FreeIn(aReplica.domain, aReplica.model)) {
+    if (members.size() < size) {
+      members.push_back(id);
+    }
+  }
+  if (members.size() < size) {
+    return false;
+  }
+  this->BeginJoin(aReplica, std::move(members));
+  return true;
+}
+
+void
+FleetPlanningRound::Dissolve(PlannedReplica& aReplica)
+{
+  aReplica.phase = ReplicaPhase::kClosing;
+  aReplica.since = this->now;
+  const PlannerMember* const head = this->Find(aReplica.members.front());
+  if (head != nullptr && !head->silent) {
+    this->Give(OrderKind::kCloseNow, aReplica, aReplica.members.front());
+  }
+}
+
+void
+FleetPlanningRound::Release(const PlannedReplica& aReplica)
+{
+  const PlannerMember* const head = this->Find(aReplica.members.front());
+  if (head != nullptr && !head->silent) {
+    return;
+  }
+  // A silent head may still live and count on its members.
+  for (const std::string& id : aReplica.members) {
+    if (this->IsUsable(id)) {
+      this->Give(OrderKind::kLeave, aReplica, id);
+    }
+  }
+}
+
+bool
+FleetPlanningRound::IsFree(const PlannerMember& aMember) const
+{
+  if (!aMember.IsUsable()) {
+    return false;
+  }
+  const std::string& id = aMember.record.id;
+  for (const auto& [name, replica] : this->planner.replicas) {
+    if (std::find(replica.members.begin(), replica.members.end(), id) !=
+        replica.members.end()) {
+      return false;
+    }
+  }
+  const auto& membership = aMember.record.membership;
+  return !membership || membership->state != MemberState::kJoining;
+}
+
+void
+FleetPlanningRound::FreeStrays()
+{
+  for (const auto& [id, member] : this->view.members) {
+    const auto& membership = member.record.membership;
+    if (!membership || !this->IsFree(member) ||
+        membership->replica.starts_with(kSparePrefix) ||
+        this->planner.preparing.contains(id)) {
+      continue;
+    }
+    const PlannedReplica left{ .name = membership->replica,
+                               .model = member.record.model,
+                               .domain = member.record.fabricDomain,
+                               .epoch = membership->epoch,
+                               .members = { id } };
+    this->planner.preparing[id] = this->now + this->planner.options.orderSlack;
+    this->Give(OrderKind::kLeave, left, id);
+  }
+}
+
+std::vector<std::string>
+FleetPlanningRound::FreeIn(std::string_view aDomain,
+                           std::string_view aModel) const
+{
+  std::vector<std::string> free;
+  for (const auto& [id, member] : this->view.members) {
+    if (member.record.fabricDomain != aDomain || !this->IsFree(member)) {
+      continue;
+    }
+    if (this->view.beforeTraffic ||
+        this->WarmthOf(member.record, aModel) != Warmth::kCold) {
+      free.push_back(id);
+    }
+  }
+  std::stable_sort(
+    free.begin(), free.end(), [&](const auto& aL, const auto& aR) {
+      return this->WarmthOf(this->Find(aL)->record, aModel) <
+             this->WarmthOf(this->Find(aR)->record, aModel);
+    });
+  return free;
+}
+
+int
+FleetPlanningRound::ReplicasOf(std::string_view aModel) const
+{
+  return static_cast<int>(std::count_if(
+    this->planner.replicas.begin(),
+    this->planner.replicas.end(),
+    [&](const auto& aEntry) { return aEntry.second.model == aModel; }));
+}
+
+std::vector<const ReplicaModel*>
+FleetPlanningRound::ModelsByNeed() const
+{
+  std::vector<const ReplicaModel*> models;
+  for (const ReplicaModel& model : this->engine.models) {
+    models.push_back(&model);
+  }
+  const auto filled = [&](const ReplicaModel* aModel) {
+    const double targets = this->ReplicasOf(aModel->name) * aModel->size;
+    return aModel->share > 0 ? targets / aModel->share : 1e9;
+  };
+  std::stable_sort(
+    models.begin(), models.end(), [&](auto* aLeft, auto* aRight) {
+      return filled(aLeft) < filled(aRight);
+    });
+  return models;
+}
+
+void
+FleetPlanningRound::FormReplicas()
+{
+  std::map<std::string, int> domains;
+  for (const auto& [id, member] : this->view.members) {
+    if (this->IsFree(member)) {
+      ++domains[member.record.fabricDomain];
+    }
+  }
+  bool formed = true;
+  while (formed) {
+    formed = false;
+    for (const auto& [domain, count] : domains) {
+      formed = this->FormOne(domain) || formed;
+    }
+  }
+}
+
+bool
+FleetPlanningRound::FormOne(const std::string& aDomain)
+{
+  for (const ReplicaModel* const model : this->ModelsByNeed()) {
+    std::vector<std::string> free = this->FreeIn(aDomain, model->name);
+    const auto size = static_cast<std::size_t>(model->size);
+    const auto spares =
+      static_cast<std::size_t>(this->planner.options.sparesPerDomain);
+    if (free.size() < size + spares) {
+      continue;
+    }
+    free.resize(size);
+    const std::int64_t epoch = this->planner.epochs();
+    PlannedReplica replica{ .name = fmt::format("r{}", epoch),
+                            .model = model->name,
+                            .domain = aDomain,
+                            .epoch = epoch,
+                            .members = {} };
+    auto& placed =
+      this->planner.replicas.emplace(replica.name, std::move(replica))
+        .first->second;
+    this->BeginJoin(placed, std::move(free));
+    return true;
+  }
+  return false;
+}
+
+void
+FleetPlanningRound::BeginJoin(PlannedReplica& aReplica,
+                              std::vector<std::string> aMembers)
+{
+  aReplica.members = std::move(aMembers);
+  aReplica.epoch = this->planner.epochs();
+  aReplica.phase = ReplicaPhase::kJoining;
+  aReplica.since = this->now;
+  this->OrderJoins(aReplica, false);
+}
+
+void
+FleetPlanningRound::OrderJoins(const PlannedReplica& aReplica,
+                               bool aOnlyMissing)
+{
+  for (const std::string& id : aReplica.members) {
+    if (!aOnlyMissing || this->CurrentMembership(aReplica, id) == nullptr) {
+      this->Give(OrderKind::kJoin, aReplica, id);
+    }
+  }
+}
+
+void
+FleetPlanningRound::PrepareSpares()
+{
+  for (const auto& [id, member] : this->view.members) {
+    if (!member.IsUsable() || this->planner.preparing.contains(id)) {
+      continue;
+    }
+    if (this->IsFree(member) && member.record.model.empty()) {
+      this->WarmUp(member.record);
+    } else if (!member.record.model.empty()) {
+      this->StageOther(member.record);
+    }
+  }
+}
+
+bool
+FleetPlanningRound::MayLoad(Duration aExpected)
+{
+  return this->view.beforeTraffic ||
+         this->planner.loads.TryBegin(aExpected, this->now);
+}
+
+void
+FleetPlanningRound::WarmUp(const TargetRecord& aRecord)
+{
+  const ReplicaModel& model = *this->ModelsByNeed().front();
+  const Duration expected = this->JoinTime(aRecord, model);
+  const bool loads = this->WarmthOf(aRecord, model.name) == Warmth::kCold;
+  if (loads && !this->MayLoad(expected)) {
+    return;
+  }
+  const PlannedReplica alone{
+    .name = fmt::format("{}{}", kSparePrefix, aRecord.id),
+    .model = model.name,
+    .domain = aRecord.fabricDomain,
+    .epoch = this->planner.epochs(),
+    .members = { aRecord.id },
+  };
+  this->planner.preparing[aRecord.id] =
+    this->now + expected + this->planner.options.orderSlack;
+  this->Give(OrderKind::kJoin, alone, aRecord.id);
+}
+
+void
+FleetPlanningRound::StageOther(const TargetRecord& aRecord)
+{
+  for (const ReplicaModel& model : this->engine.models) {
+    if (this->WarmthOf(aRecord, model.name) != Warmth::kCold) {
+      continue;
+    }
+    const auto& membership = aRecord.membership;
+    const bool joining =
+      membership && membership->state == MemberState::kJoining;
+    const Duration expected = this->JoinTime(aRecord, model);
+    if (joining || !this->MayLoad(expected)) {
+      return;
+    }
+    this->planner.preparing[aRecord.id] =
+      this->now + expected + this->planner.options.orderSlack;
+    const PlannedReplica staged{
+      .name = {}, .model = model.name, .domain = {}, .members = { aRecord.id }
+    };
+    this->Give(OrderKind::kStage, staged, aRecord.id);
+    return;
+  }
+}
+
+void
+FleetPlanningRound::Give(OrderKind aKind,
+                         const PlannedReplica& aReplica,
+                         const std::string& aTarget)
+{
+  const PlannerMember* const member = this->Find(aTarget);
+  if (member == nullptr) {
+    return;
+  }
+  this->orders.push_back({ .kind = aKind,
+                           .target = aTarget,
+                           .address = member->record.address,
+                           .replica = aReplica.name,
+                           .epoch = aReplica.epoch,
+                           .model = aReplica.model,
+                           .members = aReplica.members });
+}
+
+} // namespace apricottrack
--- /dev/null
+++ b/src/replicas/FleetPlanningRound.h
@@ -0,0 +1,95 @@
+#ifndef APRICOTTRACK_REPLICAS_FLEETPLANNINGROUND_H
+#define APRICOTTRACK_REPLICAS_FLEETPLANNINGROUND_H
+
+#include "replicas/FleetPlanner.h"
+
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace apricottrack {
+
+/// One planning round of a FleetPlanner.
+class FleetPlanningRound
+{
+public:
+  FleetPlanningRound(FleetPlanner& aPlanner,
+                     const FleetPlannerView& aView,
+                     Instant aNow);
+
+  std::vector<ReplicaOrder> Run();
+
+private:
+  /// How soon a target can be a member of a replica of a model.
+  enum class Warmth
+  {
+    /// Holds the weights.
+    kHeld,
+    /// The weights are on its host.
+    kStaged,
+    kCold,
+  };
+
+  const PlannerMember* Find(std::string_view aId) const;
+  bool IsUsable(std::string_view aId) const;
+  const ReplicaModel& ModelOf(const PlannedReplica& aReplica) const;
+  Warmth WarmthOf(const TargetRecord& aRecord, std::string_view aModel) const;
+  Duration JoinTime(const TargetRecord& aRecord,
+                    const ReplicaModel& aModel) const;
+
+  /// The target says that it holds the replica's present epoch.
+  const Membership* CurrentMembership(const PlannedReplica& aReplica,
+                                      std::string_view aMember) const;
+  bool AllReady(const PlannedReplica& aReplica) const;
+  bool IsIntact(const PlannedReplica& aReplica) const;
+  bool AnyLeaving(const PlannedReplica& aReplica) const;
+
+  void Advance();
+  void AdvanceJoining(PlannedReplica& aReplica);
+  void AdvanceOpening(PlannedReplica& aReplica);
+  void AdvanceServing(PlannedReplica& aReplica);
+  /// True if the replica ended.
+  bool AdvanceClosing(PlannedReplica& aReplica);
+
+  /// Gives the replica a whole list of members, with a new epoch; false if
+  /// its fabric domain lacks them.
+  bool Repair(PlannedReplica& aReplica);
+  /// The members go free, at once or after the head has stopped.
+  void Dissolve(PlannedReplica& aReplica);
+  void Release(const PlannedReplica& aReplica);
+
+  /// Usable targets of a domain that can join a replica of the model soon,
+  /// the warmest first.
+  std::vector<std::string> FreeIn(std::string_view aDomain,
+                                  std::string_view aModel) const;
+  bool IsFree(const PlannerMember& aMember) const;
+  /// Takes targets out of replicas that went on without them.
+  void FreeStrays();
+
+  void FormReplicas();
+  bool FormOne(const std::string& aDomain);
+  /// The model whose replicas are fewest against its share.
+  std::vector<const ReplicaModel*> ModelsByNeed() const;
+  int ReplicasOf(std::string_view aModel) const;
+  void BeginJoin(PlannedReplica& aReplica, std::vector<std::string> aMembers);
+  void OrderJoins(const PlannedReplica& aReplica, bool aOnlyMissing);
+
+  void PrepareSpares();
+  void WarmUp(const TargetRecord& aRecord);
+  void StageOther(const TargetRecord& aRecord);
+  bool MayLoad(Duration aExpected);
+
+  void Give(OrderKind aKind,
+            const PlannedReplica& aReplica,
+            const std::string& aTarget);
+
+  FleetPlanner& planner;
+  const FleetPlannerView& view;
+  const EngineSpec& engine;
+  Instant now;
+  std::vector<ReplicaOrder> orders;
+};
+
+} // namespace apricottrack
+
+#endif
--- /dev/null
+++ b/src/replicas/ReplicaDirectory.h
@@ -0,0 +1,63 @@
+#ifndef APRICOTTRACK_REPLICAS_REPLICADIRECTORY_H
+#define APRICOTTRACK_REPLICAS_REPLICADIRECTORY_H
+
+#include "catalog/Catalog.h"
+#include "fleet/Fleet.h"
+
+#include <map>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace apricottrack {
+
+/// A replica that takes requests.
+struct ServingReplica
+{
+  std::string name;
+  std::int64_t epoch = 0;
+  std::string model;
+  /// The member that takes the requests.
+  std::string headId;
+  std::string headAddress;
+  std::string availabilityZone;
+  int slots = 1;
+
+  friend bool operator==(const ServingReplica&,
+                         const ServingReplica&) = default;
+};
+
+/// The replicas of all services that take requests, judged by the members'
+/// own entries: the head is open, and each rank of the same epoch is there.
+class ReplicaDirectory
+{
+public:
+  void Rebuild(const Catalog& aCatalog, const Fleet& aFleet);
+
+  /// Empty where no replica of the model serves.
+  const std::vector<ServingReplica>& Serving(std::string_view aService,
+                                             std::string_view aModel) const;
+
+  /// True if some replica of the service takes requests.
+  bool AnyServing(std::string_view aService) const;
+
+  /// The replica whose head this target is, or null.
+  const ServingReplica* FindByHead(std::string_view aHeadId) const;
+
+private:
+  struct ModelKey
+  {
+    std::string service;
+    std::string model;
+
+    friend auto operator<=>(const ModelKey&, const ModelKey&) = default;
+  };
+
+  void AddReplicas(const CatalogService& aService, const Fleet& aFleet);
+
+  std::map<ModelKey, std::vector<ServingReplica>> serving;
+};
+
+} // namespace apricottrack
+
+#endif
--- /dev/null
+++ b/src/serving/CatalogTask.cpp
@@ -0,0 +1,95 @@
+#include "serving/CatalogTask.h"
+
+#include "base/Log.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/steady_timer.hpp>
+
+namespace apricottrack {
+
+namespace asio = boost::asio;
+
+CatalogTask::CatalogTask(ServingContext& aContext,
+                         KeyValueStore& aStore,
+                         Options aOptions,
+                         std::function<void()> aOnChange)
+  : context(aContext)
+  , store(aStore)
+  , options(aOptions)
+  , onChange(std::move(aOnChange))
+{
+}
+
+void
+CatalogTask::Start()
+{
+  asio::co_spawn(
+    this->context.executor,
+    [this]() -> Task<void> { co_await this->Run(); },
+    asio::detached);
+}
+
+Task<void>
+CatalogTask::Run()
+{
+  std::uniform_real_distribution<double> spread(0.85, 1.15);
+  for (;;) {
+    const bool read = co_await this->ReadOnce();
+    const Duration pause =
+      read ? this->options.readEvery : this->options.retryEvery;
+    asio::steady_timer timer(
+      this->context.executor,
+      FromSeconds(ToSeconds(pause) * spread(this->context.random)));
+    co_await timer.async_wait(kAsTuple);
+  }
+}
+
+Task<bool>
+CatalogTask::ReadOnce()
+{
+  const Instant askedAt = MonotonicNow();
+  const auto item =
+    co_await this->store.Get(this->context.protocol.CatalogKey());
+  if (!item) {
+    if (this->reachable) {
+      LogLine("catalog_unreachable").With(item.error()).Warn();
+    }
+    this->reachable = false;
+    co_return false;
+  }
+  if (!this->reachable) {
+    LogLine("catalog_reachable").With("revision", item->revision).Info();
+  }
+  this->reachable = true;
+  if (item->revision == 0) {
+    co_return true;
+  }
+  if (item->revision == this->known) {
+    this->context.catalog.Confirm(askedAt);
+    co_return true;
+  }
+  auto catalog = this->context.protocol.ReadCatalog(item->value);
+  this->known = item->revision;
+  if (!catalog) {
+    // The one in force stays, and loses its proof.
+    LogLine("catalog_unreadable")
+      .With("revision", item->revision)
+      .With(catalog.error())
+      .Warn();
+    this->known = 0;
+    co_return true;
+  }
+  if (this->context.catalog.Take(std::move(*catalog), askedAt)) {
+    const Catalog& declared = this->context.catalog.Current()->Declared();
+    LogLine("catalog_in_force")
+      .With("version", declared.version)
+      .With("revision", item->revision)
+      .With("routes", static_cast<std::int64_t>(declared.routes.size()))
+      .Info();
+    this->onChange();
+  }
+  co_return true;
+}
+
+} // namespace apricottrack
--- /dev/null
+++ b/src/serving/CatalogTask.h
@@ -0,0 +1,46 @@
+#ifndef APRICOTTRACK_SERVING_CATALOGTASK_H
+#define APRICOTTRACK_SERVING_CATALOGTASK_H
+
+#include "serving/ServingContext.h"
+
+#include <functional>
+
+namespace apricottrack {
+
+/// Keeps the catalog in force up to date, and the proof that it is the newest
+/// one fresh: reads it at short intervals, as a watch that says nothing
+/// proves nothing.
+class CatalogTask
+{
+public:
+  struct Options
+  {
+    /// Well below the bound within which a change has to be in force.
+    Duration readEvery = milliseconds(900);
+    /// After a read that failed.
+    Duration retryEvery = milliseconds(250);
+  };
+
+  CatalogTask(ServingContext& aContext,
+              KeyValueStore& aStore,
+              Options aOptions,
+              std::function<void()> aOnChange);
+
+  void Start();
+
+private:
+  Task<void> Run();
+  Task<bool> ReadOnce();
+
+  ServingContext& context;
+  KeyValueStore& store;
+  Options options;
+  std::function<void()> onChange;
+  /// Revision of the document that was last decoded.
+  Revision known = 0;
+  bool reachable = false;
+};
+
+} // namespace apricottrack
+
+#endif
--- /dev/null
+++ b/src/serving/FleetTask.cpp
@@ -0,0 +1,155 @@
+#include "serving/FleetTask.h"
+
+#include "base/Log.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/steady_timer.hpp>
+
+namespace apricottrack {
+
+namespace asio = boost::asio;
+
+namespace {
+
+constexpr Duration kLapseInterval = milliseconds(200);
+
+} // namespace
+
+FleetTask::FleetTask(ServingContext& aContext,
+                     KeyValueStore& aStore,
+                     Options aOptions,
+                     std::function<void()> aOnChange)
+  : context(aContext)
+  , store(aStore)
+  , options(aOptions)
+  , onChange(std::move(aOnChange))
+{
+}
+
+void
+FleetTask::Start()
+{
+  asio::co_spawn(
+    this->context.executor,
+    [this]() -> Task<void> { co_await this->Run(); },
+    asio::detached);
+  asio::co_spawn(
+    this->context.executor,
+    [this]() -> Task<void> { co_await this->DropLapsedRegularly(); },
+    asio::detached);
+}
+
+Task<void>
+FleetTask::Run()
+{
+  Duration delay = this->options.retryLeast;
+  for (;;) {
+    const Revision revision = co_await this->ListAll();
+    if (revision > 0) {
+      delay = this->options.retryLeast;
+      const Error ended = co_await this->store.Watch(
+        this->context.protocol.TargetPrefix(),
+        revision + 1,
+        [this](const std::vector<KeyValue>& aChanges) {
+          const Instant now = MonotonicNow();
+          for (const KeyValue& change : aChanges) {
+            this->Take(change, now);
+          }
+          if (!aChanges.empty()) {
+            this->onChange();
+          }
+        });
+      LogLine("fleet_watch_ended").With(ended).Warn();
+    }
+    asio::steady_timer timer(this->context.executor, delay);
+    co_await timer.async_wait(kAsTuple);
+    delay = std::min(delay * 2, this->options.retryMost);
+  }
+}
+
+Task<Revision>
+FleetTask::ListAll()
+{
+  Revision revision = 0;
+  const auto items =
+    co_await this->store.List(this->context.protocol.TargetPrefix(), revision);
+  const Instant now = MonotonicNow();
+  if (!items) {
+    if (this->reachable) {
+      LogLine("fleet_unreachable").With(items.error()).Warn();
+    }
+    this->reachable = false;
+    co_return 0;
+  }
+  if (!this->reachable && this->everListed) {
+    this->context.fleet.OnStoreReturned(now);
+  }
+  this->reachable = true;
+  this->everListed = true;
+  std::vector<TargetRecord> records;
+  for (const KeyValue& item : *items) {
+    auto record = this->context.protocol.ReadTarget(item);
+    if (record) {
+      records.push_back(std::move(*record));
+    } else {
+      LogLine("target_unreadable").With(record.error()).Warn();
+    }
+  }
+  LogLine("fleet_listed")
+    .With("targets", static_cast<std::int64_t>(records.size()))
+    .With("revision", revision)
+    .Info();
+  this->context.fleet.ReplaceAll(std::move(records), now);
+  this->onChange();
+  co_return revision;
+}
+
+void
+FleetTask::Take(const KeyValue& aItem, Instant aNow)
+{
+  const std::string id = this->context.protocol.TargetIdOf(aItem.key);
+  if (aItem.revision == 0) {
+    LogLine("target_gone").With("target", id).Info();
+    this->context.fleet.Remove(id, aNow);
+    return;
+  }
+  auto record = this->context.protocol.ReadTarget(aItem);
+  if (!record) {
+    LogLine("target_unreadable").With(record.error()).Warn();
+    this->context.fleet.Remove(id, aNow);
+    return;
+  }
+  const TargetRecord* const before = this->context.fleet.Find(id);
+  if (before == nullptr || before->leaving != record->leaving ||
+      before->membership != record->membership) {
+    LogLine line("target_changed");
+    line.With("target", id)
+      .With("revision", aItem.revision)
+      .With("leaving", std::int64_t{ record->leaving })
+      .With("model", record->model);
+    if (record->membership) {
+      line.With("replica", record->membership->replica)
+        .With("epoch", record->membership->epoch)
+        .With("rank", std::int64_t{ record->membership->rank })
+        .With("state", MemberStateName(record->membership->state));
+    }
+    line.Info();
+  }
+  this->context.fleet.Put(std::move(*record));
+}
+
+Task<void>
+FleetTask::DropLapsedRegularly()
+{
+  for (;;) {
+    asio::steady_timer timer(this->context.executor, kLapseInterval);
+    co_await timer.async_wait(kAsTuple);
+    if (this->context.fleet.DropLapsed(MonotonicNow())) {
+      LogLine("lapsed_targets_dropped").Info();
+      this->onChange();
+    }
+  }
+}
+
+} // namespace apricottrack
--- /dev/null
+++ b/src/serving/FleetTask.h
@@ -0,0 +1,44 @@
+#ifndef APRICOTTRACK_SERVING_FLEETTASK_H
+#define APRICOTTRACK_SERVING_FLEETTASK_H
+
+#include "serving/ServingContext.h"
+
+#include <functional>
+
+namespace apricottrack {
+
+/// Follows the targets' entries in the platform's store.
+class FleetTask
+{
+public:
+  struct Options
+  {
+    Duration retryLeast = milliseconds(150);
+    Duration retryMost = milliseconds(1000);
+  };
+
+  FleetTask(ServingContext& aContext,
+            KeyValueStore& aStore,
+            Options aOptions,
+            std::function<void()> aOnChange);
+
+  void Start();
+
+private:
+  Task<void> Run();
+  /// Revision from which a watch misses nothing, or zero on failure.
+  Task<Revision> ListAll();
+  void Take(const KeyValue& aItem, Instant aNow);
+  Task<void> DropLapsedRegularly();
+
+  ServingContext& context;
+  KeyValueStore& store;
+  Options options;
+  std::function<void()> onChange;
+  bool reachable = false;
+  bool everListed = false;
+};
+
+} // namespace apricottrack
+
+#endif
--- /dev/null
+++ b/src/serving/Intake.cpp
@@ -0,0 +1,62 @@
+#include "serving/Intake.h"
+
+#include <algorithm>
+
+namespace apricottrack {
+
+namespace {
+
+const CatalogService*
+PickService(const CatalogIndex& aCatalog,
+            const CatalogRoute& aRoute,
+            std::mt19937_64& aRandom)
+{
+  std::vector<double> weights;
+  for (const ServiceShare& share : aRoute.services) {
+    weights.push_back(std::max(0.0, share.weight));
+  }
+  std::discrete_distribution<std::size_t> pick(weights.begin(), weights.end());
+  return FindService(aCatalog.Declared(),
+                     aRoute.services[pick(aRandom)].service);
+}
+
+} // namespace
+
+IntakeVerdict
+Admit(const CatalogHolder& aHolder,
+      const CallerHead& aCaller,
+      std::string_view aHost,
+      std::string_view aPath,
+      Instant aNow,
+      std::mt19937_64& aRandom)
+{
+  const CatalogPointer& catalog = aHolder.Current();
+  if (catalog == nullptr) {
+    return { .refusal = IntakeRefusal::kNoCatalog };
+  }
+  const CatalogRoute* const route = catalog->FindRoute(aHost, aPath);
+  if (route == nullptr) {
+    return { .refusal = IntakeRefusal::kNoRoute };
+  }
+  std::string account;
+  if (catalog->UsesAccounts() && !route->isPublic) {
+    if (!aHolder.MayHonourKeys(aNow)) {
+      return { .refusal = IntakeRefusal::kKeyNotProven };
+    }
+    const CatalogAccount* const owner = catalog->FindAccount(aCaller.key);
+    if (owner == nullptr) {
+      return { .refusal = IntakeRefusal::kUnknownKey };
+    }
+    account = owner->name;
+  }
+  const Duration time =
+    std::min(aCaller.patience.value_or(route->timeout), route->timeout);
+  return { .refusal = IntakeRefusal::kNone,
+           .request = { .catalog = catalog,
+                        .route = route,
+                        .service = PickService(*catalog, *route, aRandom),
+                        .account = std::move(account),
+                        .deadline = aNow + time } };
+}
+
+} // namespace apricottrack
--- /dev/null
+++ b/src/serving/PlannerTask.cpp
@@ -0,0 +1,305 @@
+#include "serving/PlannerTask.h"
+
+#include "base/Hash.h"
+#include "base/Log.h"
+#include "kv/PlatformKeys.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/steady_timer.hpp>
+
+namespace apricottrack {
+
+namespace asio = boost::asio;
+
+namespace {
+
+/// Epochs per fencing token. Tokens grow with each holder of the lease, so
+/// two planners never share an epoch.
+constexpr std::int64_t kEpochsPerFence = 100'000;
+
+constexpr std::int64_t kLeaseSeconds = 2;
+constexpr Duration kLeaseRenewal = milliseconds(600);
+
+/// What the target said last: in its entry or when it was asked.
+TargetRecord
+Newest(const TargetRecord& aEntry, const std::optional<TargetReport>& aReport)
+{
+  TargetRecord record = aEntry;
+  if (!aReport || aReport->startedAt < aEntry.startedAt ||
+      (aReport->startedAt == aEntry.startedAt &&
+       aReport->orders < aEntry.orders)) {
+    return record;
+  }
+  record.model = aReport->model;
+  record.stagedModels = aReport->stagedModels;
+  record.membership = aReport->membership;
+  record.startedAt = aReport->startedAt;
+  record.orders = aReport->orders;
+  record.busy = aReport->busy;
+  return record;
+}
+
+} // namespace
+
+PlannerTask::PlannerTask(ServingContext& aContext,
+                         KeyValueStore& aStore,
+                         Options aOptions)
+  : context(aContext)
+  , options(aOptions)
+  , lease(aContext.executor,
+          aStore,
+          LeaseTask::Options{ .key = std::string(keys::kPlanner),
+                              .value = RandomId(),
+                              .ttlSeconds = kLeaseSeconds,
+                              .renewEvery = kLeaseRenewal })
+  , pool(aContext.executor,
+         HttpConnectionPool::Options{ .idlePerAddress = 2,
+                                      .idleTimeout = seconds(4),
+                                      .connectTimeout = milliseconds(150) })
+{
+}
+
+void
+PlannerTask::Start()
+{
+  this->lease.Start();
+  asio::co_spawn(
+    this->context.executor,
+    [this]() -> Task<void> { co_await this->Run(); },
+    asio::detached);
+}
+
+void
+PlannerTask::Release()
+{
+  this->lease.Release();
+  this->leading = false;
+}
+
+Task<void>
+PlannerTask::Run()
+{
+  for (;;) {
+    asio::steady_timer timer(this->context.executor, this->options.roundEvery);
+    co_await timer.async_wait(kAsTuple);
+    this->RunRound(MonotonicNow());
+  }
+}
+
+void
+PlannerTask::RunRound(Instant aNow)
+{
+  const bool holds = this->lease.NotKnownLost() && !this->context.draining;
+  if (holds && this->fence != this->lease.TakenAt()) {
+    this->TakeLead(aNow);
+  }
+  if (!holds && this->leading) {
+    this->leading = false;
+    LogLine("planner_lost").With("fence", this->fence).Info();
+  }
+  const CatalogPointer& catalog = this->context.catalog.Current();
+  if (!this->leading || catalog == nullptr) {
+    return;
+  }
+  for (const CatalogService& service : catalog->Declared().services) {
+    if (service.engine) {
+      this->PlanService(service, aNow);
+    }
+  }
+}
+
+void
+PlannerTask::TakeLead(Instant aNow)
+{
+  this->fence = this->lease.TakenAt();
+  this->issued = 0;
+  this->leading = true;
+  this->planners.clear();
+  this->probed.clear();
+  LogLine("planner_leads").With("fence", this->fence).Info();
+  static_cast<void>(aNow);
+}
+
+std::int64_t
+PlannerTask::NextEpoch()
+{
+  return this->fence * kEpochsPerFence + ++this->issued;
+}
+
+PlannerMembers
+PlannerTask::MembersOf(const CatalogService& aService) const
+{
+  PlannerMembers members;
+  for (const auto& [id, entry] : this->context.fleet.All()) {
+    if (entry.service != aService.name) {
+      continue;
+    }
+    const auto found = this->probed.find(id);
+    PlannerMember member;
+    if (found == this->probed.end()) {
+      member.record = entry;
+    } else {
+      member.record = Newest(entry, found->second.report);
+      member.silent = found->second.missed >= this->options.silentAfter;
+    }
+    members.emplace(id, std::move(member));
+  }
+  return members;
+}
+
+bool
+PlannerTask::MostlySilent(const PlannerMembers& aMembers) const
+{
+  std::size_t silent = 0;
+  for (const auto& [id, member] : aMembers) {
+    silent += member.silent ? 1 : 0;
+  }
+  return silent * 2 > aMembers.size();
+}
+
+void
+PlannerTask::PlanService(const CatalogService& aService, Instant aNow)
+{
+  const PlannerMembers members = this->MembersOf(aService);
+  if (members.empty()) {
+    return;
+  }
+  const FleetPlannerView view{
+    .service = aService,
+    .members = members,
+    .beforeTraffic =
+      this->context.settings.serving->firstStart && !this->context.requestsSeen,
+  };
+  auto& planner = this->planners[aService.name];
+  if (planner == nullptr) {
+    planner = std::make_unique<FleetPlanner>(
+      FleetPlanner::Options{}, [this] { return this->NextEpoch(); });
+    planner->Adopt(view, aNow);
+  }
+  this->AskForReports(aService, aNow);
+  // A planner that hears hardly anyone has trouble of its own.
+  if (this->MostlySilent(members)) {
+    return;
+  }
+  for (ReplicaOrder& order : planner->Round(view, aNow)) {
+    order.fencingToken = this->fence;
+    asio::co_spawn(
+      this->context.executor,
+      [this, order = std::move(order)]() -> Task<void> {
+        co_await this->GiveOrder(order);
+      },
+      asio::detached);
+  }
+}
+
+void
+PlannerTask::AskForReports(const CatalogService& aService, Instant aNow)
+{
+  const std::set<std::string> awaited =
+    this->planners[aService.name]->Awaited();
+  for (const auto& [id, entry] : this->context.fleet.All()) {
+    if (entry.service != aService.name) {
+      continue;
+    }
+    Probed& probe = this->probed[id];
+    const bool urgent =
+      awaited.contains(id) || probe.suspect ||
+      (probe.missed > 0 && probe.missed < this->options.silentAfter);
+    const Duration every =
+      urgent ? this->options.awaitedEvery : this->options.reportEvery;
+    if (probe.underWay || aNow - probe.askedAt < every) {
+      continue;
+    }
+    probe.underWay = true;
+    probe.suspect = false;
+    probe.askedAt = aNow;
+    asio::co_spawn(
+      this->context.executor,
+      [this, id = id, address = entry.address]() -> Task<void> {
+        co_await this->AskForReport(id, address);
+      },
+      asio::detached);
+  }
+}
+
+Task<void>
+PlannerTask::AskForReport(std::string aTarget, std::string aAddress)
+{
+  const auto reply =
+    co_await Fetch(this->pool,
+                   aAddress,
+                   this->context.protocol.MakeReportRequest(aTarget),
+                   this->options.reportTimeout);
+  this->context.counters.Add("report_calls");
+  Result<TargetReport> report =
+    reply ? this->context.protocol.ReadReport(*reply, aAddress)
+          : Result<TargetReport>(tl::unexpected(reply.error()));
+  Probed& probe = this->probed[aTarget];
+  probe.underWay = false;
+  if (report) {
+    if (probe.missed >= this->options.silentAfter) {
+      LogLine("target_heard_again").With("target", aTarget).Info();
+    }
+    probe.missed = 0;
+    probe.heardAt = MonotonicNow();
+    probe.report = std::move(*report);
+    co_return;
+  }
+  ++probe.missed;
+  if (probe.missed == this->options.silentAfter) {
+    LogLine("target_silent")
+      .With("target", aTarget)
+      .With(report.error())
+      .Info();
+  }
+}
+
+Task<void>
+PlannerTask::GiveOrder(ReplicaOrder aOrder)
+{
+  const auto reply = co_await Fetch(this->pool,
+                                    aOrder.address,
+                                    this->context.protocol.MakeOrder(aOrder),
+                                    this->options.orderTimeout);
+  const OrderReply meaning = reply
+                               ? this->context.protocol.ReadOrderReply(*reply)
+                               : OrderReply::kUnknown;
+  this->context.counters.Add("orders",
+                             { { "kind", OrderKindName(aOrder.kind) },
+                               { "reply", OrderReplyName(meaning) } });
+  LogLine("order")
+    .With("kind", OrderKindName(aOrder.kind))
+    .With("target", aOrder.target)
+    .With("replica", aOrder.replica)
+    .With("epoch", aOrder.epoch)
+    .With("model", aOrder.model)
+    .With("fence", aOrder.fencingToken)
+    .With("reply", OrderReplyName(meaning))
+    .With("status", reply ? std::int64_t{ reply->result_int() } : 0)
+    .Info();
+  if (meaning == OrderReply::kFenced && aOrder.fencingToken == this->fence) {
+    this->OnFenced();
+  }
+}
+
+void
+PlannerTask::OnFenced()
+{
+  if (this->leading) {
+    LogLine("planner_fenced").With("fence", this->fence).Warn();
+    this->leading = false;
+    this->lease.Abandon();
+  }
+}
+
+void
+PlannerTask::Suspect(const std::string& aTarget)
+{
+  const auto found = this->probed.find(aTarget);
+  if (this->leading && found != this->probed.end()) {
+    found->second.suspect = true;
+  }
+}
+
+} // namespace apricottrack
--- /dev/null
+++ b/src/serving/Refusals.cpp
@@ -0,0 +1,40 @@
+#include "serving/Refusals.h"
+
+#include <fmt/format.h>
+
+namespace apricottrack {
+
+namespace http = boost::beast::http;
+
+namespace {
+
+/// Time after which a slot is likely to be free; a batch serves several
+/// requests in it.
+constexpr double kLeastRetrySeconds = 0.15;
+constexpr double kMostRetrySeconds = 0.6;
+
+constexpr unsigned kUnavailable = 503;
+constexpr unsigned kUnauthorized = 401;
+
+} // namespace
+
+HttpResponse
+MakeRefusal(unsigned aStatus,
+            std::string_view aReason,
+            std::mt19937_64& aRandom)
+{
+  HttpResponse response =
+    JsonResponse(aStatus, fmt::format(R"({{"error":"{}"}})", aReason));
+  if (aStatus == kUnavailable) {
+    std::uniform_real_distribution<double> spread(kLeastRetrySeconds,
+                                                  kMostRetrySeconds);
+    response.set(http::field::retry_after,
+                 fmt::format("{:.2f}", spread(aRandom)));
+  }
+  if (aStatus == kUnauthorized) {
+    response.set(http::field::www_authenticate, "Bearer");
+  }
+  return response;
+}
+
+} // namespace apricottrack
--- /dev/null
+++ b/src/serving/RepeatRules.cpp
@@ -0,0 +1,85 @@
+#include "serving/RepeatRules.h"
+
+namespace apricottrack {
+
+namespace {
+
+/// Sends of a request that no target ran; bounds the search for a target
+/// that takes it.
+constexpr int kMaxUnrunSends = 4;
+
+NextStep
+GiveUp(const CallHistory& aHistory)
+{
+  if (!aHistory.timeLeft) {
+    return aHistory.mayHaveRun > 0 ? NextStep::kTimeOut : NextStep::kRefuse;
+  }
+  return aHistory.mayHaveRun > 0 ? NextStep::kFail : NextStep::kRefuse;
+}
+
+bool
+MayTryElsewhere(const CatalogRoute& aRoute, const CallHistory& aHistory)
+{
+  if (!aHistory.timeLeft || !aHistory.budgetLeft) {
+    return false;
+  }
+  if (aHistory.mayHaveRun == 0) {
+    return aHistory.sent < kMaxUnrunSends;
+  }
+  return aRoute.IsRepeatable() && aHistory.mayHaveRun < aRoute.maxTargets;
+}
+
+} // namespace
+
+std::string_view
+CallEndName(CallEnd aEnd)
+{
+  switch (aEnd) {
+    case CallEnd::kAnswered:
+      return "answered";
+    case CallEnd::kNotSent:
+      return "not_sent";
+    case CallEnd::kNotRun:
+      return "not_run";
+    case CallEnd::kNoAnswer:
+      return "no_answer";
+    case CallEnd::kTruncated:
+      return "truncated";
+    case CallEnd::kTargetFailed:
+      return "target_failed";
+    case CallEnd::kCallerGone:
+      return "caller_gone";
+    case CallEnd::kOutOfTime:
+      break;
+  }
+  return "out_of_time";
+}
+
+NextStep
+DecideNext(const CatalogRoute& aRoute,
+           CallEnd aEnd,
+           const CallHistory& aHistory)
+{
+  switch (aEnd) {
+    case CallEnd::kAnswered:
+      return NextStep::kDone;
+    case CallEnd::kCallerGone:
+      return NextStep::kDrop;
+    case CallEnd::kOutOfTime:
+      return GiveUp(
+        CallHistory{ .mayHaveRun = aHistory.mayHaveRun, .timeLeft = false });
+    case CallEnd::kTargetFailed:
+      // Without another target the target's own failure is the answer.
+      return MayTryElsewhere(aRoute, aHistory) ? NextStep::kTryElsewhere
+                                               : NextStep::kDone;
+    case CallEnd::kNotSent:
+    case CallEnd::kNotRun:
+    case CallEnd::kNoAnswer:
+    case CallEnd::kTruncated:
+      break;
+  }
+  return MayTryElsewhere(aRoute, aHistory) ? NextStep::kTryElsewhere
+                                           : GiveUp(aHistory);
+}
+
+} // namespace apricottrack
--- /dev/null
+++ b/src/serving/RequestFlow.cpp
@@ -0,0 +1,463 @@
+#include "serving/RequestFlow.h"
+
+#include "base/Log.h"
+#include "serving/Refusals.h"
+
+#include <algorithm>
+
+namespace apricottrack {
+
+namespace http = boost::beast::http;
+
+namespace {
+
+/// Kept back from the time that a target is given, for its answer to reach
+/// the caller.
+constexpr Duration kReturnMargin = milliseconds(8);
+/// A call is not worth making with less time left.
+constexpr Duration kLeastCallTime = milliseconds(20);
+/// Largest plain answer that is held back until it is whole.
+constexpr std::size_t kHeldBodyLimit = std::size_t{ 16 } * 1024 * 1024;
+
+/// Nodes among which the reserve of repeats is divided.
+constexpr int kNodesAssumed = 6;
+
+constexpr unsigned kFirstSuccess = 200;
+constexpr unsigned kFirstRedirect = 300;
+constexpr unsigned kFirstServerError = 500;
+
+bool
+IsSuccess(unsigned aStatus)
+{
+  return aStatus >= kFirstSuccess && aStatus < kFirstRedirect;
+}
+
+} // namespace
+
+RequestFlow::RequestFlow(ServingContext& aContext, HttpExchange& aExchange)
+  : context(aContext)
+  , exchange(aExchange)
+  , arrived(MonotonicNow())
+  , caller(aContext.protocol.ReadCaller(aExchange.Request()))
+  , events(this->caller.resumeAfter)
+{
+  ++this->context.inFlight;
+}
+
+RequestFlow::~RequestFlow()
+{
+  --this->context.inFlight;
+}
+
+Task<void>
+RequestFlow::Serve()
+{
+  const HttpRequest& request = this->exchange.Request();
+  IntakeVerdict verdict = Admit(this->context.catalog,
+                                this->caller,
+                                request[http::field::host],
+                                request.target(),
+                                this->arrived,
+                                this->context.random);
+  if (verdict.refusal != IntakeRefusal::kNone) {
+    co_await this->RefuseAtIntake(verdict.refusal);
+    co_return;
+  }
+  this->accepted = std::move(verdict.request);
+  if (this->accepted.service == nullptr) {
+    co_await this->Refuse(503, "no_service");
+    co_return;
+  }
+  this->Budget().OnFirstAttempt();
+  this->exchange.WatchCaller([this] {
+    this->callerGone = true;
+    if (this->call != nullptr) {
+      this->call->Cancel();
+    }
+  });
+  co_await this->Run();
+}
+
+Task<void>
+RequestFlow::Run()
+{
+  for (;;) {
+    const Instant now = MonotonicNow();
+    if (now + kLeastCallTime >= this->accepted.deadline) {
+      co_await this->Finish(this->Decide(CallEnd::kOutOfTime));
+      co_return;
+    }
+    const Placement placement(Placement::Options{},
+                              this->context.loads,
+                              this->context.stalls,
+                              this->context.settings.availabilityZone);
+    const PlacementChoice choice = placement.Choose(
+      this->Candidates(), this->tried, now, this->context.random);
+    if (choice.refusal != PlacementRefusal::kNone) {
+      this->lastError.detail =
+        choice.refusal == PlacementRefusal::kFull ? "full" : "no_target";
+      co_await this->Finish(this->history.mayHaveRun > 0 ? NextStep::kFail
+                                                         : NextStep::kRefuse);
+      co_return;
+    }
+    const CallEnd end = co_await this->CallTarget(choice.target);
+    this->LogCall(choice.target, end);
+    const NextStep step = this->Decide(end);
+    if (step != NextStep::kTryElsewhere) {
+      co_await this->Finish(step);
+      co_return;
+    }
+  }
+}
+
+std::vector<Candidate>
+RequestFlow::Candidates() const
+{
+  std::vector<Candidate> candidates;
+  const CatalogService& service = *this->accepted.service;
+  if (service.engine) {
+    for (const ServingReplica& replica :
+         this->context.replicas.Serving(service.name, this->caller.model)) {
+      candidates.push_back({ .id = replica.headId,
+                             .address = replica.headAddress,
+                             .availabilityZone = replica.availabilityZone,
+                             .slots = replica.slots });
+    }
+    return candidates;
+  }
+  for (const auto& [id, record] : this->context.fleet.All()) {
+    if (record.service == service.name && !record.leaving) {
+      candidates.push_back({ .id = id,
+                             .address = record.address,
+                             .availabilityZone = record.availabilityZone,
+                             .slots = record.slots });
+    }
+  }
+  return candidates;
+}
+
+Task<CallEnd>
+RequestFlow::CallTarget(const Candidate& aTarget)
+{
+  const Instant now = MonotonicNow();
+  const std::string& id = aTarget.id;
+  TargetInstructions instructions{
+    .targetId = id,
+    .account = this->accepted.account,
+    .timeLeft = this->accepted.deadline - now - kReturnMargin,
+    .resumeAfter = this->events.LastId(),
+  };
+  TargetCall call(this->context.targetPool,
+                  this->context.protocol,
+                  TargetCall::Options{
+                    .address = aTarget.address,
+                    .message = this->context.protocol.MakeRequest(
+                      this->exchange.Request(), instructions),
+                    .attemptId = this->caller.attemptId,
+                    // A kept connection may have been closed unseen, which
+                    // would leave it open whether the request ran.
+                    .mayReuse = this->accepted.route->IsRepeatable(),
+                    .deadline = this->accepted.deadline,
+                  });
+  this->tried.insert(id);
+  this->lastTarget = id;
+  this->leftTarget = false;
+  this->call = &call;
+  const auto running = this->context.running.emplace(id, this);
+  this->context.loads.OnSent(id);
+  this->context.stalls.OnSent(id, now);
+  auto head = co_await call.Start();
+  CallEnd end = CallEnd::kNotSent;
+  if (head) {
+    end = co_await this->TakeAnswer(call, *head);
+  } else {
+    end = this->JudgeFailure(call, head.error());
+    this->lastError = head.error();
+  }
+  this->context.running.erase(running);
+  this->context.loads.OnEnded(id);
+  this->context.stalls.OnEnded(id);
+  this->call = nullptr;
+  if (end == CallEnd::kNotSent || end == CallEnd::kNoAnswer ||
+      end == CallEnd::kTruncated) {
+    this->context.stalls.OnBroken(id, MonotonicNow());
+  }
+  this->history.sent += call.Sent() ? 1 : 0;
+  this->history.mayHaveRun +=
+    call.Sent() && end != CallEnd::kNotRun && end != CallEnd::kNotSent ? 1 : 0;
+  co_return end;
+}
+
+Task<CallEnd>
+RequestFlow::TakeAnswer(TargetCall& aCall, const HttpResponse& aHead)
+{
+  const Instant now = MonotonicNow();
+  const TargetHead meaning = this->context.protocol.ReadHead(aHead);
+  this->context.stalls.OnProgress(this->lastTarget, now);
+  if (this->firstByte == Duration::zero()) {
+    this->firstByte = now - this->arrived;
+  }
+  if (meaning.load) {
+    this->context.loads.OnReported(
+      this->lastTarget, meaning.load->running + meaning.load->waiting, now);
+  }
+  if (meaning.notRun) {
+    const auto body = co_await aCall.WholeBody(kHeldBodyLimit);
+    if (body) {
+      aCall.Finish();
+    }
+    this->lastError.detail =
+      "not_run status " + std::to_string(aHead.result_int());
+    co_return CallEnd::kNotRun;
+  }
+  const bool success = IsSuccess(aHead.result_int());
+  if (success && (!meaning.isSigned || meaning.isEncoded)) {
+    this->lastError.detail = "not the target's own answer";
+    co_return CallEnd::kTruncated;
+  }
+  if (success && meaning.isEventStream && this->IsStream()) {
+    co_return co_await this->RelayEvents(aCall, aHead);
+  }
+  co_return co_await this->HoldBody(aCall, aHead, meaning);
+}
+
+Task<CallEnd>
+RequestFlow::RelayEvents(TargetCall& aCall, const HttpResponse& aHead)
+{
+  this->events.StartOver();
+  if (!this->streamBegun) {
+    this->streamBegun = true;
+    const bool present = co_await this->exchange.BeginStream(
+      aHead.result_int(), this->context.protocol.AnswerHeaders(aHead));
+    if (!present) {
+      co_return CallEnd::kCallerGone;
+    }
+  }
+  for (;;) {
+    auto piece = co_await aCall.NextPiece();
+    if (!piece) {
+      this->lastError = piece.error();
+      co_return this->JudgeFailure(aCall, piece.error());
+    }
+    if (piece->empty()) {
+      break;
+    }
+    this->context.stalls.OnProgress(this->lastTarget, MonotonicNow());
+    const bool present =
+      co_await this->exchange.WriteChunk(this->events.Append(*piece));
+    if (!present) {
+      co_return CallEnd::kCallerGone;
+    }
+  }
+  if (this->events.HasPart()) {
+    this->lastError.detail = "the stream ended inside an event";
+    co_return CallEnd::kTruncated;
+  }
+  aCall.Finish();
+  co_return CallEnd::kAnswered;
+}
+
+Task<CallEnd>
+RequestFlow::HoldBody(TargetCall& aCall,
+                      const HttpResponse& aHead,
+                      const TargetHead& aMeaning)
+{
+  auto body = co_await aCall.WholeBody(kHeldBodyLimit);
+  if (!body) {
+    this->lastError = body.error();
+    co_return this->JudgeFailure(aCall, body.error());
+  }
+  aCall.Finish();
+  if (!aMeaning.isSigned && aMeaning.attemptId.empty()) {
+    this->lastError.detail = "the answer does not say whose it is";
+    co_return CallEnd::kTruncated;
+  }
+  this->answer = std::make_unique<HttpResponse>();
+  this->answer->result(aHead.result_int());
+  for (const auto& [name, value] :
+       this->context.protocol.AnswerHeaders(aHead)) {
+    this->answer->insert(name, value);
+  }
+  this->answer->body() = std::move(*body);
+  co_return aHead.result_int() >= kFirstServerError ? CallEnd::kTargetFailed
+                                                    : CallEnd::kAnswered;
+}
+
+CallEnd
+RequestFlow::JudgeFailure(const TargetCall& aCall, const Error& aError) const
+{
+  if (this->callerGone) {
+    return CallEnd::kCallerGone;
+  }
+  if (!aCall.Sent()) {
+    return CallEnd::kNotSent;
+  }
+  if (MonotonicNow() + milliseconds(1) >= this->accepted.deadline) {
+    return CallEnd::kOutOfTime;
+  }
+  return aError.code == ErrorCode::kBadReply ? CallEnd::kTruncated
+                                             : CallEnd::kNoAnswer;
+}
+
+NextStep
+RequestFlow::Decide(CallEnd aEnd)
+{
+  if (this->callerGone) {
+    return NextStep::kDrop;
+  }
+  this->history.timeLeft =
+    MonotonicNow() + kLeastCallTime < this->accepted.deadline;
+  this->history.budgetLeft = true;
+  const NextStep step = DecideNext(*this->accepted.route, aEnd, this->history);
+  if (step != NextStep::kTryElsewhere || this->Budget().TryTake()) {
+    return step;
+  }
+  this->history.budgetLeft = false;
+  this->context.counters.Add("retries_denied");
+  return DecideNext(*this->accepted.route, aEnd, this->history);
+}
+
+Task<void>
+RequestFlow::Finish(NextStep aStep)
+{
+  switch (aStep) {
+    case NextStep::kDone:
+      if (this->streamBegun) {
+        co_await this->exchange.EndStream();
+        this->LogEnd("answered", 200);
+      } else {
+        const unsigned status = this->answer->result_int();
+        this->LogEnd("answered", status);
+        co_await this->exchange.Reply(std::move(*this->answer));
+      }
+      co_return;
+    case NextStep::kDrop:
+    case NextStep::kTryElsewhere:
+      this->LogEnd("caller_gone", 0);
+      this->exchange.Abort();
+      co_return;
+    case NextStep::kRefuse:
+      co_await this->Refuse(503, "not_run");
+      co_return;
+    case NextStep::kFail:
+      co_await this->Refuse(502, "outcome_unknown");
+      co_return;
+    case NextStep::kTimeOut:
+      co_await this->Refuse(504, "out_of_time");
+      co_return;
+  }
+}
+
+Task<void>
+RequestFlow::Refuse(unsigned aStatus, std::string_view aReason)
+{
+  if (this->streamBegun) {
+    // The answer has begun; only a cut connection shows that it is not whole.
+    this->LogEnd("stream_cut", aStatus);
+    this->exchange.Abort();
+    co_return;
+  }
+  this->LogEnd(aReason, aStatus);
+  co_await this->exchange.Reply(
+    MakeRefusal(aStatus, aReason, this->context.random));
+}
+
+Task<void>
+RequestFlow::RefuseAtIntake(IntakeRefusal aRefusal)
+{
+  switch (aRefusal) {
+    case IntakeRefusal::kNoRoute:
+      co_await this->Refuse(404, "no_route");
+      co_return;
+    case IntakeRefusal::kUnknownKey:
+      co_await this->Refuse(401, "unknown_key");
+      co_return;
+    case IntakeRefusal::kNoCatalog:
+      co_await this->Refuse(503, "no_catalog");
+      co_return;
+    case IntakeRefusal::kKeyNotProven:
+    case IntakeRefusal::kNone:
+      co_await this->Refuse(503, "key_not_proven");
+      co_return;
+  }
+}
+
+void
+RequestFlow::LeaveTarget()
+{
+  this->leftTarget = true;
+  if (this->call != nullptr) {
+    this->call->Cancel();
+  }
+}
+
+bool
+RequestFlow::IsStream() const
+{
+  return this->accepted.route->kind == RouteKind::kStream;
+}
+
+RetryBudget&
+RequestFlow::Budget()
+{
+  // Shares of the ratio and the reserve that all nodes have together.
+  return this->context.retryBudgets
+    .try_emplace(this->accepted.service->name,
+                 RetryBudget::Options{
+                   .ratio = this->context.settings.serving->retryRatio,
+                   .reserve = this->context.settings.serving->retrySlack /
+                              static_cast<double>(kNodesAssumed) })
+    .first->second;
+}
+
+void
+RequestFlow::LogCall(const Candidate& aTarget, CallEnd aEnd) const
+{
+  if (aEnd == CallEnd::kAnswered) {
+    return;
+  }
+  LogLine line("target_call");
+  line.With("request", this->caller.attemptId)
+    .With("target", aTarget.id)
+    .With("end", CallEndName(aEnd))
+    .With("after_ms",
+          std::int64_t{ (MonotonicNow() - this->arrived) / milliseconds(1) })
+    .With("left", std::int64_t{ this->leftTarget })
+    .With("step", this->lastError.step)
+    .With("detail", this->lastError.detail);
+  line.Info();
+}
+
+void
+RequestFlow::LogEnd(std::string_view aOutcome, unsigned aStatus)
+{
+  const Instant now = MonotonicNow();
+  const std::string_view service = this->accepted.service == nullptr
+                                     ? std::string_view("none")
+                                     : this->accepted.service->name;
+  this->context.counters.Add(
+    "requests", { { "service", service }, { "outcome", aOutcome } });
+  this->context.counters.Observe("request_seconds",
+                                 { { "service", service } },
+                                 ToSeconds(now - this->arrived));
+  if (this->firstByte > Duration::zero()) {
+    this->context.counters.Observe("first_byte_seconds",
+                                   { { "service", service } },
+                                   ToSeconds(this->firstByte));
+  }
+  LogLine("request_end")
+    .With("request", this->caller.attemptId)
+    .With("outcome", aOutcome)
+    .With("status", std::int64_t{ aStatus })
+    .With("route",
+          this->accepted.route == nullptr ? "" : this->accepted.route->name)
+    .With("target", this->lastTarget)
+    .With("sends", std::int64_t{ this->history.sent })
+    .With("first_ms", std::int64_t{ this->firstByte / milliseconds(1) })
+    .With("total_ms", std::int64_t{ (now - this->arrived) / milliseconds(1) })
+    .With("events", this->events.EventCount())
+    .With("detail", this->lastError.detail)
+    .Info();
+}
+
+} // namespace apricottrack
--- /dev/null
+++ b/src/serving/ServingContext.h
@@ -0,0 +1,52 @@
+#ifndef APRICOTTRACK_SERVING_SERVINGCONTEXT_H
+#define APRICOTTRACK_SERVING_SERVINGCONTEXT_H
+
+#include "apricottrack/Settings.h"
+#include "base/Counters.h"
+#include "catalog/CatalogHolder.h"
+#include "fleet/Fleet.h"
+#include "http/HttpClient.h"
+#include "placement/LoadBook.h"
+#include "placement/Placement.h"
+#include "placement/StallDetector.h"
+#include "replicas/ReplicaDirectory.h"
+#include "retry/RetryBudget.h"
+#include "serving/PlatformProtocol.h"
+
+#include <boost/asio/any_io_executor.hpp>
+#include <functional>
+#include <map>
+#include <random>
+#include <string>
+
+namespace apricottrack {
+
+class RequestFlow;
+
+/// What a node believes and shares among its requests; used by one thread.
+struct ServingContext
+{
+  const Settings& settings;
+  const PlatformProtocol& protocol;
+  boost::asio::any_io_executor executor;
+  Counters counters;
+  CatalogHolder catalog;
+  Fleet fleet;
+  ReplicaDirectory replicas;
+  LoadBook loads;
+  StallDetector stalls;
+  HttpConnectionPool targetPool;
+  std::map<std::string, RetryBudget> retryBudgets;
+  /// Requests that run now, by the target that runs them.
+  std::multimap<std::string, RequestFlow*> running;
+  std::mt19937_64 random;
+  /// A planned stop has begun.
+  bool draining = false;
+  /// Some caller's request has come since the start.
+  bool requestsSeen = false;
+  int inFlight = 0;
+};
+
+} // namespace apricottrack
+
+#endif
--- /dev/null
+++ b/src/serving/ServingNode.cpp
@@ -0,0 +1,311 @@
+#include "serving/ServingNode.h"
+
+#include "base/Log.h"
+#include "http/HttpServer.h"
+#include "serving/CatalogTask.h"
+#include "serving/FleetTask.h"
+#include "serving/PlannerTask.h"
+#include "serving/Refusals.h"
+#include "serving/RequestFlow.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/steady_timer.hpp>
+
+namespace apricottrack {
+
+namespace asio = boost::asio;
+
+namespace {
+
+/// Stalls are looked for this often.
+constexpr Duration kStallInterval = milliseconds(50);
+/// The platform takes a node out after two misses a second apart; until then
+/// new connections come.
+constexpr Duration kLeaveTime = milliseconds(2600);
+/// Left of the platform's limit when the process ends by itself.
+constexpr Duration kStopMargin = milliseconds(400);
+/// What a proof of freshness loses on the way of a request to its target.
+constexpr Duration kProofMargin = milliseconds(300);
+
+HttpResponse
+TextResponse(unsigned aStatus, std::string aBody)
+{
+  HttpResponse response;
+  response.result(aStatus);
+  response.set(boost::beast::http::field::content_type, "text/plain");
+  response.body() = std::move(aBody);
+  return response;
+}
+
+} // namespace
+
+class ServingNode::Impl
+{
+public:
+  Impl(asio::any_io_executor aExecutor, Settings aSettings, Platform aPlatform);
+
+  Result<void> Start();
+  void Stop(std::function<void()> aDone);
+
+private:
+  Result<std::shared_ptr<HttpServer>> Listen(const std::string& aAddress,
+                                             HttpHandler aHandler);
+  void OnCatalogChange();
+  void OnFleetChange();
+  bool IsReady() const;
+  Task<void> AnswerAdmin(HttpExchange& aExchange);
+  Task<void> LookForStalls();
+  Task<void> Drain(std::function<void()> aDone);
+
+  Settings settings;
+  Platform platform;
+  ServingContext context;
+  std::unique_ptr<KeyValueStore> store;
+  CatalogTask catalogTask;
+  FleetTask fleetTask;
+  PlannerTask planner;
+  std::shared_ptr<HttpServer> callerServer;
+  std::shared_ptr<HttpServer> readyServer;
+  std::shared_ptr<HttpServer> adminServer;
+};
+
+ServingNode::Impl::Impl(asio::any_io_executor aExecutor,
+                        Settings aSettings,
+                        Platform aPlatform)
+  : settings(std::move(aSettings))
+  , platform(std::move(aPlatform))
+  , context{
+    .settings = this->settings,
+    .protocol = *this->platform.protocol,
+    .executor = aExecutor,
+    .counters = {},
+    .catalog = CatalogHolder(CatalogHolder::Options{
+      .proofLifetime = this->settings.serving->revokeBound - kProofMargin }),
+    .fleet = Fleet(Fleet::Options{}),
+    .replicas = {},
+    .loads = LoadBook(LoadBook::Options{}),
+    .stalls = StallDetector(StallDetector::Options{}),
+    .targetPool =
+      HttpConnectionPool(aExecutor,
+                         HttpConnectionPool::Options{
+                           .idlePerAddress = 32,
+                           .idleTimeout = seconds(3),
+                           .connectTimeout = milliseconds(300) }),
+    .retryBudgets = {},
+    .running = {},
+    .random = std::mt19937_64(std::random_device{}()),
+  }
+  , store(this->platform.makeStore(this->context.counters))
+  , catalogTask(this->context,
+                *this->store,
+                CatalogTask::Options{},
+                [this] { this->OnCatalogChange(); })
+  , fleetTask(this->context,
+              *this->store,
+              FleetTask::Options{},
+              [this] { this->OnFleetChange(); })
+  , planner(this->context, *this->store, PlannerTask::Options{})
+{
+}
+
+Result<std::shared_ptr<HttpServer>>
+ServingNode::Impl::Listen(const std::string& aAddress, HttpHandler aHandler)
+{
+  return HttpServer::Make(
+    this->context.executor,
+    HttpServer::Options{
+      .address = aAddress,
+      .limits = HttpServerLimits{ .connections = static_cast<std::size_t>(
+                                    this->settings.maxConnections) },
+      .handler = std::move(aHandler),
+      .errorBody =
+        [this](unsigned aStatus, std::string_view aReason) {
+          return MakeRefusal(aStatus, aReason, this->context.random);
+        },
+    });
+}
+
+Result<void>
+ServingNode::Impl::Start()
+{
+  auto callers = this->Listen(this->settings.listen,
+                              [this](HttpExchange& aExchange) -> Task<void> {
+                                this->context.requestsSeen = true;
+                                RequestFlow flow(this->context, aExchange);
+                                co_await flow.Serve();
+                              });
+  if (!callers) {
+    return tl::unexpected(callers.error());
+  }
+  this->callerServer = *callers;
+  auto ready =
+    this->Listen(this->settings.serving->readyListen,
+                 [this](HttpExchange& aExchange) -> Task<void> {
+                   const bool isReady = this->IsReady();
+                   co_await aExchange.Reply(TextResponse(
+                     isReady ? 200 : 503, isReady ? "ready\n" : "not ready\n"));
+                 });
+  if (!ready) {
+    return tl::unexpected(ready.error());
+  }
+  this->readyServer = *ready;
+  auto admin = this->Listen(this->settings.adminListen,
+                            [this](HttpExchange& aExchange) -> Task<void> {
+                              co_await this->AnswerAdmin(aExchange);
+                            });
+  if (!admin) {
+    return tl::unexpected(admin.error());
+  }
+  this->adminServer = *admin;
+  this->catalogTask.Start();
+  this->fleetTask.Start();
+  this->planner.Start();
+  asio::co_spawn(
+    this->context.executor,
+    [this]() -> Task<void> { co_await this->LookForStalls(); },
+    asio::detached);
+  LogLine("node_started")
+    .With("node", this->settings.node)
+    .With("listen", this->settings.listen)
+    .With("first_start", std::int64_t{ this->settings.serving->firstStart })
+    .Info();
+  return {};
+}
+
+void
+ServingNode::Impl::OnCatalogChange()
+{
+  const CallerLimits& limits =
+    this->context.catalog.Current()->Declared().limits;
+  this->callerServer->SetLimits(HttpServerLimits{
+    .headerBytes = limits.headerBytes,
+    .bodyBytes = limits.bodyBytes,
+    .connections = static_cast<std::size_t>(this->settings.maxConnections),
+    .idleTimeout = limits.idleTimeout,
+    .receiveTimeout = limits.headerTimeout,
+  });
+  this->OnFleetChange();
+}
+
+void
+ServingNode::Impl::OnFleetChange()
+{
+  const CatalogPointer& catalog = this->context.catalog.Current();
+  if (catalog != nullptr) {
+    this->context.replicas.Rebuild(catalog->Declared(), this->context.fleet);
+  }
+}
+
+bool
+ServingNode::Impl::IsReady() const
+{
+  return !this->context.draining &&
+         this->context.catalog.MayHonourKeys(MonotonicNow());
+}
+
+Task<void>
+ServingNode::Impl::AnswerAdmin(HttpExchange& aExchange)
+{
+  if (aExchange.Request().target() != "/metrics") {
+    co_await aExchange.Reply(TextResponse(404, "try /metrics\n"));
+    co_return;
+  }
+  this->context.counters.Set("requests_in_flight", {}, this->context.inFlight);
+  this->context.counters.Set(
+    "planner_leads", {}, this->planner.Leads() ? 1 : 0);
+  this->context.counters.Set(
+    "catalog_proof_age_seconds",
+    {},
+    ToSeconds(this->context.catalog.ProofAge(MonotonicNow())));
+  co_await aExchange.Reply(TextResponse(200, this->context.counters.Text()));
+}
+
+Task<void>
+ServingNode::Impl::LookForStalls()
+{
+  for (;;) {
+    asio::steady_timer timer(this->context.executor, kStallInterval);
+    co_await timer.async_wait(kAsTuple);
+    for (const std::string& target :
+         this->context.stalls.Look(MonotonicNow())) {
+      LogLine("target_stalled")
+        .With("target", target)
+        .With("own_requests", std::int64_t{ this->context.loads.Own(target) })
+        .Info();
+      this->context.counters.Add("targets_stalled");
+      this->planner.Suspect(target);
+      const auto [first, last] = this->context.running.equal_range(target);
+      for (auto it = first; it != last; ++it) {
+        it->second->LeaveTarget();
+      }
+    }
+  }
+}
+
+void
+ServingNode::Impl::Stop(std::function<void()> aDone)
+{
+  if (this->context.draining) {
+    return;
+  }
+  this->context.draining = true;
+  this->planner.Release();
+  this->callerServer->AskToReconnect();
+  LogLine("node_draining")
+    .With("in_flight", std::int64_t{ this->context.inFlight })
+    .Info();
+  asio::co_spawn(
+    this->context.executor,
+    [this, done = std::move(aDone)]() -> Task<void> {
+      co_await this->Drain(done);
+    },
+    asio::detached);
+}
+
+Task<void>
+ServingNode::Impl::Drain(std::function<void()> aDone)
+{
+  const Instant endBy =
+    MonotonicNow() + this->settings.serving->stopLimit - kStopMargin;
+  asio::steady_timer timer(this->context.executor, kLeaveTime);
+  co_await timer.async_wait(kAsTuple);
+  this->callerServer->Stop();
+  while (this->callerServer->Connections() > 0 && MonotonicNow() < endBy) {
+    timer.expires_after(milliseconds(20));
+    co_await timer.async_wait(kAsTuple);
+  }
+  LogLine("node_stopped")
+    .With("in_flight", std::int64_t{ this->context.inFlight })
+    .Info();
+  aDone();
+}
+
+ServingNode::ServingNode(std::unique_ptr<Impl> aImpl)
+  : impl(std::move(aImpl))
+{
+}
+
+ServingNode::~ServingNode() = default;
+
+Result<std::unique_ptr<ServingNode>>
+ServingNode::Make(asio::any_io_executor aExecutor,
+                  Settings aSettings,
+                  Platform aPlatform)
+{
+  auto impl = std::make_unique<Impl>(
+    std::move(aExecutor), std::move(aSettings), std::move(aPlatform));
+  const auto started = impl->Start();
+  if (!started) {
+    return tl::unexpected(started.error());
+  }
+  return std::unique_ptr<ServingNode>(new ServingNode(std::move(impl)));
+}
+
+void
+ServingNode::Stop(std::function<void()> aDone)
+{
+  this->impl->Stop(std::move(aDone));
+}
+
+} // namespace apricottrack
--- a/tests/standins/main.cpp
+++ b/tests/standins/main.cpp
@@ -25,6 +25,7 @@
 {
   HttpServerLimits limits;
   limits.bodyBytes = std::uint64_t{ 16 } * 1024 * 1024;
+  limits.idleTimeout = seconds(3600);
   limits.receiveTimeout = seconds(3600);
   const auto server = HttpServer::Make(
     aContext.get_executor(),
--- a/tools/apricottrackd.cpp
+++ b/tools/apricottrackd.cpp
@@ -3,6 +3,9 @@
 #include "apricottrack/Node.h"
 #include "apricottrack/Settings.h"
 #include "base/Log.h"
+#include "platform/PlatformStore.h"
+#include "platform/WireProtocol.h"
+#include "serving/ServingNode.h"
 
 #include <CLI/CLI.hpp>
 #include <boost/asio/io_context.hpp>
@@ -18,25 +21,47 @@
 constexpr int kExitBadSettings = 2;
 constexpr int kExitNotStarted = 3;
 
+/// Runs until a signal asks to stop and the node has finished.
+template<typename NodeType>
 int
-RunNode(const Settings& aSettings)
+RunUntilStopped(boost::asio::io_context& aContext,
+                const Result<std::unique_ptr<NodeType>>& aNode)
 {
-  boost::asio::io_context context(1);
-  auto node = Node::Make(context.get_executor(), aSettings);
-  if (!node) {
-    LogLine("node_not_started").With(node.error()).Warn();
+  if (!aNode) {
+    LogLine("node_not_started").With(aNode.error()).Warn();
     return kExitNotStarted;
   }
-  boost::asio::signal_set signals(context, SIGTERM, SIGINT);
+  boost::asio::signal_set signals(aContext, SIGTERM, SIGINT);
   signals.async_wait([&](const boost::system::error_code& aError, int) {
     if (!aError) {
-      (*node)->Stop([&context] { context.stop(); });
+      (*aNode)->Stop([&aContext] { aContext.stop(); });
     }
   });
-  context.run();
+  aContext.run();
   return 0;
 }
 
+int
+RunNode(const Settings& aSettings)
+{
+  boost::asio::io_context context(1);
+  const auto executor = context.get_executor();
+  if (!aSettings.serving) {
+    return RunUntilStopped(context, Node::Make(executor, aSettings));
+  }
+  ServingNode::Platform platform{
+    .protocol = std::make_unique<platform::WireProtocol>(),
+    .makeStore = [&](Counters& aCounters) -> std::unique_ptr<KeyValueStore> {
+      return std::make_unique<platform::PlatformStore>(
+        executor,
+        aCounters,
+        platform::PlatformStore::Options{ .address = aSettings.platform });
+    },
+  };
+  return RunUntilStopped(
+    context, ServingNode::Make(executor, aSettings, std::move(platform)));
+}
+
 } // namespace
 
 int
@@ -45,7 +70,9 @@
   CLI::App app("apricottrack node daemon");
   std::string path;
   bool checkOnly = false;
-  app.add_option("settings", path, "TOML settings file")->required();
+  app.add_option("settings", path, "TOML settings file")
+    ->envname("APRICOTTRACK_NODE_FILE")
+    ->required();
   app.add_flag("--check", checkOnly, "check the settings and exit");
   CLI11_PARSE(app, argc, argv);
 
