Plan replicas by the models' shares once the fleet has settled

Cause: replicas were formed greedily as targets registered one by one, so the small model took all of them and one replica was left for the large one.

--- a/src/replicas/FleetPlanner.h
+++ b/src/replicas/FleetPlanner.h
@@ -75,8 +75,11 @@
 public:
   struct Options
   {
-    /// Spares that a fabric domain keeps while enough replicas serve.
-    int sparesPerDomain = 1;
+    /// Share of the targets that stands by as spares.
+    double spareShare = 0.2;
+    /// Before the first request, targets are waited for until none has come
+    /// for this long, so that replicas are formed from the whole fleet.
+    Duration settle = milliseconds(600);
     /// Added to the expected time of an order before it is given again.
     Duration orderSlack = milliseconds(1200);
     /// Longest time to let a head finish what runs.
@@ -111,7 +114,9 @@
   std::map<std::string, PlannedReplica, std::less<>> replicas;
   /// Targets that are loading or staging for later, until when.
   std::map<std::string, Instant, std::less<>> preparing;
-  std::int64_t named = 0;
+  /// For the wait before the first request.
+  std::size_t knownTargets = 0;
+  Instant lastArrival;
 };
 
 } // namespace apricottrack
--- a/src/replicas/FleetPlanningRound.cpp
+++ b/src/replicas/FleetPlanningRound.cpp
@@ -1,6 +1,7 @@
 #include "replicas/FleetPlanningRound.h"
 
 #include <algorithm>
+#include <cmath>
 #include <fmt/format.h>
 
 namespace apricottrack {
@@ -390,66 +391,119 @@
 }
 
 std::vector<const ReplicaModel*>
-FleetPlanningRound::ModelsByNeed() const
+FleetPlanningRound::ModelsBySize() const
 {
   std::vector<const ReplicaModel*> models;
   for (const ReplicaModel& model : this->engine.models) {
     models.push_back(&model);
   }
-  const auto filled = [&](const ReplicaModel* aModel) {
-    const double targets = this->ReplicasOf(aModel->name) * aModel->size;
-    return aModel->share > 0 ? targets / aModel->share : 1e9;
-  };
-  std::stable_sort(
-    models.begin(), models.end(), [&](auto* aLeft, auto* aRight) {
-      return filled(aLeft) < filled(aRight);
-    });
+  std::stable_sort(models.begin(), models.end(), [](auto* aLeft, auto* aRight) {
+    return aLeft->size > aRight->size;
+  });
   return models;
 }
 
+int
+FleetPlanningRound::WantedOf(const ReplicaModel& aModel) const
+{
+  const auto usable =
+    std::count_if(this->view.members.begin(),
+                  this->view.members.end(),
+                  [](const auto& aE) { return aE.second.IsUsable(); });
+  double shares = 0;
+  for (const ReplicaModel& model : this->engine.models) {
+    shares += model.share;
+  }
+  const double serving =
+    static_cast<double>(usable) * (1 - this->planner.options.spareShare);
+  return std::max(1,
+                  static_cast<int>(std::lround(serving * aModel.share / shares /
+                                               aModel.size)));
+}
+
+bool
+FleetPlanningRound::IsSettling()
+{
+  if (!this->view.beforeTraffic) {
+    return false;
+  }
+  if (this->view.members.size() > this->planner.knownTargets) {
+    this->planner.knownTargets = this->view.members.size();
+    this->planner.lastArrival = this->now;
+  }
+  return this->now - this->planner.lastArrival < this->planner.options.settle;
+}
+
 void
 FleetPlanningRound::FormReplicas()
 {
-  std::map<std::string, int> domains;
-  for (const auto& [id, member] : this->view.members) {
-    if (this->IsFree(member)) {
-      ++domains[member.record.fabricDomain];
-    }
+  if (this->IsSettling()) {
+    return;
   }
-  bool formed = true;
-  while (formed) {
-    formed = false;
-    for (const auto& [domain, count] : domains) {
-      formed = this->FormOne(domain) || formed;
+  for (const ReplicaModel* const model : this->ModelsBySize()) {
+    const int wanted = this->WantedOf(*model);
+    while (this->ReplicasOf(model->name) < wanted && this->FormOne(*model)) {
     }
   }
 }
 
 bool
-FleetPlanningRound::FormOne(const std::string& aDomain)
-{
-  for (const ReplicaModel* const model : this->ModelsByNeed()) {
-    std::vector<std::string> free = this->FreeIn(aDomain, model->name);
-    const auto size = static_cast<std::size_t>(model->size);
-    const auto spares =
-      static_cast<std::size_t>(this->planner.options.sparesPerDomain);
-    if (free.size() < size + spares) {
-      continue;
+FleetPlanningRound::FormOne(const ReplicaModel& aModel)
+{
+  std::set<std::string_view> domains;
+  for (const auto& [id, member] : this->view.members) {
+    domains.insert(member.record.fabricDomain);
+  }
+  std::vector<std::string> best;
+  std::string_view place;
+  for (const std::string_view domain : domains) {
+    std::vector<std::string> free = this->FreeIn(domain, aModel.name);
+    if (free.size() > best.size()) {
+      best = std::move(free);
+      place = domain;
+    }
+  }
+  const auto size = static_cast<std::size_t>(aModel.size);
+  if (best.size() < size) {
+    return false;
+  }
+  best.resize(size);
+  const std::int64_t named = this->planner.epochs();
+  PlannedReplica replica{ .name = fmt::format("r{}", named),
+                          .model = aModel.name,
+                          .domain = std::string(place),
+                          .epoch = named,
+                          .members = {} };
+  auto& placed =
+    this->planner.replicas.emplace(replica.name, replica).first->second;
+  this->BeginJoin(placed, std::move(best));
+  return true;
+}
+
+const ReplicaModel&
+FleetPlanningRound::SpareModelFor(const TargetRecord& aRecord) const
+{
+  std::map<std::string_view, int> spares;
+  std::map<std::string_view, int> replicas;
+  for (const auto& [id, member] : this->view.members) {
+    if (id != aRecord.id && this->IsFree(member) &&
+        member.record.fabricDomain == aRecord.fabricDomain) {
+      ++spares[member.record.model];
     }
-    free.resize(size);
-    const std::int64_t epoch = this->planner.epochs();
-    PlannedReplica replica{ .name = fmt::format("r{}", epoch),
-                            .model = model->name,
-                            .domain = aDomain,
-                            .epoch = epoch,
-                            .members = {} };
-    auto& placed =
-      this->planner.replicas.emplace(replica.name, std::move(replica))
-        .first->second;
-    this->BeginJoin(placed, std::move(free));
-    return true;
-  }
-  return false;
+  }
+  for (const auto& [name, replica] : this->planner.replicas) {
+    replicas[replica.model] += replica.domain == aRecord.fabricDomain ? 1 : 0;
+  }
+  const auto score = [&](const ReplicaModel& aModel) {
+    // Spares for each replica that they could repair.
+    return (spares[aModel.name] + 1.0) / (replicas[aModel.name] + 0.1);
+  };
+  return *std::min_element(
+    this->engine.models.begin(),
+    this->engine.models.end(),
+    [&](const ReplicaModel& aLeft, const ReplicaModel& aRight) {
+      return score(aLeft) < score(aRight);
+    });
 }
 
 void
@@ -499,7 +553,7 @@
 void
 FleetPlanningRound::WarmUp(const TargetRecord& aRecord)
 {
-  const ReplicaModel& model = *this->ModelsByNeed().front();
+  const ReplicaModel& model = this->SpareModelFor(aRecord);
   const Duration expected = this->JoinTime(aRecord, model);
   const bool loads = this->WarmthOf(aRecord, model.name) == Warmth::kCold;
   if (loads && !this->MayLoad(expected)) {
--- a/src/replicas/FleetPlanningRound.h
+++ b/src/replicas/FleetPlanningRound.h
@@ -66,10 +66,18 @@
   /// Takes targets out of replicas that went on without them.
   void FreeStrays();
 
+  /// More targets are expected before anything is formed.
+  bool IsSettling();
   void FormReplicas();
-  bool FormOne(const std::string& aDomain);
-  /// The model whose replicas are fewest against its share.
-  std::vector<const ReplicaModel*> ModelsByNeed() const;
+  /// Forms one replica of the model where most targets are free.
+  bool FormOne(const ReplicaModel& aModel);
+  /// Replicas of a model that the usable targets allow, by its share.
+  int WantedOf(const ReplicaModel& aModel) const;
+  /// Larger replicas first: small ones fit into what they leave.
+  std::vector<const ReplicaModel*> ModelsBySize() const;
+  /// The model for which a free target is held ready: the one that its
+  /// domain's other spares serve least.
+  const ReplicaModel& SpareModelFor(const TargetRecord& aRecord) const;
   int ReplicasOf(std::string_view aModel) const;
   void BeginJoin(PlannedReplica& aReplica, std::vector<std::string> aMembers);
   void OrderJoins(const PlannedReplica& aReplica, bool aOnlyMissing);
