--- a/include/apricottrack/KeyValueStore.h
+++ b/include/apricottrack/KeyValueStore.h
@@ -47,7 +47,7 @@
 {
 public:
   using WatchCallback =
-    std::function<void(const std::vector<KeyValue>& aChanges)>;
+    std::function<bool(const std::vector<KeyValue>& aChanges)>;
 
   virtual ~KeyValueStore() = default;
 
@@ -67,7 +67,9 @@
   virtual Task<Result<std::int64_t>> RenewLease(LeaseId aLease) = 0;
 
   /// Reports changes under the prefix from a revision on until the
-  /// connection fails; returns that failure.
+  /// connection fails, or the callback returns false; returns that failure,
+  /// or kRefused for the callback's. A store may also call back without any
+  /// changes, as a sign that the watch is alive.
   virtual Task<Error> Watch(std::string aPrefix,
                             Revision aFrom,
                             WatchCallback aCallback) = 0;
--- a/include/apricottrack/Settings.h
+++ b/include/apricottrack/Settings.h
@@ -27,6 +27,8 @@
   Duration stopLimit = seconds(8);
   /// Longest time that a leaving target may get requests.
   Duration drainBound = seconds(2);
+  /// Share of a core that this VM has.
+  double cpuShare = 1;
   /// The whole system starts for the first time, ahead of its first request.
   bool firstStart = false;
 
--- a/src/catalog/Catalog.h
+++ b/src/catalog/Catalog.h
@@ -95,6 +95,8 @@
   /// Added to a step per thousand tokens of context.
   Duration stepPerThousandTokens = Duration::zero();
   double prefillTokensPerSecond = 0;
+  /// Added to prefill per million pairs of a token and one before it.
+  Duration prefillPerMillionPairs = Duration::zero();
   /// Weight loads that may begin a second, over all targets.
   double loadsPerSecond = 1;
   /// Loads at a time that do not slow each other down.
--- a/src/config/Settings.cpp
+++ b/src/config/Settings.cpp
@@ -53,6 +53,10 @@
                                ToSeconds(serving.stopLimit)));
   serving.drainBound = ReadMilliseconds(
     aReader, "drain_bound_ms", 100, 600'000, serving.drainBound);
+  serving.cpuShare =
+    aReader.Number("cpu_share",
+                   { .least = 0.01, .most = 1024, .unit = "cores" },
+                   serving.cpuShare);
   serving.firstStart = aReader.Flag("first_start", serving.firstStart);
   return serving;
 }
--- /dev/null
+++ b/src/engine/EngineCost.cpp
@@ -0,0 +1,91 @@
+#include "engine/EngineCost.h"
+
+#include <algorithm>
+#include <limits>
+
+namespace apricottrack {
+
+namespace {
+
+/// Prompts may take this share of a replica's time; beyond it the wait for
+/// the first token grows past usual objectives.
+constexpr double kPrefillLimit = 0.4;
+/// Share of the slots that may be taken on average; the rest takes up what
+/// arrives unevenly.
+constexpr double kSlotLimit = 0.7;
+constexpr double kTokensPerThousand = 1000;
+constexpr double kPairsPerMillion = 1e6;
+
+} // namespace
+
+EngineCost::EngineCost(const EngineSpec& aEngine, const ReplicaModel& aModel)
+  : engine(aEngine)
+  , model(aModel)
+{
+}
+
+Duration
+EngineCost::Step(double aRunning, double aContextTokens) const
+{
+  const double seconds = ToSeconds(this->engine.step) +
+                         aRunning * ToSeconds(this->engine.stepPerRequest) +
+                         aContextTokens / kTokensPerThousand *
+                           ToSeconds(this->engine.stepPerThousandTokens);
+  return FromSeconds(seconds * this->model.pace);
+}
+
+Duration
+EngineCost::Prefill(double aPromptTokens) const
+{
+  if (this->engine.prefillTokensPerSecond <= 0) {
+    return Duration::zero();
+  }
+  // Each token attends to those before it.
+  const double pairs = aPromptTokens * aPromptTokens / 2 / kPairsPerMillion;
+  const double seconds = aPromptTokens / this->engine.prefillTokensPerSecond +
+                         pairs * ToSeconds(this->engine.prefillPerMillionPairs);
+  return FromSeconds(seconds * this->model.pace);
+}
+
+Duration
+EngineCost::Pass(double aRunning, double aContextTokens) const
+{
+  return this->Step(aRunning, aContextTokens) * this->engine.stride;
+}
+
+double
+EngineCost::PrefillShare(const ModelDemand& aDemand, double aReplicas) const
+{
+  if (aDemand.requests <= 0) {
+    return 0;
+  }
+  const double meanPrompt = aDemand.promptTokens / aDemand.requests;
+  return aDemand.requests * ToSeconds(this->Prefill(meanPrompt)) / aReplicas;
+}
+
+double
+EngineCost::Running(const ModelDemand& aDemand, double aReplicas) const
+{
+  const double left = 1 - this->PrefillShare(aDemand, aReplicas);
+  if (left <= 0) {
+    return std::numeric_limits<double>::infinity();
+  }
+  if (aDemand.requests <= 0) {
+    return 0;
+  }
+  const double context =
+    aDemand.promptTokens / aDemand.requests * this->engine.batchSlots;
+  const double step =
+    ToSeconds(this->Step(this->engine.batchSlots, context)) / left;
+  return aDemand.outputTokens / aReplicas * step;
+}
+
+double
+EngineCost::Strain(const ModelDemand& aDemand, double aReplicas) const
+{
+  return std::max(this->PrefillShare(aDemand, aReplicas) / kPrefillLimit,
+                  this->Running(aDemand, aReplicas) /
+                    (kSlotLimit * this->engine.batchSlots));
+}
+
+} // namespace apricottrack
--- a/src/fleet/Fleet.cpp
+++ b/src/fleet/Fleet.cpp
@@ -7,18 +7,55 @@
 void
 Fleet::Put(TargetRecord aRecord)
 {
-  this->missing.erase(aRecord.id);
+  const auto known = this->records.find(aRecord.id);
+  if (known != this->records.end() &&
+      aRecord.revision < known->second.revision) {
+    return;
+  }
   const std::string id = aRecord.id;
+  this->missing.erase(id);
+  if (known == this->records.end() || known->second != aRecord) {
+    this->changedAt[id] = ++this->sequence;
+  }
   this->records.insert_or_assign(id, std::move(aRecord));
 }
 
+void
+Fleet::Erase(const std::string& aId)
+{
+  if (this->records.erase(aId) > 0) {
+    this->changedAt[aId] = ++this->sequence;
+  }
+}
+
+bool
+Fleet::ChangesSince(std::uint64_t aSequence,
+                    std::vector<TargetRecord>& aChanged,
+                    std::vector<std::string>& aGone) const
+{
+  if (aSequence == 0 || aSequence > this->sequence) {
+    return false;
+  }
+  for (const auto& [id, changed] : this->changedAt) {
+    if (changed <= aSequence) {
+      continue;
+    }
+    if (const TargetRecord* const record = this->Find(id)) {
+      aChanged.push_back(*record);
+    } else {
+      aGone.push_back(id);
+    }
+  }
+  return true;
+}
+
 void
 Fleet::Remove(const std::string& aId, Instant aNow)
 {
   if (this->returnedAt == Instant::min() ||
       aNow - this->returnedAt >= this->options.returnGrace) {
     this->missing.erase(aId);
-    this->records.erase(aId);
+    this->Erase(aId);
   } else if (this->records.contains(aId)) {
     this->missing.emplace(aId, this->returnedAt + this->options.returnGrace);
   }
@@ -49,7 +86,7 @@
       ++it;
       continue;
     }
-    this->records.erase(it->first);
+    this->Erase(it->first);
     it = this->missing.erase(it);
     dropped = true;
   }
--- a/src/fleet/Fleet.h
+++ b/src/fleet/Fleet.h
@@ -44,6 +44,18 @@
   /// Drops the entries whose grace is over; true if there were any.
   bool DropLapsed(Instant aNow);
 
+  /// Grows with each change.
+  std::uint64_t Sequence() const { return this->sequence; }
+
+  /// Something that is told along with the fleet changed.
+  void Touch() { ++this->sequence; }
+
+  /// Targets that changed and that went since a sequence number; false if
+  /// that is too long ago to tell.
+  bool ChangesSince(std::uint64_t aSequence,
+                    std::vector<TargetRecord>& aChanged,
+                    std::vector<std::string>& aGone) const;
+
   const Records& All() const { return this->records; }
   /// Null where there is no such target.
   const TargetRecord* Find(std::string_view aId) const;
@@ -53,7 +65,12 @@
   Records records;
   /// Targets that are missing from the store, by the end of their grace.
   std::map<std::string, Instant, std::less<>> missing;
+  void Erase(const std::string& aId);
+
   Instant returnedAt = Instant::min();
+  std::uint64_t sequence = 0;
+  /// Sequence number of the last change to a target, gone ones included.
+  std::map<std::string, std::uint64_t, std::less<>> changedAt;
 };
 
 } // namespace apricottrack
--- /dev/null
+++ b/src/fleet/FleetMessages.h
@@ -0,0 +1,68 @@
+#ifndef APRICOTTRACK_FLEET_FLEETMESSAGES_H
+#define APRICOTTRACK_FLEET_FLEETMESSAGES_H
+
+#include "apricottrack/Time.h"
+#include "engine/ReplicaBudget.h"
+#include "fleet/TargetRecord.h"
+
+#include <cstdint>
+#include <string>
+#include <vector>
+
+/// What nodes tell each other about the fleet.
+namespace apricottrack {
+
+/// Asks the planner's node for what changed.
+struct FleetQuestion
+{
+  std::string node;
+  /// The process that the sequence number came from.
+  std::string source;
+  std::uint64_t sequence = 0;
+  std::int64_t catalogRevision = 0;
+  /// Longest time to wait for a change.
+  Duration wait = Duration::zero();
+  /// The asker's own.
+  ModelDemands demands;
+
+  friend bool operator==(const FleetQuestion&, const FleetQuestion&) = default;
+};
+
+struct FleetAnswer
+{
+  std::string source;
+  /// The sender plans, and so hears of changes first.
+  bool leads = false;
+  std::uint64_t sequence = 0;
+  std::int64_t catalogRevision = 0;
+  /// Age of the reads that back the answer, when it was made.
+  Duration catalogAge = Duration::zero();
+  Duration fleetAge = Duration::zero();
+  /// The targets are all there are.
+  bool complete = false;
+  std::vector<TargetRecord> targets;
+  std::vector<std::string> gone;
+  /// Replicas with a lost member, as NAME/EPOCH.
+  std::vector<std::string> broken;
+
+  friend bool operator==(const FleetAnswer&, const FleetAnswer&) = default;
+};
+
+/// Targets at which the sender's requests stand still.
+struct StallNotice
+{
+  std::string node;
+  std::vector<std::string> targets;
+
+  friend bool operator==(const StallNotice&, const StallNotice&) = default;
+};
+
+/// The notice came.
+struct Receipt
+{
+  friend bool operator==(const Receipt&, const Receipt&) = default;
+};
+
+} // namespace apricottrack
+
+#endif
--- a/src/fleet/TargetRecord.cpp
+++ b/src/fleet/TargetRecord.cpp
@@ -22,4 +22,10 @@
   return "none";
 }
 
+std::string
+ReplicaKey(const Membership& aMembership)
+{
+  return aMembership.replica + "/" + std::to_string(aMembership.epoch);
+}
+
 } // namespace apricottrack
--- a/src/fleet/TargetRecord.h
+++ b/src/fleet/TargetRecord.h
@@ -42,6 +42,10 @@
   friend bool operator==(const Membership&, const Membership&) = default;
 };
 
+/// NAME/EPOCH: one list of members of a replica.
+std::string
+ReplicaKey(const Membership& aMembership);
+
 /// What is known of one target.
 struct TargetRecord
 {
@@ -63,6 +67,8 @@
   /// Orders that began something since the start.
   std::int64_t orders = 0;
   bool busy = false;
+  /// Revision of the store's entry; an older one never replaces a newer one.
+  std::int64_t revision = 0;
 
   friend bool operator==(const TargetRecord&, const TargetRecord&) = default;
 };
--- a/src/kv/EtcdStore.cpp
+++ b/src/kv/EtcdStore.cpp
@@ -167,8 +167,9 @@
 
 namespace {
 
-/// Hands each complete line of a watch stream to the callback.
-void
+/// Hands each complete line of a watch stream to the callback; false once it
+/// wants no more.
+bool
 ConsumeLines(std::string& aPending,
              const KeyValueStore::WatchCallback& aCallback,
              const std::string& aPeer)
@@ -182,11 +183,12 @@
       message ? JsonObject(*message, "result") : nullptr;
     if (result != nullptr) {
       const auto changes = detail::ReadWatchEvents(*result);
-      if (!changes.empty()) {
-        aCallback(changes);
+      if (!changes.empty() && !aCallback(changes)) {
+        return false;
       }
     }
   }
+  return true;
 }
 
 } // namespace
@@ -226,7 +228,12 @@
                        .detail = "the service ended the watch" };
     }
     pending.append(*piece);
-    ConsumeLines(pending, aCallback, this->options.address);
+    if (!ConsumeLines(pending, aCallback, this->options.address)) {
+      co_return Error{ .code = ErrorCode::kRefused,
+                       .step = "kv.watch",
+                       .peer = this->options.address,
+                       .detail = "ended by its callback" };
+    }
   }
 }
 
--- /dev/null
+++ b/src/membership/FleetPacking.cpp
@@ -0,0 +1,206 @@
+#include "membership/FleetPacking.h"
+
+namespace apricottrack::detail {
+
+namespace {
+
+using Builder = flatbuffers::FlatBufferBuilder;
+using TextOffsets = std::vector<flatbuffers::Offset<flatbuffers::String>>;
+using TextVector =
+  flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>>;
+
+TextOffsets
+PackTexts(Builder& aBuilder, const std::vector<std::string>& aTexts)
+{
+  TextOffsets offsets;
+  for (const std::string& text : aTexts) {
+    offsets.push_back(aBuilder.CreateString(text));
+  }
+  return offsets;
+}
+
+std::string
+TextOf(const flatbuffers::String* aText)
+{
+  return aText == nullptr ? std::string{} : aText->str();
+}
+
+std::vector<std::string>
+TextsOf(const TextVector* aTexts)
+{
+  std::vector<std::string> texts;
+  if (aTexts != nullptr) {
+    for (const flatbuffers::String* const text : *aTexts) {
+      texts.push_back(text->str());
+    }
+  }
+  return texts;
+}
+
+std::int64_t
+ToMilliseconds(Duration aDuration)
+{
+  return std::chrono::duration_cast<milliseconds>(aDuration).count();
+}
+
+flatbuffers::Offset<wire::TargetState>
+PackTarget(Builder& aBuilder, const TargetRecord& aRecord)
+{
+  const TextOffsets staged = PackTexts(aBuilder, aRecord.stagedModels);
+  const Membership membership = aRecord.membership.value_or(Membership{});
+  return wire::CreateTargetStateDirect(
+    aBuilder,
+    aRecord.id.c_str(),
+    aRecord.service.c_str(),
+    aRecord.address.c_str(),
+    aRecord.availabilityZone.c_str(),
+    aRecord.fabricDomain.c_str(),
+    aRecord.slots,
+    aRecord.leaving,
+    aRecord.model.c_str(),
+    &staged,
+    membership.replica.c_str(),
+    membership.epoch,
+    membership.rank,
+    static_cast<std::uint8_t>(membership.state),
+    aRecord.startedAt,
+    aRecord.orders,
+    aRecord.revision);
+}
+
+TargetRecord
+UnpackTarget(const wire::TargetState& aState)
+{
+  TargetRecord record{
+    .id = TextOf(aState.id()),
+    .service = TextOf(aState.service()),
+    .address = TextOf(aState.address()),
+    .availabilityZone = TextOf(aState.availability_zone()),
+    .fabricDomain = TextOf(aState.fabric_domain()),
+    .slots = aState.slots(),
+    .leaving = aState.leaving(),
+    .model = TextOf(aState.model()),
+    .stagedModels = TextsOf(aState.staged_models()),
+    .membership = std::nullopt,
+    .startedAt = aState.started_at(),
+    .orders = aState.orders(),
+    .revision = aState.revision(),
+  };
+  const std::string replica = TextOf(aState.replica());
+  const auto state = std::min<std::uint8_t>(
+    aState.member_state(), static_cast<std::uint8_t>(MemberState::kBroken));
+  if (!replica.empty()) {
+    record.membership = Membership{ .replica = replica,
+                                    .epoch = aState.epoch(),
+                                    .rank = aState.rank(),
+                                    .state = static_cast<MemberState>(state) };
+  }
+  return record;
+}
+
+} // namespace
+
+flatbuffers::Offset<void>
+Pack(Builder& aBuilder, const FleetQuestion& aMessage)
+{
+  std::vector<flatbuffers::Offset<wire::ModelDemand>> demands;
+  for (const auto& [model, demand] : aMessage.demands) {
+    demands.push_back(wire::CreateModelDemandDirect(aBuilder,
+                                                    model.c_str(),
+                                                    demand.requests,
+                                                    demand.promptTokens,
+                                                    demand.outputTokens));
+  }
+  return wire::CreateFleetQuestionDirect(
+           aBuilder,
+           aMessage.node.c_str(),
+           aMessage.source.c_str(),
+           aMessage.sequence,
+           aMessage.catalogRevision,
+           static_cast<std::uint32_t>(ToMilliseconds(aMessage.wait)),
+           &demands)
+    .Union();
+}
+
+flatbuffers::Offset<void>
+Pack(Builder& aBuilder, const FleetAnswer& aMessage)
+{
+  std::vector<flatbuffers::Offset<wire::TargetState>> targets;
+  for (const TargetRecord& record : aMessage.targets) {
+    targets.push_back(PackTarget(aBuilder, record));
+  }
+  const TextOffsets gone = PackTexts(aBuilder, aMessage.gone);
+  const TextOffsets broken = PackTexts(aBuilder, aMessage.broken);
+  return wire::CreateFleetAnswerDirect(aBuilder,
+                                       aMessage.source.c_str(),
+                                       aMessage.leads,
+                                       aMessage.sequence,
+                                       aMessage.catalogRevision,
+                                       ToMilliseconds(aMessage.catalogAge),
+                                       ToMilliseconds(aMessage.fleetAge),
+                                       aMessage.complete,
+                                       &targets,
+                                       &gone,
+                                       &broken)
+    .Union();
+}
+
+flatbuffers::Offset<void>
+Pack(Builder& aBuilder, const StallNotice& aMessage)
+{
+  const TextOffsets targets = PackTexts(aBuilder, aMessage.targets);
+  return wire::CreateStallNoticeDirect(
+           aBuilder, aMessage.node.c_str(), &targets)
+    .Union();
+}
+
+FleetQuestion
+Unpack(const wire::FleetQuestion& aBody)
+{
+  ModelDemands demands;
+  if (aBody.demands() != nullptr) {
+    for (const wire::ModelDemand* const demand : *aBody.demands()) {
+      demands[TextOf(demand->model())] = {
+        .requests = demand->requests(),
+        .promptTokens = demand->prompt_tokens(),
+        .outputTokens = demand->output_tokens(),
+      };
+    }
+  }
+  return FleetQuestion{ .node = TextOf(aBody.node()),
+                        .source = TextOf(aBody.source()),
+                        .sequence = aBody.sequence(),
+                        .catalogRevision = aBody.catalog_revision(),
+                        .wait = milliseconds(aBody.wait_ms()),
+                        .demands = std::move(demands) };
+}
+
+FleetAnswer
+Unpack(const wire::FleetAnswer& aBody)
+{
+  FleetAnswer answer{ .source = TextOf(aBody.source()),
+                      .leads = aBody.leads(),
+                      .sequence = aBody.sequence(),
+                      .catalogRevision = aBody.catalog_revision(),
+                      .catalogAge = milliseconds(aBody.catalog_age_ms()),
+                      .fleetAge = milliseconds(aBody.fleet_age_ms()),
+                      .complete = aBody.complete(),
+                      .targets = {},
+                      .gone = TextsOf(aBody.gone()),
+                      .broken = TextsOf(aBody.broken()) };
+  if (aBody.targets() != nullptr) {
+    for (const wire::TargetState* const target : *aBody.targets()) {
+      answer.targets.push_back(UnpackTarget(*target));
+    }
+  }
+  return answer;
+}
+
+StallNotice
+Unpack(const wire::StallNotice& aBody)
+{
+  return StallNotice{ .node = TextOf(aBody.node()),
+                      .targets = TextsOf(aBody.targets()) };
+}
+
+} // namespace apricottrack::detail
--- /dev/null
+++ b/src/membership/FleetPacking.h
@@ -0,0 +1,27 @@
+#ifndef APRICOTTRACK_MEMBERSHIP_FLEETPACKING_H
+#define APRICOTTRACK_MEMBERSHIP_FLEETPACKING_H
+
+#include "fleet/FleetMessages.h"
+
+#include <wire/peer_generated.h>
+
+/// FlatBuffers encoding of the messages about the fleet.
+namespace apricottrack::detail {
+
+flatbuffers::Offset<void>
+Pack(flatbuffers::FlatBufferBuilder& aBuilder, const FleetQuestion& aMessage);
+flatbuffers::Offset<void>
+Pack(flatbuffers::FlatBufferBuilder& aBuilder, const FleetAnswer& aMessage);
+flatbuffers::Offset<void>
+Pack(flatbuffers::FlatBufferBuilder& aBuilder, const StallNotice& aMessage);
+
+FleetQuestion
+Unpack(const wire::FleetQuestion& aBody);
+FleetAnswer
+Unpack(const wire::FleetAnswer& aBody);
+StallNotice
+Unpack(const wire::StallNotice& aBody);
+
+} // namespace apricottrack::detail
+
+#endif
--- a/src/membership/PeerLink.cpp
+++ b/src/membership/PeerLink.cpp
@@ -107,6 +107,9 @@
     co_return tl::unexpected(written.error());
   }
   auto answer = co_await ReadFrame(*this->stream, this->address);
+  if (this->stream != nullptr) {
+    this->stream->expires_never();
+  }
   if (!answer) {
     this->stream.reset();
   }
@@ -176,7 +179,10 @@
     if (!question) {
       co_return;
     }
-    auto answer = this->answerer(std::move(*question));
+    // An answer that takes long is bounded by the answerer.
+    stream.expires_never();
+    auto answer = co_await this->answerer(std::move(*question));
+    stream.expires_after(kIdleLimit);
     if (!answer) {
       co_return;
     }
--- a/src/membership/PeerLink.h
+++ b/src/membership/PeerLink.h
@@ -39,7 +39,8 @@
 class PeerServer
 {
 public:
-  using Answerer = std::function<std::optional<PeerMessage>(PeerMessage)>;
+  /// May take its time over an answer; no answer ends the link.
+  using Answerer = std::function<Task<std::optional<PeerMessage>>(PeerMessage)>;
 
   static Result<std::shared_ptr<PeerServer>> Make(
     boost::asio::any_io_executor aExecutor,
--- a/src/membership/PeerMessages.cpp
+++ b/src/membership/PeerMessages.cpp
@@ -1,11 +1,14 @@
 #include "membership/PeerMessages.h"
 
+#include "membership/FleetPacking.h"
+
 #include <wire/peer_generated.h>
 
 namespace apricottrack {
 
 namespace {
 
+using detail::Pack;
 using Builder = flatbuffers::FlatBufferBuilder;
 using DemandOffsets = std::vector<flatbuffers::Offset<wire::AccountDemand>>;
 
@@ -58,6 +61,12 @@
     .Union();
 }
 
+flatbuffers::Offset<void>
+Pack(Builder& aBuilder, const Receipt&)
+{
+  return wire::CreateReceipt(aBuilder).Union();
+}
+
 std::string
 TextOf(const flatbuffers::String* aText)
 {
@@ -101,10 +110,10 @@
 EncodePeerMessage(const PeerMessage& aMessage)
 {
   static constexpr wire::Body kTypes[] = {
-    wire::Body::DemandReport,
-    wire::Body::DemandTotals,
-    wire::Body::ConfigurationRequest,
-    wire::Body::ConfigurationReply,
+    wire::Body::DemandReport,         wire::Body::DemandTotals,
+    wire::Body::ConfigurationRequest, wire::Body::ConfigurationReply,
+    wire::Body::FleetQuestion,        wire::Body::FleetAnswer,
+    wire::Body::StallNotice,          wire::Body::Receipt,
   };
   Builder builder;
   const auto body = std::visit(
@@ -140,6 +149,18 @@
   if (const auto* const reply = frame.body_as_ConfigurationReply()) {
     return Unpack(*reply);
   }
+  if (const auto* const question = frame.body_as_FleetQuestion()) {
+    return detail::Unpack(*question);
+  }
+  if (const auto* const answer = frame.body_as_FleetAnswer()) {
+    return detail::Unpack(*answer);
+  }
+  if (const auto* const notice = frame.body_as_StallNotice()) {
+    return detail::Unpack(*notice);
+  }
+  if (frame.body_as_Receipt() != nullptr) {
+    return Receipt{};
+  }
   return Failure(
     ErrorCode::kBadReply, "peer.parse", aPeer, "the message has no body");
 }
--- a/src/membership/PeerMessages.h
+++ b/src/membership/PeerMessages.h
@@ -3,6 +3,7 @@
 
 #include "apricottrack/Error.h"
 #include "config/StoredConfiguration.h"
+#include "fleet/FleetMessages.h"
 #include "membership/DemandLedger.h"
 
 #include <cstdint>
@@ -43,7 +44,11 @@
 using PeerMessage = std::variant<DemandReport,
                                  DemandTotals,
                                  ConfigurationRequest,
-                                 StoredConfiguration>;
+                                 StoredConfiguration,
+                                 FleetQuestion,
+                                 FleetAnswer,
+                                 StallNotice,
+                                 Receipt>;
 
 /// Largest message that a node accepts, bytes.
 inline constexpr std::uint32_t kMaxPeerMessageBytes = 2 * 1024 * 1024;
--- a/src/membership/PeerTask.cpp
+++ b/src/membership/PeerTask.cpp
@@ -40,8 +40,10 @@
 PeerTask::Start()
 {
   auto made = PeerServer::Make(
-    this->executor, this->options.listen, [this](PeerMessage aQuestion) {
-      return this->Answer(std::move(aQuestion));
+    this->executor,
+    this->options.listen,
+    [this](PeerMessage aQuestion) -> Task<std::optional<PeerMessage>> {
+      co_return this->Answer(std::move(aQuestion));
     });
   if (!made) {
     return tl::unexpected(made.error());
--- a/src/node/LeaseTask.cpp
+++ b/src/node/LeaseTask.cpp
@@ -33,6 +33,8 @@
 LeaseTask::Run()
 {
   std::uniform_real_distribution<double> spread(0.5, 1.5);
+  asio::steady_timer first(this->executor, this->options.firstDelay);
+  co_await first.async_wait(kAsTuple);
   while (!this->released) {
     // The lease counts from before the call, so that this node never
     // believes in it longer than the service does.
@@ -80,6 +82,9 @@
   }
   const bool own = present->value == this->options.value;
   if (present->revision != 0 && !own) {
+    if (this->options.onHolder) {
+      this->options.onHolder(present->value);
+    }
     co_return false;
   }
   const auto granted =
--- a/src/node/LeaseTask.h
+++ b/src/node/LeaseTask.h
@@ -26,6 +26,10 @@
     /// Whether it is worth asking for a key that this node does not hold;
     /// keeps those who only wait from calling the service. May be empty.
     std::function<bool()> mayTry;
+    /// Told of the value that the present holder wrote. May be empty.
+    std::function<void(const std::string& aValue)> onHolder;
+    /// Before the first try, so that nodes of one start do not all ask.
+    Duration firstDelay = Duration::zero();
   };
 
   LeaseTask(boost::asio::any_io_executor aExecutor,
--- a/src/node/PlatformTask.cpp
+++ b/src/node/PlatformTask.cpp
@@ -77,6 +77,7 @@
         [this](const std::vector<KeyValue>& aChanges) {
           this->lastHeard = MonotonicNow();
           this->sink(aChanges, false);
+          return true;
         });
       LogLine("platform_watch_ended").With(ended).Warn();
     }
--- /dev/null
+++ b/src/placement/DemandMeter.cpp
@@ -0,0 +1,55 @@
+#include "placement/DemandMeter.h"
+
+#include <cmath>
+
+namespace apricottrack {
+
+void
+DemandMeter::Fade(Entry& aEntry, Instant aNow) const
+{
+  const double left = std::exp(-ToSeconds(aNow - aEntry.fadedAt) /
+                               ToSeconds(this->options.memory));
+  aEntry.sums.requests *= left;
+  aEntry.sums.promptTokens *= left;
+  aEntry.sums.outputTokens *= left;
+  aEntry.fadedAt = aNow;
+}
+
+void
+DemandMeter::OnRequest(const std::string& aModel,
+                       int aPromptTokens,
+                       int aOutputTokens,
+                       Instant aNow)
+{
+  Entry& entry =
+    this->entries
+      .try_emplace(aModel, Entry{ .fadedAt = aNow, .startedAt = aNow })
+      .first->second;
+  this->Fade(entry, aNow);
+  entry.sums.requests += 1;
+  entry.sums.promptTokens += aPromptTokens;
+  entry.sums.outputTokens += aOutputTokens;
+}
+
+ModelDemands
+DemandMeter::Demands(Instant aNow) const
+{
+  ModelDemands demands;
+  const double memory = ToSeconds(this->options.memory);
+  for (const auto& [model, kept] : this->entries) {
+    Entry entry = kept;
+    this->Fade(entry, aNow);
+    // A mean that began a short while ago has not filled up yet.
+    const double age = ToSeconds(aNow - entry.startedAt);
+    const double window = memory * (1 - std::exp(-age / memory));
+    if (age * 4 < memory) {
+      continue;
+    }
+    demands[model] = { .requests = entry.sums.requests / window,
+                       .promptTokens = entry.sums.promptTokens / window,
+                       .outputTokens = entry.sums.outputTokens / window };
+  }
+  return demands;
+}
+
+} // namespace apricottrack
--- /dev/null
+++ b/src/placement/DemandMeter.h
@@ -0,0 +1,48 @@
+#ifndef APRICOTTRACK_PLACEMENT_DEMANDMETER_H
+#define APRICOTTRACK_PLACEMENT_DEMANDMETER_H
+
+#include "engine/ReplicaBudget.h"
+
+#include <string>
+
+namespace apricottrack {
+
+/// Measures the demand for each model at one node, as a mean that fades.
+class DemandMeter
+{
+public:
+  struct Options
+  {
+    /// Time in which a past request's weight falls to 1/e.
+    Duration memory = seconds(3);
+  };
+
+  explicit DemandMeter(Options aOptions)
+    : options(aOptions)
+  {
+  }
+
+  void OnRequest(const std::string& aModel,
+                 int aPromptTokens,
+                 int aOutputTokens,
+                 Instant aNow);
+
+  ModelDemands Demands(Instant aNow) const;
+
+private:
+  struct Entry
+  {
+    ModelDemand sums;
+    Instant fadedAt;
+    Instant startedAt;
+  };
+
+  void Fade(Entry& aEntry, Instant aNow) const;
+
+  Options options;
+  std::map<std::string, Entry, std::less<>> entries;
+};
+
+} // namespace apricottrack
+
+#endif
--- a/src/placement/StallDetector.cpp
+++ b/src/placement/StallDetector.cpp
@@ -39,12 +39,12 @@
   this->entries[aTarget].avoidUntil = aNow + this->options.avoidance;
 }
 
-std::vector<std::string>
+StallDetector::Sightings
 StallDetector::Look(Instant aNow)
 {
   const bool stoodStill = aNow - this->lookedAt > this->options.ownGap;
   this->lookedAt = aNow;
-  std::vector<std::string> stalled;
+  Sightings sightings;
   for (auto it = this->entries.begin(); it != this->entries.end();) {
     auto& [target, entry] = *it;
     if (stoodStill) {
@@ -54,15 +54,21 @@
       it = this->entries.erase(it);
       continue;
     }
+    const Duration silent = aNow - entry.progressAt;
+    if (entry.inFlight > 0 && silent > this->options.doubt &&
+        aNow - entry.doubtedAt > this->options.doubt) {
+      entry.doubtedAt = aNow;
+      sightings.doubtful.push_back(target);
+    }
     if (entry.inFlight > 0 && !entry.stalled &&
-        aNow - entry.progressAt > this->options.silence) {
+        silent > this->options.silence) {
       entry.stalled = true;
       entry.avoidUntil = aNow + this->options.avoidance;
-      stalled.push_back(target);
+      sightings.stalled.push_back(target);
     }
     ++it;
   }
-  return stalled;
+  return sightings;
 }
 
 bool
--- a/src/placement/StallDetector.h
+++ b/src/placement/StallDetector.h
@@ -16,8 +16,11 @@
 public:
   struct Options
   {
+    /// No progress on any request for longer is worth a question: a full
+    /// batch with long prompts takes this long for one pass.
+    Duration doubt = milliseconds(250);
     /// No progress on any request for longer is a stall.
-    Duration silence = milliseconds(600);
+    Duration silence = milliseconds(900);
     /// A stalled target gets no new requests for this long.
     Duration avoidance = milliseconds(1500);
     /// A longer gap between two looks means that this node itself stood
@@ -37,8 +40,16 @@
   /// The target cut a connection or could not be reached.
   void OnBroken(const std::string& aTarget, Instant aNow);
 
-  /// Targets that have come to a standstill since the last look.
-  std::vector<std::string> Look(Instant aNow);
+  struct Sightings
+  {
+    /// Targets that the planner should ask.
+    std::vector<std::string> doubtful;
+    /// Targets that have come to a standstill.
+    std::vector<std::string> stalled;
+  };
+
+  /// What has been sighted since the last look.
+  Sightings Look(Instant aNow);
 
   /// True if new requests should go elsewhere.
   bool Avoids(const std::string& aTarget, Instant aNow) const;
@@ -49,6 +60,7 @@
     int inFlight = 0;
     Instant progressAt;
     Instant avoidUntil;
+    Instant doubtedAt;
     bool stalled = false;
   };
 
--- a/src/replicas/FleetPlanner.cpp
+++ b/src/replicas/FleetPlanner.cpp
@@ -2,42 +2,9 @@
 
 #include "replicas/FleetPlanningRound.h"
 
-namespace apricottrack {
-
-namespace {
-
-struct Seen
-{
-  std::int64_t epoch = 0;
-  std::map<int, std::string> byRank;
-  const TargetRecord* head = nullptr;
-};
-
-/// The newest epoch of each replica that the targets name.
-std::map<std::string, Seen>
-SeenReplicas(const PlannerMembers& aMembers)
-{
-  std::map<std::string, Seen> seen;
-  for (const auto& [id, member] : aMembers) {
-    const auto& membership = member.record.membership;
-    if (!membership) {
-      continue;
-    }
-    Seen& replica = seen[membership->replica];
-    if (membership->epoch > replica.epoch) {
-      replica = Seen{ .epoch = membership->epoch, .byRank = {} };
-    }
-    if (membership->epoch == replica.epoch) {
-      replica.byRank[membership->rank] = id;
-      if (membership->rank == 0) {
-        replica.head = &member.record;
-      }
-    }
-  }
-  return seen;
-}
+#include <algorithm>
 
-} // namespace
+namespace apricottrack {
 
 FleetPlanner::FleetPlanner(Options aOptions, EpochSource aEpochs)
   : options(aOptions)
@@ -45,52 +12,31 @@
 {
 }
 
-void
-FleetPlanner::Adopt(const FleetPlannerView& aView, Instant aNow)
+std::vector<ReplicaOrder>
+FleetPlanner::Round(const FleetPlannerView& aView, Instant aNow)
 {
-  this->replicas.clear();
-  this->preparing.clear();
-  const EngineSpec& engine = *aView.service.engine;
-  this->loads = LoadLimiter();
-  this->loads.Configure({ .loadsPerSecond = engine.loadsPerSecond,
-                          .concurrentLoads = engine.concurrentLoads });
-  for (const auto& [name, seen] : SeenReplicas(aView.members)) {
-    const TargetRecord& first =
-      aView.members.find(seen.byRank.begin()->second)->second.record;
-    const ReplicaModel* const model = FindModel(aView.service, first.model);
-    // A target alone in a replica is a spare that holds the weights.
-    if (model == nullptr ||
-        (seen.byRank.size() == 1 && model->size > 1 &&
-         (seen.head == nullptr ||
-          seen.head->membership->state != MemberState::kOpen))) {
-      continue;
-    }
-    PlannedReplica replica{ .name = name,
-                            .model = model->name,
-                            .domain = first.fabricDomain,
-                            .epoch = seen.epoch,
-                            .members = {},
-                            .phase = ReplicaPhase::kJoining,
-                            .since = aNow };
-    for (const auto& [rank, id] : seen.byRank) {
-      replica.members.push_back(id);
-    }
-    if (seen.head != nullptr) {
-      const MemberState state = seen.head->membership->state;
-      if (state == MemberState::kOpen || state == MemberState::kBroken) {
-        replica.phase = ReplicaPhase::kServing;
-      } else if (state == MemberState::kClosing) {
-        replica.phase = ReplicaPhase::kClosing;
-      }
+  return FleetPlanningRound(*this, aView, aNow).Run();
+}
+
+std::set<std::string>
+FleetPlanner::Broken(Instant aNow) const
+{
+  std::set<std::string> keys;
+  for (const auto& [key, until] : this->broken) {
+    if (aNow < until) {
+      keys.insert(key);
     }
-    this->replicas.emplace(name, std::move(replica));
   }
+  return keys;
 }
 
-std::vector<ReplicaOrder>
-FleetPlanner::Round(const FleetPlannerView& aView, Instant aNow)
+int
+FleetPlanner::Count(std::string_view aModel, ReplicaPhase aPhase) const
 {
-  return FleetPlanningRound(*this, aView, aNow).Run();
+  return static_cast<int>(std::count_if(
+    this->replicas.begin(), this->replicas.end(), [&](const auto& aEntry) {
+      return aEntry.second.model == aModel && aEntry.second.phase == aPhase;
+    }));
 }
 
 std::set<std::string>
--- a/src/replicas/FleetPlanner.h
+++ b/src/replicas/FleetPlanner.h
@@ -2,6 +2,7 @@
 #define APRICOTTRACK_REPLICAS_FLEETPLANNER_H
 
 #include "catalog/Catalog.h"
+#include "engine/ReplicaBudget.h"
 #include "fleet/TargetRecord.h"
 #include "replicas/LoadLimiter.h"
 #include "replicas/ReplicaOrder.h"
@@ -33,8 +34,13 @@
   const CatalogService& service;
   /// The service's targets that the store lists.
   const PlannerMembers& members;
+  /// Of all nodes together; empty while unknown.
+  ModelDemands demands;
   /// No request has come yet; loads are fast and not counted.
   bool beforeTraffic = false;
+  /// The store was first listed a while ago, so that entries which lapsed
+  /// before are back. Until then a missing entry tells nothing.
+  bool entriesSettled = true;
 };
 
 /// Where a replica stands in the planner's view.
@@ -75,13 +81,15 @@
 public:
   struct Options
   {
-    /// Share of the targets that stands by as spares.
-    double spareShare = 0.2;
+    ReplicaBudget::Options budget;
     /// Before the first request, targets are waited for until none has come
     /// for this long, so that replicas are formed from the whole fleet.
     Duration settle = milliseconds(600);
     /// Added to the expected time of an order before it is given again.
     Duration orderSlack = milliseconds(1200);
+    /// How long nodes are told of a broken list of members; by then they know
+    /// the new one.
+    Duration tellBroken = seconds(4);
     /// Longest time to let a head finish what runs.
     Duration gentleClose = milliseconds(2500);
   };
@@ -91,12 +99,15 @@
 
   FleetPlanner(Options aOptions, EpochSource aEpochs);
 
-  /// Takes over from another planner, or begins.
-  void Adopt(const FleetPlannerView& aView, Instant aNow);
-
   /// The orders that are due. Targets get them in any order.
   std::vector<ReplicaOrder> Round(const FleetPlannerView& aView, Instant aNow);
 
+  /// Lists of members, as NAME/EPOCH, that lost a member a short while ago.
+  std::set<std::string> Broken(Instant aNow) const;
+
+  /// Replicas of a model in a phase.
+  int Count(std::string_view aModel, ReplicaPhase aPhase) const;
+
   /// Targets whose next report is awaited.
   std::set<std::string> Awaited() const;
 
@@ -114,6 +125,18 @@
   std::map<std::string, PlannedReplica, std::less<>> replicas;
   /// Targets that are loading or staging for later, until when.
   std::map<std::string, Instant, std::less<>> preparing;
+  /// Broken lists of members, until when they are told of.
+  std::map<std::string, Instant> broken;
+  /// Lists of members that were given up, so that they are not taken for
+  /// another planner's.
+  std::set<std::string> retired;
+  /// A target joins fast for the model that it held last since its start.
+  struct LastModel
+  {
+    UnixMillis startedAt = 0;
+    std::string model;
+  };
+  std::map<std::string, LastModel, std::less<>> lastModels;
   /// For the wait before the first request.
   std::size_t knownTargets = 0;
   Instant lastArrival;
--- a/src/replicas/FleetPlanningRound.cpp
+++ b/src/replicas/FleetPlanningRound.cpp
@@ -14,6 +14,37 @@
 constexpr double kEarlyLoadFactor = 0.1;
 constexpr std::string_view kSparePrefix = "spare-";
 
+struct Seen
+{
+  std::int64_t epoch = 0;
+  std::map<int, std::string> byRank;
+  const TargetRecord* head = nullptr;
+};
+
+/// The newest epoch of each replica that the targets name.
+std::map<std::string, Seen>
+SeenReplicas(const PlannerMembers& aMembers)
+{
+  std::map<std::string, Seen> seen;
+  for (const auto& [id, member] : aMembers) {
+    const auto& membership = member.record.membership;
+    if (!membership) {
+      continue;
+    }
+    Seen& replica = seen[membership->replica];
+    if (membership->epoch > replica.epoch) {
+      replica = Seen{ .epoch = membership->epoch, .byRank = {} };
+    }
+    if (membership->epoch == replica.epoch) {
+      replica.byRank[membership->rank] = id;
+      if (membership->rank == 0) {
+        replica.head = &member.record;
+      }
+    }
+  }
+  return seen;
+}
+
 } // namespace
 
 FleetPlanningRound::FleetPlanningRound(FleetPlanner& aPlanner,
@@ -31,6 +62,16 @@
 {
   std::erase_if(this->planner.preparing,
                 [&](const auto& aEntry) { return aEntry.second <= this->now; });
+  std::erase_if(this->planner.broken,
+                [&](const auto& aEntry) { return aEntry.second <= this->now; });
+  this->planner.loads.Configure(
+    { .loadsPerSecond = this->engine.loadsPerSecond,
+      .concurrentLoads = this->engine.concurrentLoads });
+  if (!this->view.entriesSettled && !this->view.beforeTraffic) {
+    return {};
+  }
+  this->NoteModels();
+  this->AdoptUnknown();
   this->Advance();
   this->FreeStrays();
   this->FormReplicas();
@@ -38,6 +79,40 @@
   return std::move(this->orders);
 }
 
+void
+FleetPlanningRound::AdoptUnknown()
+{
+  for (const auto& [name, seen] : SeenReplicas(this->view.members)) {
+    const TargetRecord& first = this->Find(seen.byRank.begin()->second)->record;
+    const ReplicaModel* const model =
+      FindModel(this->view.service, first.model);
+    if (model == nullptr || name.starts_with(kSparePrefix) ||
+        this->planner.replicas.contains(name) ||
+        this->planner.retired.contains(
+          ReplicaKey({ .replica = name, .epoch = seen.epoch }))) {
+      continue;
+    }
+    PlannedReplica replica{ .name = name,
+                            .model = model->name,
+                            .domain = first.fabricDomain,
+                            .epoch = seen.epoch,
+                            .members = {},
+                            .phase = ReplicaPhase::kJoining,
+                            .since = this->now };
+    for (const auto& [rank, id] : seen.byRank) {
+      replica.members.push_back(id);
+    }
+    const MemberState state =
+      seen.head == nullptr ? MemberState::kNone : seen.head->membership->state;
+    if (state == MemberState::kOpen || state == MemberState::kBroken) {
+      replica.phase = ReplicaPhase::kServing;
+    } else if (state == MemberState::kClosing) {
+      replica.phase = ReplicaPhase::kClosing;
+    }
+    this->planner.replicas.emplace(name, std::move(replica));
+  }
+}
+
 const PlannerMember*
 FleetPlanningRound::Find(std::string_view aId) const
 {
@@ -68,6 +143,12 @@
   if (aRecord.model == aModel) {
     return Warmth::kHeld;
   }
+  const auto last = this->planner.lastModels.find(aRecord.id);
+  if (last != this->planner.lastModels.end() &&
+      last->second.startedAt == aRecord.startedAt &&
+      last->second.model == aModel) {
+    return Warmth::kHeld;
+  }
   const auto& staged = aRecord.stagedModels;
   return std::find(staged.begin(), staged.end(), aModel) == staged.end()
            ? Warmth::kCold
@@ -231,6 +312,7 @@
     this->CurrentMembership(aReplica, aReplica.members.front());
   const bool serving = head != nullptr && head->state == MemberState::kOpen;
   if (!serving || !this->IsIntact(aReplica)) {
+    this->MarkBroken(aReplica);
     if (!this->Repair(aReplica)) {
       this->Dissolve(aReplica);
     }
@@ -271,6 +353,14 @@
   return true;
 }
 
+void
+FleetPlanningRound::MarkBroken(const PlannedReplica& aReplica)
+{
+  const Membership list{ .replica = aReplica.name, .epoch = aReplica.epoch };
+  this->planner.broken[ReplicaKey(list)] =
+    this->now + this->planner.options.tellBroken;
+}
+
 bool
 FleetPlanningRound::Repair(PlannedReplica& aReplica)
 {
@@ -310,6 +400,8 @@
 void
 FleetPlanningRound::Release(const PlannedReplica& aReplica)
 {
+  this->planner.retired.insert(
+    ReplicaKey({ .replica = aReplica.name, .epoch = aReplica.epoch }));
   const PlannerMember* const head = this->Find(aReplica.members.front());
   if (head != nullptr && !head->silent) {
     return;
@@ -345,7 +437,7 @@
   for (const auto& [id, member] : this->view.members) {
     const auto& membership = member.record.membership;
     if (!membership || !this->IsFree(member) ||
-        membership->replica.starts_with(kSparePrefix) ||
+        !this->planner.replicas.contains(membership->replica) ||
         this->planner.preparing.contains(id)) {
       continue;
     }
@@ -403,22 +495,28 @@
   return models;
 }
 
-int
-FleetPlanningRound::WantedOf(const ReplicaModel& aModel) const
+ReplicaCounts
+FleetPlanningRound::Wanted() const
 {
   const auto usable =
     std::count_if(this->view.members.begin(),
                   this->view.members.end(),
                   [](const auto& aE) { return aE.second.IsUsable(); });
-  double shares = 0;
-  for (const ReplicaModel& model : this->engine.models) {
-    shares += model.share;
+  return ReplicaBudget(this->planner.options.budget, this->engine)
+    .Allocate(static_cast<int>(usable), this->view.demands);
+}
+
+void
+FleetPlanningRound::NoteModels()
+{
+  for (const auto& [id, member] : this->view.members) {
+    const auto& membership = member.record.membership;
+    if (!member.record.model.empty() && membership &&
+        membership->state != MemberState::kJoining) {
+      this->planner.lastModels[id] = { .startedAt = member.record.startedAt,
+                                       .model = member.record.model };
+    }
   }
-  const double serving =
-    static_cast<double>(usable) * (1 - this->planner.options.spareShare);
-  return std::max(1,
-                  static_cast<int>(std::lround(serving * aModel.share / shares /
-                                               aModel.size)));
 }
 
 bool
@@ -440,9 +538,10 @@
   if (this->IsSettling()) {
     return;
   }
+  ReplicaCounts wanted = this->Wanted();
   for (const ReplicaModel* const model : this->ModelsBySize()) {
-    const int wanted = this->WantedOf(*model);
-    while (this->ReplicasOf(model->name) < wanted && this->FormOne(*model)) {
+    while (this->ReplicasOf(model->name) < wanted[model->name] &&
+           this->FormOne(*model)) {
     }
   }
 }
@@ -535,10 +634,16 @@
     if (!member.IsUsable() || this->planner.preparing.contains(id)) {
       continue;
     }
-    if (this->IsFree(member) && member.record.model.empty()) {
-      this->WarmUp(member.record);
-    } else if (!member.record.model.empty()) {
+    const bool cold = std::all_of(
+      this->engine.models.begin(),
+      this->engine.models.end(),
+      [&](const ReplicaModel& aModel) {
+        return this->WarmthOf(member.record, aModel.name) != Warmth::kHeld;
+      });
+    if (!cold) {
       this->StageOther(member.record);
+    } else if (this->IsFree(member)) {
+      this->WarmUp(member.record);
     }
   }
 }
--- a/src/replicas/FleetPlanningRound.h
+++ b/src/replicas/FleetPlanningRound.h
@@ -44,6 +44,9 @@
   bool IsIntact(const PlannedReplica& aReplica) const;
   bool AnyLeaving(const PlannedReplica& aReplica) const;
 
+  /// Takes up replicas that another planner formed.
+  void AdoptUnknown();
+  void MarkBroken(const PlannedReplica& aReplica);
   void Advance();
   void AdvanceJoining(PlannedReplica& aReplica);
   void AdvanceOpening(PlannedReplica& aReplica);
@@ -71,8 +74,9 @@
   void FormReplicas();
   /// Forms one replica of the model where most targets are free.
   bool FormOne(const ReplicaModel& aModel);
-  /// Replicas of a model that the usable targets allow, by its share.
-  int WantedOf(const ReplicaModel& aModel) const;
+  /// Replicas of each model that the usable targets should serve with.
+  ReplicaCounts Wanted() const;
+  void NoteModels();
   /// Larger replicas first: small ones fit into what they leave.
   std::vector<const ReplicaModel*> ModelsBySize() const;
   /// The model for which a free target is held ready: the one that its
--- a/src/replicas/ReplicaDirectory.cpp
+++ b/src/replicas/ReplicaDirectory.cpp
@@ -17,19 +17,22 @@
 } // namespace
 
 void
-ReplicaDirectory::Rebuild(const Catalog& aCatalog, const Fleet& aFleet)
+ReplicaDirectory::Rebuild(const Catalog& aCatalog,
+                          const Fleet& aFleet,
+                          const std::set<std::string>& aBroken)
 {
   this->serving.clear();
   for (const CatalogService& service : aCatalog.services) {
     if (service.engine) {
-      this->AddReplicas(service, aFleet);
+      this->AddReplicas(service, aFleet, aBroken);
     }
   }
 }
 
 void
 ReplicaDirectory::AddReplicas(const CatalogService& aService,
-                              const Fleet& aFleet)
+                              const Fleet& aFleet,
+                              const std::set<std::string>& aBroken)
 {
   std::map<std::tuple<std::string, std::int64_t>, Sighting> sightings;
   for (const auto& [id, record] : aFleet.All()) {
@@ -46,7 +49,8 @@
   for (const auto& [key, sighting] : sightings) {
     const TargetRecord* const head = sighting.head;
     if (head == nullptr || head->leaving ||
-        head->membership->state != MemberState::kOpen) {
+        head->membership->state != MemberState::kOpen ||
+        aBroken.contains(ReplicaKey(*head->membership))) {
       continue;
     }
     const ReplicaModel* const model = FindModel(aService, head->model);
--- a/src/replicas/ReplicaDirectory.h
+++ b/src/replicas/ReplicaDirectory.h
@@ -5,6 +5,7 @@
 #include "fleet/Fleet.h"
 
 #include <map>
+#include <set>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -32,7 +33,10 @@
 class ReplicaDirectory
 {
 public:
-  void Rebuild(const Catalog& aCatalog, const Fleet& aFleet);
+  /// `aBroken`: replicas with a lost member, by their keys.
+  void Rebuild(const Catalog& aCatalog,
+               const Fleet& aFleet,
+               const std::set<std::string>& aBroken);
 
   /// Empty where no replica of the model serves.
   const std::vector<ServingReplica>& Serving(std::string_view aService,
@@ -53,7 +57,9 @@
     friend auto operator<=>(const ModelKey&, const ModelKey&) = default;
   };
 
-  void AddReplicas(const CatalogService& aService, const Fleet& aFleet);
+  void AddReplicas(const CatalogService& aService,
+                   const Fleet& aFleet,
+                   const std::set<std::string>& aBroken);
 
   std::map<ModelKey, std::vector<ServingReplica>> serving;
 };
--- a/src/serving/CatalogTask.cpp
+++ b/src/serving/CatalogTask.cpp
@@ -35,7 +35,10 @@
 {
   std::uniform_real_distribution<double> spread(0.85, 1.15);
   for (;;) {
-    const bool read = co_await this->ReadOnce();
+    bool read = false;
+    if (this->active) {
+      read = co_await this->ReadOnce();
+    }
     const Duration pause =
       read ? this->options.readEvery : this->options.retryEvery;
     asio::steady_timer timer(
--- a/src/serving/CatalogTask.h
+++ b/src/serving/CatalogTask.h
@@ -28,9 +28,18 @@
 
   void Start();
 
+  /// While another node proves the catalog to be the newest, the store is
+  /// left alone.
+  void SetActive(bool aActive) { this->active = aActive; }
+
+  /// Reads the catalog once, whether active or not; false on failure.
+  Task<bool> ReadOnce();
+
+  /// Revision of the document in force; zero before the first.
+  Revision Known() const { return this->known; }
+
 private:
   Task<void> Run();
-  Task<bool> ReadOnce();
 
   ServingContext& context;
   KeyValueStore& store;
@@ -38,6 +47,7 @@
   std::function<void()> onChange;
   /// Revision of the document that was last decoded.
   Revision known = 0;
+  bool active = true;
   bool reachable = false;
 };
 
--- /dev/null
+++ b/src/serving/FleetRelay.cpp
@@ -0,0 +1,118 @@
+#include "serving/FleetRelay.h"
+
+#include "base/Hash.h"
+#include "base/Log.h"
+
+namespace apricottrack {
+
+namespace asio = boost::asio;
+
+namespace {
+
+/// Longest time that a question is held, whatever the asker wants.
+constexpr Duration kMostWait = seconds(2);
+
+} // namespace
+
+FleetRelay::FleetRelay(ServingContext& aContext,
+                       const CatalogTask& aCatalog,
+                       const FleetTask& aFleet,
+                       PlannerTask& aPlanner)
+  : context(aContext)
+  , catalog(aCatalog)
+  , fleet(aFleet)
+  , planner(aPlanner)
+  , source(RandomId())
+{
+}
+
+Result<void>
+FleetRelay::Start()
+{
+  auto made = PeerServer::Make(
+    this->context.executor,
+    this->context.settings.peerListen,
+    [this](PeerMessage aQuestion) -> Task<std::optional<PeerMessage>> {
+      co_return co_await this->Answer(std::move(aQuestion));
+    });
+  if (!made) {
+    return tl::unexpected(made.error());
+  }
+  this->server = *made;
+  return {};
+}
+
+void
+FleetRelay::Notify()
+{
+  for (asio::steady_timer* const timer : this->waiting) {
+    timer->cancel();
+  }
+}
+
+Task<std::optional<PeerMessage>>
+FleetRelay::Answer(PeerMessage aQuestion)
+{
+  if (const auto* const notice = std::get_if<StallNotice>(&aQuestion)) {
+    for (const std::string& target : notice->targets) {
+      this->planner.Suspect(target);
+    }
+    co_return PeerMessage(Receipt{});
+  }
+  if (auto* const question = std::get_if<FleetQuestion>(&aQuestion)) {
+    FleetAnswer answer = co_await this->AnswerFleet(std::move(*question));
+    co_return PeerMessage(std::move(answer));
+  }
+  LogLine("peer_question_unknown").Warn();
+  co_return std::nullopt;
+}
+
+bool
+FleetRelay::HasNews(const FleetQuestion& aQuestion) const
+{
+  return aQuestion.source != this->source ||
+         aQuestion.sequence != this->context.fleet.Sequence() ||
+         aQuestion.catalogRevision != this->catalog.Known() ||
+         !this->planner.Leads();
+}
+
+Task<FleetAnswer>
+FleetRelay::AnswerFleet(FleetQuestion aQuestion)
+{
+  this->planner.TakeDemands(
+    aQuestion.node, std::move(aQuestion.demands), MonotonicNow());
+  if (!this->HasNews(aQuestion)) {
+    asio::steady_timer timer(this->context.executor,
+                             std::min(aQuestion.wait, kMostWait));
+    this->waiting.insert(&timer);
+    co_await timer.async_wait(kAsTuple);
+    this->waiting.erase(&timer);
+  }
+  co_return this->Compose(aQuestion, MonotonicNow());
+}
+
+FleetAnswer
+FleetRelay::Compose(const FleetQuestion& aQuestion, Instant aNow) const
+{
+  FleetAnswer answer{
+    .source = this->source,
+    .leads = this->planner.Leads(),
+    .sequence = this->context.fleet.Sequence(),
+    .catalogRevision = this->catalog.Known(),
+    .catalogAge = this->context.catalog.ProofAge(aNow),
+    .fleetAge = aNow - this->fleet.HeardAt(),
+  };
+  answer.broken.assign(this->context.broken.begin(),
+                       this->context.broken.end());
+  const std::uint64_t since =
+    aQuestion.source == this->source ? aQuestion.sequence : 0;
+  if (!this->context.fleet.ChangesSince(since, answer.targets, answer.gone)) {
+    answer.complete = true;
+    for (const auto& [id, record] : this->context.fleet.All()) {
+      answer.targets.push_back(record);
+    }
+  }
+  return answer;
+}
+
+} // namespace apricottrack
--- a/src/serving/FleetTask.cpp
+++ b/src/serving/FleetTask.cpp
@@ -12,6 +12,9 @@
 
 namespace {
 
+/// Between looks whether the store is to be asked again.
+constexpr Duration kInactivePause = milliseconds(50);
+
 constexpr Duration kLapseInterval = milliseconds(200);
 
 } // namespace
@@ -45,6 +48,11 @@
 {
   Duration delay = this->options.retryLeast;
   for (;;) {
+    if (!this->active) {
+      asio::steady_timer timer(this->context.executor, kInactivePause);
+      co_await timer.async_wait(kAsTuple);
+      continue;
+    }
     const Revision revision = co_await this->ListAll();
     if (revision > 0) {
       delay = this->options.retryLeast;
@@ -53,13 +61,18 @@
         revision + 1,
         [this](const std::vector<KeyValue>& aChanges) {
           const Instant now = MonotonicNow();
+          this->heardAt = now;
           for (const KeyValue& change : aChanges) {
             this->Take(change, now);
           }
           if (!aChanges.empty()) {
             this->onChange();
           }
+          return this->active;
         });
+      if (!this->active) {
+        continue;
+      }
       LogLine("fleet_watch_ended").With(ended).Warn();
     }
     asio::steady_timer timer(this->context.executor, delay);
@@ -82,11 +95,14 @@
     this->reachable = false;
     co_return 0;
   }
-  if (!this->reachable && this->everListed) {
+  if (!this->reachable && this->firstListedAt) {
     this->context.fleet.OnStoreReturned(now);
   }
+  this->heardAt = now;
   this->reachable = true;
-  this->everListed = true;
+  if (!this->firstListedAt) {
+    this->firstListedAt = now;
+  }
   std::vector<TargetRecord> records;
   for (const KeyValue& item : *items) {
     auto record = this->context.protocol.ReadTarget(item);
--- a/src/serving/FleetTask.h
+++ b/src/serving/FleetTask.h
@@ -24,6 +24,18 @@
 
   void Start();
 
+  /// While another node tells of changes, the store is left alone.
+  void SetActive(bool aActive) { this->active = aActive; }
+
+  /// When the store was first listed by this process.
+  const std::optional<Instant>& FirstListedAt() const
+  {
+    return this->firstListedAt;
+  }
+
+  /// When the store last showed that nothing was missed.
+  Instant HeardAt() const { return this->heardAt; }
+
 private:
   Task<void> Run();
   /// Revision from which a watch misses nothing, or zero on failure.
@@ -35,8 +47,10 @@
   KeyValueStore& store;
   Options options;
   std::function<void()> onChange;
+  bool active = true;
+  Instant heardAt;
   bool reachable = false;
-  bool everListed = false;
+  std::optional<Instant> firstListedAt;
 };
 
 } // namespace apricottrack
--- /dev/null
+++ b/src/serving/FollowTask.cpp
@@ -0,0 +1,185 @@
+#include "serving/FollowTask.h"
+
+#include "base/Log.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/steady_timer.hpp>
+
+namespace apricottrack {
+
+namespace asio = boost::asio;
+
+namespace {
+
+/// A notice is of no use later.
+constexpr Duration kNoticeTimeout = milliseconds(300);
+
+} // namespace
+
+FollowTask::FollowTask(ServingContext& aContext,
+                       CatalogTask& aCatalog,
+                       FleetTask& aFleet,
+                       Options aOptions,
+                       std::function<void()> aOnChange)
+  : context(aContext)
+  , catalog(aCatalog)
+  , fleet(aFleet)
+  , options(aOptions)
+  , onChange(std::move(aOnChange))
+{
+}
+
+void
+FollowTask::Start()
+{
+  asio::co_spawn(
+    this->context.executor,
+    [this]() -> Task<void> { co_await this->Run(); },
+    asio::detached);
+}
+
+void
+FollowTask::SetLeader(const std::string& aAddress)
+{
+  if (aAddress == this->leader) {
+    return;
+  }
+  LogLine("planner_known").With("address", aAddress).Info();
+  this->leader = aAddress;
+}
+
+void
+FollowTask::SetFollows(bool aFollows)
+{
+  if (this->follows != aFollows) {
+    LogLine(aFollows ? "following" : "asking_store")
+      .With("planner", this->leader)
+      .Info();
+  }
+  this->follows = aFollows;
+  this->catalog.SetActive(!aFollows);
+  this->fleet.SetActive(!aFollows);
+}
+
+Task<void>
+FollowTask::Run()
+{
+  for (;;) {
+    bool heard = false;
+    if (!this->leader.empty()) {
+      heard = co_await this->AskOnce();
+    }
+    this->SetFollows(heard);
+    if (!heard) {
+      asio::steady_timer timer(this->context.executor, this->options.pause);
+      co_await timer.async_wait(kAsTuple);
+    }
+  }
+}
+
+Task<bool>
+FollowTask::AskOnce()
+{
+  if (this->link == nullptr || this->link->Address() != this->leader) {
+    this->link =
+      std::make_unique<PeerLink>(this->context.executor, this->leader);
+  }
+  FleetQuestion question{ .node = this->context.settings.node,
+                          .source = this->source,
+                          .sequence = this->sequence,
+                          .catalogRevision = this->catalog.Known(),
+                          .wait = this->options.wait,
+                          .demands =
+                            this->context.demand.Demands(MonotonicNow()) };
+  const Instant askedAt = MonotonicNow();
+  const auto reply = co_await this->link->Ask(
+    PeerMessage(std::move(question)), this->options.wait + this->options.slack);
+  if (!reply) {
+    co_return false;
+  }
+  const auto* const answer = std::get_if<FleetAnswer>(&*reply);
+  if (answer == nullptr || !answer->leads) {
+    co_return false;
+  }
+  this->Take(*answer, MonotonicNow());
+  // The answer was made after the question was sent, so the age counts back
+  // from then, however long the answer was on its way.
+  if (answer->catalogRevision == this->catalog.Known()) {
+    this->context.catalog.Confirm(askedAt - answer->catalogAge);
+  } else if (answer->catalogRevision > this->catalog.Known()) {
+    const bool read = co_await this->catalog.ReadOnce();
+    if (!read) {
+      co_return false;
+    }
+  }
+  co_return answer->catalogAge < this->options.mostAge &&
+    answer->fleetAge < this->options.mostAge;
+}
+
+void
+FollowTask::Take(const FleetAnswer& aAnswer, Instant aNow)
+{
+  if (aAnswer.complete) {
+    this->context.fleet.ReplaceAll(aAnswer.targets, aNow);
+  } else {
+    for (const TargetRecord& record : aAnswer.targets) {
+      this->context.fleet.Put(record);
+    }
+    for (const std::string& id : aAnswer.gone) {
+      this->context.fleet.Remove(id, aNow);
+    }
+  }
+  this->source = aAnswer.source;
+  this->sequence = aAnswer.sequence;
+  std::set<std::string> broken(aAnswer.broken.begin(), aAnswer.broken.end());
+  const bool changed = aAnswer.complete || !aAnswer.targets.empty() ||
+                       !aAnswer.gone.empty() || broken != this->context.broken;
+  this->context.broken = std::move(broken);
+  if (changed) {
+    this->onChange();
+  }
+}
+
+void
+FollowTask::ReportStalls(std::vector<std::string> aTargets)
+{
+  if (this->leader.empty()) {
+    return;
+  }
+  this->unsentNotices.insert(aTargets.begin(), aTargets.end());
+  if (this->noticeUnderWay) {
+    return;
+  }
+  this->noticeUnderWay = true;
+  asio::co_spawn(
+    this->context.executor,
+    [this]() -> Task<void> {
+      co_await this->SendNotices();
+      this->noticeUnderWay = false;
+    },
+    asio::detached);
+}
+
+Task<void>
+FollowTask::SendNotices()
+{
+  while (!this->unsentNotices.empty() && !this->leader.empty()) {
+    if (this->noticeLink == nullptr ||
+        this->noticeLink->Address() != this->leader) {
+      this->noticeLink =
+        std::make_unique<PeerLink>(this->context.executor, this->leader);
+    }
+    StallNotice notice{ .node = this->context.settings.node,
+                        .targets = { this->unsentNotices.begin(),
+                                     this->unsentNotices.end() } };
+    this->unsentNotices.clear();
+    const auto receipt = co_await this->noticeLink->Ask(
+      PeerMessage(std::move(notice)), kNoticeTimeout);
+    if (!receipt) {
+      LogLine("stall_notice_lost").With(receipt.error()).Info();
+    }
+  }
+}
+
+} // namespace apricottrack
--- /dev/null
+++ b/src/serving/FollowTask.h
@@ -0,0 +1,75 @@
+#ifndef APRICOTTRACK_SERVING_FOLLOWTASK_H
+#define APRICOTTRACK_SERVING_FOLLOWTASK_H
+
+#include "membership/PeerLink.h"
+#include "serving/CatalogTask.h"
+#include "serving/FleetTask.h"
+#include "serving/ServingContext.h"
+
+#include <functional>
+#include <memory>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace apricottrack {
+
+/// Learns of changes from the node that plans. While that node is not to be
+/// had, or is out of touch with the store itself, this node asks the store.
+class FollowTask
+{
+public:
+  struct Options
+  {
+    /// Longest wait for a change.
+    Duration wait = milliseconds(400);
+    /// Added for the answer to come; a longer silence is a failure.
+    Duration slack = milliseconds(250);
+    /// After a failure.
+    Duration pause = milliseconds(100);
+    /// The planner's node must have heard from the store within this time.
+    Duration mostAge = milliseconds(1700);
+  };
+
+  FollowTask(ServingContext& aContext,
+             CatalogTask& aCatalog,
+             FleetTask& aFleet,
+             Options aOptions,
+             std::function<void()> aOnChange);
+
+  void Start();
+
+  /// Where the node that plans listens; empty for this node or nobody.
+  void SetLeader(const std::string& aAddress);
+
+  /// The planner's node answers and is in touch with the store.
+  bool Follows() const { return this->follows; }
+
+  /// Tells the planner's node of targets that stand still.
+  void ReportStalls(std::vector<std::string> aTargets);
+
+private:
+  Task<void> Run();
+  Task<bool> AskOnce();
+  void Take(const FleetAnswer& aAnswer, Instant aNow);
+  Task<void> SendNotices();
+  void SetFollows(bool aFollows);
+
+  ServingContext& context;
+  CatalogTask& catalog;
+  FleetTask& fleet;
+  Options options;
+  std::function<void()> onChange;
+  std::string leader;
+  std::unique_ptr<PeerLink> link;
+  std::unique_ptr<PeerLink> noticeLink;
+  std::set<std::string> unsentNotices;
+  bool noticeUnderWay = false;
+  bool follows = false;
+  std::string source;
+  std::uint64_t sequence = 0;
+};
+
+} // namespace apricottrack
+
+#endif
--- a/src/serving/PlannerTask.cpp
+++ b/src/serving/PlannerTask.cpp
@@ -7,6 +7,7 @@
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/steady_timer.hpp>
+#include <fmt/format.h>
 
 namespace apricottrack {
 
@@ -18,6 +19,26 @@
 /// two planners never share an epoch.
 constexpr std::int64_t kEpochsPerFence = 100'000;
 
+/// A large VM asks for the lease first, as planning costs processor time.
+constexpr Duration kLargeVmDelay = milliseconds(20);
+constexpr Duration kSmallVmDelay = milliseconds(400);
+constexpr double kLargeCpuShare = 0.2;
+
+Duration
+FirstDelay(ServingContext& aContext)
+{
+  const double share = aContext.settings.serving->cpuShare;
+  const Duration most = share >= kLargeCpuShare ? kLargeVmDelay : kSmallVmDelay;
+  std::uniform_real_distribution<double> spread(
+    share >= kLargeCpuShare ? 0.0 : 0.3, 1.0);
+  return FromSeconds(ToSeconds(most) * spread(aContext.random));
+}
+
+/// A node that was not heard for longer has no demand.
+constexpr Duration kDemandLifetime = seconds(2);
+
+constexpr Duration kViewLogInterval = seconds(1);
+
 constexpr std::int64_t kLeaseSeconds = 2;
 constexpr Duration kLeaseRenewal = milliseconds(600);
 
@@ -44,15 +65,26 @@
 
 PlannerTask::PlannerTask(ServingContext& aContext,
                          KeyValueStore& aStore,
-                         Options aOptions)
+                         Options aOptions,
+                         Hooks aHooks)
   : context(aContext)
   , options(aOptions)
-  , lease(aContext.executor,
-          aStore,
-          LeaseTask::Options{ .key = std::string(keys::kPlanner),
-                              .value = RandomId(),
-                              .ttlSeconds = kLeaseSeconds,
-                              .renewEvery = kLeaseRenewal })
+  , hooks(std::move(aHooks))
+  , lease(
+      aContext.executor,
+      aStore,
+      LeaseTask::Options{
+        .key = std::string(keys::kPlanner),
+        // The random part tells lives of a node apart.
+        .value = fmt::format("{} {}", aContext.settings.peerListen, RandomId()),
+        .ttlSeconds = kLeaseSeconds,
+        .renewEvery = kLeaseRenewal,
+        .mayTry = this->hooks.mayTry,
+        .onHolder =
+          [this](const std::string& aValue) {
+            this->hooks.onHolder(aValue.substr(0, aValue.find(' ')));
+          },
+        .firstDelay = FirstDelay(aContext) })
   , pool(aContext.executor,
          HttpConnectionPool::Options{ .idlePerAddress = 2,
                                       .idleTimeout = seconds(4),
@@ -92,7 +124,7 @@
 {
   const bool holds = this->lease.NotKnownLost() && !this->context.draining;
   if (holds && this->fence != this->lease.TakenAt()) {
-    this->TakeLead(aNow);
+    this->TakeLead();
   }
   if (!holds && this->leading) {
     this->leading = false;
@@ -110,7 +142,33 @@
 }
 
 void
-PlannerTask::TakeLead(Instant aNow)
+PlannerTask::TakeDemands(const std::string& aNode,
+                         ModelDemands aDemands,
+                         Instant aNow)
+{
+  this->demandsByNode[aNode] = { .demands = std::move(aDemands), .at = aNow };
+}
+
+ModelDemands
+PlannerTask::TotalDemands(Instant aNow) const
+{
+  ModelDemands total = this->context.demand.Demands(aNow);
+  for (const auto& [node, entry] : this->demandsByNode) {
+    if (aNow - entry.at > kDemandLifetime) {
+      continue;
+    }
+    for (const auto& [model, demand] : entry.demands) {
+      ModelDemand& sum = total[model];
+      sum.requests += demand.requests;
+      sum.promptTokens += demand.promptTokens;
+      sum.outputTokens += demand.outputTokens;
+    }
+  }
+  return total;
+}
+
+void
+PlannerTask::TakeLead()
 {
   this->fence = this->lease.TakenAt();
   this->issued = 0;
@@ -118,7 +176,7 @@
   this->planners.clear();
   this->probed.clear();
   LogLine("planner_leads").With("fence", this->fence).Info();
-  static_cast<void>(aNow);
+  this->hooks.onHolder({});
 }
 
 std::int64_t
@@ -168,14 +226,15 @@
   const FleetPlannerView view{
     .service = aService,
     .members = members,
+    .demands = this->TotalDemands(aNow),
     .beforeTraffic =
       this->context.settings.serving->firstStart && !this->context.requestsSeen,
+    .entriesSettled = this->hooks.entriesSettled(),
   };
   auto& planner = this->planners[aService.name];
   if (planner == nullptr) {
     planner = std::make_unique<FleetPlanner>(
       FleetPlanner::Options{}, [this] { return this->NextEpoch(); });
-    planner->Adopt(view, aNow);
   }
   this->AskForReports(aService, aNow);
   // A planner that hears hardly anyone has trouble of its own.
@@ -191,6 +250,57 @@
       },
       asio::detached);
   }
+  this->TellBroken(*planner, aNow);
+  this->LogView(aService, members, aNow);
+}
+
+void
+PlannerTask::LogView(const CatalogService& aService,
+                     const PlannerMembers& aMembers,
+                     Instant aNow)
+{
+  Instant& last = this->loggedAt[aService.name];
+  if (aNow - last < kViewLogInterval) {
+    return;
+  }
+  last = aNow;
+  int silent = 0;
+  int leaving = 0;
+  for (const auto& [id, member] : aMembers) {
+    silent += member.silent ? 1 : 0;
+    leaving += member.record.leaving ? 1 : 0;
+  }
+  const FleetPlanner& planner = *this->planners[aService.name];
+  LogLine line("planner_view");
+  line.With("service", aService.name)
+    .With("targets", static_cast<std::int64_t>(aMembers.size()))
+    .With("silent", std::int64_t{ silent })
+    .With("leaving", std::int64_t{ leaving });
+  std::size_t placed = 0;
+  for (const auto& [name, replica] : planner.Replicas()) {
+    placed += replica.members.size();
+  }
+  line.With("placed", static_cast<std::int64_t>(placed));
+  for (const ReplicaModel& model : aService.engine->models) {
+    using enum ReplicaPhase;
+    line.With(model.name,
+              fmt::format("serving:{},opening:{},joining:{},closing:{}",
+                          planner.Count(model.name, kServing),
+                          planner.Count(model.name, kOpening),
+                          planner.Count(model.name, kJoining),
+                          planner.Count(model.name, kClosing)));
+  }
+  line.Info();
+}
+
+void
+PlannerTask::TellBroken(const FleetPlanner& aPlanner, Instant aNow)
+{
+  std::set<std::string> broken = aPlanner.Broken(aNow);
+  if (broken != this->context.broken) {
+    this->context.broken = std::move(broken);
+    this->hooks.onBroken();
+  }
 }
 
 void
@@ -204,10 +314,11 @@
     }
     Probed& probe = this->probed[id];
     const bool urgent =
-      awaited.contains(id) || probe.suspect ||
+      probe.suspect ||
       (probe.missed > 0 && probe.missed < this->options.silentAfter);
-    const Duration every =
-      urgent ? this->options.awaitedEvery : this->options.reportEvery;
+    const Duration every = urgent                 ? this->options.urgentEvery
+                           : awaited.contains(id) ? this->options.awaitedEvery
+                                                  : this->options.reportEvery;
     if (probe.underWay || aNow - probe.askedAt < every) {
       continue;
     }
@@ -293,12 +404,30 @@
   }
 }
 
+std::vector<std::string>
+PlannerTask::ReplicaOf(const std::string& aHead) const
+{
+  for (const auto& [service, planner] : this->planners) {
+    for (const auto& [name, replica] : planner->Replicas()) {
+      if (replica.members.front() == aHead) {
+        return replica.members;
+      }
+    }
+  }
+  return { aHead };
+}
+
 void
 PlannerTask::Suspect(const std::string& aTarget)
 {
-  const auto found = this->probed.find(aTarget);
-  if (this->leading && found != this->probed.end()) {
-    found->second.suspect = true;
+  if (!this->leading) {
+    return;
+  }
+  for (const std::string& member : this->ReplicaOf(aTarget)) {
+    const auto found = this->probed.find(member);
+    if (found != this->probed.end()) {
+      found->second.suspect = true;
+    }
   }
 }
 
--- a/src/serving/PlannerTask.h
+++ b/src/serving/PlannerTask.h
@@ -5,6 +5,7 @@
 #include "replicas/FleetPlanner.h"
 #include "serving/ServingContext.h"
 
+#include <functional>
 #include <map>
 #include <memory>
 #include <set>
@@ -22,24 +23,46 @@
     Duration roundEvery = milliseconds(50);
     /// Between two reports of a target that is doing nothing special.
     Duration reportEvery = milliseconds(700);
-    /// Between two reports of a target whose order is under way.
-    Duration awaitedEvery = milliseconds(100);
+    /// Between two reports of a target whose order is under way; its entry in
+    /// the store mostly tells sooner.
+    Duration awaitedEvery = milliseconds(350);
+    /// Between two reports of a target that seems lost.
+    Duration urgentEvery = milliseconds(20);
     /// Targets answer within a few milliseconds.
-    Duration reportTimeout = milliseconds(200);
+    Duration reportTimeout = milliseconds(120);
     Duration orderTimeout = milliseconds(800);
     /// Reports in a row that a lost target has missed.
     int silentAfter = 2;
   };
 
+  /// What the task needs of its node.
+  struct Hooks
+  {
+    /// False while another node is known to plan.
+    std::function<bool()> mayTry;
+    /// Told where the node that plans listens.
+    std::function<void(const std::string& aAddress)> onHolder;
+    /// Told when the set of broken replicas changed.
+    std::function<void()> onBroken;
+    /// The store was first listed long enough ago.
+    std::function<bool()> entriesSettled;
+  };
+
   PlannerTask(ServingContext& aContext,
               KeyValueStore& aStore,
-              Options aOptions);
+              Options aOptions,
+              Hooks aHooks);
 
   void Start();
 
   /// This node's requests at the target stand still; ask it at once.
   void Suspect(const std::string& aTarget);
 
+  /// Another node's demand.
+  void TakeDemands(const std::string& aNode,
+                   ModelDemands aDemands,
+                   Instant aNow);
+
   bool Leads() const { return this->leading; }
 
   /// Lets the lease lapse, for another node to plan.
@@ -56,13 +79,28 @@
     bool suspect = false;
   };
 
+  struct NodeDemands
+  {
+    ModelDemands demands;
+    Instant at;
+  };
+
+  /// Of all nodes together.
+  ModelDemands TotalDemands(Instant aNow) const;
   Task<void> Run();
   void RunRound(Instant aNow);
-  void TakeLead(Instant aNow);
+  void TakeLead();
+  /// One line a second on what this planner believes.
+  void LogView(const CatalogService& aService,
+               const PlannerMembers& aMembers,
+               Instant aNow);
+  void TellBroken(const FleetPlanner& aPlanner, Instant aNow);
   void PlanService(const CatalogService& aService, Instant aNow);
   void AskForReports(const CatalogService& aService, Instant aNow);
   PlannerMembers MembersOf(const CatalogService& aService) const;
   bool MostlySilent(const PlannerMembers& aMembers) const;
+  /// Targets of the replica that this one is the head of.
+  std::vector<std::string> ReplicaOf(const std::string& aHead) const;
   Task<void> AskForReport(std::string aTarget, std::string aAddress);
   Task<void> GiveOrder(ReplicaOrder aOrder);
   void OnFenced();
@@ -70,10 +108,13 @@
 
   ServingContext& context;
   Options options;
+  Hooks hooks;
   LeaseTask lease;
   HttpConnectionPool pool;
   std::map<std::string, std::unique_ptr<FleetPlanner>, std::less<>> planners;
   std::map<std::string, Probed, std::less<>> probed;
+  std::map<std::string, Instant, std::less<>> loggedAt;
+  std::map<std::string, NodeDemands, std::less<>> demandsByNode;
   bool leading = false;
   std::int64_t fence = 0;
   std::int64_t issued = 0;
--- a/src/serving/RequestFlow.cpp
+++ b/src/serving/RequestFlow.cpp
@@ -69,6 +69,12 @@
     co_return;
   }
   this->Budget().OnFirstAttempt();
+  if (!this->caller.model.empty()) {
+    this->context.demand.OnRequest(this->caller.model,
+                                   this->caller.promptTokens,
+                                   this->caller.outputTokens,
+                                   this->arrived);
+  }
   this->exchange.WatchCaller([this] {
     this->callerGone = true;
     if (this->call != nullptr) {
--- a/src/serving/ServingContext.h
+++ b/src/serving/ServingContext.h
@@ -6,6 +6,7 @@
 #include "catalog/CatalogHolder.h"
 #include "fleet/Fleet.h"
 #include "http/HttpClient.h"
+#include "placement/DemandMeter.h"
 #include "placement/LoadBook.h"
 #include "placement/Placement.h"
 #include "placement/StallDetector.h"
@@ -17,6 +18,7 @@
 #include <functional>
 #include <map>
 #include <random>
+#include <set>
 #include <string>
 
 namespace apricottrack {
@@ -33,8 +35,11 @@
   CatalogHolder catalog;
   Fleet fleet;
   ReplicaDirectory replicas;
+  /// Replicas that the planner found to have lost a member, as NAME/EPOCH.
+  std::set<std::string> broken;
   LoadBook loads;
   StallDetector stalls;
+  DemandMeter demand;
   HttpConnectionPool targetPool;
   std::map<std::string, RetryBudget> retryBudgets;
   /// Requests that run now, by the target that runs them.
--- a/src/serving/ServingNode.cpp
+++ b/src/serving/ServingNode.cpp
@@ -3,7 +3,9 @@
 #include "base/Log.h"
 #include "http/HttpServer.h"
 #include "serving/CatalogTask.h"
+#include "serving/FleetRelay.h"
 #include "serving/FleetTask.h"
+#include "serving/FollowTask.h"
 #include "serving/PlannerTask.h"
 #include "serving/Refusals.h"
 #include "serving/RequestFlow.h"
@@ -18,6 +20,8 @@
 
 namespace {
 
+/// Entries that lapsed before this node's first look are back by then.
+constexpr Duration kEntryReturn = milliseconds(2300);
 /// Stalls are looked for this often.
 constexpr Duration kStallInterval = milliseconds(50);
 /// The platform takes a node out after two misses a second apart; until then
@@ -53,6 +57,10 @@
                                              HttpHandler aHandler);
   void OnCatalogChange();
   void OnFleetChange();
+  /// Takes running requests away from replicas that lost a member.
+  void LeaveBrokenReplicas();
+  void LeaveTarget(const std::string& aTarget);
+  bool EntriesSettled() const;
   bool IsReady() const;
   Task<void> AnswerAdmin(HttpExchange& aExchange);
   Task<void> LookForStalls();
@@ -65,6 +73,8 @@
   CatalogTask catalogTask;
   FleetTask fleetTask;
   PlannerTask planner;
+  FollowTask follower;
+  FleetRelay relay;
   std::shared_ptr<HttpServer> callerServer;
   std::shared_ptr<HttpServer> readyServer;
   std::shared_ptr<HttpServer> adminServer;
@@ -86,6 +96,7 @@
     .replicas = {},
     .loads = LoadBook(LoadBook::Options{}),
     .stalls = StallDetector(StallDetector::Options{}),
+    .demand = DemandMeter(DemandMeter::Options{}),
     .targetPool =
       HttpConnectionPool(aExecutor,
                          HttpConnectionPool::Options{
@@ -105,7 +116,28 @@
               *this->store,
               FleetTask::Options{},
               [this] { this->OnFleetChange(); })
-  , planner(this->context, *this->store, PlannerTask::Options{})
+  , planner(this->context,
+            *this->store,
+            PlannerTask::Options{},
+            PlannerTask::Hooks{
+              .mayTry = [this] { return !this->follower.Follows(); },
+              .onHolder =
+                [this](const std::string& aAddress) {
+                  this->follower.SetLeader(aAddress);
+                },
+              .onBroken =
+                [this] {
+                  this->context.fleet.Touch();
+                  this->OnFleetChange();
+                },
+              .entriesSettled = [this] { return this->EntriesSettled(); },
+            })
+  , follower(this->context,
+             this->catalogTask,
+             this->fleetTask,
+             FollowTask::Options{},
+             [this] { this->OnFleetChange(); })
+  , relay(this->context, this->catalogTask, this->fleetTask, this->planner)
 {
 }
 
@@ -158,9 +190,14 @@
     return tl::unexpected(admin.error());
   }
   this->adminServer = *admin;
+  const auto relaying = this->relay.Start();
+  if (!relaying) {
+    return tl::unexpected(relaying.error());
+  }
   this->catalogTask.Start();
   this->fleetTask.Start();
   this->planner.Start();
+  this->follower.Start();
   asio::co_spawn(
     this->context.executor,
     [this]() -> Task<void> { co_await this->LookForStalls(); },
@@ -193,8 +230,43 @@
 {
   const CatalogPointer& catalog = this->context.catalog.Current();
   if (catalog != nullptr) {
-    this->context.replicas.Rebuild(catalog->Declared(), this->context.fleet);
+    this->context.replicas.Rebuild(
+      catalog->Declared(), this->context.fleet, this->context.broken);
   }
+  this->LeaveBrokenReplicas();
+  this->relay.Notify();
+}
+
+void
+ServingNode::Impl::LeaveBrokenReplicas()
+{
+  std::set<std::string> left;
+  for (const auto& [target, flow] : this->context.running) {
+    const TargetRecord* const record = this->context.fleet.Find(target);
+    if (record != nullptr && record->membership &&
+        this->context.broken.contains(ReplicaKey(*record->membership))) {
+      left.insert(target);
+    }
+  }
+  for (const std::string& target : left) {
+    this->LeaveTarget(target);
+  }
+}
+
+void
+ServingNode::Impl::LeaveTarget(const std::string& aTarget)
+{
+  const auto [first, last] = this->context.running.equal_range(aTarget);
+  for (auto it = first; it != last; ++it) {
+    it->second->LeaveTarget();
+  }
+}
+
+bool
+ServingNode::Impl::EntriesSettled() const
+{
+  const auto listedAt = this->fleetTask.FirstListedAt();
+  return listedAt && MonotonicNow() - *listedAt > kEntryReturn;
 }
 
 bool
@@ -227,18 +299,20 @@
   for (;;) {
     asio::steady_timer timer(this->context.executor, kStallInterval);
     co_await timer.async_wait(kAsTuple);
-    for (const std::string& target :
-         this->context.stalls.Look(MonotonicNow())) {
+    const auto sightings = this->context.stalls.Look(MonotonicNow());
+    for (const std::string& target : sightings.doubtful) {
+      this->planner.Suspect(target);
+    }
+    if (!sightings.doubtful.empty()) {
+      this->follower.ReportStalls(sightings.doubtful);
+    }
+    for (const std::string& target : sightings.stalled) {
       LogLine("target_stalled")
         .With("target", target)
         .With("own_requests", std::int64_t{ this->context.loads.Own(target) })
         .Info();
       this->context.counters.Add("targets_stalled");
-      this->planner.Suspect(target);
-      const auto [first, last] = this->context.running.equal_range(target);
-      for (auto it = first; it != last; ++it) {
-        it->second->LeaveTarget();
-      }
+      this->LeaveTarget(target);
     }
   }
 }
--- /dev/null
+++ b/tests/FleetPlannerTest.cpp
@@ -0,0 +1,250 @@
+#include "replicas/FleetPlanner.h"
+
+#include <catch2/catch.hpp>
+#include <fmt/format.h>
+
+using namespace apricottrack;
+
+namespace {
+
+constexpr Instant kStart{ seconds(1000) };
+
+CatalogService
+EngineService()
+{
+  EngineSpec engine;
+  engine.batchSlots = 26;
+  engine.loadsPerSecond = 4.5;
+  engine.concurrentLoads = 6;
+  engine.models = {
+    { .name = "large", .size = 4, .share = 0.57, .loadTime = seconds(16) },
+    { .name = "small", .size = 3, .share = 0.43, .loadTime = seconds(12) },
+  };
+  return { .name = "advisor", .engine = engine };
+}
+
+TargetRecord
+Target(int aNumber, const std::string& aDomain = "d1")
+{
+  return { .id = fmt::format("t{:02}", aNumber),
+           .service = "advisor",
+           .address = fmt::format("10.0.0.{}:80", aNumber),
+           .availabilityZone = "a",
+           .fabricDomain = aDomain,
+           .slots = 26,
+           .startedAt = 1 };
+}
+
+/// Plays the targets of one service: orders take effect at once.
+class FakeFleet
+{
+public:
+  explicit FakeFleet(int aCount)
+  {
+    for (int i = 0; i < aCount; ++i) {
+      this->Add(Target(i));
+    }
+  }
+
+  void Add(TargetRecord aRecord)
+  {
+    const std::string id = aRecord.id;
+    this->members[id] = { .record = std::move(aRecord) };
+  }
+
+  void Carry(const std::vector<ReplicaOrder>& aOrders)
+  {
+    for (const ReplicaOrder& order : aOrders) {
+      this->CarryOne(order);
+    }
+  }
+
+  FleetPlannerView View(bool aBeforeTraffic = false) const
+  {
+    return { .service = this->service,
+             .members = this->members,
+             .beforeTraffic = aBeforeTraffic };
+  }
+
+  /// Rounds until nothing is ordered any more.
+  int Settle(FleetPlanner& aPlanner, Instant& aNow, bool aBeforeTraffic = false)
+  {
+    int orders = 0;
+    for (int quiet = 0; quiet < 40;) {
+      const auto given = aPlanner.Round(this->View(aBeforeTraffic), aNow);
+      this->Carry(given);
+      orders += static_cast<int>(given.size());
+      quiet = given.empty() ? quiet + 1 : 0;
+      aNow += milliseconds(50);
+    }
+    return orders;
+  }
+
+  CatalogService service = EngineService();
+  PlannerMembers members;
+  std::vector<std::string> violations;
+
+private:
+  /// The head of the replica that the target belongs to serves.
+  bool InOpenReplica(const TargetRecord& aRecord) const
+  {
+    if (!aRecord.membership) {
+      return false;
+    }
+    for (const auto& [id, member] : this->members) {
+      const auto& membership = member.record.membership;
+      if (membership && membership->replica == aRecord.membership->replica &&
+          membership->epoch == aRecord.membership->epoch &&
+          membership->rank == 0) {
+        return membership->state == MemberState::kOpen;
+      }
+    }
+    return false;
+  }
+
+  void CarryOne(const ReplicaOrder& aOrder)
+  {
+    TargetRecord& record = this->members.at(aOrder.target).record;
+    switch (aOrder.kind) {
+      case OrderKind::kJoin: {
+        if (record.membership && record.membership->epoch >= aOrder.epoch) {
+          return;
+        }
+        if (this->InOpenReplica(record) &&
+            record.membership->replica != aOrder.replica) {
+          this->violations.push_back(aOrder.target);
+        }
+        const auto place = std::find(
+          aOrder.members.begin(), aOrder.members.end(), aOrder.target);
+        record.membership = { .replica = aOrder.replica,
+                              .epoch = aOrder.epoch,
+                              .rank = static_cast<int>(place -
+                                                       aOrder.members.begin()),
+                              .state = MemberState::kReady };
+        record.model = aOrder.model;
+        break;
+      }
+      case OrderKind::kOpen:
+        record.membership->state = MemberState::kOpen;
+        break;
+      case OrderKind::kCloseNow:
+      case OrderKind::kCloseGently:
+        record.membership->state = MemberState::kReady;
+        break;
+      case OrderKind::kLeave:
+        record.membership.reset();
+        record.model.clear();
+        break;
+      case OrderKind::kStage:
+        record.stagedModels = { aOrder.model };
+        break;
+    }
+    ++record.orders;
+  }
+};
+
+FleetPlanner
+MakePlanner(std::int64_t aFence)
+{
+  return FleetPlanner(FleetPlanner::Options{},
+                      [next = aFence * 1000]() mutable { return ++next; });
+}
+
+int
+Serving(const FleetPlanner& aPlanner)
+{
+  return aPlanner.Count("large", ReplicaPhase::kServing) +
+         aPlanner.Count("small", ReplicaPhase::kServing);
+}
+
+} // namespace
+
+TEST_CASE("FleetPlanner forms replicas from a fleet that has settled")
+{
+  FakeFleet fleet(9);
+  FleetPlanner planner = MakePlanner(1);
+  Instant now = kStart;
+  CHECK(planner.Round(fleet.View(true), now).size() == 9);
+  fleet.Settle(planner, now, true);
+  CHECK(Serving(planner) >= 2);
+  CHECK(fleet.violations.empty());
+}
+
+TEST_CASE("FleetPlanner takes over another planner's replicas as they are")
+{
+  FakeFleet fleet(18);
+  FleetPlanner first = MakePlanner(1);
+  Instant now = kStart;
+  fleet.Settle(first, now, true);
+  FleetPlanner second = MakePlanner(2);
+  CHECK(fleet.Settle(second, now) == 0);
+  CHECK(Serving(second) == Serving(first));
+  CHECK(fleet.violations.empty());
+}
+
+TEST_CASE("FleetPlanner replaces a lost member by a warm spare in place")
+{
+  FakeFleet fleet(9);
+  FleetPlanner planner = MakePlanner(1);
+  Instant now = kStart;
+  fleet.Settle(planner, now, true);
+  const int before = Serving(planner);
+  const auto& replica = planner.Replicas().begin()->second;
+  const std::string name = replica.name;
+  const std::int64_t epoch = replica.epoch;
+  fleet.members.at(replica.members.back()).silent = true;
+  const auto orders = planner.Round(fleet.View(), now);
+  CHECK(planner.Broken(now).contains(
+    ReplicaKey({ .replica = name, .epoch = epoch })));
+  const auto joins =
+    std::count_if(orders.begin(), orders.end(), [&](const auto& aOrder) {
+      return aOrder.kind == OrderKind::kJoin && aOrder.replica == name &&
+             aOrder.epoch > epoch;
+    });
+  CHECK(joins >= 3);
+  fleet.Carry(orders);
+  fleet.Settle(planner, now);
+  CHECK(Serving(planner) == before);
+  CHECK(fleet.violations.empty());
+}
+
+TEST_CASE("FleetPlanner waits for entries that may come back")
+{
+  FakeFleet fleet(18);
+  FleetPlanner first = MakePlanner(1);
+  Instant now = kStart;
+  fleet.Settle(first, now, true);
+  FakeFleet lapsed(0);
+  for (const auto& [id, member] : fleet.members) {
+    if (id != "t03" && id != "t07") {
+      lapsed.Add(member.record);
+    }
+  }
+  FleetPlanner second = MakePlanner(2);
+  FleetPlannerView view = lapsed.View();
+  view.entriesSettled = false;
+  CHECK(second.Round(view, now).empty());
+}
+
+TEST_CASE("FleetPlanner uses the members of broken replicas again")
+{
+  FakeFleet fleet(9);
+  FleetPlanner planner = MakePlanner(1);
+  Instant now = kStart;
+  fleet.Settle(planner, now, true);
+  // Lose one target after the other; what is left must keep serving.
+  for (int lost = 0; lost < 3; ++lost) {
+    for (const auto& [name, replica] : planner.Replicas()) {
+      if (replica.phase == ReplicaPhase::kServing) {
+        fleet.members.erase(replica.members.back());
+        break;
+      }
+    }
+    fleet.Settle(planner, now);
+    INFO("lost " << lost + 1);
+    CHECK(Serving(planner) >= 1);
+  }
+  CHECK(fleet.members.size() == 6);
+  CHECK(Serving(planner) == 1);
+  CHECK(fleet.violations.empty());
+}
