--- a/src/replicas/FleetPlanner.cpp
+++ b/src/replicas/FleetPlanner.cpp
@@ -3,6 +3,7 @@
 #include "replicas/FleetPlanningRound.h"
 
 #include <algorithm>
+#include <fmt/format.h>
 
 namespace apricottrack {
 
@@ -30,6 +31,28 @@
   return keys;
 }
 
+std::string
+FleetPlanner::DescribeFree(const PlannerMembers& aMembers) const
+{
+  std::set<std::string_view> placed;
+  for (const auto& [name, replica] : this->replicas) {
+    placed.insert(replica.members.begin(), replica.members.end());
+  }
+  std::map<std::string_view, std::pair<int, int>> free;
+  for (const auto& [id, member] : aMembers) {
+    auto& [warm, cold] = free[member.record.fabricDomain];
+    if (member.IsUsable() && !placed.contains(id)) {
+      ++(member.record.model.empty() ? cold : warm);
+    }
+  }
+  std::string text;
+  for (const auto& [domain, counts] : free) {
+    text += fmt::format(
+      "{}{}+{}", text.empty() ? "" : ",", counts.first, counts.second);
+  }
+  return text;
+}
+
 int
 FleetPlanner::Count(std::string_view aModel, ReplicaPhase aPhase) const
 {
--- a/src/replicas/FleetPlanner.h
+++ b/src/replicas/FleetPlanner.h
@@ -105,6 +105,10 @@
   /// Lists of members, as NAME/EPOCH, that lost a member a short while ago.
   std::set<std::string> Broken(Instant aNow) const;
 
+  /// Free targets by fabric domain, those that hold no weights after a plus
+  /// sign: "2+1,0+0".
+  std::string DescribeFree(const PlannerMembers& aMembers) const;
+
   /// Replicas of a model in a phase.
   int Count(std::string_view aModel, ReplicaPhase aPhase) const;
 
--- a/src/replicas/FleetPlanningRound.cpp
+++ b/src/replicas/FleetPlanningRound.cpp
@@ -627,23 +627,35 @@
   }
 }
 
+bool
+FleetPlanningRound::HoldsNothing(const TargetRecord& aRecord) const
+{
+  return std::all_of(this->engine.models.begin(),
+                     this->engine.models.end(),
+                     [&](const ReplicaModel& aModel) {
+                       return this->WarmthOf(aRecord, aModel.name) !=
+                              Warmth::kHeld;
+                     });
+}
+
 void
 FleetPlanningRound::PrepareSpares()
 {
+  // A target that holds nothing cannot serve at all; it goes first.
+  bool waiting = false;
   for (const auto& [id, member] : this->view.members) {
-    if (!member.IsUsable() || this->planner.preparing.contains(id)) {
-      continue;
+    if (!this->planner.preparing.contains(id) && this->IsFree(member) &&
+        this->HoldsNothing(member.record)) {
+      waiting = !this->WarmUp(member.record) || waiting;
     }
-    const bool cold = std::all_of(
-      this->engine.models.begin(),
-      this->engine.models.end(),
-      [&](const ReplicaModel& aModel) {
-        return this->WarmthOf(member.record, aModel.name) != Warmth::kHeld;
-      });
-    if (!cold) {
+  }
+  if (waiting) {
+    return;
+  }
+  for (const auto& [id, member] : this->view.members) {
+    if (!this->planner.preparing.contains(id) && member.IsUsable() &&
+        !this->HoldsNothing(member.record)) {
       this->StageOther(member.record);
-    } else if (this->IsFree(member)) {
-      this->WarmUp(member.record);
     }
   }
 }
@@ -655,14 +667,27 @@
          this->planner.loads.TryBegin(aExpected, this->now);
 }
 
-void
+const ReplicaModel&
+FleetPlanningRound::WarmUpModelFor(const TargetRecord& aRecord) const
+{
+  const auto staged =
+    std::find_if(this->engine.models.begin(),
+                 this->engine.models.end(),
+                 [&](const ReplicaModel& aModel) {
+                   return this->WarmthOf(aRecord, aModel.name) != Warmth::kCold;
+                 });
+  return staged == this->engine.models.end() ? this->SpareModelFor(aRecord)
+                                             : *staged;
+}
+
+bool
 FleetPlanningRound::WarmUp(const TargetRecord& aRecord)
 {
-  const ReplicaModel& model = this->SpareModelFor(aRecord);
+  const ReplicaModel& model = this->WarmUpModelFor(aRecord);
   const Duration expected = this->JoinTime(aRecord, model);
   const bool loads = this->WarmthOf(aRecord, model.name) == Warmth::kCold;
   if (loads && !this->MayLoad(expected)) {
-    return;
+    return false;
   }
   const PlannedReplica alone{
     .name = fmt::format("{}{}", kSparePrefix, aRecord.id),
@@ -674,6 +699,7 @@
   this->planner.preparing[aRecord.id] =
     this->now + expected + this->planner.options.orderSlack;
   this->Give(OrderKind::kJoin, alone, aRecord.id);
+  return true;
 }
 
 void
--- a/src/replicas/FleetPlanningRound.h
+++ b/src/replicas/FleetPlanningRound.h
@@ -87,7 +87,12 @@
   void OrderJoins(const PlannedReplica& aReplica, bool aOnlyMissing);
 
   void PrepareSpares();
-  void WarmUp(const TargetRecord& aRecord);
+  bool HoldsNothing(const TargetRecord& aRecord) const;
+  /// A model that the target has on its host, or the one that it is needed
+  /// for.
+  const ReplicaModel& WarmUpModelFor(const TargetRecord& aRecord) const;
+  /// False if the load has to wait.
+  bool WarmUp(const TargetRecord& aRecord);
   void StageOther(const TargetRecord& aRecord);
   bool MayLoad(Duration aExpected);
 
--- a/src/serving/PlannerTask.cpp
+++ b/src/serving/PlannerTask.cpp
@@ -280,7 +280,8 @@
   for (const auto& [name, replica] : planner.Replicas()) {
     placed += replica.members.size();
   }
-  line.With("placed", static_cast<std::int64_t>(placed));
+  line.With("placed", static_cast<std::int64_t>(placed))
+    .With("free_by_domain", planner.DescribeFree(aMembers));
   for (const ReplicaModel& model : aService.engine->models) {
     using enum ReplicaPhase;
     line.With(model.name,
