Convert replicas to the model that is worst off

Cause: with six loads at a time and 16 s each, new targets cannot be given the model that is short; targets that held only the other one stood idle. Idle targets now form what they can, and a replica elsewhere that can serve the short model is converted. Also: a doubt is asked about at once over a fresh connection, and the planner's lease is the store's shortest.

--- a/src/placement/Placement.cpp
+++ b/src/placement/Placement.cpp
@@ -40,11 +40,12 @@
       continue;
     }
     const double load = this->loads.Estimate(candidate.id, aNow);
+    const bool doubted = this->stalls.Doubts(candidate.id, aNow);
     const bool near = candidate.availabilityZone == this->availabilityZone;
-    ranked.push_back(
-      { .candidate = &candidate,
-        .load = load,
-        .cost = load + (near ? 0 : this->options.crossZoneLoad) });
+    ranked.push_back({ .candidate = &candidate,
+                       .load = load,
+                       .cost = load + (near ? 0 : this->options.crossZoneLoad) +
+                               (doubted ? candidate.slots : 0) });
   }
   if (ranked.empty()) {
     return { .refusal = PlacementRefusal::kNoTarget };
--- a/src/placement/StallDetector.cpp
+++ b/src/placement/StallDetector.cpp
@@ -56,7 +56,7 @@
     }
     const Duration silent = aNow - entry.progressAt;
     if (entry.inFlight > 0 && silent > this->options.doubt &&
-        aNow - entry.doubtedAt > this->options.doubt) {
+        aNow - entry.doubtedAt > this->options.doubtAgain) {
       entry.doubtedAt = aNow;
       sightings.doubtful.push_back(target);
     }
@@ -71,6 +71,14 @@
   return sightings;
 }
 
+bool
+StallDetector::Doubts(const std::string& aTarget, Instant aNow) const
+{
+  const auto found = this->entries.find(aTarget);
+  return found != this->entries.end() && found->second.inFlight > 0 &&
+         aNow - found->second.progressAt > this->options.doubt;
+}
+
 bool
 StallDetector::Avoids(const std::string& aTarget, Instant aNow) const
 {
--- a/src/placement/StallDetector.h
+++ b/src/placement/StallDetector.h
@@ -18,7 +18,9 @@
   {
     /// No progress on any request for longer is worth a question: a full
     /// batch with long prompts takes this long for one pass.
-    Duration doubt = milliseconds(250);
+    Duration doubt = milliseconds(160);
+    /// A doubt is not repeated sooner.
+    Duration doubtAgain = milliseconds(400);
     /// No progress on any request for longer is a stall.
     Duration silence = milliseconds(900);
     /// A stalled target gets no new requests for this long.
@@ -51,6 +53,10 @@
   /// What has been sighted since the last look.
   Sightings Look(Instant aNow);
 
+  /// True if new requests should go elsewhere as long as others can take
+  /// them.
+  bool Doubts(const std::string& aTarget, Instant aNow) const;
+
   /// True if new requests should go elsewhere.
   bool Avoids(const std::string& aTarget, Instant aNow) const;
 
--- a/src/replicas/FleetPlanner.h
+++ b/src/replicas/FleetPlanner.h
@@ -65,6 +65,8 @@
   std::vector<std::string> members;
   ReplicaPhase phase = ReplicaPhase::kJoining;
   Instant since;
+  /// Model that its members are to serve next; empty unless it is converted.
+  std::string nextModel;
 
   friend bool operator==(const PlannedReplica&,
                          const PlannedReplica&) = default;
@@ -87,6 +89,11 @@
     Duration settle = milliseconds(600);
     /// Added to the expected time of an order before it is given again.
     Duration orderSlack = milliseconds(1200);
+    /// A model gives up a replica to another one only if it is then still
+    /// this much better off.
+    double convertMargin = 0.75;
+    /// Between two conversions, for the effect of the first to show.
+    Duration convertEvery = milliseconds(1500);
     /// How long nodes are told of a broken list of members; by then they know
     /// the new one.
     Duration tellBroken = seconds(4);
@@ -141,6 +148,7 @@
     std::string model;
   };
   std::map<std::string, LastModel, std::less<>> lastModels;
+  Instant convertedAt;
   /// For the wait before the first request.
   std::size_t knownTargets = 0;
   Instant lastArrival;
--- a/src/replicas/FleetPlanningRound.cpp
+++ b/src/replicas/FleetPlanningRound.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <cmath>
 #include <fmt/format.h>
+#include <limits>
 
 namespace apricottrack {
 
@@ -75,6 +76,7 @@
   this->Advance();
   this->FreeStrays();
   this->FormReplicas();
+  this->Rebalance();
   this->PrepareSpares();
   return std::move(this->orders);
 }
@@ -346,7 +348,7 @@
     this->Give(OrderKind::kCloseNow, aReplica, headId);
     return false;
   }
-  if (this->Repair(aReplica)) {
+  if (this->FinishConversion(aReplica) || this->Repair(aReplica)) {
     return false;
   }
   this->Release(aReplica);
@@ -465,10 +467,20 @@
       free.push_back(id);
     }
   }
+  // Of equally warm targets, those that could do nothing else come first.
+  const auto rank = [&](const std::string& aId) {
+    const TargetRecord& record = this->Find(aId)->record;
+    const auto uses = std::count_if(
+      this->engine.models.begin(),
+      this->engine.models.end(),
+      [&](const ReplicaModel& aOther) {
+        return this->WarmthOf(record, aOther.name) != Warmth::kCold;
+      });
+    return std::pair(this->WarmthOf(record, aModel), uses);
+  };
   std::stable_sort(
-    free.begin(), free.end(), [&](const auto& aL, const auto& aR) {
-      return this->WarmthOf(this->Find(aL)->record, aModel) <
-             this->WarmthOf(this->Find(aR)->record, aModel);
+    free.begin(), free.end(), [&](const auto& aLeft, const auto& aRight) {
+      return rank(aLeft) < rank(aRight);
     });
   return free;
 }
@@ -544,6 +556,117 @@
            this->FormOne(*model)) {
     }
   }
+  this->FormSubstitutes(wanted);
+}
+
+void
+FleetPlanningRound::FormSubstitutes(const ReplicaCounts& aWanted)
+{
+  const bool isShort =
+    std::any_of(aWanted.begin(), aWanted.end(), [&](const auto& aEntry) {
+      return this->ReplicasOf(aEntry.first) < aEntry.second;
+    });
+  if (!isShort || this->view.beforeTraffic || this->view.demands.empty()) {
+    return;
+  }
+  for (const ReplicaModel* const model : this->ModelsBySize()) {
+    while (this->FormOne(*model)) {
+    }
+  }
+}
+
+double
+FleetPlanningRound::StrainOf(const ReplicaModel& aModel, int aReplicas) const
+{
+  const auto demand = this->view.demands.find(aModel.name);
+  if (demand == this->view.demands.end()) {
+    return 0;
+  }
+  if (aReplicas <= 0) {
+    return std::numeric_limits<double>::infinity();
+  }
+  return EngineCost(this->engine, aModel).Strain(demand->second, aReplicas);
+}
+
+std::vector<std::string>
+FleetPlanningRound::ConversionMembers(const PlannedReplica& aReplica,
+                                      const ReplicaModel& aModel) const
+{
+  std::vector<std::string> members;
+  for (const std::string& id : aReplica.members) {
+    if (this->IsUsable(id) &&
+        this->WarmthOf(this->Find(id)->record, aModel.name) != Warmth::kCold) {
+      members.push_back(id);
+    }
+  }
+  for (const std::string& id : this->FreeIn(aReplica.domain, aModel.name)) {
+    members.push_back(id);
+  }
+  const auto size = static_cast<std::size_t>(aModel.size);
+  if (members.size() < size) {
+    return {};
+  }
+  members.resize(size);
+  return members;
+}
+
+bool
+FleetPlanningRound::CanConvert(const PlannedReplica& aReplica,
+                               const ReplicaModel& aModel) const
+{
+  return aReplica.phase == ReplicaPhase::kServing &&
+         !this->ConversionMembers(aReplica, aModel).empty();
+}
+
+void
+FleetPlanningRound::Rebalance()
+{
+  if (this->now - this->planner.convertedAt <
+        this->planner.options.convertEvery ||
+      this->engine.models.size() < 2) {
+    return;
+  }
+  const auto strain = [&](const ReplicaModel& aModel, int aMore) {
+    return this->StrainOf(aModel, this->ReplicasOf(aModel.name) + aMore);
+  };
+  const auto worse = [&](const ReplicaModel& aL, const ReplicaModel& aR) {
+    return strain(aL, 0) < strain(aR, 0);
+  };
+  const auto [best, worst] = std::minmax_element(
+    this->engine.models.begin(), this->engine.models.end(), worse);
+  const double present = strain(*worst, 0);
+  if (present <= 1 ||
+      strain(*best, -1) >= present * this->planner.options.convertMargin) {
+    return;
+  }
+  for (auto& [name, replica] : this->planner.replicas) {
+    if (replica.model == best->name && this->CanConvert(replica, *worst)) {
+      this->planner.convertedAt = this->now;
+      replica.nextModel = worst->name;
+      replica.phase = ReplicaPhase::kClosing;
+      replica.since = this->now;
+      this->Give(OrderKind::kCloseGently, replica, replica.members.front());
+      return;
+    }
+  }
+}
+
+bool
+FleetPlanningRound::FinishConversion(PlannedReplica& aReplica)
+{
+  const ReplicaModel* const model =
+    FindModel(this->view.service, aReplica.nextModel);
+  aReplica.nextModel.clear();
+  if (model == nullptr) {
+    return false;
+  }
+  std::vector<std::string> members = this->ConversionMembers(aReplica, *model);
+  if (members.empty()) {
+    return false;
+  }
+  aReplica.model = model->name;
+  this->BeginJoin(aReplica, std::move(members));
+  return true;
 }
 
 bool
@@ -594,8 +717,9 @@
     replicas[replica.model] += replica.domain == aRecord.fabricDomain ? 1 : 0;
   }
   const auto score = [&](const ReplicaModel& aModel) {
-    // Spares for each replica that they could repair.
-    return (spares[aModel.name] + 1.0) / (replicas[aModel.name] + 0.1);
+    // Spares for each replica that they could repair, by what they cost.
+    return (spares[aModel.name] + 1.0) / (replicas[aModel.name] + 0.1) *
+           ToSeconds(aModel.loadTime);
   };
   return *std::min_element(
     this->engine.models.begin(),
--- a/src/replicas/FleetPlanningRound.h
+++ b/src/replicas/FleetPlanningRound.h
@@ -83,6 +83,21 @@
   /// domain's other spares serve least.
   const ReplicaModel& SpareModelFor(const TargetRecord& aRecord) const;
   int ReplicasOf(std::string_view aModel) const;
+  /// Replicas of any model, from targets that stand idle while a model is
+  /// short that they cannot serve; another replica can then be converted.
+  void FormSubstitutes(const ReplicaCounts& aWanted);
+  /// Converts one replica of the model that is best off to the model that is
+  /// worst off, if that evens them out.
+  void Rebalance();
+  double StrainOf(const ReplicaModel& aModel, int aReplicas) const;
+  /// The members of a replica and free targets of its domain could serve the
+  /// model soon.
+  bool CanConvert(const PlannedReplica& aReplica,
+                  const ReplicaModel& aModel) const;
+  /// The members for the replica's next model; empty if they do not suffice.
+  std::vector<std::string> ConversionMembers(const PlannedReplica& aReplica,
+                                             const ReplicaModel& aModel) const;
+  bool FinishConversion(PlannedReplica& aReplica);
   void BeginJoin(PlannedReplica& aReplica, std::vector<std::string> aMembers);
   void OrderJoins(const PlannedReplica& aReplica, bool aOnlyMissing);
 
--- a/src/serving/PlannerTask.cpp
+++ b/src/serving/PlannerTask.cpp
@@ -39,8 +39,10 @@
 
 constexpr Duration kViewLogInterval = seconds(1);
 
-constexpr std::int64_t kLeaseSeconds = 2;
-constexpr Duration kLeaseRenewal = milliseconds(600);
+/// The store's shortest: until it ends nobody can take over from a planner
+/// that died.
+constexpr std::int64_t kLeaseSeconds = 1;
+constexpr Duration kLeaseRenewal = milliseconds(300);
 
 /// What the target said last: in its entry or when it was asked.
 TargetRecord
@@ -315,7 +317,6 @@
     }
     Probed& probe = this->probed[id];
     const bool urgent =
-      probe.suspect ||
       (probe.missed > 0 && probe.missed < this->options.silentAfter);
     const Duration every = urgent                 ? this->options.urgentEvery
                            : awaited.contains(id) ? this->options.awaitedEvery
@@ -323,30 +324,53 @@
     if (probe.underWay || aNow - probe.askedAt < every) {
       continue;
     }
-    probe.underWay = true;
-    probe.suspect = false;
-    probe.askedAt = aNow;
-    asio::co_spawn(
-      this->context.executor,
-      [this, id = id, address = entry.address]() -> Task<void> {
-        co_await this->AskForReport(id, address);
-      },
-      asio::detached);
+    this->StartAsking(id, entry.address, urgent, aNow);
   }
 }
 
-Task<void>
-PlannerTask::AskForReport(std::string aTarget, std::string aAddress)
+void
+PlannerTask::StartAsking(const std::string& aTarget,
+                         const std::string& aAddress,
+                         bool aUrgent,
+                         Instant aNow)
 {
-  const auto reply =
-    co_await Fetch(this->pool,
-                   aAddress,
-                   this->context.protocol.MakeReportRequest(aTarget),
-                   this->options.reportTimeout);
+  Probed& probe = this->probed[aTarget];
+  probe.underWay = true;
+  probe.askedAt = aNow;
+  asio::co_spawn(
+    this->context.executor,
+    [this, aTarget, aAddress, aUrgent]() -> Task<void> {
+      co_await this->AskForReport(aTarget, aAddress, aUrgent);
+    },
+    asio::detached);
+}
+
+Task<Result<TargetReport>>
+PlannerTask::Ask(std::string aTarget, std::string aAddress, bool aUrgent)
+{
+  HttpRequest request = this->context.protocol.MakeReportRequest(aTarget);
+  Result<HttpResponse> reply;
   this->context.counters.Add("report_calls");
-  Result<TargetReport> report =
-    reply ? this->context.protocol.ReadReport(*reply, aAddress)
-          : Result<TargetReport>(tl::unexpected(reply.error()));
+  if (aUrgent) {
+    // A kept connection may have gone silent by itself.
+    reply = co_await FetchFresh(
+      this->pool, aAddress, std::move(request), this->options.urgentTimeout);
+  } else {
+    reply = co_await Fetch(
+      this->pool, aAddress, std::move(request), this->options.reportTimeout);
+  }
+  if (!reply) {
+    co_return tl::unexpected(reply.error());
+  }
+  co_return this->context.protocol.ReadReport(*reply, aAddress);
+}
+
+Task<void>
+PlannerTask::AskForReport(std::string aTarget,
+                          std::string aAddress,
+                          bool aUrgent)
+{
+  auto report = co_await this->Ask(aTarget, aAddress, aUrgent);
   Probed& probe = this->probed[aTarget];
   probe.underWay = false;
   if (report) {
@@ -359,11 +383,14 @@
     co_return;
   }
   ++probe.missed;
-  if (probe.missed == this->options.silentAfter) {
+  if (probe.missed < this->options.silentAfter) {
+    this->StartAsking(aTarget, aAddress, true, MonotonicNow());
+  } else if (probe.missed == this->options.silentAfter) {
     LogLine("target_silent")
       .With("target", aTarget)
       .With(report.error())
       .Info();
+    this->RunRound(MonotonicNow());
   }
 }
 
@@ -426,8 +453,10 @@
   }
   for (const std::string& member : this->ReplicaOf(aTarget)) {
     const auto found = this->probed.find(member);
-    if (found != this->probed.end()) {
-      found->second.suspect = true;
+    const TargetRecord* const record = this->context.fleet.Find(member);
+    if (found != this->probed.end() && record != nullptr &&
+        !found->second.underWay) {
+      this->StartAsking(member, record->address, true, MonotonicNow());
     }
   }
 }
--- a/src/serving/PlannerTask.h
+++ b/src/serving/PlannerTask.h
@@ -30,6 +30,8 @@
     Duration urgentEvery = milliseconds(20);
     /// Targets answer within a few milliseconds.
     Duration reportTimeout = milliseconds(120);
+    /// The same, where a replica stands still for as long as it takes.
+    Duration urgentTimeout = milliseconds(80);
     Duration orderTimeout = milliseconds(800);
     /// Reports in a row that a lost target has missed.
     int silentAfter = 2;
@@ -76,7 +78,6 @@
     Instant heardAt;
     int missed = 0;
     bool underWay = false;
-    bool suspect = false;
   };
 
   struct NodeDemands
@@ -101,7 +102,16 @@
   bool MostlySilent(const PlannerMembers& aMembers) const;
   /// Targets of the replica that this one is the head of.
   std::vector<std::string> ReplicaOf(const std::string& aHead) const;
-  Task<void> AskForReport(std::string aTarget, std::string aAddress);
+  void StartAsking(const std::string& aTarget,
+                   const std::string& aAddress,
+                   bool aUrgent,
+                   Instant aNow);
+  Task<Result<TargetReport>> Ask(std::string aTarget,
+                                 std::string aAddress,
+                                 bool aUrgent);
+  Task<void> AskForReport(std::string aTarget,
+                          std::string aAddress,
+                          bool aUrgent);
   Task<void> GiveOrder(ReplicaOrder aOrder);
   void OnFenced();
   std::int64_t NextEpoch();
--- a/tests/FleetPlannerTest.cpp
+++ b/tests/FleetPlannerTest.cpp
@@ -16,6 +16,8 @@
   engine.batchSlots = 26;
   engine.loadsPerSecond = 4.5;
   engine.concurrentLoads = 6;
+  engine.stride = 7;
+  engine.prefillTokensPerSecond = 50'700;
   engine.models = {
     { .name = "large", .size = 4, .share = 0.57, .loadTime = seconds(16) },
     { .name = "small", .size = 3, .share = 0.43, .loadTime = seconds(12) },
@@ -63,6 +65,7 @@
   {
     return { .service = this->service,
              .members = this->members,
+             .demands = this->demands,
              .beforeTraffic = aBeforeTraffic };
   }
 
@@ -87,6 +90,7 @@
 
   CatalogService service = EngineService();
   PlannerMembers members;
+  ModelDemands demands;
   std::vector<std::string> violations;
 
 private:
@@ -231,6 +235,27 @@
   CHECK(second.Round(view, now).empty());
 }
 
+TEST_CASE("FleetPlanner converts a replica to the model that is worst off")
+{
+  FakeFleet fleet(18);
+  FleetPlanner planner = MakePlanner(1);
+  Instant now = kStart;
+  fleet.Settle(planner, now, true);
+  const int before = planner.Count("large", ReplicaPhase::kServing);
+  fleet.demands = {
+    { "large", { .requests = 1, .promptTokens = 100, .outputTokens = 100 } },
+    { "small",
+      { .requests = 120, .promptTokens = 80'000, .outputTokens = 30'000 } },
+  };
+  fleet.Settle(planner, now);
+  now += seconds(2);
+  fleet.Settle(planner, now);
+  CHECK(planner.Count("large", ReplicaPhase::kServing) < before);
+  CHECK(planner.Count("large", ReplicaPhase::kServing) >= 1);
+  CHECK(planner.Count("small", ReplicaPhase::kServing) >= 4);
+  CHECK(fleet.violations.empty());
+}
+
 TEST_CASE("FleetPlanner uses the members of broken replicas again")
 {
   FakeFleet fleet(9);
