Never join a target whose old head may still count on it

A target is now free only if its list's head is known to be closed; others leave first. A member whose entry is gone while it answers is treated as leaving, so that its replica finishes what runs. Reports count as of when they were made, and the beat counter of an entry is not taken for an order count any more.

--- a/src/fleet/Fleet.cpp
+++ b/src/fleet/Fleet.cpp
@@ -5,7 +5,7 @@
 namespace apricottrack {
 
 void
-Fleet::Put(TargetRecord aRecord)
+Fleet::Put(TargetRecord aRecord, Instant aNow)
 {
   const auto known = this->records.find(aRecord.id);
   if (known != this->records.end() &&
@@ -15,7 +15,8 @@
   const std::string id = aRecord.id;
   this->missing.erase(id);
   if (known == this->records.end() || known->second != aRecord) {
-    this->changedAt[id] = ++this->sequence;
+    this->changes[id] = ++this->sequence;
+    this->changedAt[id] = aNow;
   }
   this->records.insert_or_assign(id, std::move(aRecord));
 }
@@ -24,7 +25,7 @@
 Fleet::Erase(const std::string& aId)
 {
   if (this->records.erase(aId) > 0) {
-    this->changedAt[aId] = ++this->sequence;
+    this->changes[aId] = ++this->sequence;
   }
 }
 
@@ -36,7 +37,7 @@
   if (aSequence == 0 || aSequence > this->sequence) {
     return false;
   }
-  for (const auto& [id, changed] : this->changedAt) {
+  for (const auto& [id, changed] : this->changes) {
     if (changed <= aSequence) {
       continue;
     }
@@ -70,7 +71,7 @@
   }
   for (TargetRecord& record : aRecords) {
     gone.erase(record.id);
-    this->Put(std::move(record));
+    this->Put(std::move(record), aNow);
   }
   for (const std::string& id : gone) {
     this->Remove(id, aNow);
@@ -93,6 +94,13 @@
   return dropped;
 }
 
+Instant
+Fleet::ChangedAt(std::string_view aId) const
+{
+  const auto found = this->changedAt.find(aId);
+  return found == this->changedAt.end() ? Instant{} : found->second;
+}
+
 const TargetRecord*
 Fleet::Find(std::string_view aId) const
 {
--- a/src/fleet/Fleet.h
+++ b/src/fleet/Fleet.h
@@ -29,7 +29,10 @@
   {
   }
 
-  void Put(TargetRecord aRecord);
+  void Put(TargetRecord aRecord, Instant aNow);
+
+  /// When the record last changed.
+  Instant ChangedAt(std::string_view aId) const;
 
   /// Entries that vanish soon after an outage may come back, and are kept
   /// until the grace is over.
@@ -70,7 +73,8 @@
   Instant returnedAt = Instant::min();
   std::uint64_t sequence = 0;
   /// Sequence number of the last change to a target, gone ones included.
-  std::map<std::string, std::uint64_t, std::less<>> changedAt;
+  std::map<std::string, std::uint64_t, std::less<>> changes;
+  std::map<std::string, Instant, std::less<>> changedAt;
 };
 
 } // namespace apricottrack
--- a/src/fleet/FleetMessages.h
+++ b/src/fleet/FleetMessages.h
@@ -44,6 +44,8 @@
   std::vector<std::string> gone;
   /// Replicas with a lost member, as NAME/EPOCH.
   std::vector<std::string> broken;
+  /// Nodes that ask, the sender included.
+  int nodes = 0;
 
   friend bool operator==(const FleetAnswer&, const FleetAnswer&) = default;
 };
--- a/src/fleet/TargetRecord.h
+++ b/src/fleet/TargetRecord.h
@@ -64,8 +64,6 @@
   std::optional<Membership> membership;
   /// Start of the process; another value means that it forgot everything.
   UnixMillis startedAt = 0;
-  /// Orders that began something since the start.
-  std::int64_t orders = 0;
   bool busy = false;
   /// Revision of the store's entry; an older one never replaces a newer one.
   std::int64_t revision = 0;
--- a/src/membership/FleetPacking.cpp
+++ b/src/membership/FleetPacking.cpp
@@ -64,7 +64,6 @@
     membership.rank,
     static_cast<std::uint8_t>(membership.state),
     aRecord.startedAt,
-    aRecord.orders,
     aRecord.revision);
 }
 
@@ -83,7 +82,6 @@
     .stagedModels = TextsOf(aState.staged_models()),
     .membership = std::nullopt,
     .startedAt = aState.started_at(),
-    .orders = aState.orders(),
     .revision = aState.revision(),
   };
   const std::string replica = TextOf(aState.replica());
@@ -131,17 +129,19 @@
   }
   const TextOffsets gone = PackTexts(aBuilder, aMessage.gone);
   const TextOffsets broken = PackTexts(aBuilder, aMessage.broken);
-  return wire::CreateFleetAnswerDirect(aBuilder,
-                                       aMessage.source.c_str(),
-                                       aMessage.leads,
-                                       aMessage.sequence,
-                                       aMessage.catalogRevision,
-                                       ToMilliseconds(aMessage.catalogAge),
-                                       ToMilliseconds(aMessage.fleetAge),
-                                       aMessage.complete,
-                                       &targets,
-                                       &gone,
-                                       &broken)
+  return wire::CreateFleetAnswerDirect(
+           aBuilder,
+           aMessage.source.c_str(),
+           aMessage.leads,
+           aMessage.sequence,
+           aMessage.catalogRevision,
+           ToMilliseconds(aMessage.catalogAge),
+           ToMilliseconds(aMessage.fleetAge),
+           aMessage.complete,
+           &targets,
+           &gone,
+           &broken,
+           static_cast<std::uint32_t>(std::max(0, aMessage.nodes)))
     .Union();
 }
 
@@ -187,7 +187,8 @@
                       .complete = aBody.complete(),
                       .targets = {},
                       .gone = TextsOf(aBody.gone()),
-                      .broken = TextsOf(aBody.broken()) };
+                      .broken = TextsOf(aBody.broken()),
+                      .nodes = static_cast<int>(aBody.nodes()) };
   if (aBody.targets() != nullptr) {
     for (const wire::TargetState* const target : *aBody.targets()) {
       answer.targets.push_back(UnpackTarget(*target));
--- a/src/replicas/FleetPlanner.h
+++ b/src/replicas/FleetPlanner.h
@@ -86,9 +86,11 @@
     ReplicaBudget::Options budget;
     /// Before the first request, targets are waited for until none has come
     /// for this long, so that replicas are formed from the whole fleet.
-    Duration settle = milliseconds(600);
+    Duration settle = milliseconds(1200);
     /// Added to the expected time of an order before it is given again.
     Duration orderSlack = milliseconds(1200);
+    /// Strain of a model from which on spares are of more use in replicas.
+    double shortStrain = 1.25;
     /// A model gives up a replica to another one only if it is then still
     /// this much better off.
     double convertMargin = 0.75;
--- a/src/replicas/FleetPlanningRound.cpp
+++ b/src/replicas/FleetPlanningRound.cpp
@@ -404,33 +404,42 @@
 {
   this->planner.retired.insert(
     ReplicaKey({ .replica = aReplica.name, .epoch = aReplica.epoch }));
-  const PlannerMember* const head = this->Find(aReplica.members.front());
-  if (head != nullptr && !head->silent) {
-    return;
-  }
-  // A silent head may still live and count on its members.
-  for (const std::string& id : aReplica.members) {
-    if (this->IsUsable(id)) {
-      this->Give(OrderKind::kLeave, aReplica, id);
-    }
-  }
 }
 
 bool
-FleetPlanningRound::IsFree(const PlannerMember& aMember) const
+FleetPlanningRound::IsPlaced(std::string_view aId) const
+{
+  return std::any_of(this->planner.replicas.begin(),
+                     this->planner.replicas.end(),
+                     [&](const auto& aEntry) {
+                       const auto& members = aEntry.second.members;
+                       return std::find(members.begin(), members.end(), aId) !=
+                              members.end();
+                     });
+}
+
+bool
+FleetPlanningRound::IsLoose(const Membership& aMembership) const
 {
-  if (!aMember.IsUsable()) {
+  if (aMembership.state == MemberState::kJoining) {
     return false;
   }
-  const std::string& id = aMember.record.id;
-  for (const auto& [name, replica] : this->planner.replicas) {
-    if (std::find(replica.members.begin(), replica.members.end(), id) !=
-        replica.members.end()) {
-      return false;
+  for (const auto& [id, member] : this->view.members) {
+    const auto& other = member.record.membership;
+    if (other && other->rank == 0 && other->replica == aMembership.replica &&
+        other->epoch == aMembership.epoch) {
+      return other->state == MemberState::kReady;
     }
   }
+  return false;
+}
+
+bool
+FleetPlanningRound::IsFree(const PlannerMember& aMember) const
+{
   const auto& membership = aMember.record.membership;
-  return !membership || membership->state != MemberState::kJoining;
+  return aMember.IsUsable() && !this->IsPlaced(aMember.record.id) &&
+         (!membership || this->IsLoose(*membership));
 }
 
 void
@@ -438,11 +447,14 @@
 {
   for (const auto& [id, member] : this->view.members) {
     const auto& membership = member.record.membership;
-    if (!membership || !this->IsFree(member) ||
-        !this->planner.replicas.contains(membership->replica) ||
+    if (!member.IsUsable() || !membership || this->IsPlaced(id) ||
         this->planner.preparing.contains(id)) {
       continue;
     }
+    const bool outlived = this->planner.replicas.contains(membership->replica);
+    if (this->IsLoose(*membership) && !outlived) {
+      continue;
+    }
     const PlannedReplica left{ .name = membership->replica,
                                .model = member.record.model,
                                .domain = member.record.fabricDomain,
@@ -556,17 +568,20 @@
            this->FormOne(*model)) {
     }
   }
-  this->FormSubstitutes(wanted);
+  this->FormSubstitutes();
 }
 
 void
-FleetPlanningRound::FormSubstitutes(const ReplicaCounts& aWanted)
+FleetPlanningRound::FormSubstitutes()
 {
   const bool isShort =
-    std::any_of(aWanted.begin(), aWanted.end(), [&](const auto& aEntry) {
-      return this->ReplicasOf(aEntry.first) < aEntry.second;
-    });
-  if (!isShort || this->view.beforeTraffic || this->view.demands.empty()) {
+    std::any_of(this->engine.models.begin(),
+                this->engine.models.end(),
+                [&](const ReplicaModel& aModel) {
+                  return this->StrainOf(aModel, this->ReplicasOf(aModel.name)) >
+                         this->planner.options.shortStrain;
+                });
+  if (!isShort || this->view.beforeTraffic) {
     return;
   }
   for (const ReplicaModel* const model : this->ModelsBySize()) {
--- a/src/replicas/FleetPlanningRound.h
+++ b/src/replicas/FleetPlanningRound.h
@@ -66,7 +66,12 @@
   std::vector<std::string> FreeIn(std::string_view aDomain,
                                   std::string_view aModel) const;
   bool IsFree(const PlannerMember& aMember) const;
-  /// Takes targets out of replicas that went on without them.
+  /// A planned replica counts on the target.
+  bool IsPlaced(std::string_view aId) const;
+  /// The head of the list of members is known not to count on them.
+  bool IsLoose(const Membership& aMembership) const;
+  /// Takes targets out of replicas that nobody plans any more, or that went
+  /// on without them.
   void FreeStrays();
 
   /// More targets are expected before anything is formed.
@@ -85,7 +90,7 @@
   int ReplicasOf(std::string_view aModel) const;
   /// Replicas of any model, from targets that stand idle while a model is
   /// short that they cannot serve; another replica can then be converted.
-  void FormSubstitutes(const ReplicaCounts& aWanted);
+  void FormSubstitutes();
   /// Converts one replica of the model that is best off to the model that is
   /// worst off, if that evens them out.
   void Rebalance();
--- a/src/replicas/TargetReport.h
+++ b/src/replicas/TargetReport.h
@@ -17,7 +17,6 @@
   std::vector<std::string> stagedModels;
   std::optional<Membership> membership;
   UnixMillis startedAt = 0;
-  std::int64_t orders = 0;
   /// An order is being carried out.
   bool busy = false;
   int running = 0;
--- a/src/retry/RetryBudget.cpp
+++ b/src/retry/RetryBudget.cpp
@@ -17,6 +17,13 @@
     std::min(this->options.reserve, this->saved + this->options.ratio);
 }
 
+void
+RetryBudget::SetReserve(double aReserve)
+{
+  this->options.reserve = aReserve;
+  this->saved = std::min(this->saved, aReserve);
+}
+
 bool
 RetryBudget::TryTake()
 {
--- a/src/retry/RetryBudget.h
+++ b/src/retry/RetryBudget.h
@@ -20,6 +20,9 @@
 
   void OnFirstAttempt();
 
+  /// The reserve changes with the number of nodes that share one.
+  void SetReserve(double aReserve);
+
   /// Takes one retry from the budget; false if none is left.
   bool TryTake();
 
--- a/src/serving/FleetRelay.cpp
+++ b/src/serving/FleetRelay.cpp
@@ -102,6 +102,7 @@
     .catalogAge = this->context.catalog.ProofAge(aNow),
     .fleetAge = aNow - this->fleet.HeardAt(),
   };
+  answer.nodes = this->planner.NodeCount(aNow);
   answer.broken.assign(this->context.broken.begin(),
                        this->context.broken.end());
   const std::uint64_t since =
--- a/src/serving/FleetTask.cpp
+++ b/src/serving/FleetTask.cpp
@@ -152,7 +152,7 @@
     }
     line.Info();
   }
-  this->context.fleet.Put(std::move(*record));
+  this->context.fleet.Put(std::move(*record), aNow);
 }
 
 Task<void>
--- a/src/serving/FollowTask.cpp
+++ b/src/serving/FollowTask.cpp
@@ -124,12 +124,13 @@
     this->context.fleet.ReplaceAll(aAnswer.targets, aNow);
   } else {
     for (const TargetRecord& record : aAnswer.targets) {
-      this->context.fleet.Put(record);
+      this->context.fleet.Put(record, aNow);
     }
     for (const std::string& id : aAnswer.gone) {
       this->context.fleet.Remove(id, aNow);
     }
   }
+  this->context.nodeCount = std::max(1, aAnswer.nodes);
   this->source = aAnswer.source;
   this->sequence = aAnswer.sequence;
   std::set<std::string> broken(aAnswer.broken.begin(), aAnswer.broken.end());
--- a/src/serving/PlannerTask.cpp
+++ b/src/serving/PlannerTask.cpp
@@ -44,21 +44,25 @@
 constexpr std::int64_t kLeaseSeconds = 1;
 constexpr Duration kLeaseRenewal = milliseconds(300);
 
-/// What the target said last: in its entry or when it was asked.
+/// What the target said last: in its entry, or when it was asked. A report
+/// tells what was so some time before the question.
 TargetRecord
-Newest(const TargetRecord& aEntry, const std::optional<TargetReport>& aReport)
+Newest(const TargetRecord& aEntry,
+       Instant aEntryAt,
+       const std::optional<TargetReport>& aReport,
+       Instant aReportAt)
 {
   TargetRecord record = aEntry;
-  if (!aReport || aReport->startedAt < aEntry.startedAt ||
-      (aReport->startedAt == aEntry.startedAt &&
-       aReport->orders < aEntry.orders)) {
+  const bool restarted = aReport && aReport->startedAt > aEntry.startedAt;
+  const bool later =
+    aReport && aReport->startedAt == aEntry.startedAt && aReportAt > aEntryAt;
+  if (!restarted && !later) {
     return record;
   }
   record.model = aReport->model;
   record.stagedModels = aReport->stagedModels;
   record.membership = aReport->membership;
   record.startedAt = aReport->startedAt;
-  record.orders = aReport->orders;
   record.busy = aReport->busy;
   return record;
 }
@@ -90,7 +94,8 @@
   , pool(aContext.executor,
          HttpConnectionPool::Options{ .idlePerAddress = 2,
                                       .idleTimeout = seconds(4),
-                                      .connectTimeout = milliseconds(150) })
+                                      .connectTimeout =
+                                        this->options.urgentTimeout })
 {
 }
 
@@ -136,6 +141,7 @@
   if (!this->leading || catalog == nullptr) {
     return;
   }
+  this->context.nodeCount = this->NodeCount(aNow);
   for (const CatalogService& service : catalog->Declared().services) {
     if (service.engine) {
       this->PlanService(service, aNow);
@@ -151,6 +157,17 @@
   this->demandsByNode[aNode] = { .demands = std::move(aDemands), .at = aNow };
 }
 
+int
+PlannerTask::NodeCount(Instant aNow) const
+{
+  return 1 + static_cast<int>(std::count_if(this->demandsByNode.begin(),
+                                            this->demandsByNode.end(),
+                                            [&](const auto& aEntry) {
+                                              return aNow - aEntry.second.at <=
+                                                     kDemandLifetime;
+                                            }));
+}
+
 ModelDemands
 PlannerTask::TotalDemands(Instant aNow) const
 {
@@ -177,6 +194,7 @@
   this->leading = true;
   this->planners.clear();
   this->probed.clear();
+  this->lastEntries.clear();
   LogLine("planner_leads").With("fence", this->fence).Info();
   this->hooks.onHolder({});
 }
@@ -187,27 +205,65 @@
   return this->fence * kEpochsPerFence + ++this->issued;
 }
 
+TargetRecord
+PlannerTask::NewestOf(const CatalogService& aService,
+                      const TargetRecord& aEntry,
+                      const Probed& aProbe) const
+{
+  return Newest(aEntry,
+                this->context.fleet.ChangedAt(aEntry.id),
+                aProbe.report,
+                aProbe.reportedAt - aService.engine->reportLag);
+}
+
 PlannerMembers
-PlannerTask::MembersOf(const CatalogService& aService) const
+PlannerTask::MembersOf(const CatalogService& aService)
 {
   PlannerMembers members;
   for (const auto& [id, entry] : this->context.fleet.All()) {
     if (entry.service != aService.name) {
       continue;
     }
+    this->lastEntries[id] = entry;
     const auto found = this->probed.find(id);
     PlannerMember member;
     if (found == this->probed.end()) {
       member.record = entry;
     } else {
-      member.record = Newest(entry, found->second.report);
+      member.record = this->NewestOf(aService, entry, found->second);
       member.silent = found->second.missed >= this->options.silentAfter;
     }
     members.emplace(id, std::move(member));
   }
+  this->AddUnlisted(aService, members);
   return members;
 }
 
+void
+PlannerTask::AddUnlisted(const CatalogService& aService,
+                         PlannerMembers& aMembers)
+{
+  const auto planner = this->planners.find(aService.name);
+  if (planner == this->planners.end()) {
+    return;
+  }
+  for (const auto& [name, replica] : planner->second->Replicas()) {
+    for (const std::string& id : replica.members) {
+      const auto entry = this->lastEntries.find(id);
+      const auto probe = this->probed.find(id);
+      if (aMembers.contains(id) || entry == this->lastEntries.end() ||
+          probe == this->probed.end() ||
+          probe->second.missed >= this->options.silentAfter) {
+        continue;
+      }
+      PlannerMember member;
+      member.record = this->NewestOf(aService, entry->second, probe->second);
+      member.record.leaving = true;
+      aMembers.emplace(id, std::move(member));
+    }
+  }
+}
+
 bool
 PlannerTask::MostlySilent(const PlannerMembers& aMembers) const
 {
@@ -238,7 +294,7 @@
     planner = std::make_unique<FleetPlanner>(
       FleetPlanner::Options{}, [this] { return this->NextEpoch(); });
   }
-  this->AskForReports(aService, aNow);
+  this->AskForReports(aService, members, aNow);
   // A planner that hears hardly anyone has trouble of its own.
   if (this->MostlySilent(members)) {
     return;
@@ -307,24 +363,23 @@
 }
 
 void
-PlannerTask::AskForReports(const CatalogService& aService, Instant aNow)
+PlannerTask::AskForReports(const CatalogService& aService,
+                           const PlannerMembers& aMembers,
+                           Instant aNow)
 {
   const std::set<std::string> awaited =
     this->planners[aService.name]->Awaited();
-  for (const auto& [id, entry] : this->context.fleet.All()) {
-    if (entry.service != aService.name) {
-      continue;
-    }
-    Probed& probe = this->probed[id];
+  for (const auto& [id, member] : aMembers) {
+    const Probed& probe = this->probed[id];
     const bool urgent =
-      (probe.missed > 0 && probe.missed < this->options.silentAfter);
-    const Duration every = urgent                 ? this->options.urgentEvery
-                           : awaited.contains(id) ? this->options.awaitedEvery
-                                                  : this->options.reportEvery;
-    if (probe.underWay || aNow - probe.askedAt < every) {
-      continue;
+      probe.missed > 0 && probe.missed < this->options.silentAfter;
+    const bool soon = awaited.contains(id) || member.record.leaving;
+    const Duration every = urgent ? this->options.urgentEvery
+                           : soon ? this->options.awaitedEvery
+                                  : this->options.reportEvery;
+    if (!probe.underWay && aNow - probe.askedAt >= every) {
+      this->StartAsking(id, member.record.address, urgent, aNow);
     }
-    this->StartAsking(id, entry.address, urgent, aNow);
   }
 }
 
@@ -370,7 +425,12 @@
                           std::string aAddress,
                           bool aUrgent)
 {
+  const Instant askedAt = MonotonicNow();
   auto report = co_await this->Ask(aTarget, aAddress, aUrgent);
+  const Duration allowed =
+    (aUrgent ? this->options.urgentTimeout
+             : this->options.reportTimeout + this->options.urgentTimeout) +
+    this->options.lateness;
   Probed& probe = this->probed[aTarget];
   probe.underWay = false;
   if (report) {
@@ -378,10 +438,14 @@
       LogLine("target_heard_again").With("target", aTarget).Info();
     }
     probe.missed = 0;
-    probe.heardAt = MonotonicNow();
+    probe.reportedAt = askedAt;
     probe.report = std::move(*report);
     co_return;
   }
+  if (MonotonicNow() - askedAt > allowed) {
+    this->context.counters.Add("reports_judged_late");
+    co_return;
+  }
   ++probe.missed;
   if (probe.missed < this->options.silentAfter) {
     this->StartAsking(aTarget, aAddress, true, MonotonicNow());
--- a/src/serving/PlannerTask.h
+++ b/src/serving/PlannerTask.h
@@ -21,11 +21,12 @@
   struct Options
   {
     Duration roundEvery = milliseconds(50);
-    /// Between two reports of a target that is doing nothing special.
-    Duration reportEvery = milliseconds(700);
+    /// Between two reports of a target that is doing nothing special; where
+    /// its requests stand still it is asked at once.
+    Duration reportEvery = milliseconds(1000);
     /// Between two reports of a target whose order is under way; its entry in
     /// the store mostly tells sooner.
-    Duration awaitedEvery = milliseconds(350);
+    Duration awaitedEvery = milliseconds(500);
     /// Between two reports of a target that seems lost.
     Duration urgentEvery = milliseconds(20);
     /// Targets answer within a few milliseconds.
@@ -33,6 +34,9 @@
     /// The same, where a replica stands still for as long as it takes.
     Duration urgentTimeout = milliseconds(80);
     Duration orderTimeout = milliseconds(800);
+    /// A report that came to nothing this much later than it should have
+    /// tells of this node's own trouble.
+    Duration lateness = milliseconds(60);
     /// Reports in a row that a lost target has missed.
     int silentAfter = 2;
   };
@@ -65,6 +69,9 @@
                    ModelDemands aDemands,
                    Instant aNow);
 
+  /// Nodes that told of their demand a short while ago, this one included.
+  int NodeCount(Instant aNow) const;
+
   bool Leads() const { return this->leading; }
 
   /// Lets the lease lapse, for another node to plan.
@@ -75,7 +82,8 @@
   {
     std::optional<TargetReport> report;
     Instant askedAt;
-    Instant heardAt;
+    /// When the last report was asked for.
+    Instant reportedAt;
     int missed = 0;
     bool underWay = false;
   };
@@ -97,8 +105,16 @@
                Instant aNow);
   void TellBroken(const FleetPlanner& aPlanner, Instant aNow);
   void PlanService(const CatalogService& aService, Instant aNow);
-  void AskForReports(const CatalogService& aService, Instant aNow);
-  PlannerMembers MembersOf(const CatalogService& aService) const;
+  void AskForReports(const CatalogService& aService,
+                     const PlannerMembers& aMembers,
+                     Instant aNow);
+  PlannerMembers MembersOf(const CatalogService& aService);
+  /// Members of replicas whose entries are gone while they still answer: cut
+  /// off from the store, or leaving. They finish what runs.
+  void AddUnlisted(const CatalogService& aService, PlannerMembers& aMembers);
+  TargetRecord NewestOf(const CatalogService& aService,
+                        const TargetRecord& aEntry,
+                        const Probed& aProbe) const;
   bool MostlySilent(const PlannerMembers& aMembers) const;
   /// Targets of the replica that this one is the head of.
   std::vector<std::string> ReplicaOf(const std::string& aHead) const;
@@ -123,6 +139,8 @@
   HttpConnectionPool pool;
   std::map<std::string, std::unique_ptr<FleetPlanner>, std::less<>> planners;
   std::map<std::string, Probed, std::less<>> probed;
+  /// Entries of targets, kept when they are gone from the store.
+  std::map<std::string, TargetRecord, std::less<>> lastEntries;
   std::map<std::string, Instant, std::less<>> loggedAt;
   std::map<std::string, NodeDemands, std::less<>> demandsByNode;
   bool leading = false;
--- a/src/serving/RepeatRules.cpp
+++ b/src/serving/RepeatRules.cpp
@@ -6,7 +6,7 @@
 
 /// Sends of a request that no target ran; bounds the search for a target
 /// that takes it.
-constexpr int kMaxUnrunSends = 4;
+constexpr int kMaxUnrunSends = 3;
 
 NextStep
 GiveUp(const CallHistory& aHistory)
--- a/src/serving/RequestFlow.cpp
+++ b/src/serving/RequestFlow.cpp
@@ -19,8 +19,9 @@
 /// Largest plain answer that is held back until it is whole.
 constexpr std::size_t kHeldBodyLimit = std::size_t{ 16 } * 1024 * 1024;
 
-/// Nodes among which the reserve of repeats is divided.
-constexpr int kNodesAssumed = 6;
+/// Part of the repeats allowed that is used; the rest covers windows that
+/// nodes see differently.
+constexpr double kBudgetPart = 0.8;
 
 constexpr unsigned kFirstSuccess = 200;
 constexpr unsigned kFirstRedirect = 300;
@@ -406,14 +407,18 @@
 RetryBudget&
 RequestFlow::Budget()
 {
-  // Shares of the ratio and the reserve that all nodes have together.
-  return this->context.retryBudgets
-    .try_emplace(this->accepted.service->name,
-                 RetryBudget::Options{
-                   .ratio = this->context.settings.serving->retryRatio,
-                   .reserve = this->context.settings.serving->retrySlack /
-                              static_cast<double>(kNodesAssumed) })
-    .first->second;
+  const ServingSettings& settings = *this->context.settings.serving;
+  const double reserve =
+    std::max(1.0, kBudgetPart * settings.retrySlack / this->context.nodeCount);
+  RetryBudget& budget =
+    this->context.retryBudgets
+      .try_emplace(
+        this->accepted.service->name,
+        RetryBudget::Options{ .ratio = kBudgetPart * settings.retryRatio,
+                              .reserve = reserve })
+      .first->second;
+  budget.SetReserve(reserve);
+  return budget;
 }
 
 void
--- a/src/serving/ServingContext.h
+++ b/src/serving/ServingContext.h
@@ -25,6 +25,10 @@
 
 class RequestFlow;
 
+/// Assumed until nodes are counted: more than there are in small deployments,
+/// so that no node spends more than its part.
+inline constexpr int kUnknownNodeCount = 20;
+
 /// What a node believes and shares among its requests; used by one thread.
 struct ServingContext
 {
@@ -50,6 +54,8 @@
   /// Some caller's request has come since the start.
   bool requestsSeen = false;
   int inFlight = 0;
+  /// Nodes that share budgets, as far as is known.
+  int nodeCount = kUnknownNodeCount;
 };
 
 } // namespace apricottrack
--- a/tests/FleetPlannerTest.cpp
+++ b/tests/FleetPlannerTest.cpp
@@ -148,7 +148,6 @@
         record.stagedModels = { aOrder.model };
         break;
     }
-    ++record.orders;
   }
 };
 
@@ -217,6 +216,38 @@
   CHECK(fleet.violations.empty());
 }
 
+TEST_CASE("FleetPlanner lets a head that comes back leave before it joins")
+{
+  FakeFleet fleet(9);
+  FleetPlanner planner = MakePlanner(1);
+  Instant now = kStart;
+  fleet.Settle(planner, now, true);
+  const PlannedReplica replica = planner.Replicas().begin()->second;
+  const std::string head = replica.members.front();
+  const PlannerMember cut = fleet.members.at(head);
+  fleet.members.erase(head);
+  fleet.Settle(planner, now);
+  // It was cut off from the store and still believes that it serves.
+  fleet.members[head] = cut;
+  fleet.Settle(planner, now);
+  CHECK(fleet.violations.empty());
+  CHECK(fleet.members.at(head).record.membership != cut.record.membership);
+}
+
+TEST_CASE("FleetPlanner lets a replica with a leaving member finish")
+{
+  FakeFleet fleet(9);
+  FleetPlanner planner = MakePlanner(1);
+  Instant now = kStart;
+  fleet.Settle(planner, now, true);
+  const PlannedReplica replica = planner.Replicas().begin()->second;
+  fleet.members.at(replica.members.back()).record.leaving = true;
+  const auto orders = planner.Round(fleet.View(), now);
+  REQUIRE(orders.size() == 1);
+  CHECK(orders.front().kind == OrderKind::kCloseGently);
+  CHECK(orders.front().target == replica.members.front());
+}
+
 TEST_CASE("FleetPlanner waits for entries that may come back")
 {
   FakeFleet fleet(18);
