--- a/src/placement/DemandMeter.cpp
+++ b/src/placement/DemandMeter.cpp
@@ -42,7 +42,7 @@
     // A mean that began a short while ago has not filled up yet.
     const double age = ToSeconds(aNow - entry.startedAt);
     const double window = memory * (1 - std::exp(-age / memory));
-    if (age * 4 < memory) {
+    if (age < memory) {
       continue;
     }
     demands[model] = { .requests = entry.sums.requests / window,
--- a/src/replicas/FleetPlanner.h
+++ b/src/replicas/FleetPlanner.h
@@ -89,6 +89,9 @@
     Duration settle = milliseconds(1200);
     /// Added to the expected time of an order before it is given again.
     Duration orderSlack = milliseconds(1200);
+    /// Loads at a time, of all that run, beside which a further model is
+    /// staged on a host.
+    int stagingLoads = 1;
     /// Strain of a model from which on spares are of more use in replicas.
     double shortStrain = 1.25;
     /// A model gives up a replica to another one only if it is then still
--- a/src/replicas/FleetPlanningRound.cpp
+++ b/src/replicas/FleetPlanningRound.cpp
@@ -788,7 +788,10 @@
       waiting = !this->WarmUp(member.record) || waiting;
     }
   }
-  if (waiting) {
+  // Targets that come later must not find the weight store busy.
+  if (waiting ||
+      (!this->view.beforeTraffic && this->planner.loads.Running(this->now) >=
+                                      this->planner.options.stagingLoads)) {
     return;
   }
   for (const auto& [id, member] : this->view.members) {
--- a/src/serving/PlannerTask.cpp
+++ b/src/serving/PlannerTask.cpp
@@ -340,14 +340,25 @@
   }
   line.With("placed", static_cast<std::int64_t>(placed))
     .With("free_by_domain", planner.DescribeFree(aMembers));
+  const ModelDemands demands = this->TotalDemands(aNow);
+  const auto strain = [&](const ReplicaModel& aModel) {
+    const auto demand = demands.find(aModel.name);
+    return demand == demands.end()
+             ? 0.0
+             : EngineCost(*aService.engine, aModel)
+                 .Strain(demand->second,
+                         planner.Count(aModel.name, ReplicaPhase::kServing));
+  };
   for (const ReplicaModel& model : aService.engine->models) {
     using enum ReplicaPhase;
     line.With(model.name,
-              fmt::format("serving:{},opening:{},joining:{},closing:{}",
+              fmt::format("serving:{},opening:{},joining:{},closing:{},"
+                          "strain:{:.2f}",
                           planner.Count(model.name, kServing),
                           planner.Count(model.name, kOpening),
                           planner.Count(model.name, kJoining),
-                          planner.Count(model.name, kClosing)));
+                          planner.Count(model.name, kClosing),
+                          strain(model)));
   }
   line.Info();
 }
