Leave targets that stand still by the pace of their own passes

Cause: streams of a replica that lost a member waited 0.7 s for the planner's verdict, far beyond the pause that callers accept. A node now takes streams elsewhere after 2.5 times the longest pass that it saw lately.

--- a/src/placement/StallDetector.h
+++ b/src/placement/StallDetector.h
@@ -16,18 +16,28 @@
 public:
   struct Options
   {
-    /// No progress on any request for longer is worth a question: a full
-    /// batch with long prompts takes this long for one pass.
-    Duration doubt = milliseconds(160);
+    /// A silence is worth a question beyond this many times the longest pass
+    /// seen lately, within bounds.
+    double doubtFactor = 1.5;
+    Duration leastDoubt = milliseconds(90);
+    Duration mostDoubt = milliseconds(250);
+    /// Beyond this many times, streams are taken elsewhere without asking:
+    /// the pause that they may have is about as long.
+    double fleeFactor = 2.5;
+    Duration leastFlight = milliseconds(150);
+    Duration mostFlight = milliseconds(900);
+    /// Streams that must have stopped together; one alone may be waiting for
+    /// memory.
+    int streamsToFlee = 2;
+    /// Passes grow with the load, so old ones say less.
+    Duration passMemory = seconds(3);
     /// A doubt is not repeated sooner.
     Duration doubtAgain = milliseconds(400);
-    /// No progress on any request for longer is a stall.
-    Duration silence = milliseconds(900);
     /// A stalled target gets no new requests for this long.
     Duration avoidance = milliseconds(1500);
     /// A longer gap between two looks means that this node itself stood
     /// still, and says nothing of the targets.
-    Duration ownGap = milliseconds(300);
+    Duration ownGap = milliseconds(120);
   };
 
   explicit StallDetector(Options aOptions)
@@ -36,9 +46,10 @@
   }
 
   void OnSent(const std::string& aTarget, Instant aNow);
-  /// Bytes of an answer came.
-  void OnProgress(const std::string& aTarget, Instant aNow);
-  void OnEnded(const std::string& aTarget);
+  /// Bytes of an answer came; `aFirst`: the first ones of it.
+  void OnProgress(const std::string& aTarget, bool aFirst, Instant aNow);
+  /// `aStreaming`: some bytes of the answer had come.
+  void OnEnded(const std::string& aTarget, bool aStreaming);
   /// The target cut a connection or could not be reached.
   void OnBroken(const std::string& aTarget, Instant aNow);
 
@@ -64,12 +75,21 @@
   struct Entry
   {
     int inFlight = 0;
+    /// Those of them whose answers have begun.
+    int streaming = 0;
+    /// Longest time between two signs of progress, fading.
+    double peakSeconds = 0;
+    Instant peakAt;
     Instant progressAt;
     Instant avoidUntil;
     Instant doubtedAt;
     bool stalled = false;
   };
 
+  double FadedPeak(const Entry& aEntry, Instant aNow) const;
+  Duration DoubtAfter(const Entry& aEntry, Instant aNow) const;
+  Duration FleeAfter(const Entry& aEntry, Instant aNow) const;
+
   Options options;
   std::unordered_map<std::string, Entry> entries;
   Instant lookedAt;
--- a/src/serving/PlatformProtocol.h
+++ b/src/serving/PlatformProtocol.h
@@ -41,6 +41,8 @@
   std::string account;
   Duration timeLeft = Duration::zero();
   std::optional<std::int64_t> resumeAfter;
+  /// Another target had it before; it goes ahead of new ones.
+  bool isRepeat = false;
 };
 
 /// Requests at a target, by its own account.
--- a/src/serving/RequestFlow.cpp
+++ b/src/serving/RequestFlow.cpp
@@ -21,7 +21,7 @@
 
 /// Part of the repeats allowed that is used; the rest covers windows that
 /// nodes see differently.
-constexpr double kBudgetPart = 0.8;
+constexpr double kBudgetPart = 0.9;
 
 constexpr unsigned kFirstSuccess = 200;
 constexpr unsigned kFirstRedirect = 300;
@@ -153,6 +153,7 @@
     .account = this->accepted.account,
     .timeLeft = this->accepted.deadline - now - kReturnMargin,
     .resumeAfter = this->events.LastId(),
+    .isRepeat = this->history.sent > 0,
   };
   TargetCall call(this->context.targetPool,
                   this->context.protocol,
@@ -169,6 +170,7 @@
   this->tried.insert(id);
   this->lastTarget = id;
   this->leftTarget = false;
+  this->answerBegun = false;
   this->call = &call;
   const auto running = this->context.running.emplace(id, this);
   this->context.loads.OnSent(id);
@@ -183,7 +185,7 @@
   }
   this->context.running.erase(running);
   this->context.loads.OnEnded(id);
-  this->context.stalls.OnEnded(id);
+  this->context.stalls.OnEnded(id, this->answerBegun);
   this->call = nullptr;
   if (end == CallEnd::kNotSent || end == CallEnd::kNoAnswer ||
       end == CallEnd::kTruncated) {
@@ -200,7 +202,8 @@
 {
   const Instant now = MonotonicNow();
   const TargetHead meaning = this->context.protocol.ReadHead(aHead);
-  this->context.stalls.OnProgress(this->lastTarget, now);
+  this->context.stalls.OnProgress(this->lastTarget, true, now);
+  this->answerBegun = true;
   if (this->firstByte == Duration::zero()) {
     this->firstByte = now - this->arrived;
   }
@@ -249,7 +252,7 @@
     if (piece->empty()) {
       break;
     }
-    this->context.stalls.OnProgress(this->lastTarget, MonotonicNow());
+    this->context.stalls.OnProgress(this->lastTarget, false, MonotonicNow());
     const bool present =
       co_await this->exchange.WriteChunk(this->events.Append(*piece));
     if (!present) {
@@ -390,9 +393,10 @@
 }
 
 void
-RequestFlow::LeaveTarget()
+RequestFlow::LeaveTarget(bool aTargetLost)
 {
   this->leftTarget = true;
+  this->history.lostTargets += aTargetLost ? 1 : 0;
   if (this->call != nullptr) {
     this->call->Cancel();
   }
--- a/src/serving/RequestFlow.h
+++ b/src/serving/RequestFlow.h
@@ -26,7 +26,8 @@
   Task<void> Serve();
 
   /// The target that runs the request stands still: go elsewhere.
-  void LeaveTarget();
+  /// `aTargetLost`: it is known to have lost what it needs to go on.
+  void LeaveTarget(bool aTargetLost);
 
 private:
   Task<void> Run();
@@ -64,6 +65,8 @@
   Duration firstByte = Duration::zero();
   bool callerGone = false;
   bool leftTarget = false;
+  /// Some of the present target's answer has come.
+  bool answerBegun = false;
   bool streamBegun = false;
   bool firstCall = true;
 };
--- a/src/serving/ServingNode.cpp
+++ b/src/serving/ServingNode.cpp
@@ -23,7 +23,7 @@
 /// Entries that lapsed before this node's first look are back by then.
 constexpr Duration kEntryReturn = milliseconds(2300);
 /// Stalls are looked for this often.
-constexpr Duration kStallInterval = milliseconds(50);
+constexpr Duration kStallInterval = milliseconds(25);
 /// The platform takes a node out after two misses a second apart; until then
 /// new connections come.
 constexpr Duration kLeaveTime = milliseconds(2600);
@@ -59,7 +59,7 @@
   void OnFleetChange();
   /// Takes running requests away from replicas that lost a member.
   void LeaveBrokenReplicas();
-  void LeaveTarget(const std::string& aTarget);
+  void LeaveTarget(const std::string& aTarget, bool aTargetLost);
   bool EntriesSettled() const;
   bool IsReady() const;
   Task<void> AnswerAdmin(HttpExchange& aExchange);
@@ -120,7 +120,13 @@
             *this->store,
             PlannerTask::Options{},
             PlannerTask::Hooks{
-              .mayTry = [this] { return !this->follower.Follows(); },
+              .mayTry =
+                [this] {
+                  // A node that has just started cannot judge entries yet.
+                  return !this->follower.Follows() &&
+                         (this->settings.serving->firstStart ||
+                          this->EntriesSettled());
+                },
               .onHolder =
                 [this](const std::string& aAddress) {
                   this->follower.SetLeader(aAddress);
@@ -249,16 +255,16 @@
     }
   }
   for (const std::string& target : left) {
-    this->LeaveTarget(target);
+    this->LeaveTarget(target, true);
   }
 }
 
 void
-ServingNode::Impl::LeaveTarget(const std::string& aTarget)
+ServingNode::Impl::LeaveTarget(const std::string& aTarget, bool aTargetLost)
 {
   const auto [first, last] = this->context.running.equal_range(aTarget);
   for (auto it = first; it != last; ++it) {
-    it->second->LeaveTarget();
+    it->second->LeaveTarget(aTargetLost);
   }
 }
 
@@ -312,7 +318,7 @@
         .With("own_requests", std::int64_t{ this->context.loads.Own(target) })
         .Info();
       this->context.counters.Add("targets_stalled");
-      this->LeaveTarget(target);
+      this->LeaveTarget(target, false);
     }
   }
 }
