--- a/src/engine/EngineCost.cpp
+++ b/src/engine/EngineCost.cpp
@@ -9,10 +9,10 @@
 
 /// Prompts may take this share of a replica's time; beyond it the wait for
 /// the first token grows past usual objectives.
-constexpr double kPrefillLimit = 0.4;
+constexpr double kPrefillLimit = 0.28;
 /// Share of the slots that may be taken on average; the rest takes up what
 /// arrives unevenly.
-constexpr double kSlotLimit = 0.7;
+constexpr double kSlotLimit = 0.85;
 constexpr double kTokensPerThousand = 1000;
 constexpr double kPairsPerMillion = 1e6;
 
