Reload settings on SIGHUP, log to standard output without waiting

Nodes also fell back to the store at once whenever the planner changed; they now allow a successor 0.6 s, and small VMs leave the lease to large ones.

--- /dev/null
+++ b/src/base/BoundedSink.cpp
@@ -0,0 +1,62 @@
+#include "base/BoundedSink.h"
+
+#include <algorithm>
+#include <fmt/format.h>
+#include <poll.h>
+#include <unistd.h>
+
+namespace apricottrack {
+
+BoundedSink::BoundedSink(Options aOptions)
+  : options(aOptions)
+  , tokens(aOptions.burst)
+{
+}
+
+bool
+BoundedSink::TakeToken(std::chrono::steady_clock::time_point aNow)
+{
+  const std::chrono::duration<double> passed = aNow - this->filledAt;
+  this->filledAt = aNow;
+  this->tokens =
+    std::min(this->options.burst,
+             this->tokens + passed.count() * this->options.linesPerSecond);
+  if (this->tokens < 1) {
+    return false;
+  }
+  this->tokens -= 1;
+  return true;
+}
+
+bool
+BoundedSink::Write(const std::string& aText) const
+{
+  pollfd room{ .fd = this->options.descriptor,
+               .events = POLLOUT,
+               .revents = 0 };
+  if (poll(&room, 1, 0) != 1 || (room.revents & POLLOUT) == 0) {
+    return false;
+  }
+  // A pipe that is writable takes a line of this size at once.
+  return write(this->options.descriptor, aText.data(), aText.size()) ==
+         static_cast<ssize_t>(aText.size());
+}
+
+void
+BoundedSink::sink_it_(const spdlog::details::log_msg& aMessage)
+{
+  spdlog::memory_buf_t buffer;
+  this->formatter_->format(aMessage, buffer);
+  std::string text(buffer.data(), buffer.size());
+  if (this->untold > 0) {
+    text += fmt::format("event=log_lines_dropped count={}\n", this->untold);
+  }
+  if (this->TakeToken(std::chrono::steady_clock::now()) && this->Write(text)) {
+    this->untold = 0;
+    return;
+  }
+  ++this->dropped;
+  ++this->untold;
+}
+
+} // namespace apricottrack
--- a/src/base/Log.cpp
+++ b/src/base/Log.cpp
@@ -1,9 +1,9 @@
 #include "base/Log.h"
 
 #include "apricottrack/Error.h"
+#include "base/BoundedSink.h"
 
 #include <algorithm>
-#include <spdlog/sinks/stdout_sinks.h>
 #include <spdlog/spdlog.h>
 
 namespace apricottrack {
@@ -93,7 +93,8 @@
 void
 StartLogging(std::string_view aLevel)
 {
-  spdlog::set_default_logger(spdlog::stderr_logger_mt("apricottrack"));
+  spdlog::set_default_logger(std::make_shared<spdlog::logger>(
+    "apricottrack", std::make_shared<BoundedSink>(BoundedSink::Options{})));
   spdlog::set_pattern("time=%Y-%m-%dT%H:%M:%S.%e%z level=%l %v");
   spdlog::set_level(spdlog::level::from_str(std::string(aLevel)));
 }
--- a/src/catalog/CatalogHolder.h
+++ b/src/catalog/CatalogHolder.h
@@ -28,6 +28,11 @@
   /// The version in force was confirmed by a read sent at `aAskedAt`.
   void Confirm(Instant aAskedAt);
 
+  void SetProofLifetime(Duration aLifetime)
+  {
+    this->options.proofLifetime = aLifetime;
+  }
+
   const CatalogPointer& Current() const { return this->current; }
 
   /// True while a key that is honoured cannot have been taken away for longer
--- a/src/serving/FollowTask.cpp
+++ b/src/serving/FollowTask.cpp
@@ -52,14 +52,23 @@
 void
 FollowTask::SetFollows(bool aFollows)
 {
-  if (this->follows != aFollows) {
-    LogLine(aFollows ? "following" : "asking_store")
+  const Instant now = MonotonicNow();
+  this->follows = aFollows;
+  if (aFollows) {
+    this->heardAt = now;
+  }
+  const bool ask = !aFollows && (this->leader.empty() ||
+                                 now - this->heardAt > this->options.grace);
+  if (ask != this->asksStore) {
+    LogLine(ask ? "asking_store" : "following")
       .With("planner", this->leader)
+      .With("heard_ms_ago",
+            std::int64_t{ (now - this->heardAt) / milliseconds(1) })
       .Info();
   }
-  this->follows = aFollows;
-  this->catalog.SetActive(!aFollows);
-  this->fleet.SetActive(!aFollows);
+  this->asksStore = ask;
+  this->catalog.SetActive(ask);
+  this->fleet.SetActive(ask);
 }
 
 Task<void>
--- a/src/serving/FollowTask.h
+++ b/src/serving/FollowTask.h
@@ -27,6 +27,9 @@
     Duration slack = milliseconds(250);
     /// After a failure.
     Duration pause = milliseconds(100);
+    /// Without a planner's node for longer, this node asks the store; well
+    /// within the bound for leaving targets, and long enough for a successor.
+    Duration grace = milliseconds(600);
     /// The planner's node must have heard from the store within this time.
     Duration mostAge = milliseconds(1700);
   };
@@ -66,6 +69,9 @@
   std::set<std::string> unsentNotices;
   bool noticeUnderWay = false;
   bool follows = false;
+  bool asksStore = true;
+  /// When the planner's node was last heard.
+  Instant heardAt;
   std::string source;
   std::uint64_t sequence = 0;
 };
--- a/src/serving/PlannerTask.cpp
+++ b/src/serving/PlannerTask.cpp
@@ -24,6 +24,9 @@
 constexpr Duration kSmallVmDelay = milliseconds(400);
 constexpr double kLargeCpuShare = 0.2;
 
+/// Time that small VMs leave to large ones when a planner is lost.
+constexpr Duration kSmallVmPatience = milliseconds(1500);
+
 Duration
 FirstDelay(ServingContext& aContext)
 {
@@ -85,7 +88,7 @@
         .value = fmt::format("{} {}", aContext.settings.peerListen, RandomId()),
         .ttlSeconds = kLeaseSeconds,
         .renewEvery = kLeaseRenewal,
-        .mayTry = this->hooks.mayTry,
+        .mayTry = [this] { return this->MayTry(MonotonicNow()); },
         .onHolder =
           [this](const std::string& aValue) {
             this->hooks.onHolder(aValue.substr(0, aValue.find(' ')));
@@ -99,6 +102,17 @@
 {
 }
 
+bool
+PlannerTask::MayTry(Instant aNow)
+{
+  if (!this->hooks.mayTry()) {
+    this->leaderlessSince = aNow;
+    return false;
+  }
+  const bool large = this->context.settings.serving->cpuShare >= kLargeCpuShare;
+  return large || aNow - this->leaderlessSince >= kSmallVmPatience;
+}
+
 void
 PlannerTask::Start()
 {
--- a/src/serving/PlannerTask.h
+++ b/src/serving/PlannerTask.h
@@ -96,6 +96,7 @@
 
   /// Of all nodes together.
   ModelDemands TotalDemands(Instant aNow) const;
+  bool MayTry(Instant aNow);
   Task<void> Run();
   void RunRound(Instant aNow);
   void TakeLead();
@@ -143,6 +144,8 @@
   std::map<std::string, TargetRecord, std::less<>> lastEntries;
   std::map<std::string, Instant, std::less<>> loggedAt;
   std::map<std::string, NodeDemands, std::less<>> demandsByNode;
+  /// Since when no node was known to plan.
+  Instant leaderlessSince;
   bool leading = false;
   std::int64_t fence = 0;
   std::int64_t issued = 0;
--- a/src/serving/ServingNode.cpp
+++ b/src/serving/ServingNode.cpp
@@ -50,6 +50,7 @@
   Impl(asio::any_io_executor aExecutor, Settings aSettings, Platform aPlatform);
 
   Result<void> Start();
+  void Reload(Settings aSettings);
   void Stop(std::function<void()> aDone);
 
 private:
@@ -323,6 +324,23 @@
   }
 }
 
+void
+ServingNode::Impl::Reload(Settings aSettings)
+{
+  const bool moved = aSettings.listen != this->settings.listen ||
+                     aSettings.platform != this->settings.platform ||
+                     aSettings.peerListen != this->settings.peerListen;
+  LogLine("settings_reloaded")
+    .With("changed", std::int64_t{ aSettings != this->settings })
+    .With("needs_restart", std::int64_t{ moved })
+    .Info();
+  if (aSettings.serving) {
+    this->settings.serving = aSettings.serving;
+    this->context.catalog.SetProofLifetime(aSettings.serving->revokeBound -
+                                           kProofMargin);
+  }
+}
+
 void
 ServingNode::Impl::Stop(std::function<void()> aDone)
 {
@@ -382,6 +400,12 @@
   return std::unique_ptr<ServingNode>(new ServingNode(std::move(impl)));
 }
 
+void
+ServingNode::Reload(Settings aSettings)
+{
+  this->impl->Reload(std::move(aSettings));
+}
+
 void
 ServingNode::Stop(std::function<void()> aDone)
 {
--- a/src/serving/ServingNode.h
+++ b/src/serving/ServingNode.h
@@ -33,6 +33,9 @@
 
   ~ServingNode();
 
+  /// Takes the bounds of changed settings; addresses need a new start.
+  void Reload(Settings aSettings);
+
   /// Stops gracefully: is not ready any more, goes on serving until new
   /// callers have gone elsewhere, finishes what is in flight, calls back.
   void Stop(std::function<void()> aDone);
--- a/tools/apricottrackd.cpp
+++ b/tools/apricottrackd.cpp
@@ -21,33 +21,87 @@
 constexpr int kExitBadSettings = 2;
 constexpr int kExitNotStarted = 3;
 
+tl::expected<Settings, Mistakes>
+ReadSettings(const std::string& aPath)
+{
+  std::ifstream file(aPath);
+  if (!file) {
+    return tl::unexpected(Mistakes{ Mistake{ .path = "file",
+                                             .cause = "cannot be read",
+                                             .remedy = "check the path" } });
+  }
+  std::stringstream text;
+  text << file.rdbuf();
+  return ParseSettings(text.str());
+}
+
+/// A node without settings that may change while it runs.
+void
+Reload(Node&, const Settings&)
+{
+  LogLine("settings_not_reloaded")
+    .With("reason", "they hold from the next start on")
+    .Info();
+}
+
+void
+Reload(ServingNode& aNode, const Settings& aSettings)
+{
+  aNode.Reload(aSettings);
+}
+
+/// Calls back at each SIGHUP.
+void
+OnHangUp(boost::asio::signal_set& aSignals, std::function<void()> aCallback)
+{
+  aSignals.async_wait([&aSignals, aCallback = std::move(aCallback)](
+                        const boost::system::error_code& aError, int) {
+    if (!aError) {
+      aCallback();
+      OnHangUp(aSignals, aCallback);
+    }
+  });
+}
+
 /// Runs until a signal asks to stop and the node has finished.
 template<typename NodeType>
 int
 RunUntilStopped(boost::asio::io_context& aContext,
-                const Result<std::unique_ptr<NodeType>>& aNode)
+                const Result<std::unique_ptr<NodeType>>& aNode,
+                const std::string& aPath)
 {
   if (!aNode) {
     LogLine("node_not_started").With(aNode.error()).Warn();
     return kExitNotStarted;
   }
-  boost::asio::signal_set signals(aContext, SIGTERM, SIGINT);
-  signals.async_wait([&](const boost::system::error_code& aError, int) {
+  boost::asio::signal_set stops(aContext, SIGTERM, SIGINT);
+  stops.async_wait([&](const boost::system::error_code& aError, int) {
     if (!aError) {
       (*aNode)->Stop([&aContext] { aContext.stop(); });
     }
   });
+  boost::asio::signal_set hangUps(aContext, SIGHUP);
+  OnHangUp(hangUps, [&] {
+    const auto settings = ReadSettings(aPath);
+    if (settings) {
+      Reload(**aNode, *settings);
+    } else {
+      LogLine("settings_unreadable")
+        .With("mistakes", Describe(settings.error(), aPath))
+        .Warn();
+    }
+  });
   aContext.run();
   return 0;
 }
 
 int
-RunNode(const Settings& aSettings)
+RunNode(const Settings& aSettings, const std::string& aPath)
 {
   boost::asio::io_context context(1);
   const auto executor = context.get_executor();
   if (!aSettings.serving) {
-    return RunUntilStopped(context, Node::Make(executor, aSettings));
+    return RunUntilStopped(context, Node::Make(executor, aSettings), aPath);
   }
   ServingNode::Platform platform{
     .protocol = std::make_unique<platform::WireProtocol>(),
@@ -59,7 +113,9 @@
     },
   };
   return RunUntilStopped(
-    context, ServingNode::Make(executor, aSettings, std::move(platform)));
+    context,
+    ServingNode::Make(executor, aSettings, std::move(platform)),
+    aPath);
 }
 
 } // namespace
@@ -76,14 +132,7 @@
   app.add_flag("--check", checkOnly, "check the settings and exit");
   CLI11_PARSE(app, argc, argv);
 
-  std::ifstream file(path);
-  if (!file) {
-    std::cerr << path << ": cannot be read\n";
-    return kExitBadSettings;
-  }
-  std::stringstream text;
-  text << file.rdbuf();
-  const auto settings = ParseSettings(text.str());
+  const auto settings = ReadSettings(path);
   if (!settings) {
     std::cerr << Describe(settings.error(), path);
     return kExitBadSettings;
@@ -93,5 +142,5 @@
     return 0;
   }
   StartLogging(settings->logLevel);
-  return RunNode(*settings);
+  return RunNode(*settings, path);
 }
