--- a/src/serving/RepeatRules.cpp
+++ b/src/serving/RepeatRules.cpp
@@ -26,8 +26,7 @@
   if (aHistory.mayHaveRun == 0) {
     return aHistory.sent < kMaxUnrunSends;
   }
-  return aRoute.IsRepeatable() &&
-         aHistory.mayHaveRun - aHistory.lostTargets < aRoute.maxTargets;
+  return aRoute.IsRepeatable() && aHistory.mayHaveRun < aRoute.maxTargets;
 }
 
 } // namespace
--- a/src/serving/RepeatRules.h
+++ b/src/serving/RepeatRules.h
@@ -50,9 +50,6 @@
 {
   /// Targets that may have begun to run it.
   int mayHaveRun = 0;
-  /// Those of them that are known to be lost, and do not count against the
-  /// route's limit.
-  int lostTargets = 0;
   /// Targets that it was sent to.
   int sent = 0;
   bool budgetLeft = true;
--- a/src/serving/RequestFlow.cpp
+++ b/src/serving/RequestFlow.cpp
@@ -393,10 +393,9 @@
 }
 
 void
-RequestFlow::LeaveTarget(bool aTargetLost)
+RequestFlow::LeaveTarget()
 {
   this->leftTarget = true;
-  this->history.lostTargets += aTargetLost ? 1 : 0;
   if (this->call != nullptr) {
     this->call->Cancel();
   }
--- a/src/serving/RequestFlow.h
+++ b/src/serving/RequestFlow.h
@@ -26,8 +26,7 @@
   Task<void> Serve();
 
   /// The target that runs the request stands still: go elsewhere.
-  /// `aTargetLost`: it is known to have lost what it needs to go on.
-  void LeaveTarget(bool aTargetLost);
+  void LeaveTarget();
 
 private:
   Task<void> Run();
--- a/src/serving/ServingNode.cpp
+++ b/src/serving/ServingNode.cpp
@@ -60,7 +60,7 @@
   void OnFleetChange();
   /// Takes running requests away from replicas that lost a member.
   void LeaveBrokenReplicas();
-  void LeaveTarget(const std::string& aTarget, bool aTargetLost);
+  void LeaveTarget(const std::string& aTarget);
   bool EntriesSettled() const;
   bool IsReady() const;
   Task<void> AnswerAdmin(HttpExchange& aExchange);
@@ -256,16 +256,16 @@
     }
   }
   for (const std::string& target : left) {
-    this->LeaveTarget(target, true);
+    this->LeaveTarget(target);
   }
 }
 
 void
-ServingNode::Impl::LeaveTarget(const std::string& aTarget, bool aTargetLost)
+ServingNode::Impl::LeaveTarget(const std::string& aTarget)
 {
   const auto [first, last] = this->context.running.equal_range(aTarget);
   for (auto it = first; it != last; ++it) {
-    it->second->LeaveTarget(aTargetLost);
+    it->second->LeaveTarget();
   }
 }
 
@@ -319,7 +319,7 @@
         .With("own_requests", std::int64_t{ this->context.loads.Own(target) })
         .Info();
       this->context.counters.Add("targets_stalled");
-      this->LeaveTarget(target, false);
+      this->LeaveTarget(target);
     }
   }
 }
