--- /dev/null
+++ b/tests/CatalogTest.cpp
@@ -0,0 +1,77 @@
+#include "catalog/CatalogHolder.h"
+
+#include <catch2/catch.hpp>
+
+using namespace apricottrack;
+
+namespace {
+
+constexpr Instant kStart{ seconds(1000) };
+
+Catalog
+Sample(std::int64_t aVersion)
+{
+  return {
+    .version = aVersion,
+    .routes = { { .name = "all", .host = "a.example", .prefix = "/" },
+                { .name = "deep", .host = "a.example", .prefix = "/x/y/" },
+                { .name = "mid", .host = "a.example", .prefix = "/x/" },
+                { .name = "other", .host = "b.example", .prefix = "/x/" } },
+    .accounts = { { .name = "acme", .keys = { "k1", "k2" } } }
+  };
+}
+
+std::string
+RouteName(const CatalogIndex& aIndex,
+          std::string_view aHost,
+          std::string_view aPath)
+{
+  const CatalogRoute* const route = aIndex.FindRoute(aHost, aPath);
+  return route == nullptr ? "none" : route->name;
+}
+
+} // namespace
+
+TEST_CASE("CatalogIndex finds the longest prefix of a host")
+{
+  const CatalogIndex index(Sample(1));
+  CHECK(RouteName(index, "a.example", "/x/y/z") == "deep");
+  CHECK(RouteName(index, "A.Example:8080", "/x/y") == "mid");
+  CHECK(RouteName(index, "a.example", "/x/yy/z?q=/x/y/") == "mid");
+  CHECK(RouteName(index, "a.example", "/else") == "all");
+  CHECK(RouteName(index, "b.example", "/else") == "none");
+  CHECK(RouteName(index, "c.example", "/x/") == "none");
+}
+
+TEST_CASE("CatalogIndex knows keys by account")
+{
+  const CatalogIndex index(Sample(1));
+  REQUIRE(index.FindAccount("k2") != nullptr);
+  CHECK(index.FindAccount("k2")->name == "acme");
+  CHECK(index.FindAccount("") == nullptr);
+  CHECK(index.FindAccount("K1") == nullptr);
+}
+
+TEST_CASE("CatalogHolder never goes back to an older version")
+{
+  CatalogHolder holder(CatalogHolder::Options{});
+  CHECK(holder.Take(Sample(5), kStart));
+  CHECK_FALSE(holder.Take(Sample(4), kStart + seconds(1)));
+  CHECK(holder.Current()->Declared().version == 5);
+  CHECK(holder.ProofAge(kStart + seconds(2)) == seconds(2));
+}
+
+TEST_CASE("CatalogHolder honours keys only while its proof is fresh")
+{
+  CatalogHolder holder(CatalogHolder::Options{ .proofLifetime = seconds(4) });
+  CHECK_FALSE(holder.MayHonourKeys(kStart));
+  holder.Take(Sample(1), kStart);
+  CHECK(holder.MayHonourKeys(kStart + milliseconds(3999)));
+  CHECK_FALSE(holder.MayHonourKeys(kStart + seconds(4)));
+  holder.Confirm(kStart + seconds(3));
+  CHECK(holder.MayHonourKeys(kStart + seconds(6)));
+  // An answer that was late on its way proves nothing newer.
+  holder.Confirm(kStart + seconds(1));
+  CHECK(holder.MayHonourKeys(kStart + seconds(6)));
+  CHECK_FALSE(holder.MayHonourKeys(kStart + seconds(7)));
+}
--- /dev/null
+++ b/tests/EngineCostTest.cpp
@@ -0,0 +1,79 @@
+#include "engine/ReplicaBudget.h"
+
+#include <catch2/catch.hpp>
+
+using namespace apricottrack;
+
+namespace {
+
+EngineSpec
+Engine()
+{
+  return { .batchSlots = 26,
+           .stride = 7,
+           .step = microseconds(5950),
+           .stepPerRequest = microseconds(45),
+           .prefillTokensPerSecond = 50'700,
+           .models = {
+             { .name = "large", .size = 4, .share = 0.57, .pace = 1 },
+             { .name = "small", .size = 3, .share = 0.43, .pace = 0.6 } } };
+}
+
+const ModelDemand kLargeDemand{ .requests = 60,
+                                .promptTokens = 100'000,
+                                .outputTokens = 7'000 };
+const ModelDemand kSmallDemand{ .requests = 88,
+                                .promptTokens = 63'000,
+                                .outputTokens = 19'700 };
+
+} // namespace
+
+TEST_CASE("EngineCost follows the engine's figures")
+{
+  const EngineSpec engine = Engine();
+  const EngineCost cost(engine, engine.models[0]);
+  CHECK(cost.Step(26, 0) == microseconds(7120));
+  CHECK(ToSeconds(cost.Prefill(1460)) == Approx(0.0288).epsilon(0.01));
+  CHECK(cost.PrefillShare(kLargeDemand, 5) == Approx(0.394).epsilon(0.01));
+  CHECK(cost.PrefillShare(kLargeDemand, 1) > 1);
+  CHECK(cost.Strain(kLargeDemand, 1) > 10);
+  CHECK(cost.Strain(kLargeDemand, 8) < cost.Strain(kLargeDemand, 7));
+  CHECK(cost.Strain({}, 1) == 0);
+}
+
+TEST_CASE("ReplicaBudget divides targets by share until demand is known")
+{
+  const EngineSpec engine = Engine();
+  const ReplicaBudget budget(ReplicaBudget::Options{}, engine);
+  const auto counts = budget.Allocate(54, {});
+  CHECK(counts.at("large") == 7);
+  CHECK(counts.at("small") == 7);
+  CHECK(budget.Allocate(1, {}).at("large") == 1);
+}
+
+TEST_CASE("ReplicaBudget evens out how far models are from being in time")
+{
+  const EngineSpec engine = Engine();
+  const ReplicaBudget budget(ReplicaBudget::Options{}, engine);
+  const auto counts = budget.Allocate(
+    54, { { "large", kLargeDemand }, { "small", kSmallDemand } });
+  CHECK(counts.at("large") * 4 + counts.at("small") * 3 <= 48);
+  const double large = EngineCost(engine, engine.models[0])
+                         .Strain(kLargeDemand, counts.at("large"));
+  const double small = EngineCost(engine, engine.models[1])
+                         .Strain(kSmallDemand, counts.at("small"));
+  CHECK(std::abs(large - small) < 0.35);
+}
+
+TEST_CASE("ReplicaBudget leaves targets that no model needs as spares")
+{
+  const EngineSpec engine = Engine();
+  const ReplicaBudget budget(ReplicaBudget::Options{}, engine);
+  const ModelDemand little{ .requests = 1,
+                            .promptTokens = 100,
+                            .outputTokens = 100 };
+  const auto counts =
+    budget.Allocate(54, { { "large", little }, { "small", little } });
+  CHECK(counts.at("large") == 1);
+  CHECK(counts.at("small") == 1);
+}
--- a/tests/RepeatRulesTest.cpp
+++ b/tests/RepeatRulesTest.cpp
@@ -49,8 +49,7 @@
 {
   CHECK(DecideNext(kBooking, CallEnd::kNotRun, { .sent = 1 }) ==
         NextStep::kTryElsewhere);
-  CHECK(DecideNext(kBooking, CallEnd::kNotSent, {}) ==
-        NextStep::kTryElsewhere);
+  CHECK(DecideNext(kBooking, CallEnd::kNotSent, {}) == NextStep::kTryElsewhere);
   CHECK(DecideNext(kBooking, CallEnd::kNotRun, { .sent = 3 }) ==
         NextStep::kRefuse);
 }
@@ -59,15 +58,13 @@
 {
   CHECK(DecideNext(kResumable,
                    CallEnd::kTruncated,
-                   { .mayHaveRun = 1, .sent = 1 }) ==
-        NextStep::kTryElsewhere);
+                   { .mayHaveRun = 1, .sent = 1 }) == NextStep::kTryElsewhere);
   CHECK(DecideNext(kResumable,
                    CallEnd::kTruncated,
                    { .mayHaveRun = 2, .sent = 2 }) == NextStep::kFail);
   CHECK(DecideNext(kLookUp,
                    CallEnd::kTargetFailed,
-                   { .mayHaveRun = 1, .sent = 1 }) ==
-        NextStep::kTryElsewhere);
+                   { .mayHaveRun = 1, .sent = 1 }) == NextStep::kTryElsewhere);
   CHECK(DecideNext(kLookUp,
                    CallEnd::kTargetFailed,
                    { .mayHaveRun = 2, .sent = 2 }) == NextStep::kDone);
