--- /dev/null
+++ b/tests/FleetTest.cpp
@@ -0,0 +1,134 @@
+#include "fleet/Fleet.h"
+#include "base/BoundedSink.h"
+#include "membership/PeerMessages.h"
+#include "replicas/LoadLimiter.h"
+
+#include <catch2/catch.hpp>
+#include <unistd.h>
+
+using namespace apricottrack;
+
+namespace {
+
+constexpr Instant kStart{ seconds(1000) };
+
+TargetRecord
+Target(std::string aId, std::int64_t aRevision)
+{
+  return { .id = std::move(aId), .service = "s", .revision = aRevision };
+}
+
+} // namespace
+
+TEST_CASE("Fleet never replaces a newer entry by an older one")
+{
+  Fleet fleet(Fleet::Options{});
+  fleet.Put(Target("a", 5), kStart);
+  fleet.Put(Target("a", 4), kStart);
+  CHECK(fleet.Find("a")->revision == 5);
+}
+
+TEST_CASE("Fleet tells what changed since a sequence number")
+{
+  Fleet fleet(Fleet::Options{});
+  fleet.Put(Target("a", 1), kStart);
+  fleet.Put(Target("b", 2), kStart);
+  const std::uint64_t seen = fleet.Sequence();
+  fleet.Put(Target("b", 2), kStart);
+  CHECK(fleet.Sequence() == seen);
+  fleet.Put(Target("c", 3), kStart);
+  fleet.Remove("a", kStart);
+  std::vector<TargetRecord> changed;
+  std::vector<std::string> gone;
+  REQUIRE(fleet.ChangesSince(seen, changed, gone));
+  CHECK(changed == std::vector<TargetRecord>{ Target("c", 3) });
+  CHECK(gone == std::vector<std::string>{ "a" });
+  CHECK_FALSE(fleet.ChangesSince(0, changed, gone));
+}
+
+TEST_CASE("Fleet waits for entries that lapsed during an outage")
+{
+  Fleet fleet(Fleet::Options{ .returnGrace = seconds(2) });
+  fleet.Put(Target("a", 1), kStart);
+  fleet.Put(Target("b", 2), kStart);
+  fleet.OnStoreReturned(kStart);
+  fleet.ReplaceAll({}, kStart);
+  CHECK(fleet.All().size() == 2);
+  fleet.Put(Target("b", 3), kStart + seconds(1));
+  CHECK(fleet.DropLapsed(kStart + seconds(2)));
+  CHECK(fleet.Find("a") == nullptr);
+  CHECK(fleet.Find("b") != nullptr);
+  fleet.Remove("b", kStart + seconds(3));
+  CHECK(fleet.All().empty());
+}
+
+TEST_CASE("PeerMessages carry the fleet whole")
+{
+  FleetAnswer answer{ .source = "x",
+                      .leads = true,
+                      .sequence = 7,
+                      .catalogRevision = 9,
+                      .catalogAge = milliseconds(120),
+                      .fleetAge = milliseconds(30),
+                      .complete = true,
+                      .targets = { Target("a", 1) },
+                      .gone = { "b" },
+                      .broken = { "r1/5" },
+                      .nodes = 6 };
+  answer.targets.front().membership = Membership{
+    .replica = "r1", .epoch = 5, .rank = 2, .state = MemberState::kOpen
+  };
+  answer.targets.front().stagedModels = { "m0" };
+  const auto parsed = ParsePeerMessage(EncodePeerMessage(answer), "peer");
+  REQUIRE(parsed);
+  CHECK(std::get<FleetAnswer>(*parsed) == answer);
+  const FleetQuestion question{ .node = "n",
+                                .source = "x",
+                                .sequence = 3,
+                                .catalogRevision = 2,
+                                .wait = milliseconds(400),
+                                .demands = { { "m0", { 1, 2, 3 } } } };
+  const auto asked = ParsePeerMessage(EncodePeerMessage(question), "peer");
+  REQUIRE(asked);
+  CHECK(std::get<FleetQuestion>(*asked) == question);
+  const StallNotice notice{ .node = "n", .targets = { "a", "b" } };
+  const auto told = ParsePeerMessage(EncodePeerMessage(notice), "peer");
+  REQUIRE(told);
+  CHECK(std::get<StallNotice>(*told) == notice);
+}
+
+TEST_CASE("LoadLimiter keeps to the store's rate and number at a time")
+{
+  LoadLimiter loads;
+  loads.Configure({ .loadsPerSecond = 4.5, .concurrentLoads = 6 });
+  int begun = 0;
+  int most = 0;
+  Instant now = kStart;
+  for (; now < kStart + seconds(30); now += milliseconds(50)) {
+    begun += loads.TryBegin(seconds(16), now) ? 1 : 0;
+    most = std::max(most, loads.Running(now));
+  }
+  CHECK(begun == 12);
+  CHECK(most == 6);
+}
+
+TEST_CASE("BoundedSink drops lines instead of waiting, and counts them")
+{
+  int ends[2];
+  REQUIRE(pipe(ends) == 0);
+  BoundedSink sink(BoundedSink::Options{
+    .linesPerSecond = 1, .burst = 3, .descriptor = ends[1] });
+  for (int i = 0; i < 10; ++i) {
+    sink.log(spdlog::details::log_msg("x", spdlog::level::info, "line"));
+  }
+  CHECK(sink.Dropped() == 7);
+  // A reader that takes nothing must not hold the writer up either.
+  BoundedSink blocked(BoundedSink::Options{
+    .linesPerSecond = 1e9, .burst = 1e9, .descriptor = ends[1] });
+  for (int i = 0; i < 5000; ++i) {
+    blocked.log(spdlog::details::log_msg("x", spdlog::level::info, "line"));
+  }
+  CHECK(blocked.Dropped() > 0);
+  close(ends[0]);
+  close(ends[1]);
+}
--- /dev/null
+++ b/tests/PlatformProtocolTest.cpp
@@ -0,0 +1,222 @@
+#include "platform/CatalogReader.h"
+#include "platform/TargetReader.h"
+#include "platform/WireProtocol.h"
+
+#include <boost/json.hpp>
+#include <catch2/catch.hpp>
+#include <random>
+
+using namespace apricottrack;
+using namespace apricottrack::platform;
+
+namespace {
+
+namespace http = boost::beast::http;
+
+constexpr std::string_view kEntry =
+  R"({"service":"s","address":"10.0.0.1:80","zone":"a","batch_slots":26,
+      "state":"ready","sequence":4,"domain":"d1","staged":["m1"],"born":17,
+      "models":[{"name":"m0","version":1,"adapters":[]}],
+      "group":{"name":"g","epoch":12,"rank":1,"state":"ready"}})";
+
+constexpr std::string_view kDocument =
+  R"({"version":7,
+      "routes":[{"name":"r","host":"h","prefix":"/p/","kind":"streaming",
+        "timeout_ms":8000,"target_latency_ms":300,"priority":1,"attempts":2,
+        "public":false,"sticky":true,"resumable":true,"gap_aim_ms":300,
+        "traffic_split":[{"service":"s","weight":90},
+                         {"service":"t","weight":10}]}],
+      "services":[{"name":"s","health_path":"/healthz","max_connections":464,
+        "engine":{"batch_slots":26,"kv_capacity_tokens":1590000,"stride":7,
+          "step_ms":5.95,"read_per_s":50700.0,"loads_per_s":4.5,
+          "loads_at_once":6,"form_ms":300.0,"report_lag_ms":200.0,
+          "models":[{"name":"m0","size":4,"share":0.57,"pace":1.0,
+                     "load_s":16.0,"warm_s":1.6}]}},
+        {"name":"t","health_path":"/healthz","max_connections":96}],
+      "limits":{"max_header_bytes":16384,"max_body_bytes":4194304,
+        "header_timeout_ms":3000,"idle_timeout_ms":15000},
+      "tenants":[{"name":"acme","api_keys":["k1","k2"],"priority":1}]})";
+
+Result<TargetRecord>
+ReadEntry(std::string aText)
+{
+  return ReadTarget(
+    { .key = "servers/i-1", .value = std::move(aText), .revision = 9 });
+}
+
+std::string
+Replaced(std::string_view aText, std::string_view aFrom, std::string_view aTo)
+{
+  std::string text(aText);
+  text.replace(text.find(aFrom), aFrom.size(), aTo);
+  return text;
+}
+
+HttpRequest
+CallersRequest()
+{
+  HttpRequest request(http::verb::post, "/p/1?q=2", 11);
+  request.set(http::field::host, "h");
+  request.set("Request-Attempt-Id", "abc");
+  request.set("Model", "m0");
+  request.set("Token-Count", "1460,80");
+  request.set("Length-Hint", "60");
+  request.set("Deadline-Ms", "8000");
+  request.set("Last-Event-Id", "12");
+  request.set(http::field::authorization, "Token k1");
+  request.set("Tenant-Id", "forged");
+  request.set("Expect-Instance", "forged");
+  request.set(http::field::connection, "keep-alive, X-Hop");
+  request.set("X-Hop", "1");
+  request.set("X-Other", "2");
+  request.body() = "body";
+  return request;
+}
+
+} // namespace
+
+TEST_CASE("WireProtocol reads a target's entry")
+{
+  const auto record = ReadEntry(std::string(kEntry));
+  REQUIRE(record);
+  CHECK(record->id == "i-1");
+  CHECK(record->model == "m0");
+  CHECK(record->stagedModels == std::vector<std::string>{ "m1" });
+  CHECK(record->membership == Membership{ .replica = "g",
+                                          .epoch = 12,
+                                          .rank = 1,
+                                          .state = MemberState::kReady });
+  CHECK(record->startedAt == 17);
+  CHECK(record->revision == 9);
+  CHECK(ReadEntry(Replaced(kEntry, "\"ready\",\"seq", "\"draining\",\"seq"))
+          ->leaving);
+}
+
+TEST_CASE("WireProtocol takes no target from an entry that is not one")
+{
+  CHECK_FALSE(ReadEntry(""));
+  CHECK_FALSE(ReadEntry("[1]"));
+  CHECK_FALSE(ReadEntry(Replaced(kEntry, "\"address\"", "\"elsewhere\"")));
+  CHECK_FALSE(ReadEntry(Replaced(kEntry, "26", "\"26\"")));
+  CHECK_FALSE(ReadEntry(Replaced(kEntry, "\"ready\"", "\"odd\"")));
+}
+
+TEST_CASE("WireProtocol reads the operator's document")
+{
+  const auto catalog = ReadCatalog(kDocument);
+  REQUIRE(catalog);
+  CHECK(catalog->version == 7);
+  REQUIRE(catalog->routes.size() == 1);
+  const CatalogRoute& route = catalog->routes.front();
+  CHECK(route.kind == RouteKind::kStream);
+  CHECK(route.IsRepeatable());
+  CHECK(route.timeout == seconds(8));
+  CHECK(route.latencyObjective == milliseconds(300));
+  CHECK(route.services.size() == 2);
+  REQUIRE(catalog->services.front().engine);
+  CHECK(catalog->services.front().engine->step == microseconds(5950));
+  CHECK(catalog->services.front().engine->models.front().size == 4);
+  CHECK_FALSE(catalog->services.back().engine);
+  CHECK(catalog->accounts.front().keys.size() == 2);
+  CHECK(catalog->limits.idleTimeout == seconds(15));
+}
+
+TEST_CASE("WireProtocol takes no part of a document for the whole")
+{
+  CHECK_FALSE(ReadCatalog("{"));
+  CHECK_FALSE(ReadCatalog("{}"));
+  CHECK_FALSE(
+    ReadCatalog(Replaced(kDocument, "{\"name\":\"acme\"", "{\"no\":\"\"")));
+}
+
+TEST_CASE("WireProtocol survives damaged documents and entries")
+{
+  std::mt19937 random(11);
+  for (int i = 0; i < 20'000; ++i) {
+    std::string text(i % 2 == 0 ? kDocument : kEntry);
+    for (int change = 0; change < 3; ++change) {
+      text[random() % text.size()] = static_cast<char>(random() % 256);
+    }
+    text.resize(text.size() - random() % 3 * (random() % text.size()) / 2);
+    static_cast<void>(ReadCatalog(text));
+    static_cast<void>(ReadEntry(text));
+    static_cast<void>(ReadReport(text, "peer"));
+  }
+}
+
+TEST_CASE("WireProtocol reads what a caller says")
+{
+  const CallerHead head = WireProtocol().ReadCaller(CallersRequest());
+  CHECK(head == CallerHead{ .attemptId = "abc",
+                            .key = "k1",
+                            .model = "m0",
+                            .promptTokens = 1460,
+                            .outputTokens = 60,
+                            .patience = seconds(8),
+                            .resumeAfter = 12 });
+}
+
+TEST_CASE("WireProtocol passes a request on without what is not its target's")
+{
+  const HttpRequest request =
+    WireProtocol().MakeRequest(CallersRequest(),
+                               { .targetId = "i-1",
+                                 .account = "acme",
+                                 .timeLeft = milliseconds(7990),
+                                 .resumeAfter = 20 });
+  CHECK(request.method() == http::verb::post);
+  CHECK(request.target() == "/p/1?q=2");
+  CHECK(request.body() == "body");
+  CHECK(request["Request-Attempt-Id"] == "abc");
+  CHECK(request["X-Other"] == "2");
+  CHECK(request["Tenant-Id"] == "acme");
+  CHECK(request["Expect-Instance"] == "i-1");
+  CHECK(request["Deadline-Ms"] == "7990");
+  CHECK(request["Last-Event-Id"] == "20");
+  CHECK(request.count(http::field::authorization) == 0);
+  CHECK(request.count("X-Hop") == 0);
+  CHECK(request.count("Tenant-Id") == 1);
+}
+
+TEST_CASE("WireProtocol sets no account on a public route")
+{
+  const HttpRequest request = WireProtocol().MakeRequest(
+    CallersRequest(), { .targetId = "i-1", .timeLeft = seconds(1) });
+  CHECK(request.count("Tenant-Id") == 0);
+}
+
+TEST_CASE("WireProtocol reads what a target's answer promises")
+{
+  HttpResponse answer(http::status::service_unavailable, 11);
+  CHECK_FALSE(WireProtocol().ReadHead(answer).notRun);
+  answer.set("Not-Executed", "1");
+  CHECK(WireProtocol().ReadHead(answer).notRun);
+  HttpResponse misdirected(static_cast<http::status>(421), 11);
+  CHECK(WireProtocol().ReadHead(misdirected).notRun);
+  HttpResponse good(http::status::ok, 11);
+  good.set("Response-Signature", "x");
+  good.set("Server-Load", "3,1,8");
+  good.set(http::field::content_type, "text/event-stream");
+  const TargetHead head = WireProtocol().ReadHead(good);
+  CHECK(head.isSigned);
+  CHECK(head.isEventStream);
+  CHECK_FALSE(head.isEncoded);
+  CHECK(head.load == TargetLoad{ .running = 3, .waiting = 1, .slots = 8 });
+}
+
+TEST_CASE("WireProtocol writes orders")
+{
+  const HttpRequest request =
+    WireProtocol().MakeOrder({ .kind = OrderKind::kJoin,
+                               .target = "i-1",
+                               .replica = "g",
+                               .epoch = 12,
+                               .model = "m0",
+                               .members = { "i-1", "i-2" },
+                               .fencingToken = 5 });
+  CHECK(request["Expect-Instance"] == "i-1");
+  const auto body = boost::json::parse(request.body()).as_object();
+  CHECK(body.at("op") == "join");
+  CHECK(body.at("fence") == 5);
+  CHECK(body.at("members").as_array().size() == 2);
+}
