--- a/src/node/LeaseTask.cpp
+++ b/src/node/LeaseTask.cpp
@@ -87,6 +87,9 @@
     }
     co_return false;
   }
+  if (this->options.mayTake && !this->options.mayTake()) {
+    co_return false;
+  }
   const auto granted =
     co_await this->store.GrantLease(this->options.ttlSeconds);
   if (!granted) {
--- a/src/node/LeaseTask.h
+++ b/src/node/LeaseTask.h
@@ -26,6 +26,8 @@
     /// Whether it is worth asking for a key that this node does not hold;
     /// keeps those who only wait from calling the service. May be empty.
     std::function<bool()> mayTry;
+    /// Whether this node may take the key where nobody holds it. May be empty.
+    std::function<bool()> mayTake;
     /// Told of the value that the present holder wrote. May be empty.
     std::function<void(const std::string& aValue)> onHolder;
     /// Before the first try, so that nodes of one start do not all ask.
--- a/src/serving/CatalogTask.h
+++ b/src/serving/CatalogTask.h
@@ -47,7 +47,7 @@
   std::function<void()> onChange;
   /// Revision of the document that was last decoded.
   Revision known = 0;
-  bool active = true;
+  bool active = false;
   bool reachable = false;
 };
 
--- a/src/serving/FleetTask.h
+++ b/src/serving/FleetTask.h
@@ -47,7 +47,7 @@
   KeyValueStore& store;
   Options options;
   std::function<void()> onChange;
-  bool active = true;
+  bool active = false;
   Instant heardAt;
   bool reachable = false;
   std::optional<Instant> firstListedAt;
--- a/src/serving/FollowTask.cpp
+++ b/src/serving/FollowTask.cpp
@@ -33,6 +33,8 @@
 void
 FollowTask::Start()
 {
+  this->heardAt = MonotonicNow();
+  this->SetFollows(false);
   asio::co_spawn(
     this->context.executor,
     [this]() -> Task<void> { co_await this->Run(); },
@@ -49,6 +51,14 @@
   this->leader = aAddress;
 }
 
+void
+FollowTask::SetLeading(bool aLeads)
+{
+  this->leads = aLeads;
+  this->leader.clear();
+  this->SetFollows(false);
+}
+
 void
 FollowTask::SetFollows(bool aFollows)
 {
@@ -57,8 +67,8 @@
   if (aFollows) {
     this->heardAt = now;
   }
-  const bool ask = !aFollows && (this->leader.empty() ||
-                                 now - this->heardAt > this->options.grace);
+  const bool ask =
+    this->leads || (!aFollows && now - this->heardAt > this->options.grace);
   if (ask != this->asksStore) {
     LogLine(ask ? "asking_store" : "following")
       .With("planner", this->leader)
--- a/src/serving/FollowTask.h
+++ b/src/serving/FollowTask.h
@@ -42,9 +42,12 @@
 
   void Start();
 
-  /// Where the node that plans listens; empty for this node or nobody.
+  /// Where the node that plans listens.
   void SetLeader(const std::string& aAddress);
 
+  /// This node plans itself, and asks the store.
+  void SetLeading(bool aLeads);
+
   /// The planner's node answers and is in touch with the store.
   bool Follows() const { return this->follows; }
 
@@ -69,7 +72,8 @@
   std::set<std::string> unsentNotices;
   bool noticeUnderWay = false;
   bool follows = false;
-  bool asksStore = true;
+  bool asksStore = false;
+  bool leads = false;
   /// When the planner's node was last heard.
   Instant heardAt;
   std::string source;
--- a/src/serving/PlannerTask.cpp
+++ b/src/serving/PlannerTask.cpp
@@ -25,7 +25,7 @@
 constexpr double kLargeCpuShare = 0.2;
 
 /// Time that small VMs leave to large ones when a planner is lost.
-constexpr Duration kSmallVmPatience = milliseconds(1500);
+constexpr Duration kSmallVmPatience = milliseconds(1100);
 
 Duration
 FirstDelay(ServingContext& aContext)
@@ -89,6 +89,7 @@
         .ttlSeconds = kLeaseSeconds,
         .renewEvery = kLeaseRenewal,
         .mayTry = [this] { return this->MayTry(MonotonicNow()); },
+        .mayTake = this->hooks.mayTake,
         .onHolder =
           [this](const std::string& aValue) {
             this->hooks.onHolder(aValue.substr(0, aValue.find(' ')));
@@ -149,6 +150,7 @@
   }
   if (!holds && this->leading) {
     this->leading = false;
+    this->hooks.onLead(false);
     LogLine("planner_lost").With("fence", this->fence).Info();
   }
   const CatalogPointer& catalog = this->context.catalog.Current();
@@ -210,7 +212,7 @@
   this->probed.clear();
   this->lastEntries.clear();
   LogLine("planner_leads").With("fence", this->fence).Info();
-  this->hooks.onHolder({});
+  this->hooks.onLead(true);
 }
 
 std::int64_t
@@ -517,6 +519,7 @@
   if (this->leading) {
     LogLine("planner_fenced").With("fence", this->fence).Warn();
     this->leading = false;
+    this->hooks.onLead(false);
     this->lease.Abandon();
   }
 }
--- a/src/serving/PlannerTask.h
+++ b/src/serving/PlannerTask.h
@@ -46,8 +46,12 @@
   {
     /// False while another node is known to plan.
     std::function<bool()> mayTry;
+    /// This node knows enough of the fleet to plan.
+    std::function<bool()> mayTake;
     /// Told where the node that plans listens.
     std::function<void(const std::string& aAddress)> onHolder;
+    /// Told when this node begins and ceases to plan.
+    std::function<void(bool aLeads)> onLead;
     /// Told when the set of broken replicas changed.
     std::function<void()> onBroken;
     /// The store was first listed long enough ago.
--- a/src/serving/ServingNode.cpp
+++ b/src/serving/ServingNode.cpp
@@ -32,6 +32,16 @@
 /// What a proof of freshness loses on the way of a request to its target.
 constexpr Duration kProofMargin = milliseconds(300);
 
+/// Without a planner's node, what it would have told must be learnt from the
+/// store before a leaving target's time is over.
+Duration
+FollowGrace(const ServingSettings& aSettings)
+{
+  constexpr Duration kReaction = milliseconds(1100);
+  constexpr Duration kLeastGrace = milliseconds(300);
+  return std::max(kLeastGrace, aSettings.drainBound - kReaction);
+}
+
 HttpResponse
 TextResponse(unsigned aStatus, std::string aBody)
 {
@@ -121,17 +131,19 @@
             *this->store,
             PlannerTask::Options{},
             PlannerTask::Hooks{
-              .mayTry =
+              .mayTry = [this] { return !this->follower.Follows(); },
+              .mayTake =
                 [this] {
                   // A node that has just started cannot judge entries yet.
-                  return !this->follower.Follows() &&
-                         (this->settings.serving->firstStart ||
-                          this->EntriesSettled());
+                  return this->settings.serving->firstStart ||
+                         this->EntriesSettled();
                 },
               .onHolder =
                 [this](const std::string& aAddress) {
                   this->follower.SetLeader(aAddress);
                 },
+              .onLead =
+                [this](bool aLeads) { this->follower.SetLeading(aLeads); },
               .onBroken =
                 [this] {
                   this->context.fleet.Touch();
@@ -142,7 +154,7 @@
   , follower(this->context,
              this->catalogTask,
              this->fleetTask,
-             FollowTask::Options{},
+             FollowTask::Options{ .grace = FollowGrace(*this->settings.serving) },
              [this] { this->OnFleetChange(); })
   , relay(this->context, this->catalogTask, this->fleetTask, this->planner)
 {
