--- a/src/retry/RetryBudget.h
+++ b/src/retry/RetryBudget.h
@@ -23,6 +23,8 @@
   /// The reserve changes with the number of nodes that share one.
   void SetReserve(double aReserve);
 
+  bool HasAny() const { return this->saved >= 1; }
+
   /// Takes one retry from the budget; false if none is left.
   bool TryTake();
 
--- a/src/serving/CatalogTask.cpp
+++ b/src/serving/CatalogTask.cpp
@@ -17,6 +17,7 @@
   : context(aContext)
   , store(aStore)
   , options(aOptions)
+  , wake(aContext.executor)
   , onChange(std::move(aOnChange))
 {
 }
@@ -30,6 +31,15 @@
     asio::detached);
 }
 
+void
+CatalogTask::SetActive(bool aActive)
+{
+  if (aActive && !this->active) {
+    this->wake.cancel();
+  }
+  this->active = aActive;
+}
+
 Task<void>
 CatalogTask::Run()
 {
@@ -41,10 +51,9 @@
     }
     const Duration pause =
       read ? this->options.readEvery : this->options.retryEvery;
-    asio::steady_timer timer(
-      this->context.executor,
+    this->wake.expires_after(
       FromSeconds(ToSeconds(pause) * spread(this->context.random)));
-    co_await timer.async_wait(kAsTuple);
+    co_await this->wake.async_wait(kAsTuple);
   }
 }
 
--- a/src/serving/CatalogTask.h
+++ b/src/serving/CatalogTask.h
@@ -3,6 +3,7 @@
 
 #include "serving/ServingContext.h"
 
+#include <boost/asio/steady_timer.hpp>
 #include <functional>
 
 namespace apricottrack {
@@ -30,7 +31,7 @@
 
   /// While another node proves the catalog to be the newest, the store is
   /// left alone.
-  void SetActive(bool aActive) { this->active = aActive; }
+  void SetActive(bool aActive);
 
   /// Reads the catalog once, whether active or not; false on failure.
   Task<bool> ReadOnce();
@@ -44,6 +45,7 @@
   ServingContext& context;
   KeyValueStore& store;
   Options options;
+  boost::asio::steady_timer wake;
   std::function<void()> onChange;
   /// Revision of the document that was last decoded.
   Revision known = 0;
--- a/src/serving/FollowTask.cpp
+++ b/src/serving/FollowTask.cpp
@@ -33,7 +33,11 @@
 void
 FollowTask::Start()
 {
-  this->heardAt = MonotonicNow();
+  // At the first start of all there is time for a planner to appear; a node
+  // that starts again has callers waiting.
+  const bool first = this->context.settings.serving->firstStart;
+  this->heardAt =
+    MonotonicNow() - (first ? Duration::zero() : this->options.grace);
   this->SetFollows(false);
   asio::co_spawn(
     this->context.executor,
@@ -77,7 +81,8 @@
       .Info();
   }
   this->asksStore = ask;
-  this->catalog.SetActive(ask);
+  // A change of the catalog must not wait for a successor; one call tells.
+  this->catalog.SetActive(!aFollows);
   this->fleet.SetActive(ask);
 }
 
--- a/src/serving/FollowTask.h
+++ b/src/serving/FollowTask.h
@@ -31,7 +31,7 @@
     /// within the bound for leaving targets, and long enough for a successor.
     Duration grace = milliseconds(600);
     /// The planner's node must have heard from the store within this time.
-    Duration mostAge = milliseconds(1700);
+    Duration mostAge = milliseconds(1300);
   };
 
   FollowTask(ServingContext& aContext,
--- a/src/serving/PlannerTask.cpp
+++ b/src/serving/PlannerTask.cpp
@@ -154,7 +154,9 @@
     LogLine("planner_lost").With("fence", this->fence).Info();
   }
   const CatalogPointer& catalog = this->context.catalog.Current();
-  if (!this->leading || catalog == nullptr) {
+  // What the former planner told may be older than its last orders.
+  const bool current = this->hooks.fleetHeardAt() > this->ledSince;
+  if (!this->leading || catalog == nullptr || !current) {
     return;
   }
   this->context.nodeCount = this->NodeCount(aNow);
@@ -207,6 +209,7 @@
 {
   this->fence = this->lease.TakenAt();
   this->issued = 0;
+  this->ledSince = MonotonicNow();
   this->leading = true;
   this->planners.clear();
   this->probed.clear();
--- a/src/serving/PlannerTask.h
+++ b/src/serving/PlannerTask.h
@@ -56,6 +56,8 @@
     std::function<void()> onBroken;
     /// The store was first listed long enough ago.
     std::function<bool()> entriesSettled;
+    /// When the store last told of the fleet to this node itself.
+    std::function<Instant()> fleetHeardAt;
   };
 
   PlannerTask(ServingContext& aContext,
@@ -148,6 +150,7 @@
   std::map<std::string, TargetRecord, std::less<>> lastEntries;
   std::map<std::string, Instant, std::less<>> loggedAt;
   std::map<std::string, NodeDemands, std::less<>> demandsByNode;
+  Instant ledSince;
   /// Since when no node was known to plan.
   Instant leaderlessSince;
   bool leading = false;
--- a/src/serving/RequestFlow.cpp
+++ b/src/serving/RequestFlow.cpp
@@ -395,6 +395,11 @@
 void
 RequestFlow::LeaveTarget()
 {
+  // Where no other target may run it, only this one can still finish it.
+  if (this->history.mayHaveRun + 1 >= this->accepted.route->maxTargets ||
+      !this->accepted.route->IsRepeatable() || !this->Budget().HasAny()) {
+    return;
+  }
   this->leftTarget = true;
   if (this->call != nullptr) {
     this->call->Cancel();
--- a/src/serving/ServingNode.cpp
+++ b/src/serving/ServingNode.cpp
@@ -150,6 +150,7 @@
                   this->OnFleetChange();
                 },
               .entriesSettled = [this] { return this->EntriesSettled(); },
+              .fleetHeardAt = [this] { return this->fleetTask.HeardAt(); },
             })
   , follower(this->context,
              this->catalogTask,
