Load idle targets for whole replicas of one model

Cause: targets without weights were loaded for whichever model had fewest spares, so domains held two of each and could form nothing; after a release 27 of 48 targets stood idle.

--- a/src/replicas/FleetPlanner.h
+++ b/src/replicas/FleetPlanner.h
@@ -139,8 +139,14 @@
   EpochSource epochs;
   LoadLimiter loads;
   std::map<std::string, PlannedReplica, std::less<>> replicas;
-  /// Targets that are loading or staging for later, until when.
-  std::map<std::string, Instant, std::less<>> preparing;
+  struct Preparation
+  {
+    Instant until;
+    /// Model that the target will hold; empty where it does not load.
+    std::string model;
+  };
+  /// Targets that are loading, staging or leaving.
+  std::map<std::string, Preparation, std::less<>> preparing;
   /// Broken lists of members, until when they are told of.
   std::map<std::string, Instant> broken;
   /// Lists of members that were given up, so that they are not taken for
--- a/src/replicas/FleetPlanningRound.cpp
+++ b/src/replicas/FleetPlanningRound.cpp
@@ -61,8 +61,9 @@
 std::vector<ReplicaOrder>
 FleetPlanningRound::Run()
 {
-  std::erase_if(this->planner.preparing,
-                [&](const auto& aEntry) { return aEntry.second <= this->now; });
+  std::erase_if(this->planner.preparing, [&](const auto& aEntry) {
+    return aEntry.second.until <= this->now;
+  });
   std::erase_if(this->planner.broken,
                 [&](const auto& aEntry) { return aEntry.second <= this->now; });
   this->planner.loads.Configure(
@@ -460,7 +461,9 @@
                                .domain = member.record.fabricDomain,
                                .epoch = membership->epoch,
                                .members = { id } };
-    this->planner.preparing[id] = this->now + this->planner.options.orderSlack;
+    this->planner.preparing[id] = {
+      .until = this->now + this->planner.options.orderSlack, .model = {}
+    };
     this->Give(OrderKind::kLeave, left, id);
   }
 }
@@ -717,30 +720,37 @@
   return true;
 }
 
+int
+FleetPlanningRound::MissingFor(const ReplicaModel& aModel,
+                               std::string_view aDomain) const
+{
+  int have = static_cast<int>(this->FreeIn(aDomain, aModel.name).size());
+  for (const auto& [id, preparation] : this->planner.preparing) {
+    const PlannerMember* const member = this->Find(id);
+    const bool here =
+      member != nullptr && member->record.fabricDomain == aDomain;
+    have += here && preparation.model == aModel.name && !this->IsFree(*member)
+              ? 1
+              : 0;
+  }
+  return aModel.size - have % aModel.size;
+}
+
 const ReplicaModel&
 FleetPlanningRound::SpareModelFor(const TargetRecord& aRecord) const
 {
-  std::map<std::string_view, int> spares;
-  std::map<std::string_view, int> replicas;
-  for (const auto& [id, member] : this->view.members) {
-    if (id != aRecord.id && this->IsFree(member) &&
-        member.record.fabricDomain == aRecord.fabricDomain) {
-      ++spares[member.record.model];
-    }
-  }
-  for (const auto& [name, replica] : this->planner.replicas) {
-    replicas[replica.model] += replica.domain == aRecord.fabricDomain ? 1 : 0;
-  }
-  const auto score = [&](const ReplicaModel& aModel) {
-    // Spares for each replica that they could repair, by what they cost.
-    return (spares[aModel.name] + 1.0) / (replicas[aModel.name] + 0.1) *
-           ToSeconds(aModel.loadTime);
+  // The loads that are still missing for a whole replica here, by how much
+  // the model needs one.
+  const auto cost = [&](const ReplicaModel& aModel) {
+    const double strain = this->StrainOf(aModel, this->ReplicasOf(aModel.name));
+    return this->MissingFor(aModel, aRecord.fabricDomain) *
+           ToSeconds(aModel.loadTime) / std::clamp(strain, 0.5, 2.0);
   };
   return *std::min_element(
     this->engine.models.begin(),
     this->engine.models.end(),
     [&](const ReplicaModel& aLeft, const ReplicaModel& aRight) {
-      return score(aLeft) < score(aRight);
+      return cost(aLeft) < cost(aRight);
     });
 }
 
@@ -838,8 +848,10 @@
     .epoch = this->planner.epochs(),
     .members = { aRecord.id },
   };
-  this->planner.preparing[aRecord.id] =
-    this->now + expected + this->planner.options.orderSlack;
+  this->planner.preparing[aRecord.id] = {
+    .until = this->now + expected + this->planner.options.orderSlack,
+    .model = model.name
+  };
   this->Give(OrderKind::kJoin, alone, aRecord.id);
   return true;
 }
@@ -858,8 +870,10 @@
     if (joining || !this->MayLoad(expected)) {
       return;
     }
-    this->planner.preparing[aRecord.id] =
-      this->now + expected + this->planner.options.orderSlack;
+    this->planner.preparing[aRecord.id] = {
+      .until = this->now + expected + this->planner.options.orderSlack,
+      .model = {}
+    };
     const PlannedReplica staged{
       .name = {}, .model = model.name, .domain = {}, .members = { aRecord.id }
     };
--- a/src/replicas/FleetPlanningRound.h
+++ b/src/replicas/FleetPlanningRound.h
@@ -84,8 +84,11 @@
   void NoteModels();
   /// Larger replicas first: small ones fit into what they leave.
   std::vector<const ReplicaModel*> ModelsBySize() const;
-  /// The model for which a free target is held ready: the one that its
-  /// domain's other spares serve least.
+  /// Targets of the domain that have yet to load the model for one more whole
+  /// replica of it.
+  int MissingFor(const ReplicaModel& aModel, std::string_view aDomain) const;
+  /// The model that a target without any should load: the one of which its
+  /// domain can have a whole replica soonest.
   const ReplicaModel& SpareModelFor(const TargetRecord& aRecord) const;
   int ReplicasOf(std::string_view aModel) const;
   /// Replicas of any model, from targets that stand idle while a model is
--- a/tests/FleetPlannerTest.cpp
+++ b/tests/FleetPlannerTest.cpp
@@ -234,6 +234,33 @@
   CHECK(fleet.members.at(head).record.membership != cut.record.membership);
 }
 
+TEST_CASE("FleetPlanner loads targets of a domain for whole replicas")
+{
+  // A release replaces all targets by ones that hold nothing.
+  FakeFleet fleet(8);
+  FleetPlanner planner = MakePlanner(1);
+  Instant now = kStart;
+  fleet.demands = {
+    { "large",
+      { .requests = 60, .promptTokens = 100'000, .outputTokens = 7'000 } },
+    { "small",
+      { .requests = 88, .promptTokens = 63'000, .outputTokens = 19'700 } },
+  };
+  std::map<std::string, int> loaded;
+  for (int i = 0; i < 2000; ++i, now += milliseconds(50)) {
+    const auto orders = planner.Round(fleet.View(), now);
+    for (const ReplicaOrder& order : orders) {
+      loaded[order.model] +=
+        order.kind == OrderKind::kJoin && order.members.size() == 1 ? 1 : 0;
+    }
+    fleet.Carry(orders);
+  }
+  CHECK(loaded["large"] + loaded["small"] == 8);
+  // What was loaded makes whole replicas but for what is left over.
+  CHECK(Serving(planner) >= 2);
+  CHECK(fleet.violations.empty());
+}
+
 TEST_CASE("FleetPlanner lets a replica with a leaving member finish")
 {
   FakeFleet fleet(9);
