Serve on with a leaving member that cannot be replaced

Cause: a release closed each replica as soon as a member was leaving, though members stay while the head has work.

--- a/src/replicas/FleetPlanner.h
+++ b/src/replicas/FleetPlanner.h
@@ -22,6 +22,8 @@
   TargetRecord record;
   /// Does not answer when it is asked.
   bool silent = false;
+  /// Its entry is in the store; without it no node sends to its replica.
+  bool listed = true;
 
   bool IsUsable() const { return !this->silent && !this->record.leaving; }
 };
--- a/src/replicas/FleetPlanningRound.cpp
+++ b/src/replicas/FleetPlanningRound.cpp
@@ -321,7 +321,7 @@
     }
     return;
   }
-  if (this->AnyLeaving(aReplica)) {
+  if (this->AnyLeaving(aReplica) && !this->MayServeOn(aReplica)) {
     // What runs is finished first; the replacement joins afterwards.
     aReplica.phase = ReplicaPhase::kClosing;
     aReplica.since = this->now;
@@ -329,6 +329,22 @@
   }
 }
 
+bool
+FleetPlanningRound::MayServeOn(const PlannedReplica& aReplica) const
+{
+  int usable = 0;
+  for (const std::string& id : aReplica.members) {
+    const PlannerMember* const member = this->Find(id);
+    if (member == nullptr || !member->listed) {
+      return false;
+    }
+    usable += member->IsUsable() ? 1 : 0;
+  }
+  const auto spares = this->FreeIn(aReplica.domain, aReplica.model).size();
+  return this->IsUsable(aReplica.members.front()) &&
+         usable + static_cast<int>(spares) < this->ModelOf(aReplica).size;
+}
+
 bool
 FleetPlanningRound::AdvanceClosing(PlannedReplica& aReplica)
 {
--- a/src/replicas/FleetPlanningRound.h
+++ b/src/replicas/FleetPlanningRound.h
@@ -43,6 +43,9 @@
   bool AllReady(const PlannedReplica& aReplica) const;
   bool IsIntact(const PlannedReplica& aReplica) const;
   bool AnyLeaving(const PlannedReplica& aReplica) const;
+  /// A member leaves, but stays while the head has work, and nothing is there
+  /// to replace it.
+  bool MayServeOn(const PlannedReplica& aReplica) const;
 
   /// Takes up replicas that another planner formed.
   void AdoptUnknown();
--- a/src/serving/PlannerTask.cpp
+++ b/src/serving/PlannerTask.cpp
@@ -278,6 +278,7 @@
       PlannerMember member;
       member.record = this->NewestOf(aService, entry->second, probe->second);
       member.record.leaving = true;
+      member.listed = false;
       aMembers.emplace(id, std::move(member));
     }
   }
--- a/tests/FleetPlannerTest.cpp
+++ b/tests/FleetPlannerTest.cpp
@@ -275,6 +275,25 @@
   CHECK(orders.front().target == replica.members.front());
 }
 
+TEST_CASE("FleetPlanner serves on with a leaving member that it cannot replace")
+{
+  FakeFleet fleet(4);
+  FleetPlanner planner = MakePlanner(1);
+  Instant now = kStart;
+  fleet.Settle(planner, now, true);
+  REQUIRE(Serving(planner) == 1);
+  const PlannedReplica replica = planner.Replicas().begin()->second;
+  REQUIRE(replica.members.size() == 4);
+  fleet.members.at(replica.members.back()).record.leaving = true;
+  CHECK(fleet.Settle(planner, now) == 0);
+  CHECK(Serving(planner) == 1);
+  // The head itself must get nothing new.
+  fleet.members.at(replica.members.back()).record.leaving = false;
+  fleet.members.at(replica.members.front()).record.leaving = true;
+  CHECK(planner.Round(fleet.View(), now).front().kind ==
+        OrderKind::kCloseGently);
+}
+
 TEST_CASE("FleetPlanner waits for entries that may come back")
 {
   FakeFleet fleet(18);
