--- a/tests/PlacementTest.cpp
+++ b/tests/PlacementTest.cpp
@@ -13,6 +13,7 @@
 Candidates(int aCount)
 {
   std::vector<Candidate> candidates;
+  candidates.reserve(static_cast<std::size_t>(aCount));
   for (int i = 0; i < aCount; ++i) {
     candidates.push_back(
       { .id = fmt::format("t{}", i), .availabilityZone = "a", .slots = 4 });
