Collect news for waiting nodes, and leave the lease to large VMs

Cause: on 90 nodes a small VM planned, answered 90 held questions for each change and fell behind; nodes then asked the store at a rapid pace.

--- a/include/apricottrack/KeyValueStore.h
+++ b/include/apricottrack/KeyValueStore.h
@@ -4,6 +4,7 @@
 #include "apricottrack/Error.h"
 
 #include <boost/asio/awaitable.hpp>
+#include <chrono>
 #include <cstdint>
 #include <functional>
 #include <string>
@@ -66,6 +67,10 @@
   /// The remaining seconds, or kRefused where the lease has lapsed.
   virtual Task<Result<std::int64_t>> RenewLease(LeaseId aLease) = 0;
 
+  /// Time between two reports of a watch, where each is a call of its own;
+  /// others ignore it.
+  virtual void PaceWatches(std::chrono::milliseconds) {}
+
   /// Reports changes under the prefix from a revision on until the
   /// connection fails, or the callback returns false; returns that failure,
   /// or kRefused for the callback's. A store may also call back without any
--- a/src/serving/FleetRelay.cpp
+++ b/src/serving/FleetRelay.cpp
@@ -3,6 +3,9 @@
 #include "base/Hash.h"
 #include "base/Log.h"
 
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+
 namespace apricottrack {
 
 namespace asio = boost::asio;
@@ -10,6 +13,10 @@
 namespace {
 
 /// Longest time that a question is held, whatever the asker wants.
+/// News are collected for this long per node that waits for them, so that
+/// telling all of them takes a bounded share of the processor.
+constexpr Duration kPausePerNode = microseconds(1200);
+
 constexpr Duration kMostWait = seconds(2);
 
 } // namespace
@@ -45,6 +52,37 @@
 void
 FleetRelay::Notify()
 {
+  if (this->wakePlanned) {
+    return;
+  }
+  const Instant now = MonotonicNow();
+  const Duration pause = kPausePerNode * this->context.nodeCount;
+  if (now - this->wokeAt >= pause) {
+    this->WakeAll();
+    return;
+  }
+  this->wakePlanned = true;
+  asio::co_spawn(
+    this->context.executor,
+    [this, left = pause - (now - this->wokeAt)]() -> Task<void> {
+      co_await this->WakeLater(left);
+    },
+    asio::detached);
+}
+
+Task<void>
+FleetRelay::WakeLater(Duration aPause)
+{
+  asio::steady_timer timer(this->context.executor, aPause);
+  co_await timer.async_wait(kAsTuple);
+  this->wakePlanned = false;
+  this->WakeAll();
+}
+
+void
+FleetRelay::WakeAll()
+{
+  this->wokeAt = MonotonicNow();
   for (asio::steady_timer* const timer : this->waiting) {
     timer->cancel();
   }
--- a/src/serving/FleetRelay.h
+++ b/src/serving/FleetRelay.h
@@ -30,6 +30,8 @@
   void Notify();
 
 private:
+  void WakeAll();
+  Task<void> WakeLater(Duration aPause);
   Task<std::optional<PeerMessage>> Answer(PeerMessage aQuestion);
   Task<FleetAnswer> AnswerFleet(FleetQuestion aQuestion);
   FleetAnswer Compose(const FleetQuestion& aQuestion, Instant aNow) const;
@@ -42,6 +44,9 @@
   std::string source;
   std::shared_ptr<PeerServer> server;
   std::set<boost::asio::steady_timer*> waiting;
+  /// When waiting questions were last answered for news.
+  Instant wokeAt;
+  bool wakePlanned = false;
 };
 
 } // namespace apricottrack
--- a/src/serving/FleetTask.cpp
+++ b/src/serving/FleetTask.cpp
@@ -15,6 +15,10 @@
 /// Between looks whether the store is to be asked again.
 constexpr Duration kInactivePause = milliseconds(50);
 
+/// Between two calls of a watch, so that events come in batches.
+constexpr milliseconds kLeadingPause(15);
+constexpr milliseconds kBridgingPause(300);
+
 constexpr Duration kLapseInterval = milliseconds(200);
 
 } // namespace
@@ -33,6 +37,7 @@
 void
 FleetTask::Start()
 {
+  this->SetLeading(false);
   asio::co_spawn(
     this->context.executor,
     [this]() -> Task<void> { co_await this->Run(); },
@@ -43,6 +48,12 @@
     asio::detached);
 }
 
+void
+FleetTask::SetLeading(bool aLeads)
+{
+  this->store.PaceWatches(aLeads ? kLeadingPause : kBridgingPause);
+}
+
 Task<void>
 FleetTask::Run()
 {
--- a/src/serving/FleetTask.h
+++ b/src/serving/FleetTask.h
@@ -27,6 +27,10 @@
   /// While another node tells of changes, the store is left alone.
   void SetActive(bool aActive) { this->active = aActive; }
 
+  /// The planner's node hears of changes at once; one that only bridges the
+  /// time without a planner spares the store.
+  void SetLeading(bool aLeads);
+
   /// When the store was first listed by this process.
   const std::optional<Instant>& FirstListedAt() const
   {
--- a/src/serving/FollowTask.cpp
+++ b/src/serving/FollowTask.cpp
@@ -59,6 +59,7 @@
 FollowTask::SetLeading(bool aLeads)
 {
   this->leads = aLeads;
+  this->fleet.SetLeading(aLeads);
   this->leader.clear();
   this->SetFollows(false);
 }
--- a/src/serving/PlannerTask.cpp
+++ b/src/serving/PlannerTask.cpp
@@ -25,7 +25,9 @@
 constexpr double kLargeCpuShare = 0.2;
 
 /// Time that small VMs leave to large ones when a planner is lost.
-constexpr Duration kSmallVmPatience = milliseconds(1100);
+constexpr Duration kSmallVmPatience = milliseconds(2500);
+/// A small VM asks who plans now once a large one is likely to.
+constexpr Duration kSmallVmAsk = milliseconds(1200);
 
 Duration
 FirstDelay(ServingContext& aContext)
@@ -89,7 +91,7 @@
         .ttlSeconds = kLeaseSeconds,
         .renewEvery = kLeaseRenewal,
         .mayTry = [this] { return this->MayTry(MonotonicNow()); },
-        .mayTake = this->hooks.mayTake,
+        .mayTake = [this] { return this->MayTake(MonotonicNow()); },
         .onHolder =
           [this](const std::string& aValue) {
             this->hooks.onHolder(aValue.substr(0, aValue.find(' ')));
@@ -111,7 +113,15 @@
     return false;
   }
   const bool large = this->context.settings.serving->cpuShare >= kLargeCpuShare;
-  return large || aNow - this->leaderlessSince >= kSmallVmPatience;
+  return large || aNow - this->leaderlessSince >= kSmallVmAsk;
+}
+
+bool
+PlannerTask::MayTake(Instant aNow) const
+{
+  const bool large = this->context.settings.serving->cpuShare >= kLargeCpuShare;
+  return this->hooks.mayTake() &&
+         (large || aNow - this->leaderlessSince >= kSmallVmPatience);
 }
 
 void
--- a/src/serving/PlannerTask.h
+++ b/src/serving/PlannerTask.h
@@ -103,6 +103,7 @@
   /// Of all nodes together.
   ModelDemands TotalDemands(Instant aNow) const;
   bool MayTry(Instant aNow);
+  bool MayTake(Instant aNow) const;
   Task<void> Run();
   void RunRound(Instant aNow);
   void TakeLead();
