--- /dev/null
+++ b/src/replicas/FleetForming.cpp
@@ -0,0 +1,264 @@
+#include "replicas/FleetPlanningRound.h"
+
+#include <algorithm>
+#include <fmt/format.h>
+#include <limits>
+
+// The part of FleetPlanningRound that decides which replicas there are.
+namespace apricottrack {
+
+int
+FleetPlanningRound::ReplicasOf(std::string_view aModel) const
+{
+  return static_cast<int>(std::count_if(
+    this->planner.replicas.begin(),
+    this->planner.replicas.end(),
+    [&](const auto& aEntry) { return aEntry.second.model == aModel; }));
+}
+
+std::vector<const ReplicaModel*>
+FleetPlanningRound::ModelsBySize() const
+{
+  std::vector<const ReplicaModel*> models;
+  for (const ReplicaModel& model : this->engine.models) {
+    models.push_back(&model);
+  }
+  std::stable_sort(models.begin(), models.end(), [](auto* aLeft, auto* aRight) {
+    return aLeft->size > aRight->size;
+  });
+  return models;
+}
+
+ReplicaCounts
+FleetPlanningRound::Wanted() const
+{
+  const auto usable =
+    std::count_if(this->view.members.begin(),
+                  this->view.members.end(),
+                  [](const auto& aE) { return aE.second.IsUsable(); });
+  return ReplicaBudget(this->planner.options.budget, this->engine)
+    .Allocate(static_cast<int>(usable), this->view.demands);
+}
+
+void
+FleetPlanningRound::NoteModels()
+{
+  for (const auto& [id, member] : this->view.members) {
+    const auto& membership = member.record.membership;
+    if (!member.record.model.empty() && membership &&
+        membership->state != MemberState::kJoining) {
+      this->planner.lastModels[id] = { .startedAt = member.record.startedAt,
+                                       .model = member.record.model };
+    }
+  }
+}
+
+bool
+FleetPlanningRound::IsSettling()
+{
+  if (!this->view.beforeTraffic) {
+    return false;
+  }
+  if (this->view.members.size() > this->planner.knownTargets) {
+    this->planner.knownTargets = this->view.members.size();
+    this->planner.lastArrival = this->now;
+  }
+  return this->now - this->planner.lastArrival < this->planner.options.settle;
+}
+
+void
+FleetPlanningRound::FormReplicas()
+{
+  if (this->IsSettling()) {
+    return;
+  }
+  ReplicaCounts wanted = this->Wanted();
+  for (const ReplicaModel* const model : this->ModelsBySize()) {
+    while (this->ReplicasOf(model->name) < wanted[model->name] &&
+           this->FormOne(*model)) {
+    }
+  }
+  this->FormSubstitutes();
+}
+
+void
+FleetPlanningRound::FormSubstitutes()
+{
+  const bool isShort =
+    std::any_of(this->engine.models.begin(),
+                this->engine.models.end(),
+                [&](const ReplicaModel& aModel) {
+                  return this->StrainOf(aModel, this->ReplicasOf(aModel.name)) >
+                         this->planner.options.shortStrain;
+                });
+  if (!isShort || this->view.beforeTraffic) {
+    return;
+  }
+  for (const ReplicaModel* const model : this->ModelsBySize()) {
+    while (this->FormOne(*model)) {
+    }
+  }
+}
+
+double
+FleetPlanningRound::StrainOf(const ReplicaModel& aModel, int aReplicas) const
+{
+  const auto demand = this->view.demands.find(aModel.name);
+  if (demand == this->view.demands.end()) {
+    return 0;
+  }
+  if (aReplicas <= 0) {
+    return std::numeric_limits<double>::infinity();
+  }
+  return EngineCost(this->engine, aModel).Strain(demand->second, aReplicas);
+}
+
+std::vector<std::string>
+FleetPlanningRound::ConversionMembers(const PlannedReplica& aReplica,
+                                      const ReplicaModel& aModel) const
+{
+  std::vector<std::string> members;
+  for (const std::string& id : aReplica.members) {
+    if (this->IsUsable(id) &&
+        this->WarmthOf(this->Find(id)->record, aModel.name) != Warmth::kCold) {
+      members.push_back(id);
+    }
+  }
+  for (const std::string& id : this->FreeIn(aReplica.domain, aModel.name)) {
+    members.push_back(id);
+  }
+  const auto size = static_cast<std::size_t>(aModel.size);
+  if (members.size() < size) {
+    return {};
+  }
+  members.resize(size);
+  return members;
+}
+
+bool
+FleetPlanningRound::CanConvert(const PlannedReplica& aReplica,
+                               const ReplicaModel& aModel) const
+{
+  return aReplica.phase == ReplicaPhase::kServing &&
+         !this->ConversionMembers(aReplica, aModel).empty();
+}
+
+void
+FleetPlanningRound::Rebalance()
+{
+  if (this->now - this->planner.convertedAt <
+        this->planner.options.convertEvery ||
+      this->engine.models.size() < 2) {
+    return;
+  }
+  const auto strain = [&](const ReplicaModel& aModel, int aMore) {
+    return this->StrainOf(aModel, this->ReplicasOf(aModel.name) + aMore);
+  };
+  const auto worse = [&](const ReplicaModel& aL, const ReplicaModel& aR) {
+    return strain(aL, 0) < strain(aR, 0);
+  };
+  const auto [best, worst] = std::minmax_element(
+    this->engine.models.begin(), this->engine.models.end(), worse);
+  const double present = strain(*worst, 0);
+  if (present <= 1 ||
+      strain(*best, -1) >= present * this->planner.options.convertMargin) {
+    return;
+  }
+  for (auto& [name, replica] : this->planner.replicas) {
+    if (replica.model == best->name && this->CanConvert(replica, *worst)) {
+      this->planner.convertedAt = this->now;
+      replica.nextModel = worst->name;
+      replica.phase = ReplicaPhase::kClosing;
+      replica.since = this->now;
+      this->Give(OrderKind::kCloseGently, replica, replica.members.front());
+      return;
+    }
+  }
+}
+
+bool
+FleetPlanningRound::FinishConversion(PlannedReplica& aReplica)
+{
+  const ReplicaModel* const model =
+    FindModel(this->view.service, aReplica.nextModel);
+  aReplica.nextModel.clear();
+  if (model == nullptr) {
+    return false;
+  }
+  std::vector<std::string> members = this->ConversionMembers(aReplica, *model);
+  if (members.empty()) {
+    return false;
+  }
+  aReplica.model = model->name;
+  this->BeginJoin(aReplica, std::move(members));
+  return true;
+}
+
+bool
+FleetPlanningRound::FormOne(const ReplicaModel& aModel)
+{
+  std::set<std::string_view> domains;
+  for (const auto& [id, member] : this->view.members) {
+    domains.insert(member.record.fabricDomain);
+  }
+  std::vector<std::string> best;
+  std::string_view place;
+  for (const std::string_view domain : domains) {
+    std::vector<std::string> free = this->FreeIn(domain, aModel.name);
+    if (free.size() > best.size()) {
+      best = std::move(free);
+      place = domain;
+    }
+  }
+  const auto size = static_cast<std::size_t>(aModel.size);
+  if (best.size() < size) {
+    return false;
+  }
+  best.resize(size);
+  const std::int64_t named = this->planner.epochs();
+  PlannedReplica replica{ .name = fmt::format("r{}", named),
+                          .model = aModel.name,
+                          .domain = std::string(place),
+                          .epoch = named,
+                          .members = {} };
+  auto& placed =
+    this->planner.replicas.emplace(replica.name, replica).first->second;
+  this->BeginJoin(placed, std::move(best));
+  return true;
+}
+
+int
+FleetPlanningRound::MissingFor(const ReplicaModel& aModel,
+                               std::string_view aDomain) const
+{
+  int have = static_cast<int>(this->FreeIn(aDomain, aModel.name).size());
+  for (const auto& [id, preparation] : this->planner.preparing) {
+    const PlannerMember* const member = this->Find(id);
+    const bool here =
+      member != nullptr && member->record.fabricDomain == aDomain;
+    have += here && preparation.model == aModel.name && !this->IsFree(*member)
+              ? 1
+              : 0;
+  }
+  return aModel.size - have % aModel.size;
+}
+
+const ReplicaModel&
+FleetPlanningRound::SpareModelFor(const TargetRecord& aRecord) const
+{
+  // The loads that are still missing for a whole replica here, by how much
+  // the model needs one.
+  const auto cost = [&](const ReplicaModel& aModel) {
+    const double strain = this->StrainOf(aModel, this->ReplicasOf(aModel.name));
+    return this->MissingFor(aModel, aRecord.fabricDomain) *
+           ToSeconds(aModel.loadTime) / std::clamp(strain, 0.5, 2.0);
+  };
+  return *std::min_element(
+    this->engine.models.begin(),
+    this->engine.models.end(),
+    [&](const ReplicaModel& aLeft, const ReplicaModel& aRight) {
+      return cost(aLeft) < cost(aRight);
+    });
+}
+
+} // namespace apricottrack
--- a/src/replicas/FleetPlanningRound.h
+++ b/src/replicas/FleetPlanningRound.h
@@ -9,6 +9,9 @@
 
 namespace apricottrack {
 
+/// Names of replicas that hold one spare target each, and never serve.
+inline constexpr std::string_view kSparePrefix = "spare-";
+
 /// One planning round of a FleetPlanner.
 class FleetPlanningRound
 {
--- /dev/null
+++ b/src/replicas/FleetSpares.cpp
@@ -0,0 +1,208 @@
+#include "replicas/FleetPlanningRound.h"
+
+#include <algorithm>
+#include <fmt/format.h>
+
+// The part of FleetPlanningRound that looks after targets in no replica.
+namespace apricottrack {
+
+bool
+FleetPlanningRound::IsPlaced(std::string_view aId) const
+{
+  return std::any_of(this->planner.replicas.begin(),
+                     this->planner.replicas.end(),
+                     [&](const auto& aEntry) {
+                       const auto& members = aEntry.second.members;
+                       return std::find(members.begin(), members.end(), aId) !=
+                              members.end();
+                     });
+}
+
+bool
+FleetPlanningRound::IsLoose(const Membership& aMembership) const
+{
+  if (aMembership.state == MemberState::kJoining) {
+    return false;
+  }
+  for (const auto& [id, member] : this->view.members) {
+    const auto& other = member.record.membership;
+    if (other && other->rank == 0 && other->replica == aMembership.replica &&
+        other->epoch == aMembership.epoch) {
+      return other->state == MemberState::kReady;
+    }
+  }
+  return false;
+}
+
+bool
+FleetPlanningRound::IsFree(const PlannerMember& aMember) const
+{
+  const auto& membership = aMember.record.membership;
+  return aMember.IsUsable() && !this->IsPlaced(aMember.record.id) &&
+         (!membership || this->IsLoose(*membership));
+}
+
+void
+FleetPlanningRound::FreeStrays()
+{
+  for (const auto& [id, member] : this->view.members) {
+    const auto& membership = member.record.membership;
+    if (!member.IsUsable() || !membership || this->IsPlaced(id) ||
+        this->planner.preparing.contains(id)) {
+      continue;
+    }
+    const bool outlived = this->planner.replicas.contains(membership->replica);
+    if (this->IsLoose(*membership) && !outlived) {
+      continue;
+    }
+    const PlannedReplica left{ .name = membership->replica,
+                               .model = member.record.model,
+                               .domain = member.record.fabricDomain,
+                               .epoch = membership->epoch,
+                               .members = { id } };
+    this->planner.preparing[id] = {
+      .until = this->now + this->planner.options.orderSlack, .model = {}
+    };
+    this->Give(OrderKind::kLeave, left, id);
+  }
+}
+
+std::vector<std::string>
+FleetPlanningRound::FreeIn(std::string_view aDomain,
+                           std::string_view aModel) const
+{
+  std::vector<std::string> free;
+  for (const auto& [id, member] : this->view.members) {
+    if (member.record.fabricDomain != aDomain || !this->IsFree(member)) {
+      continue;
+    }
+    if (this->view.beforeTraffic ||
+        this->WarmthOf(member.record, aModel) != Warmth::kCold) {
+      free.push_back(id);
+    }
+  }
+  // Of equally warm targets, those that could do nothing else come first.
+  const auto rank = [&](const std::string& aId) {
+    const TargetRecord& record = this->Find(aId)->record;
+    const auto uses = std::count_if(
+      this->engine.models.begin(),
+      this->engine.models.end(),
+      [&](const ReplicaModel& aOther) {
+        return this->WarmthOf(record, aOther.name) != Warmth::kCold;
+      });
+    return std::pair(this->WarmthOf(record, aModel), uses);
+  };
+  std::stable_sort(
+    free.begin(), free.end(), [&](const auto& aLeft, const auto& aRight) {
+      return rank(aLeft) < rank(aRight);
+    });
+  return free;
+}
+
+bool
+FleetPlanningRound::HoldsNothing(const TargetRecord& aRecord) const
+{
+  return std::all_of(this->engine.models.begin(),
+                     this->engine.models.end(),
+                     [&](const ReplicaModel& aModel) {
+                       return this->WarmthOf(aRecord, aModel.name) !=
+                              Warmth::kHeld;
+                     });
+}
+
+void
+FleetPlanningRound::PrepareSpares()
+{
+  // A target that holds nothing cannot serve at all; it goes first.
+  bool waiting = false;
+  for (const auto& [id, member] : this->view.members) {
+    if (!this->planner.preparing.contains(id) && this->IsFree(member) &&
+        this->HoldsNothing(member.record)) {
+      waiting = !this->WarmUp(member.record) || waiting;
+    }
+  }
+  // Targets that come later must not find the weight store busy.
+  if (waiting ||
+      (!this->view.beforeTraffic && this->planner.loads.Running(this->now) >=
+                                      this->planner.options.stagingLoads)) {
+    return;
+  }
+  for (const auto& [id, member] : this->view.members) {
+    if (!this->planner.preparing.contains(id) && member.IsUsable() &&
+        !this->HoldsNothing(member.record)) {
+      this->StageOther(member.record);
+    }
+  }
+}
+
+bool
+FleetPlanningRound::MayLoad(Duration aExpected)
+{
+  return this->view.beforeTraffic ||
+         this->planner.loads.TryBegin(aExpected, this->now);
+}
+
+const ReplicaModel&
+FleetPlanningRound::WarmUpModelFor(const TargetRecord& aRecord) const
+{
+  const auto staged =
+    std::find_if(this->engine.models.begin(),
+                 this->engine.models.end(),
+                 [&](const ReplicaModel& aModel) {
+                   return this->WarmthOf(aRecord, aModel.name) != Warmth::kCold;
+                 });
+  return staged == this->engine.models.end() ? this->SpareModelFor(aRecord)
+                                             : *staged;
+}
+
+bool
+FleetPlanningRound::WarmUp(const TargetRecord& aRecord)
+{
+  const ReplicaModel& model = this->WarmUpModelFor(aRecord);
+  const Duration expected = this->JoinTime(aRecord, model);
+  const bool loads = this->WarmthOf(aRecord, model.name) == Warmth::kCold;
+  if (loads && !this->MayLoad(expected)) {
+    return false;
+  }
+  const PlannedReplica alone{
+    .name = fmt::format("{}{}", kSparePrefix, aRecord.id),
+    .model = model.name,
+    .domain = aRecord.fabricDomain,
+    .epoch = this->planner.epochs(),
+    .members = { aRecord.id },
+  };
+  this->planner.preparing[aRecord.id] = {
+    .until = this->now + expected + this->planner.options.orderSlack,
+    .model = model.name
+  };
+  this->Give(OrderKind::kJoin, alone, aRecord.id);
+  return true;
+}
+
+void
+FleetPlanningRound::StageOther(const TargetRecord& aRecord)
+{
+  for (const ReplicaModel& model : this->engine.models) {
+    if (this->WarmthOf(aRecord, model.name) != Warmth::kCold) {
+      continue;
+    }
+    const auto& membership = aRecord.membership;
+    const bool joining =
+      membership && membership->state == MemberState::kJoining;
+    const Duration expected = this->JoinTime(aRecord, model);
+    if (joining || !this->MayLoad(expected)) {
+      return;
+    }
+    this->planner.preparing[aRecord.id] = {
+      .until = this->now + expected + this->planner.options.orderSlack,
+      .model = {}
+    };
+    const PlannedReplica staged{
+      .name = {}, .model = model.name, .domain = {}, .members = { aRecord.id }
+    };
+    this->Give(OrderKind::kStage, staged, aRecord.id);
+    return;
+  }
+}
+
+} // namespace apricottrack
--- /dev/null
+++ b/src/serving/PlannerCalls.cpp
@@ -0,0 +1,244 @@
+#include "base/Log.h"
+#include "serving/PlannerTask.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <fmt/format.h>
+
+// The part of PlannerTask that talks to targets and tells of what it found.
+namespace apricottrack {
+
+namespace asio = boost::asio;
+
+namespace {
+
+constexpr Duration kViewLogInterval = seconds(1);
+
+} // namespace
+
+void
+PlannerTask::LogView(const CatalogService& aService,
+                     const PlannerMembers& aMembers,
+                     Instant aNow)
+{
+  Instant& last = this->loggedAt[aService.name];
+  if (aNow - last < kViewLogInterval) {
+    return;
+  }
+  last = aNow;
+  int silent = 0;
+  int leaving = 0;
+  for (const auto& [id, member] : aMembers) {
+    silent += member.silent ? 1 : 0;
+    leaving += member.record.leaving ? 1 : 0;
+  }
+  const FleetPlanner& planner = *this->planners[aService.name];
+  LogLine line("planner_view");
+  line.With("service", aService.name)
+    .With("targets", static_cast<std::int64_t>(aMembers.size()))
+    .With("silent", std::int64_t{ silent })
+    .With("leaving", std::int64_t{ leaving });
+  std::size_t placed = 0;
+  for (const auto& [name, replica] : planner.Replicas()) {
+    placed += replica.members.size();
+  }
+  line.With("placed", static_cast<std::int64_t>(placed))
+    .With("free_by_domain", planner.DescribeFree(aMembers));
+  const ModelDemands demands = this->TotalDemands(aNow);
+  const auto strain = [&](const ReplicaModel& aModel) {
+    const auto demand = demands.find(aModel.name);
+    return demand == demands.end()
+             ? 0.0
+             : EngineCost(*aService.engine, aModel)
+                 .Strain(demand->second,
+                         planner.Count(aModel.name, ReplicaPhase::kServing));
+  };
+  for (const ReplicaModel& model : aService.engine->models) {
+    using enum ReplicaPhase;
+    line.With(model.name,
+              fmt::format("serving:{},opening:{},joining:{},closing:{},"
+                          "strain:{:.2f}",
+                          planner.Count(model.name, kServing),
+                          planner.Count(model.name, kOpening),
+                          planner.Count(model.name, kJoining),
+                          planner.Count(model.name, kClosing),
+                          strain(model)));
+  }
+  line.Info();
+}
+
+void
+PlannerTask::TellBroken(const FleetPlanner& aPlanner, Instant aNow)
+{
+  std::set<std::string> broken = aPlanner.Broken(aNow);
+  if (broken != this->context.broken) {
+    this->context.broken = std::move(broken);
+    this->hooks.onBroken();
+  }
+}
+
+void
+PlannerTask::AskForReports(const CatalogService& aService,
+                           const PlannerMembers& aMembers,
+                           Instant aNow)
+{
+  const std::set<std::string> awaited =
+    this->planners[aService.name]->Awaited();
+  for (const auto& [id, member] : aMembers) {
+    const Probed& probe = this->probed[id];
+    const bool urgent =
+      probe.missed > 0 && probe.missed < this->options.silentAfter;
+    const bool soon = awaited.contains(id) || member.record.leaving;
+    const Duration every = urgent ? this->options.urgentEvery
+                           : soon ? this->options.awaitedEvery
+                                  : this->options.reportEvery;
+    if (!probe.underWay && aNow - probe.askedAt >= every) {
+      this->StartAsking(id, member.record.address, urgent, aNow);
+    }
+  }
+}
+
+void
+PlannerTask::StartAsking(const std::string& aTarget,
+                         const std::string& aAddress,
+                         bool aUrgent,
+                         Instant aNow)
+{
+  Probed& probe = this->probed[aTarget];
+  probe.underWay = true;
+  probe.askedAt = aNow;
+  asio::co_spawn(
+    this->context.executor,
+    [this, aTarget, aAddress, aUrgent]() -> Task<void> {
+      co_await this->AskForReport(aTarget, aAddress, aUrgent);
+    },
+    asio::detached);
+}
+
+Task<Result<TargetReport>>
+PlannerTask::Ask(std::string aTarget, std::string aAddress, bool aUrgent)
+{
+  HttpRequest request = this->context.protocol.MakeReportRequest(aTarget);
+  Result<HttpResponse> reply;
+  this->context.counters.Add("report_calls");
+  if (aUrgent) {
+    // A kept connection may have gone silent by itself.
+    reply = co_await FetchFresh(
+      this->pool, aAddress, std::move(request), this->options.urgentTimeout);
+  } else {
+    reply = co_await Fetch(
+      this->pool, aAddress, std::move(request), this->options.reportTimeout);
+  }
+  if (!reply) {
+    co_return tl::unexpected(reply.error());
+  }
+  co_return this->context.protocol.ReadReport(*reply, aAddress);
+}
+
+Task<void>
+PlannerTask::AskForReport(std::string aTarget,
+                          std::string aAddress,
+                          bool aUrgent)
+{
+  const Instant askedAt = MonotonicNow();
+  auto report = co_await this->Ask(aTarget, aAddress, aUrgent);
+  const Duration allowed =
+    (aUrgent ? this->options.urgentTimeout
+             : this->options.reportTimeout + this->options.urgentTimeout) +
+    this->options.lateness;
+  Probed& probe = this->probed[aTarget];
+  probe.underWay = false;
+  if (report) {
+    if (probe.missed >= this->options.silentAfter) {
+      LogLine("target_heard_again").With("target", aTarget).Info();
+    }
+    probe.missed = 0;
+    probe.reportedAt = askedAt;
+    probe.report = std::move(*report);
+    co_return;
+  }
+  if (MonotonicNow() - askedAt > allowed) {
+    this->context.counters.Add("reports_judged_late");
+    co_return;
+  }
+  ++probe.missed;
+  if (probe.missed < this->options.silentAfter) {
+    this->StartAsking(aTarget, aAddress, true, MonotonicNow());
+  } else if (probe.missed == this->options.silentAfter) {
+    LogLine("target_silent")
+      .With("target", aTarget)
+      .With(report.error())
+      .Info();
+    this->RunRound(MonotonicNow());
+  }
+}
+
+Task<void>
+PlannerTask::GiveOrder(ReplicaOrder aOrder)
+{
+  const auto reply = co_await Fetch(this->pool,
+                                    aOrder.address,
+                                    this->context.protocol.MakeOrder(aOrder),
+                                    this->options.orderTimeout);
+  const OrderReply meaning = reply
+                               ? this->context.protocol.ReadOrderReply(*reply)
+                               : OrderReply::kUnknown;
+  this->context.counters.Add("orders",
+                             { { "kind", OrderKindName(aOrder.kind) },
+                               { "reply", OrderReplyName(meaning) } });
+  LogLine("order")
+    .With("kind", OrderKindName(aOrder.kind))
+    .With("target", aOrder.target)
+    .With("replica", aOrder.replica)
+    .With("epoch", aOrder.epoch)
+    .With("model", aOrder.model)
+    .With("fence", aOrder.fencingToken)
+    .With("reply", OrderReplyName(meaning))
+    .With("status", reply ? std::int64_t{ reply->result_int() } : 0)
+    .Info();
+  if (meaning == OrderReply::kFenced && aOrder.fencingToken == this->fence) {
+    this->OnFenced();
+  }
+}
+
+void
+PlannerTask::OnFenced()
+{
+  if (this->leading) {
+    LogLine("planner_fenced").With("fence", this->fence).Warn();
+    this->leading = false;
+    this->hooks.onLead(false);
+    this->lease.Abandon();
+  }
+}
+
+std::vector<std::string>
+PlannerTask::ReplicaOf(const std::string& aHead) const
+{
+  for (const auto& [service, planner] : this->planners) {
+    for (const auto& [name, replica] : planner->Replicas()) {
+      if (replica.members.front() == aHead) {
+        return replica.members;
+      }
+    }
+  }
+  return { aHead };
+}
+
+void
+PlannerTask::Suspect(const std::string& aTarget)
+{
+  if (!this->leading) {
+    return;
+  }
+  for (const std::string& member : this->ReplicaOf(aTarget)) {
+    const auto found = this->probed.find(member);
+    const TargetRecord* const record = this->context.fleet.Find(member);
+    if (found != this->probed.end() && record != nullptr &&
+        !found->second.underWay) {
+      this->StartAsking(member, record->address, true, MonotonicNow());
+    }
+  }
+}
+
+} // namespace apricottrack
--- a/src/serving/RequestFlow.h
+++ b/src/serving/RequestFlow.h
@@ -67,7 +67,6 @@
   /// Some of the present target's answer has come.
   bool answerBegun = false;
   bool streamBegun = false;
-  bool firstCall = true;
 };
 
 } // namespace apricottrack
