--- a/src/replicas/ReplicaDirectory.cpp
+++ b/src/replicas/ReplicaDirectory.cpp
@@ -21,7 +21,7 @@
                           const Fleet& aFleet,
                           const std::set<std::string>& aBroken)
 {
-  this->serving.clear();
+  this->byService.clear();
   for (const CatalogService& service : aCatalog.services) {
     if (service.engine) {
       this->AddReplicas(service, aFleet, aBroken);
@@ -58,7 +58,7 @@
         sighting.ranks.size() != static_cast<std::size_t>(model->size)) {
       continue;
     }
-    this->serving[{ aService.name, model->name }].push_back(
+    this->byService[aService.name][model->name].push_back(
       { .name = head->membership->replica,
         .epoch = head->membership->epoch,
         .model = model->name,
@@ -74,33 +74,12 @@
                           std::string_view aModel) const
 {
   static const std::vector<ServingReplica> kNone;
-  const auto found = this->serving.find(
-    { .service = std::string(aService), .model = std::string(aModel) });
-  return found == this->serving.end() ? kNone : found->second;
-}
-
-bool
-ReplicaDirectory::AnyServing(std::string_view aService) const
-{
-  for (const auto& [key, replicas] : this->serving) {
-    if (key.service == aService && !replicas.empty()) {
-      return true;
-    }
-  }
-  return false;
-}
-
-const ServingReplica*
-ReplicaDirectory::FindByHead(std::string_view aHeadId) const
-{
-  for (const auto& [key, replicas] : this->serving) {
-    for (const ServingReplica& replica : replicas) {
-      if (replica.headId == aHeadId) {
-        return &replica;
-      }
-    }
+  const auto models = this->byService.find(aService);
+  if (models == this->byService.end()) {
+    return kNone;
   }
-  return nullptr;
+  const auto found = models->second.find(aModel);
+  return found == models->second.end() ? kNone : found->second;
 }
 
 } // namespace apricottrack
--- a/src/replicas/ReplicaDirectory.h
+++ b/src/replicas/ReplicaDirectory.h
@@ -42,26 +42,15 @@
   const std::vector<ServingReplica>& Serving(std::string_view aService,
                                              std::string_view aModel) const;
 
-  /// True if some replica of the service takes requests.
-  bool AnyServing(std::string_view aService) const;
-
-  /// The replica whose head this target is, or null.
-  const ServingReplica* FindByHead(std::string_view aHeadId) const;
-
 private:
-  struct ModelKey
-  {
-    std::string service;
-    std::string model;
-
-    friend auto operator<=>(const ModelKey&, const ModelKey&) = default;
-  };
+  using ByModel =
+    std::map<std::string, std::vector<ServingReplica>, std::less<>>;
 
   void AddReplicas(const CatalogService& aService,
                    const Fleet& aFleet,
                    const std::set<std::string>& aBroken);
 
-  std::map<ModelKey, std::vector<ServingReplica>> serving;
+  std::map<std::string, ByModel, std::less<>> byService;
 };
 
 } // namespace apricottrack
