--- /dev/null
+++ b/tests/scenarios/GroupWorld.h
@@ -0,0 +1,133 @@
+#ifndef APRICOTTRACK_TESTS_SCENARIOS_GROUPWORLD_H
+#define APRICOTTRACK_TESTS_SCENARIOS_GROUPWORLD_H
+
+#include "groups/GroupPlanner.h"
+#include "node/NodeView.h"
+#include "scenarios/FakeStore.h"
+#include "scenarios/Scenario.h"
+
+#include <fmt/format.h>
+#include <memory>
+
+/// Fake VMs, nodes that plan over them with the real decision code, and the
+/// checker of group scenarios.
+namespace apricottrack::scenarios::detail {
+
+inline constexpr Duration kProbe = milliseconds(500);
+inline constexpr Duration kHeardWithin = seconds(2);
+inline constexpr Duration kPlanRound = milliseconds(250);
+inline constexpr Duration kStep = milliseconds(100);
+inline constexpr Duration kLoad = seconds(2);
+inline constexpr Duration kLeaseTtl = seconds(4);
+inline constexpr Duration kListLag = seconds(1);
+inline constexpr Duration kSlowCheck = seconds(10);
+/// Groups form at the start; their downtime counts from here on.
+inline constexpr Duration kForming = seconds(12);
+inline constexpr Duration kLateOrder = seconds(6);
+/// A group may be sent requests this long after a member was lost: the
+/// bound on hearing, one probe and its delay, and one step of the checker.
+inline constexpr Duration kDetectionBound =
+  kHeardWithin + kProbe + milliseconds(10) + kStep;
+
+struct FakeVm
+{
+  std::string id;
+  std::string domain;
+  bool alive = true;
+  bool leaving = false;
+  Instant pausedUntil;
+  int incarnation = 1;
+  Order order;
+  Instant loadedAt;
+  /// Since when it could not have served its group.
+  Instant lastGood;
+
+  bool Responds(Instant aNow) const
+  {
+    return this->alive && aNow >= this->pausedUntil;
+  }
+
+  std::string Incarnation() const
+  {
+    return fmt::format("{}#{}", this->id, this->incarnation);
+  }
+};
+
+class World;
+
+/// One node: its view, and its turn at planning.
+class PlanningNode
+{
+public:
+  PlanningNode(World& aWorld, int aIndex);
+
+  void Probe();
+  void Plan();
+  void Renew();
+  void Relist();
+  void OnPlan(const KeyValue& aValue);
+  void OnVms(const VmList& aVms);
+
+  bool Runs(Instant aNow) const { return aNow >= this->pausedUntil; }
+  NodeView& View() { return this->view; }
+
+  Instant pausedUntil;
+
+private:
+  void Write(DomainPlan aPlan);
+  void SendOrders();
+  PlannerView MakeView() const;
+
+  World& world;
+  int index;
+  NodeView view;
+  GroupPlanner planner;
+  std::map<std::string, Revision> revisions;
+  Instant leaseUntil;
+  Instant lastRound;
+  Instant observingSince;
+  int nextAuthor = 0;
+};
+
+class World
+{
+public:
+  explicit World(const Scenario& aScenario);
+
+  Findings Run();
+  void Deliver(const Order& aOrder);
+  void Announce(const KeyValue& aValue);
+  FakeVm* FindVm(const std::string& aId);
+  VmList Listing() const;
+
+  const Scenario& scenario;
+  VirtualTime time;
+  FakeStore store;
+  Configuration configuration;
+  std::vector<FakeVm> vms;
+  std::vector<std::unique_ptr<PlanningNode>> nodes;
+  int leaseHolder = -1;
+  Instant leaseUntil;
+  bool lateOrders = false;
+
+private:
+  void Schedule(const Fault& aFault);
+  void Begin(const Fault& aFault);
+  void End(const Fault& aFault);
+  void ForDomain(const std::string& aDomain, bool aAlive);
+  void Every(Duration aInterval, std::function<void()> aRun);
+  void Check();
+  void CheckPlans();
+  void CheckServing();
+  void Measure();
+  bool IsWhole(const Assignment& aAssignment, Instant aNow);
+  void Violate(const std::string& aWhat);
+
+  Findings findings;
+  Instant start;
+  std::map<std::string, std::uint64_t> epochs;
+};
+
+} // namespace apricottrack::scenarios::detail
+
+#endif
