--- a/tests/wholepath/proxy.py
+++ b/tests/wholepath/proxy.py
@@ -29,9 +29,14 @@
         while True:
             try:
                 caller, _ = self.listener.accept()
-                target = socket.create_connection(self.upstream)
             except OSError:
                 return
+            try:
+                target = socket.create_connection(self.upstream)
+            except OSError:
+                # Not listening yet, or gone: refuse this caller alone.
+                caller.close()
+                continue
             self.connections += 1
             born = self.generation
             for source, sink, way in (
