Let members leave a list whose head may open yet

A list whose open is under way now counts on its members until they have left it. Ruled out: stale entries and an overtaken planner, as both lists came from one planner. FleetPlannerTest fails before. Also drops what is kept of targets and lists that are gone.

--- a/src/replicas/FleetPlanner.h
+++ b/src/replicas/FleetPlanner.h
@@ -67,6 +67,8 @@
   std::vector<std::string> members;
   ReplicaPhase phase = ReplicaPhase::kJoining;
   Instant since;
+  /// Its head was told to serve, and has not been seen to: it may do so yet.
+  bool opening = false;
   /// Model that its members are to serve next; empty unless it is converted.
   std::string nextModel;
 
@@ -154,6 +156,8 @@
   /// Lists of members that were given up, so that they are not taken for
   /// another planner's.
   std::set<std::string> retired;
+  /// Those of them whose heads may serve yet.
+  std::set<std::string> mayOpen;
   /// A target joins fast for the model that it held last since its start.
   struct LastModel
   {
--- a/src/replicas/FleetPlanningRound.cpp
+++ b/src/replicas/FleetPlanningRound.cpp
@@ -70,6 +70,7 @@
   if (!this->view.entriesSettled && !this->view.beforeTraffic) {
     return {};
   }
+  this->ForgetOld();
   this->NoteModels();
   this->AdoptUnknown();
   this->Advance();
@@ -80,6 +81,25 @@
   return std::move(this->orders);
 }
 
+void
+FleetPlanningRound::ForgetOld()
+{
+  std::set<std::string> held;
+  for (const auto& [id, member] : this->view.members) {
+    if (member.record.membership) {
+      held.insert(ReplicaKey(*member.record.membership));
+    }
+  }
+  const auto unheld = [&](const std::string& aKey) {
+    return !held.contains(aKey);
+  };
+  std::erase_if(this->planner.retired, unheld);
+  std::erase_if(this->planner.mayOpen, unheld);
+  std::erase_if(this->planner.lastModels, [&](const auto& aEntry) {
+    return !this->view.members.contains(aEntry.first);
+  });
+}
+
 void
 FleetPlanningRound::AdoptUnknown()
 {
@@ -105,6 +125,8 @@
     }
     const MemberState state =
       seen.head == nullptr ? MemberState::kNone : seen.head->membership->state;
+    // Another planner may have told it to serve a moment ago.
+    replica.opening = state == MemberState::kReady;
     if (state == MemberState::kOpen || state == MemberState::kBroken) {
       replica.phase = ReplicaPhase::kServing;
     } else if (state == MemberState::kClosing) {
@@ -269,6 +291,7 @@
   if (this->AllReady(aReplica)) {
     aReplica.phase = ReplicaPhase::kOpening;
     aReplica.since = this->now;
+    aReplica.opening = true;
     this->Give(OrderKind::kOpen, aReplica, aReplica.members.front());
     return;
   }
@@ -297,6 +320,7 @@
   const Membership* const head =
     this->CurrentMembership(aReplica, aReplica.members.front());
   if (head->state == MemberState::kOpen) {
+    aReplica.opening = false;
     aReplica.phase = ReplicaPhase::kServing;
     aReplica.since = this->now;
   } else if (this->now - aReplica.since >
@@ -417,8 +441,12 @@
 void
 FleetPlanningRound::Release(const PlannedReplica& aReplica)
 {
-  this->planner.retired.insert(
-    ReplicaKey({ .replica = aReplica.name, .epoch = aReplica.epoch }));
+  const std::string key =
+    ReplicaKey({ .replica = aReplica.name, .epoch = aReplica.epoch });
+  this->planner.retired.insert(key);
+  if (aReplica.opening) {
+    this->planner.mayOpen.insert(key);
+  }
 }
 
 void
@@ -429,6 +457,7 @@
   aReplica.epoch = this->planner.epochs();
   aReplica.phase = ReplicaPhase::kJoining;
   aReplica.since = this->now;
+  aReplica.opening = false;
   this->OrderJoins(aReplica, false);
 }
 
--- a/src/replicas/FleetPlanningRound.h
+++ b/src/replicas/FleetPlanningRound.h
@@ -50,6 +50,8 @@
   /// to replace it.
   bool MayServeOn(const PlannedReplica& aReplica) const;
 
+  /// Drops what was kept of targets and lists of members that are gone.
+  void ForgetOld();
   /// Takes up replicas that another planner formed.
   void AdoptUnknown();
   void MarkBroken(const PlannedReplica& aReplica);
--- a/src/replicas/FleetSpares.cpp
+++ b/src/replicas/FleetSpares.cpp
@@ -21,7 +21,8 @@
 bool
 FleetPlanningRound::IsLoose(const Membership& aMembership) const
 {
-  if (aMembership.state == MemberState::kJoining) {
+  if (aMembership.state == MemberState::kJoining ||
+      this->planner.mayOpen.contains(ReplicaKey(aMembership))) {
     return false;
   }
   for (const auto& [id, member] : this->view.members) {
--- a/tests/FleetPlannerTest.cpp
+++ b/tests/FleetPlannerTest.cpp
@@ -57,10 +57,27 @@
   void Carry(const std::vector<ReplicaOrder>& aOrders)
   {
     for (const ReplicaOrder& order : aOrders) {
-      this->CarryOne(order);
+      if (this->opensLate && order.kind == OrderKind::kOpen) {
+        this->lateOpens.push_back(order);
+      } else {
+        this->CarryOne(order);
+      }
     }
   }
 
+  /// Carries out the opens that targets are still busy with.
+  void CarryLateOpens()
+  {
+    for (const ReplicaOrder& order : this->lateOpens) {
+      const auto& membership = this->members.at(order.target).record.membership;
+      if (membership && membership->replica == order.replica &&
+          membership->epoch == order.epoch) {
+        this->CarryOne(order);
+      }
+    }
+    this->lateOpens.clear();
+  }
+
   FleetPlannerView View(bool aBeforeTraffic = false) const
   {
     return { .service = this->service,
@@ -92,8 +109,12 @@
   PlannerMembers members;
   ModelDemands demands;
   std::vector<std::string> violations;
+  /// Opens are begun, and take effect only when told.
+  bool opensLate = false;
 
 private:
+  std::vector<ReplicaOrder> lateOpens;
+
   /// The head of the replica that the target belongs to serves.
   bool InOpenReplica(const TargetRecord& aRecord) const
   {
@@ -138,7 +159,10 @@
         break;
       case OrderKind::kCloseNow:
       case OrderKind::kCloseGently:
-        record.membership->state = MemberState::kReady;
+        if (record.membership &&
+            record.membership->state == MemberState::kOpen) {
+          record.membership->state = MemberState::kReady;
+        }
         break;
       case OrderKind::kLeave:
         record.membership.reset();
@@ -261,6 +285,38 @@
   CHECK(fleet.violations.empty());
 }
 
+TEST_CASE("FleetPlanner does not take a head that is opening for a closed one")
+{
+  // As its head opens, a replica of four loses a member, and one of three
+  // does so too; the survivors of the first could repair the second.
+  FakeFleet fleet(7);
+  fleet.opensLate = true;
+  FleetPlanner planner = MakePlanner(1);
+  Instant now = kStart;
+  while (planner.Count("large", ReplicaPhase::kOpening) == 0 ||
+         planner.Count("small", ReplicaPhase::kOpening) == 0) {
+    fleet.Carry(planner.Round(fleet.View(true), now));
+    now += milliseconds(50);
+  }
+  for (const auto& [name, replica] : planner.Replicas()) {
+    fleet.members.at(replica.members.back()).silent = true;
+  }
+  for (int i = 0; i < 60; ++i, now += milliseconds(50)) {
+    auto orders = planner.Round(fleet.View(true), now);
+    // A close comes too early for a head that is not open yet.
+    const auto joins = std::stable_partition(
+      orders.begin(), orders.end(), [](const ReplicaOrder& aOrder) {
+        return aOrder.kind != OrderKind::kJoin;
+      });
+    fleet.Carry({ orders.begin(), joins });
+    if (joins != orders.end()) {
+      fleet.CarryLateOpens();
+    }
+    fleet.Carry({ joins, orders.end() });
+  }
+  CHECK(fleet.violations.empty());
+}
+
 TEST_CASE("FleetPlanner lets a replica with a leaving member finish")
 {
   FakeFleet fleet(9);
