Look up candidates ready made, leave a target only for room elsewhere

Work on the hot path that need not be there: each request copied the service's targets and, for plain services, went through the whole fleet. They are listed once per change now. A stream that left a still target while nothing else had room was cut for nothing; it stays now. What is kept of gone targets is bounded.

--- a/src/fleet/Fleet.cpp
+++ b/src/fleet/Fleet.cpp
@@ -26,15 +26,30 @@
 {
   if (this->records.erase(aId) > 0) {
     this->changes[aId] = ++this->sequence;
+    this->changedAt.erase(aId);
+    this->ForgetGone();
   }
 }
 
+void
+Fleet::ForgetGone()
+{
+  if (this->changes.size() <= this->records.size() + this->options.goneKept) {
+    return;
+  }
+  std::erase_if(this->changes, [this](const auto& aEntry) {
+    return !this->records.contains(aEntry.first);
+  });
+  this->forgotten = this->sequence;
+}
+
 bool
 Fleet::ChangesSince(std::uint64_t aSequence,
                     std::vector<TargetRecord>& aChanged,
                     std::vector<std::string>& aGone) const
 {
-  if (aSequence == 0 || aSequence > this->sequence) {
+  if (aSequence == 0 || aSequence < this->forgotten ||
+      aSequence > this->sequence) {
     return false;
   }
   for (const auto& [id, changed] : this->changes) {
--- a/src/fleet/Fleet.h
+++ b/src/fleet/Fleet.h
@@ -20,6 +20,8 @@
     /// Entries that lapsed during an outage of the store are back within
     /// this time after it, if their targets live.
     Duration returnGrace = milliseconds(2200);
+    /// Gone targets that are remembered for those who ask what changed.
+    std::size_t goneKept = 200;
   };
 
   using Records = std::map<std::string, TargetRecord, std::less<>>;
@@ -71,7 +73,12 @@
   void Erase(const std::string& aId);
 
   Instant returnedAt = Instant::min();
+  /// Drops gone targets from the changes once there are too many of them.
+  void ForgetGone();
+
   std::uint64_t sequence = 0;
+  /// Changes up to here are not known in full any more.
+  std::uint64_t forgotten = 0;
   /// Sequence number of the last change to a target, gone ones included.
   std::map<std::string, std::uint64_t, std::less<>> changes;
   std::map<std::string, Instant, std::less<>> changedAt;
--- /dev/null
+++ b/src/placement/Candidate.h
@@ -0,0 +1,21 @@
+#ifndef APRICOTTRACK_PLACEMENT_CANDIDATE_H
+#define APRICOTTRACK_PLACEMENT_CANDIDATE_H
+
+#include <string>
+
+namespace apricottrack {
+
+/// A target that could run a request.
+struct Candidate
+{
+  std::string id;
+  std::string address;
+  std::string availabilityZone;
+  int slots = 1;
+
+  friend bool operator==(const Candidate&, const Candidate&) = default;
+};
+
+} // namespace apricottrack
+
+#endif
--- a/src/placement/LoadBook.cpp
+++ b/src/placement/LoadBook.cpp
@@ -23,11 +23,25 @@
 void
 LoadBook::OnReported(const std::string& aTarget, int aRequests, Instant aNow)
 {
+  this->ForgetOld(aNow);
   Entry& entry = this->entries[aTarget];
   entry.others = std::max(0, aRequests - entry.own);
   entry.reportedAt = aNow;
 }
 
+void
+LoadBook::ForgetOld(Instant aNow)
+{
+  if (this->entries.size() < this->forgetAt) {
+    return;
+  }
+  std::erase_if(this->entries, [&](const auto& aEntry) {
+    return aEntry.second.own == 0 &&
+           aNow - aEntry.second.reportedAt > 10 * this->options.reportHalfLife;
+  });
+  this->forgetAt = std::max<std::size_t>(1024, 2 * this->entries.size());
+}
+
 int
 LoadBook::Own(const std::string& aTarget) const
 {
--- a/src/placement/LoadBook.h
+++ b/src/placement/LoadBook.h
@@ -38,8 +38,6 @@
   /// Requests that the target holds, from all nodes.
   double Estimate(const std::string& aTarget, Instant aNow) const;
 
-  void Forget(const std::string& aTarget) { this->entries.erase(aTarget); }
-
 private:
   struct Entry
   {
@@ -49,8 +47,12 @@
     Instant reportedAt;
   };
 
+  /// Drops entries that say nothing any more, once there are many.
+  void ForgetOld(Instant aNow);
+
   Options options;
   std::unordered_map<std::string, Entry> entries;
+  std::size_t forgetAt = 1024;
 };
 
 } // namespace apricottrack
--- a/src/placement/Placement.h
+++ b/src/placement/Placement.h
@@ -1,6 +1,7 @@
 #ifndef APRICOTTRACK_PLACEMENT_PLACEMENT_H
 #define APRICOTTRACK_PLACEMENT_PLACEMENT_H
 
+#include "placement/Candidate.h"
 #include "placement/LoadBook.h"
 #include "placement/StallDetector.h"
 
@@ -11,17 +12,6 @@
 
 namespace apricottrack {
 
-/// A target that could run a request.
-struct Candidate
-{
-  std::string id;
-  std::string address;
-  std::string availabilityZone;
-  int slots = 1;
-
-  friend bool operator==(const Candidate&, const Candidate&) = default;
-};
-
 enum class PlacementRefusal
 {
   kNone,
--- a/src/serving/PlannerTask.cpp
+++ b/src/serving/PlannerTask.cpp
@@ -263,9 +263,23 @@
     members.emplace(id, std::move(member));
   }
   this->AddUnlisted(aService, members);
+  this->ForgetGone(aService, members);
   return members;
 }
 
+void
+PlannerTask::ForgetGone(const CatalogService& aService,
+                        const PlannerMembers& aMembers)
+{
+  std::erase_if(this->lastEntries, [&](const auto& aEntry) {
+    return aEntry.second.service == aService.name &&
+           !aMembers.contains(aEntry.first);
+  });
+  std::erase_if(this->probed, [&](const auto& aEntry) {
+    return !aEntry.second.underWay && !this->lastEntries.contains(aEntry.first);
+  });
+}
+
 void
 PlannerTask::AddUnlisted(const CatalogService& aService,
                          PlannerMembers& aMembers)
--- a/src/serving/PlannerTask.h
+++ b/src/serving/PlannerTask.h
@@ -120,6 +120,9 @@
   /// Members of replicas whose entries are gone while they still answer: cut
   /// off from the store, or leaving. They finish what runs.
   void AddUnlisted(const CatalogService& aService, PlannerMembers& aMembers);
+  /// Drops what is kept of targets that no longer answer or are listed.
+  void ForgetGone(const CatalogService& aService,
+                  const PlannerMembers& aMembers);
   TargetRecord NewestOf(const CatalogService& aService,
                         const TargetRecord& aEntry,
                         const Probed& aProbe) const;
--- a/src/serving/RequestFlow.cpp
+++ b/src/serving/RequestFlow.cpp
@@ -94,12 +94,7 @@
       co_await this->Finish(this->Decide(CallEnd::kOutOfTime));
       co_return;
     }
-    const Placement placement(Placement::Options{},
-                              this->context.loads,
-                              this->context.stalls,
-                              this->context.settings.availabilityZone);
-    const PlacementChoice choice = placement.Choose(
-      this->Candidates(), this->tried, now, this->context.random);
+    const PlacementChoice choice = this->ChooseTarget(now);
     if (choice.refusal != PlacementRefusal::kNone) {
       this->lastError.detail =
         choice.refusal == PlacementRefusal::kFull ? "full" : "no_target";
@@ -117,30 +112,18 @@
   }
 }
 
-std::vector<Candidate>
-RequestFlow::Candidates() const
+PlacementChoice
+RequestFlow::ChooseTarget(Instant aNow) const
 {
-  std::vector<Candidate> candidates;
-  const CatalogService& service = *this->accepted.service;
-  if (service.engine) {
-    for (const ServingReplica& replica :
-         this->context.replicas.Serving(service.name, this->caller.model)) {
-      candidates.push_back({ .id = replica.headId,
-                             .address = replica.headAddress,
-                             .availabilityZone = replica.availabilityZone,
-                             .slots = replica.slots });
-    }
-    return candidates;
-  }
-  for (const auto& [id, record] : this->context.fleet.All()) {
-    if (record.service == service.name && !record.leaving) {
-      candidates.push_back({ .id = id,
-                             .address = record.address,
-                             .availabilityZone = record.availabilityZone,
-                             .slots = record.slots });
-    }
-  }
-  return candidates;
+  const Placement placement(Placement::Options{},
+                            this->context.loads,
+                            this->context.stalls,
+                            this->context.settings.availabilityZone);
+  return placement.Choose(
+    this->context.candidates.Find(*this->accepted.service, this->caller.model),
+    this->tried,
+    aNow,
+    this->context.random);
 }
 
 Task<CallEnd>
@@ -395,9 +378,11 @@
 void
 RequestFlow::LeaveTarget()
 {
-  // Where no other target may run it, only this one can still finish it.
+  // Where no other target may run it, or none has room, only this one can
+  // still finish it.
   if (this->history.mayHaveRun + 1 >= this->accepted.route->maxTargets ||
-      !this->accepted.route->IsRepeatable() || !this->Budget().HasAny()) {
+      !this->accepted.route->IsRepeatable() || !this->Budget().HasAny() ||
+      this->ChooseTarget(MonotonicNow()).refusal != PlacementRefusal::kNone) {
     return;
   }
   this->leftTarget = true;
--- a/src/serving/RequestFlow.h
+++ b/src/serving/RequestFlow.h
@@ -30,7 +30,7 @@
 
 private:
   Task<void> Run();
-  std::vector<Candidate> Candidates() const;
+  PlacementChoice ChooseTarget(Instant aNow) const;
   Task<CallEnd> CallTarget(const Candidate& aTarget);
   Task<CallEnd> TakeAnswer(TargetCall& aCall, const HttpResponse& aHead);
   Task<CallEnd> RelayEvents(TargetCall& aCall, const HttpResponse& aHead);
--- a/src/serving/ServingContext.h
+++ b/src/serving/ServingContext.h
@@ -6,11 +6,11 @@
 #include "catalog/CatalogHolder.h"
 #include "fleet/Fleet.h"
 #include "http/HttpClient.h"
+#include "placement/CandidateDirectory.h"
 #include "placement/DemandMeter.h"
 #include "placement/LoadBook.h"
 #include "placement/Placement.h"
 #include "placement/StallDetector.h"
-#include "replicas/ReplicaDirectory.h"
 #include "retry/RetryBudget.h"
 #include "serving/PlatformProtocol.h"
 
@@ -38,7 +38,7 @@
   Counters counters;
   CatalogHolder catalog;
   Fleet fleet;
-  ReplicaDirectory replicas;
+  CandidateDirectory candidates;
   /// Replicas that the planner found to have lost a member, as NAME/EPOCH.
   std::set<std::string> broken;
   LoadBook loads;
--- a/src/serving/ServingNode.cpp
+++ b/src/serving/ServingNode.cpp
@@ -104,7 +104,7 @@
     .catalog = CatalogHolder(CatalogHolder::Options{
       .proofLifetime = this->settings.serving->revokeBound - kProofMargin }),
     .fleet = Fleet(Fleet::Options{}),
-    .replicas = {},
+    .candidates = {},
     .loads = LoadBook(LoadBook::Options{}),
     .stalls = StallDetector(StallDetector::Options{}),
     .demand = DemandMeter(DemandMeter::Options{}),
@@ -250,7 +250,7 @@
 {
   const CatalogPointer& catalog = this->context.catalog.Current();
   if (catalog != nullptr) {
-    this->context.replicas.Rebuild(
+    this->context.candidates.Rebuild(
       catalog->Declared(), this->context.fleet, this->context.broken);
   }
   this->LeaveBrokenReplicas();
--- a/tests/ReplicaDirectoryTest.cpp
+++ b/tests/CandidateDirectoryTest.cpp
@@ -1,4 +1,4 @@
-#include "replicas/ReplicaDirectory.h"
+#include "placement/CandidateDirectory.h"
 
 #include <catch2/catch.hpp>
 #include <fmt/format.h>
@@ -35,14 +35,15 @@
   for (const TargetRecord& record : aRecords) {
     fleet.Put(record, kStart);
   }
-  ReplicaDirectory directory;
-  directory.Rebuild(OneService(), fleet, aBroken);
-  return directory.Serving("s", "m").size();
+  CandidateDirectory directory;
+  const Catalog catalog = OneService();
+  directory.Rebuild(catalog, fleet, aBroken);
+  return directory.Find(catalog.services.front(), "m").size();
 }
 
 } // namespace
 
-TEST_CASE("ReplicaDirectory lists replicas that are whole and open")
+TEST_CASE("CandidateDirectory lists replicas that are whole and open")
 {
   const TargetRecord head = Member(0, MemberState::kOpen);
   const TargetRecord other = Member(1, MemberState::kReady);
@@ -53,8 +54,9 @@
   CHECK(ServingCount({ head, other }, { "r/4" }) == 1);
 }
 
-TEST_CASE("ReplicaDirectory leaves out members of another epoch and heads that "
-          "leave")
+TEST_CASE(
+  "CandidateDirectory leaves out members of another epoch and heads that "
+  "leave")
 {
   const TargetRecord head = Member(0, MemberState::kOpen);
   TargetRecord older = Member(1, MemberState::kReady);
@@ -67,3 +69,17 @@
   member.leaving = true;
   CHECK(ServingCount({ head, member }) == 1);
 }
+
+TEST_CASE("CandidateDirectory lists all targets of a service without replicas")
+{
+  const Catalog catalog{ .version = 1, .services = { { .name = "s" } } };
+  Fleet fleet(Fleet::Options{});
+  fleet.Put({ .id = "a", .service = "s" }, kStart);
+  fleet.Put({ .id = "b", .service = "s", .leaving = true }, kStart);
+  fleet.Put({ .id = "c", .service = "other" }, kStart);
+  CandidateDirectory directory;
+  directory.Rebuild(catalog, fleet, {});
+  const auto& found = directory.Find(catalog.services.front(), "any");
+  REQUIRE(found.size() == 1);
+  CHECK(found.front().id == "a");
+}
--- a/tests/FleetTest.cpp
+++ b/tests/FleetTest.cpp
@@ -46,6 +46,26 @@
   CHECK_FALSE(fleet.ChangesSince(0, changed, gone));
 }
 
+TEST_CASE("Fleet does not remember gone targets for ever")
+{
+  Fleet fleet(Fleet::Options{ .goneKept = 10 });
+  fleet.Put(Target("stays", 1), kStart);
+  const std::uint64_t early = fleet.Sequence();
+  for (int i = 0; i < 20; ++i) {
+    const std::string id = "t" + std::to_string(i);
+    fleet.Put(Target(id, 2 + i), kStart);
+    fleet.Remove(id, kStart);
+  }
+  std::vector<TargetRecord> changed;
+  std::vector<std::string> gone;
+  // Who last asked before it was forgotten has to hear all there is.
+  CHECK_FALSE(fleet.ChangesSince(early, changed, gone));
+  const std::uint64_t late = fleet.Sequence();
+  fleet.Put(Target("new", 99), kStart);
+  REQUIRE(fleet.ChangesSince(late, changed, gone));
+  CHECK(changed.size() == 1);
+}
+
 TEST_CASE("Fleet waits for entries that lapsed during an outage")
 {
   Fleet fleet(Fleet::Options{ .returnGrace = seconds(2) });
