--- a/include/apricottrack/KeyValueStore.h
+++ b/include/apricottrack/KeyValueStore.h
@@ -67,6 +67,9 @@
   /// The remaining seconds, or kRefused where the lease has lapsed.
   virtual Task<Result<std::int64_t>> RenewLease(LeaseId aLease) = 0;
 
+  /// Ends a lease at once, and with it its keys.
+  virtual Task<Result<void>> EndLease(LeaseId aLease) = 0;
+
   /// Time between two reports of a watch, where each is a call of its own;
   /// others ignore it.
   virtual void PaceWatches(std::chrono::milliseconds) {}
--- a/src/kv/EtcdMessages.cpp
+++ b/src/kv/EtcdMessages.cpp
@@ -85,7 +85,7 @@
 }
 
 std::string
-KeepAliveBody(LeaseId aLease)
+LeaseBody(LeaseId aLease)
 {
   return json::serialize(json::object{ { "ID", std::to_string(aLease) } });
 }
--- a/src/kv/EtcdMessages.h
+++ b/src/kv/EtcdMessages.h
@@ -26,8 +26,9 @@
 SwapBody(const Swap& aSwap);
 std::string
 GrantBody(std::int64_t aTtlSeconds);
+/// Names a lease, to renew or to end it.
 std::string
-KeepAliveBody(LeaseId aLease);
+LeaseBody(LeaseId aLease);
 std::string
 WatchBody(std::string_view aPrefix, Revision aFrom);
 
--- a/src/kv/EtcdStore.cpp
+++ b/src/kv/EtcdStore.cpp
@@ -15,6 +15,7 @@
 const std::string kTxnPath = "/v3/kv/txn";
 const std::string kGrantPath = "/v3/lease/grant";
 const std::string kKeepAlivePath = "/v3/lease/keepalive";
+const std::string kRevokePath = "/v3/lease/revoke";
 const std::string kWatchPath = "/v3/watch";
 constexpr std::uint64_t kWatchBodyLimit = std::uint64_t{ 1 } << 40;
 
@@ -143,8 +144,7 @@
 Task<Result<std::int64_t>>
 EtcdStore::RenewLease(LeaseId aLease)
 {
-  auto text =
-    co_await this->Call(kKeepAlivePath, detail::KeepAliveBody(aLease));
+  auto text = co_await this->Call(kKeepAlivePath, detail::LeaseBody(aLease));
   if (!text) {
     co_return tl::unexpected(text.error());
   }
@@ -165,6 +165,16 @@
   co_return ttl;
 }
 
+Task<Result<void>>
+EtcdStore::EndLease(LeaseId aLease)
+{
+  const auto text = co_await this->Call(kRevokePath, detail::LeaseBody(aLease));
+  if (!text) {
+    co_return tl::unexpected(text.error());
+  }
+  co_return Result<void>{};
+}
+
 namespace {
 
 /// Hands each complete line of a watch stream to the callback; false once it
--- a/src/kv/EtcdStore.h
+++ b/src/kv/EtcdStore.h
@@ -9,8 +9,8 @@
 namespace apricottrack {
 
 /// The platform's service over etcd's version 3 JSON gateway: the paths
-/// /v3/kv/range, /v3/kv/txn, /v3/lease/grant, /v3/lease/keepalive and
-/// /v3/watch, with keys and values in base64.
+/// /v3/kv/range, /v3/kv/txn, /v3/lease/grant, /v3/lease/keepalive,
+/// /v3/lease/revoke and /v3/watch, with keys and values in base64.
 class EtcdStore final : public KeyValueStore
 {
 public:
@@ -31,6 +31,7 @@
   Task<Result<Revision>> CompareAndSwap(Swap aSwap) override;
   Task<Result<LeaseId>> GrantLease(std::int64_t aTtlSeconds) override;
   Task<Result<std::int64_t>> RenewLease(LeaseId aLease) override;
+  Task<Result<void>> EndLease(LeaseId aLease) override;
   Task<Error> Watch(std::string aPrefix,
                     Revision aFrom,
                     WatchCallback aCallback) override;
--- a/src/node/LeaseTask.cpp
+++ b/src/node/LeaseTask.cpp
@@ -1,5 +1,6 @@
 #include "node/LeaseTask.h"
 
+#include "base/Log.h"
 #include "http/HttpTypes.h"
 
 #include <boost/asio/co_spawn.hpp>
@@ -100,6 +101,10 @@
              .value = this->options.value,
              .lease = *granted };
   const auto swapped = co_await this->store.CompareAndSwap(std::move(swap));
+  if (swapped && this->released) {
+    co_await this->End(*granted);
+    co_return false;
+  }
   if (swapped) {
     this->lease = *granted;
     this->takenAt = *swapped;
@@ -107,6 +112,30 @@
   co_return swapped.has_value();
 }
 
+void
+LeaseTask::Release()
+{
+  this->released = true;
+  this->validUntil = Instant{};
+  const LeaseId held = std::exchange(this->lease, 0);
+  if (held != 0) {
+    asio::co_spawn(
+      this->executor,
+      [this, held]() -> Task<void> { co_await this->End(held); },
+      asio::detached);
+  }
+}
+
+Task<void>
+LeaseTask::End(LeaseId aLease)
+{
+  const auto ended = co_await this->store.EndLease(aLease);
+  if (!ended) {
+    // It lapses by itself.
+    LogLine("lease_not_ended").With(ended.error()).Info();
+  }
+}
+
 void
 LeaseTask::Abandon()
 {
--- a/src/node/LeaseTask.h
+++ b/src/node/LeaseTask.h
@@ -54,14 +54,15 @@
   /// Gives up a key that somebody else proved to hold.
   void Abandon();
 
-  /// Stops renewing, so that the key goes with its lease.
-  void Release() { this->released = true; }
+  /// Stops renewing and ends the lease, so that its key is free at once.
+  void Release();
 
 private:
   Task<void> Run();
   bool MayTry() const;
   Task<bool> Acquire();
   Task<bool> Renew();
+  Task<void> End(LeaseId aLease);
 
   boost::asio::any_io_executor executor;
   KeyValueStore& store;
--- a/src/serving/ServingNode.cpp
+++ b/src/serving/ServingNode.cpp
@@ -362,6 +362,7 @@
   }
   this->context.draining = true;
   this->planner.Release();
+  this->relay.Notify();
   this->callerServer->AskToReconnect();
   LogLine("node_draining")
     .With("in_flight", std::int64_t{ this->context.inFlight })
--- /dev/null
+++ b/tests/LeaseTaskTest.cpp
@@ -0,0 +1,112 @@
+#include "node/LeaseTask.h"
+
+#include <boost/asio/io_context.hpp>
+#include <catch2/catch.hpp>
+#include <set>
+
+using namespace apricottrack;
+
+namespace {
+
+/// One key under leases, without a network.
+class OneKeyStore final : public KeyValueStore
+{
+public:
+  Task<Result<KeyValue>> Get(std::string aKey) override
+  {
+    co_return KeyValue{ .key = std::move(aKey),
+                        .value = this->value,
+                        .revision = this->revision };
+  }
+
+  Task<Result<std::vector<KeyValue>>> List(std::string, Revision&) override
+  {
+    co_return std::vector<KeyValue>{};
+  }
+
+  Task<Result<Revision>> CompareAndSwap(Swap aSwap) override
+  {
+    if (aSwap.expected != this->revision) {
+      co_return Failure(ErrorCode::kConflict, "swap", "store", "taken");
+    }
+    this->value = std::move(aSwap.value);
+    this->revision = ++this->writes;
+    co_return this->revision;
+  }
+
+  Task<Result<LeaseId>> GrantLease(std::int64_t) override
+  {
+    this->leases.insert(++this->granted);
+    co_return this->granted;
+  }
+
+  Task<Result<std::int64_t>> RenewLease(LeaseId) override { co_return 1; }
+
+  Task<Result<void>> EndLease(LeaseId aLease) override
+  {
+    this->leases.erase(aLease);
+    this->revision = 0;
+    co_return Result<void>{};
+  }
+
+  Task<Error> Watch(std::string, Revision, WatchCallback) override
+  {
+    co_return Error{};
+  }
+
+  std::string value;
+  Revision revision = 0;
+  Revision writes = 0;
+  LeaseId granted = 0;
+  std::set<LeaseId> leases;
+};
+
+} // namespace
+
+TEST_CASE("LeaseTask frees its key at once when it is released")
+{
+  boost::asio::io_context context(1);
+  OneKeyStore store;
+  LeaseTask holder(context.get_executor(),
+                   store,
+                   { .key = "k", .value = "first", .ttlSeconds = 60 });
+  holder.Start();
+  context.run_for(milliseconds(50));
+  REQUIRE(holder.Holds(MonotonicNow()));
+  CHECK(holder.TakenAt() == 1);
+  std::string seen;
+  LeaseTask other(
+    context.get_executor(),
+    store,
+    { .key = "k",
+      .value = "second",
+      .ttlSeconds = 60,
+      .renewEvery = milliseconds(10),
+      .onHolder = [&](const std::string& aValue) { seen = aValue; } });
+  other.Start();
+  context.run_for(milliseconds(50));
+  CHECK(seen == "first");
+  CHECK_FALSE(other.NotKnownLost());
+  holder.Release();
+  context.run_for(milliseconds(100));
+  CHECK_FALSE(holder.Holds(MonotonicNow()));
+  CHECK(other.Holds(MonotonicNow()));
+  CHECK(other.TakenAt() > holder.TakenAt());
+  CHECK(store.leases.size() == 1);
+}
+
+TEST_CASE("LeaseTask takes nothing where it may only ask")
+{
+  boost::asio::io_context context(1);
+  OneKeyStore store;
+  LeaseTask asker(
+    context.get_executor(),
+    store,
+    { .key = "k", .value = "v", .renewEvery = milliseconds(10), .mayTake = [] {
+       return false;
+     } });
+  asker.Start();
+  context.run_for(milliseconds(50));
+  CHECK(store.writes == 0);
+  CHECK(store.granted == 0);
+}
--- a/tests/standins/KvStandin.cpp
+++ b/tests/standins/KvStandin.cpp
@@ -142,6 +142,9 @@
   if (aPath == "/v3/lease/keepalive") {
     return this->KeepAlive(aBody);
   }
+  if (aPath == "/v3/lease/revoke") {
+    return this->Revoke(aBody);
+  }
   return {};
 }
 
@@ -227,6 +230,17 @@
                                   { "TTL", std::to_string(ttl) } } } });
 }
 
+std::string
+KvStandin::Revoke(const json::object& aBody)
+{
+  const auto found = this->leases.find(NumberField(aBody, "ID"));
+  if (found != this->leases.end()) {
+    found->second.first = MonotonicNow();
+    this->ExpireLeases();
+  }
+  return json::serialize(json::object{ { "header", this->Header() } });
+}
+
 void
 KvStandin::ExpireLeases()
 {
--- a/tests/standins/KvStandin.h
+++ b/tests/standins/KvStandin.h
@@ -57,6 +57,7 @@
   std::string Txn(const boost::json::object& aBody, bool& aWrote);
   std::string Grant(const boost::json::object& aBody);
   std::string KeepAlive(const boost::json::object& aBody);
+  std::string Revoke(const boost::json::object& aBody);
   void Put(const std::string& aKey, std::string aValue, std::int64_t aLease);
   void ExpireLeases();
   Task<void> ExpireRegularly();
