--- a/src/routing/Router.cpp
+++ b/src/routing/Router.cpp
@@ -75,7 +75,7 @@
                Instant aNow,
                Random& aRandom)
 {
-  std::vector<Candidate> candidates;
+  std::vector<RoutingCandidate> candidates;
   std::vector<Entry*> entries;
   std::vector<Entry*> trials;
   const auto collect = [&](bool aIncludeTried) {
@@ -88,7 +88,7 @@
         trials.push_back(&entry);
         continue;
       }
-      candidates.push_back(Candidate{
+      candidates.push_back(RoutingCandidate{
         .identity = entry.identity,
         .reportedLoad = static_cast<double>(entry.target.reportedRequests) /
                         entry.target.slots,
--- a/src/routing/RoutingStrategy.cpp
+++ b/src/routing/RoutingStrategy.cpp
@@ -17,23 +17,23 @@
 constexpr double kZoneCost = 0.1;
 
 double
-Cost(const Candidate& aCandidate)
+Cost(const RoutingCandidate& aCandidate)
 {
   return aCandidate.estimatedLoad + (aCandidate.sameZone ? 0 : kZoneCost);
 }
 
 std::uint64_t
-Rank(std::uint64_t aPrefix, const Candidate& aCandidate)
+Rank(std::uint64_t aPrefix, const RoutingCandidate& aCandidate)
 {
   const std::uint64_t pair[2] = { aPrefix, aCandidate.identity };
   return StableHash({ reinterpret_cast<const char*>(pair), sizeof pair });
 }
 
 double
-LoadBound(std::span<const Candidate> aCandidates)
+LoadBound(std::span<const RoutingCandidate> aCandidates)
 {
   double total = 0;
-  for (const Candidate& candidate : aCandidates) {
+  for (const RoutingCandidate& candidate : aCandidates) {
     total += candidate.estimatedLoad;
   }
   return kImbalanceFactor * total / static_cast<double>(aCandidates.size()) +
@@ -41,7 +41,7 @@
 }
 
 std::size_t
-LighterOfTwo(std::span<const Candidate> aCandidates, Random& aRandom)
+LighterOfTwo(std::span<const RoutingCandidate> aCandidates, Random& aRandom)
 {
   std::uniform_int_distribution<std::size_t> any(0, aCandidates.size() - 1);
   const std::size_t first = any(aRandom);
@@ -52,7 +52,7 @@
 class AffinityStrategy final : public RoutingStrategy
 {
 public:
-  std::size_t Pick(std::span<const Candidate> aCandidates,
+  std::size_t Pick(std::span<const RoutingCandidate> aCandidates,
                    const RouteKey& aKey,
                    Random& aRandom) override
   {
@@ -78,7 +78,7 @@
 class RoundRobinStrategy final : public RoutingStrategy
 {
 public:
-  std::size_t Pick(std::span<const Candidate> aCandidates,
+  std::size_t Pick(std::span<const RoutingCandidate> aCandidates,
                    const RouteKey& /*aKey*/,
                    Random& /*aRandom*/) override
   {
@@ -92,16 +92,16 @@
 class LeastReportedLoadStrategy final : public RoutingStrategy
 {
 public:
-  std::size_t Pick(std::span<const Candidate> aCandidates,
+  std::size_t Pick(std::span<const RoutingCandidate> aCandidates,
                    const RouteKey& /*aKey*/,
                    Random& /*aRandom*/) override
   {
-    const auto least =
-      std::min_element(aCandidates.begin(),
-                       aCandidates.end(),
-                       [](const Candidate& aLeft, const Candidate& aRight) {
-                         return aLeft.reportedLoad < aRight.reportedLoad;
-                       });
+    const auto least = std::min_element(
+      aCandidates.begin(),
+      aCandidates.end(),
+      [](const RoutingCandidate& aLeft, const RoutingCandidate& aRight) {
+        return aLeft.reportedLoad < aRight.reportedLoad;
+      });
     return static_cast<std::size_t>(least - aCandidates.begin());
   }
 };
--- a/src/routing/RoutingStrategy.h
+++ b/src/routing/RoutingStrategy.h
@@ -13,7 +13,7 @@
 using Random = std::mt19937_64;
 
 /// One target that may take a request now.
-struct Candidate
+struct RoutingCandidate
 {
   /// Stable hash of the target's identity.
   std::uint64_t identity = 0;
@@ -38,7 +38,7 @@
   virtual ~RoutingStrategy() = default;
 
   /// Index of the chosen candidate; the span is never empty.
-  virtual std::size_t Pick(std::span<const Candidate> aCandidates,
+  virtual std::size_t Pick(std::span<const RoutingCandidate> aCandidates,
                            const RouteKey& aKey,
                            Random& aRandom) = 0;
 };
