Keep large replicas: donors, members the store lost, paced checks, large leads

CheckPacer bounds the checks of a replica; a request that has not begun is doubted later. Members that answer serve on, and the planner vouches for them; a head in that state hands over to another member. - A model that few ask for had no measured demand for some seconds more. - A planner on a VM with 0.12 cores took unread reports for dead targets and dissolved the fleet; small VMs now wait for large ones, and a planner whose own rounds run late blames nobody. A follower that leads knows its entries.

--- a/src/fleet/FleetMessages.h
+++ b/src/fleet/FleetMessages.h
@@ -44,6 +44,8 @@
   std::vector<std::string> gone;
   /// Replicas with a lost member, as NAME/EPOCH.
   std::vector<std::string> broken;
+  /// Replicas that are whole although the store does not list all members.
+  std::vector<std::string> vouched;
   /// Nodes that ask, the sender included.
   int nodes = 0;
 
--- a/src/membership/FleetPacking.cpp
+++ b/src/membership/FleetPacking.cpp
@@ -129,6 +129,7 @@
   }
   const TextOffsets gone = PackTexts(aBuilder, aMessage.gone);
   const TextOffsets broken = PackTexts(aBuilder, aMessage.broken);
+  const TextOffsets vouched = PackTexts(aBuilder, aMessage.vouched);
   return wire::CreateFleetAnswerDirect(
            aBuilder,
            aMessage.source.c_str(),
@@ -141,6 +142,7 @@
            &targets,
            &gone,
            &broken,
+           &vouched,
            static_cast<std::uint32_t>(std::max(0, aMessage.nodes)))
     .Union();
 }
@@ -188,6 +190,7 @@
                       .targets = {},
                       .gone = TextsOf(aBody.gone()),
                       .broken = TextsOf(aBody.broken()),
+                      .vouched = TextsOf(aBody.vouched()),
                       .nodes = static_cast<int>(aBody.nodes()) };
   if (aBody.targets() != nullptr) {
     for (const wire::TargetState* const target : *aBody.targets()) {
--- a/src/placement/CandidateDirectory.cpp
+++ b/src/placement/CandidateDirectory.cpp
@@ -27,13 +27,14 @@
 void
 CandidateDirectory::Rebuild(const Catalog& aCatalog,
                             const Fleet& aFleet,
-                            const std::set<std::string>& aBroken)
+                            const std::set<std::string>& aBroken,
+                            const std::set<std::string>& aVouched)
 {
   this->byService.clear();
   for (const CatalogService& service : aCatalog.services) {
     ByModel& models = this->byService[service.name];
     if (service.engine) {
-      models = Heads(service, aFleet, aBroken);
+      models = Heads(service, aFleet, aBroken, aVouched);
     } else {
       models.emplace("", PlainTargets(service, aFleet));
     }
@@ -56,7 +57,8 @@
 CandidateDirectory::ByModel
 CandidateDirectory::Heads(const CatalogService& aService,
                           const Fleet& aFleet,
-                          const std::set<std::string>& aBroken)
+                          const std::set<std::string>& aBroken,
+                          const std::set<std::string>& aVouched)
 {
   std::map<std::tuple<std::string, std::int64_t>, Sighting> sightings;
   for (const auto& [id, record] : aFleet.All()) {
@@ -80,7 +82,8 @@
     }
     const ReplicaModel* const model = FindModel(aService, head->model);
     if (model != nullptr &&
-        sighting.ranks.size() == static_cast<std::size_t>(model->size)) {
+        (sighting.ranks.size() == static_cast<std::size_t>(model->size) ||
+         aVouched.contains(ReplicaKey(*head->membership)))) {
       heads[model->name].push_back(CandidateOf(*head));
     }
   }
--- a/src/placement/CandidateDirectory.h
+++ b/src/placement/CandidateDirectory.h
@@ -15,14 +15,17 @@
 
 /// The targets that take requests, by service and model, judged by their own
 /// entries. Of a replica that is the head, if it is open and each rank of the
-/// same epoch is there. Rebuilt when an entry changes, not for each request.
+/// same epoch is there; the planner vouches for members that the store lost.
+/// Rebuilt when an entry changes, not for each request.
 class CandidateDirectory
 {
 public:
-  /// `aBroken`: replicas with a lost member, by their keys.
+  /// `aBroken`: replicas with a lost member, by their keys. `aVouched`: those
+  /// whose members are all there, listed or not.
   void Rebuild(const Catalog& aCatalog,
                const Fleet& aFleet,
-               const std::set<std::string>& aBroken);
+               const std::set<std::string>& aBroken,
+               const std::set<std::string>& aVouched);
 
   /// Empty where nothing serves. A service without replicas has one list,
   /// whatever model a request names.
@@ -36,7 +39,8 @@
                                              const Fleet& aFleet);
   static ByModel Heads(const CatalogService& aService,
                        const Fleet& aFleet,
-                       const std::set<std::string>& aBroken);
+                       const std::set<std::string>& aBroken,
+                       const std::set<std::string>& aVouched);
 
   std::map<std::string, ByModel, std::less<>> byService;
 };
--- a/src/placement/DemandMeter.cpp
+++ b/src/placement/DemandMeter.cpp
@@ -21,9 +21,9 @@
                        int aOutputTokens,
                        Instant aNow)
 {
+  this->startedAt = this->startedAt.value_or(aNow);
   Entry& entry =
-    this->entries
-      .try_emplace(aModel, Entry{ .fadedAt = aNow, .startedAt = aNow })
+    this->entries.try_emplace(aModel, Entry{ .sums = {}, .fadedAt = aNow })
       .first->second;
   this->Fade(entry, aNow);
   entry.sums.requests += 1;
@@ -36,15 +36,15 @@
 {
   ModelDemands demands;
   const double memory = ToSeconds(this->options.memory);
+  const double age = this->startedAt ? ToSeconds(aNow - *this->startedAt) : 0;
+  if (age < memory) {
+    return demands;
+  }
   for (const auto& [model, kept] : this->entries) {
     Entry entry = kept;
     this->Fade(entry, aNow);
     // A mean that began a short while ago has not filled up yet.
-    const double age = ToSeconds(aNow - entry.startedAt);
     const double window = memory * (1 - std::exp(-age / memory));
-    if (age < memory) {
-      continue;
-    }
     demands[model] = { .requests = entry.sums.requests / window,
                        .promptTokens = entry.sums.promptTokens / window,
                        .outputTokens = entry.sums.outputTokens / window };
--- a/src/placement/DemandMeter.h
+++ b/src/placement/DemandMeter.h
@@ -3,6 +3,7 @@
 
 #include "engine/ReplicaBudget.h"
 
+#include <optional>
 #include <string>
 
 namespace apricottrack {
@@ -34,13 +35,15 @@
   {
     ModelDemand sums;
     Instant fadedAt;
-    Instant startedAt;
   };
 
   void Fade(Entry& aEntry, Instant aNow) const;
 
   Options options;
   std::map<std::string, Entry, std::less<>> entries;
+  /// When the first request for any model came. A model that few ask for would
+  /// otherwise seem to have no demand for longer than the others.
+  std::optional<Instant> startedAt;
 };
 
 } // namespace apricottrack
--- a/src/placement/StallDetector.cpp
+++ b/src/placement/StallDetector.cpp
@@ -26,6 +26,10 @@
 Duration
 StallDetector::DoubtAfter(const Entry& aEntry, Instant aNow) const
 {
+  if (aEntry.streaming == 0) {
+    // What has not begun may wait for its turn.
+    return this->options.mostDoubt;
+  }
   return std::clamp(
     FromSeconds(this->options.doubtFactor * this->FadedPeak(aEntry, aNow)),
     this->options.leastDoubt,
--- /dev/null
+++ b/src/replicas/FleetConversions.cpp
@@ -0,0 +1,225 @@
+#include "replicas/FleetPlanningRound.h"
+
+#include <algorithm>
+
+// The part of FleetPlanningRound that takes targets from one model to another.
+// Answers demand that has moved, and the loss of whole fabric domains, where
+// small replicas come back sooner than large ones and would stay.
+namespace apricottrack {
+
+bool
+FleetPlanningRound::HasStopped(const PlannedReplica& aReplica) const
+{
+  const std::string& headId = aReplica.members.front();
+  const PlannerMember* const head = this->Find(headId);
+  const Membership* const membership =
+    this->CurrentMembership(aReplica, headId);
+  return head == nullptr || head->silent || membership == nullptr ||
+         (membership->state != MemberState::kOpen &&
+          membership->state != MemberState::kClosing);
+}
+
+bool
+FleetPlanningRound::AwaitsDonors(const PlannedReplica& aReplica) const
+{
+  return std::any_of(this->planner.replicas.begin(),
+                     this->planner.replicas.end(),
+                     [&](const auto& aEntry) {
+                       return aEntry.second.givesTo == aReplica.name &&
+                              aEntry.second.phase == ReplicaPhase::kClosing &&
+                              !aReplica.nextModel.empty() &&
+                              !this->HasStopped(aEntry.second);
+                     });
+}
+
+bool
+FleetPlanningRound::IsLoose(const PlannedReplica& aReplica) const
+{
+  const Membership* const head =
+    this->CurrentMembership(aReplica, aReplica.members.front());
+  return head != nullptr && head->state == MemberState::kReady &&
+         !this->Find(aReplica.members.front())->silent;
+}
+
+bool
+FleetPlanningRound::IsAwaited(const PlannedReplica& aReplica) const
+{
+  const auto taker = this->planner.replicas.find(aReplica.givesTo);
+  return !aReplica.givesTo.empty() && taker != this->planner.replicas.end() &&
+         !taker->second.nextModel.empty();
+}
+
+std::vector<std::string>
+FleetPlanningRound::UsableFor(const PlannedReplica& aReplica,
+                              const ReplicaModel& aModel) const
+{
+  std::vector<std::string> usable;
+  for (const std::string& id : aReplica.members) {
+    if (this->IsUsable(id) &&
+        this->WarmthOf(this->Find(id)->record, aModel.name) != Warmth::kCold) {
+      usable.push_back(id);
+    }
+  }
+  return usable;
+}
+
+std::optional<FleetPlanningRound::Conversion>
+FleetPlanningRound::FindConversion(const ReplicaModel& aModel,
+                                   const ReplicaModel& aOther,
+                                   int aReplicas,
+                                   const std::string& aDomain,
+                                   const std::vector<std::string>& aKept) const
+{
+  int missing = aModel.size - static_cast<int>(aKept.size());
+  std::vector<std::pair<int, std::string>> donors;
+  for (const auto& [name, replica] : this->planner.replicas) {
+    if (replica.model == aOther.name && replica.domain == aDomain &&
+        replica.phase == ReplicaPhase::kServing) {
+      donors.emplace_back(this->UsableFor(replica, aModel).size(), name);
+    }
+  }
+  std::stable_sort(
+    donors.begin(), donors.end(), [](const auto& aLeft, const auto& aRight) {
+      return aLeft.first > aRight.first;
+    });
+  Conversion conversion;
+  for (const auto& [members, name] : donors) {
+    if (missing <= 0) {
+      break;
+    }
+    missing -= members;
+    conversion.donors.push_back(name);
+  }
+  if (missing > 0 || conversion.donors.empty()) {
+    return std::nullopt;
+  }
+  const int left =
+    this->ReplicasOf(aOther.name) - static_cast<int>(conversion.donors.size());
+  const auto& options = this->planner.options;
+  double most = options.convertMargin * this->StrainOf(aModel, aReplicas);
+  if (conversion.donors.size() > 1) {
+    // Several replicas that stop for one must hardly be missed.
+    most = std::min(most, options.calmStrain);
+  }
+  return this->StrainOf(aOther, left) < most ? std::optional(conversion)
+                                             : std::nullopt;
+}
+
+void
+FleetPlanningRound::StopDonors(const Conversion& aConversion,
+                               const std::string& aReplica,
+                               OrderKind aHow)
+{
+  for (const std::string& name : aConversion.donors) {
+    PlannedReplica& donor = this->planner.replicas.at(name);
+    donor.givesTo = name == aReplica ? std::string{} : aReplica;
+    donor.phase = ReplicaPhase::kClosing;
+    donor.since = this->now;
+    this->Give(aHow, donor, donor.members.front());
+  }
+}
+
+void
+FleetPlanningRound::Rebalance()
+{
+  if (this->now - this->planner.convertedAt <
+        this->planner.options.convertEvery ||
+      this->engine.models.size() < 2) {
+    return;
+  }
+  const auto strain = [&](const ReplicaModel& aModel) {
+    return this->StrainOf(aModel, this->ReplicasOf(aModel.name));
+  };
+  const auto [easiest, worst] =
+    std::minmax_element(this->engine.models.begin(),
+                        this->engine.models.end(),
+                        [&](const ReplicaModel& aL, const ReplicaModel& aR) {
+                          return strain(aL) < strain(aR);
+                        });
+  if (strain(*worst) <= 1) {
+    return;
+  }
+  std::set<std::string> domains;
+  for (const auto& [id, member] : this->view.members) {
+    domains.insert(member.record.fabricDomain);
+  }
+  std::optional<Conversion> best;
+  for (const std::string& domain : domains) {
+    const auto found = this->FindConversion(*worst,
+                                            *easiest,
+                                            this->ReplicasOf(worst->name),
+                                            domain,
+                                            this->FreeIn(domain, worst->name));
+    if (found && (!best || found->donors.size() < best->donors.size())) {
+      best = found;
+    }
+  }
+  if (best) {
+    this->planner.convertedAt = this->now;
+    this->StopDonors(*best, best->donors.front(), OrderKind::kCloseGently);
+    this->planner.replicas.at(best->donors.front()).nextModel = worst->name;
+  }
+}
+
+bool
+FleetPlanningRound::RepairFromDonors(PlannedReplica& aReplica)
+{
+  const ReplicaModel& model = this->ModelOf(aReplica);
+  std::vector<std::string> kept = this->UsableFor(aReplica, model);
+  for (std::string& id : this->FreeIn(aReplica.domain, model.name)) {
+    kept.push_back(std::move(id));
+  }
+  std::optional<Conversion> conversion;
+  for (const ReplicaModel& other : this->engine.models) {
+    if (!conversion && other.name != model.name) {
+      conversion = this->FindConversion(
+        model, other, this->ReplicasOf(model.name) - 1, aReplica.domain, kept);
+    }
+  }
+  if (!conversion) {
+    return false;
+  }
+  // The survivors stand idle meanwhile, and what is cut goes on elsewhere.
+  this->StopDonors(*conversion, aReplica.name, OrderKind::kCloseNow);
+  this->Dissolve(aReplica);
+  aReplica.nextModel = model.name;
+  return true;
+}
+
+bool
+FleetPlanningRound::FinishConversion(PlannedReplica& aReplica)
+{
+  const ReplicaModel* const model =
+    FindModel(this->view.service, aReplica.nextModel);
+  aReplica.nextModel.clear();
+  if (model == nullptr) {
+    return false;
+  }
+  std::vector<std::string> members = this->UsableFor(aReplica, *model);
+  const auto add = [&](const std::vector<std::string>& aMore) {
+    members.insert(members.end(), aMore.begin(), aMore.end());
+  };
+  add(this->FreeIn(aReplica.domain, model->name));
+  for (const auto& [name, donor] : this->planner.replicas) {
+    if (donor.givesTo == aReplica.name && this->IsLoose(donor)) {
+      add(this->UsableFor(donor, *model));
+    }
+  }
+  const auto size = static_cast<std::size_t>(model->size);
+  if (members.size() < size) {
+    return false;
+  }
+  members.resize(size);
+  std::erase_if(this->planner.replicas, [&](const auto& aEntry) {
+    const bool given = aEntry.second.givesTo == aReplica.name;
+    if (given) {
+      this->Release(aEntry.second);
+    }
+    return given;
+  });
+  aReplica.model = model->name;
+  this->BeginJoin(aReplica, std::move(members));
+  return true;
+}
+
+} // namespace apricottrack
--- a/src/replicas/FleetForming.cpp
+++ b/src/replicas/FleetForming.cpp
@@ -13,7 +13,12 @@
   return static_cast<int>(std::count_if(
     this->planner.replicas.begin(),
     this->planner.replicas.end(),
-    [&](const auto& aEntry) { return aEntry.second.model == aModel; }));
+    [&](const auto& aEntry) {
+      const PlannedReplica& replica = aEntry.second;
+      const std::string& model =
+        replica.nextModel.empty() ? replica.model : replica.nextModel;
+      return replica.givesTo.empty() && model == aModel;
+    }));
 }
 
 std::vector<const ReplicaModel*>
@@ -113,87 +118,6 @@
   return EngineCost(this->engine, aModel).Strain(demand->second, aReplicas);
 }
 
-std::vector<std::string>
-FleetPlanningRound::ConversionMembers(const PlannedReplica& aReplica,
-                                      const ReplicaModel& aModel) const
-{
-  std::vector<std::string> members;
-  for (const std::string& id : aReplica.members) {
-    if (this->IsUsable(id) &&
-        this->WarmthOf(this->Find(id)->record, aModel.name) != Warmth::kCold) {
-      members.push_back(id);
-    }
-  }
-  for (const std::string& id : this->FreeIn(aReplica.domain, aModel.name)) {
-    members.push_back(id);
-  }
-  const auto size = static_cast<std::size_t>(aModel.size);
-  if (members.size() < size) {
-    return {};
-  }
-  members.resize(size);
-  return members;
-}
-
-bool
-FleetPlanningRound::CanConvert(const PlannedReplica& aReplica,
-                               const ReplicaModel& aModel) const
-{
-  return aReplica.phase == ReplicaPhase::kServing &&
-         !this->ConversionMembers(aReplica, aModel).empty();
-}
-
-void
-FleetPlanningRound::Rebalance()
-{
-  if (this->now - this->planner.convertedAt <
-        this->planner.options.convertEvery ||
-      this->engine.models.size() < 2) {
-    return;
-  }
-  const auto strain = [&](const ReplicaModel& aModel, int aMore) {
-    return this->StrainOf(aModel, this->ReplicasOf(aModel.name) + aMore);
-  };
-  const auto worse = [&](const ReplicaModel& aL, const ReplicaModel& aR) {
-    return strain(aL, 0) < strain(aR, 0);
-  };
-  const auto [best, worst] = std::minmax_element(
-    this->engine.models.begin(), this->engine.models.end(), worse);
-  const double present = strain(*worst, 0);
-  if (present <= 1 ||
-      strain(*best, -1) >= present * this->planner.options.convertMargin) {
-    return;
-  }
-  for (auto& [name, replica] : this->planner.replicas) {
-    if (replica.model == best->name && this->CanConvert(replica, *worst)) {
-      this->planner.convertedAt = this->now;
-      replica.nextModel = worst->name;
-      replica.phase = ReplicaPhase::kClosing;
-      replica.since = this->now;
-      this->Give(OrderKind::kCloseGently, replica, replica.members.front());
-      return;
-    }
-  }
-}
-
-bool
-FleetPlanningRound::FinishConversion(PlannedReplica& aReplica)
-{
-  const ReplicaModel* const model =
-    FindModel(this->view.service, aReplica.nextModel);
-  aReplica.nextModel.clear();
-  if (model == nullptr) {
-    return false;
-  }
-  std::vector<std::string> members = this->ConversionMembers(aReplica, *model);
-  if (members.empty()) {
-    return false;
-  }
-  aReplica.model = model->name;
-  this->BeginJoin(aReplica, std::move(members));
-  return true;
-}
-
 bool
 FleetPlanningRound::FormOne(const ReplicaModel& aModel)
 {
--- a/src/replicas/FleetPlanner.cpp
+++ b/src/replicas/FleetPlanner.cpp
@@ -31,6 +31,26 @@
   return keys;
 }
 
+std::set<std::string>
+FleetPlanner::Vouched(const PlannerMembers& aMembers) const
+{
+  std::set<std::string> vouched;
+  for (const auto& [name, replica] : this->replicas) {
+    bool answers = replica.phase == ReplicaPhase::kServing;
+    bool listed = true;
+    for (const std::string& id : replica.members) {
+      const auto found = aMembers.find(id);
+      answers = answers && found != aMembers.end() && !found->second.silent;
+      listed = listed && found != aMembers.end() && found->second.listed;
+    }
+    if (answers && !listed) {
+      vouched.insert(
+        ReplicaKey({ .replica = replica.name, .epoch = replica.epoch }));
+    }
+  }
+  return vouched;
+}
+
 std::string
 FleetPlanner::DescribeFree(const PlannerMembers& aMembers) const
 {
--- a/src/replicas/FleetPlanner.h
+++ b/src/replicas/FleetPlanner.h
@@ -22,7 +22,7 @@
   TargetRecord record;
   /// Does not answer when it is asked.
   bool silent = false;
-  /// Its entry is in the store; without it no node sends to its replica.
+  /// Its entry is in the store; without it, no node sends requests to it.
   bool listed = true;
 
   bool IsUsable() const { return !this->silent && !this->record.leaving; }
@@ -69,8 +69,10 @@
   Instant since;
   /// Its head was told to serve, and has not been seen to: it may do so yet.
   bool opening = false;
-  /// Model that its members are to serve next; empty unless it is converted.
+  /// Model that it is to serve next; empty unless it is converted.
   std::string nextModel;
+  /// Replica that its members go to once it has stopped; mostly empty.
+  std::string givesTo;
 
   friend bool operator==(const PlannedReplica&,
                          const PlannedReplica&) = default;
@@ -93,14 +95,17 @@
     Duration settle = milliseconds(1200);
     /// Added to the expected time of an order before it is given again.
     Duration orderSlack = milliseconds(1200);
-    /// Loads at a time, of all that run, beside which a further model is
-    /// staged on a host.
-    int stagingLoads = 1;
+    /// Of the loads that may run at a time, those that are left to targets
+    /// without weights while further models are staged on hosts. Without
+    /// staging, a model that lost replicas could not get them back from others.
+    int loadsKept = 6;
     /// Strain of a model from which on spares are of more use in replicas.
     double shortStrain = 1.25;
     /// A model gives up a replica to another one only if it is then still
     /// this much better off.
     double convertMargin = 0.75;
+    /// Below this strain nearly all answers are in time.
+    double calmStrain = 0.7;
     /// Between two conversions, for the effect of the first to show.
     Duration convertEvery = milliseconds(1500);
     /// How long nodes are told of a broken list of members; by then they know
@@ -121,6 +126,10 @@
   /// Lists of members, as NAME/EPOCH, that lost a member a short while ago.
   std::set<std::string> Broken(Instant aNow) const;
 
+  /// Serving replicas, as NAME/EPOCH, whose members all answer although the
+  /// store does not list all of them.
+  std::set<std::string> Vouched(const PlannerMembers& aMembers) const;
+
   /// Free targets by fabric domain, those that hold no weights after a plus
   /// sign: "2+1,0+0".
   std::string DescribeFree(const PlannerMembers& aMembers) const;
--- a/src/replicas/FleetPlanningRound.cpp
+++ b/src/replicas/FleetPlanningRound.cpp
@@ -277,9 +277,10 @@
 FleetPlanningRound::AdvanceJoining(PlannedReplica& aReplica)
 {
   const bool usable =
+    this->IsUsable(aReplica.members.front()) &&
     std::all_of(aReplica.members.begin(),
                 aReplica.members.end(),
-                [&](const auto& aId) { return this->IsUsable(aId); });
+                [&](const auto& aId) { return this->MayBelong(aId); });
   const bool whole = aReplica.members.size() ==
                      static_cast<std::size_t>(this->ModelOf(aReplica).size);
   if (!usable || !whole) {
@@ -338,7 +339,7 @@
   const bool serving = head != nullptr && head->state == MemberState::kOpen;
   if (!serving || !this->IsIntact(aReplica)) {
     this->MarkBroken(aReplica);
-    if (!this->Repair(aReplica)) {
+    if (!this->Repair(aReplica) && !this->RepairFromDonors(aReplica)) {
       this->Dissolve(aReplica);
     }
     return;
@@ -354,39 +355,44 @@
 bool
 FleetPlanningRound::MayServeOn(const PlannedReplica& aReplica) const
 {
-  int usable = 0;
+  int belonging = 0;
   for (const std::string& id : aReplica.members) {
-    const PlannerMember* const member = this->Find(id);
-    if (member == nullptr || !member->listed) {
-      return false;
-    }
-    usable += member->IsUsable() ? 1 : 0;
+    belonging += this->MayBelong(id) ? 1 : 0;
   }
+  const int size = this->ModelOf(aReplica).size;
   const auto spares = this->FreeIn(aReplica.domain, aReplica.model).size();
   return this->IsUsable(aReplica.members.front()) &&
-         usable + static_cast<int>(spares) < this->ModelOf(aReplica).size;
+         (belonging == size || belonging + static_cast<int>(spares) < size);
+}
+
+bool
+FleetPlanningRound::MayBelong(std::string_view aId) const
+{
+  const PlannerMember* const member = this->Find(aId);
+  return member != nullptr && !member->silent &&
+         (!member->record.leaving || !member->listed);
 }
 
 bool
 FleetPlanningRound::AdvanceClosing(PlannedReplica& aReplica)
 {
-  const std::string& headId = aReplica.members.front();
-  const PlannerMember* const head = this->Find(headId);
-  const Membership* const membership =
-    this->CurrentMembership(aReplica, headId);
-  const bool running = head != nullptr && !head->silent &&
-                       membership != nullptr &&
-                       (membership->state == MemberState::kOpen ||
-                        membership->state == MemberState::kClosing);
+  const bool running = !this->HasStopped(aReplica);
   if (running &&
       this->now - aReplica.since < this->planner.options.gentleClose) {
     return false;
   }
   if (running) {
     aReplica.since = this->now;
-    this->Give(OrderKind::kCloseNow, aReplica, headId);
+    this->Give(OrderKind::kCloseNow, aReplica, aReplica.members.front());
     return false;
   }
+  if (this->AwaitsDonors(aReplica) || this->IsAwaited(aReplica)) {
+    return false;
+  }
+  if (!aReplica.givesTo.empty()) {
+    this->Release(aReplica);
+    return true;
+  }
   if (this->FinishConversion(aReplica) || this->Repair(aReplica)) {
     return false;
   }
@@ -420,6 +426,12 @@
       members.push_back(id);
     }
   }
+  // Cut off from the store they can serve, but not take requests.
+  for (const std::string& id : aReplica.members) {
+    if (members.size() < size && !this->IsUsable(id) && this->MayBelong(id)) {
+      members.push_back(id);
+    }
+  }
   if (members.size() < size) {
     return false;
   }
--- a/src/replicas/FleetPlanningRound.h
+++ b/src/replicas/FleetPlanningRound.h
@@ -3,6 +3,7 @@
 
 #include "replicas/FleetPlanner.h"
 
+#include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -46,6 +47,9 @@
   bool AllReady(const PlannedReplica& aReplica) const;
   bool IsIntact(const PlannedReplica& aReplica) const;
   bool AnyLeaving(const PlannedReplica& aReplica) const;
+  /// The target can be a member: it is usable, or answers although the store
+  /// does not list it. The latter is no reason to disturb what runs.
+  bool MayBelong(std::string_view aId) const;
   /// A member leaves, but stays while the head has work, and nothing is there
   /// to replace it.
   bool MayServeOn(const PlannedReplica& aReplica) const;
@@ -100,19 +104,53 @@
   const ReplicaModel& SpareModelFor(const TargetRecord& aRecord) const;
   int ReplicasOf(std::string_view aModel) const;
   /// Replicas of any model, from targets that stand idle while a model is
-  /// short that they cannot serve; another replica can then be converted.
+  /// short that they cannot serve; others can then be converted.
   void FormSubstitutes();
-  /// Converts one replica of the model that is best off to the model that is
-  /// worst off, if that evens them out.
-  void Rebalance();
   double StrainOf(const ReplicaModel& aModel, int aReplicas) const;
-  /// The members of a replica and free targets of its domain could serve the
-  /// model soon.
-  bool CanConvert(const PlannedReplica& aReplica,
-                  const ReplicaModel& aModel) const;
-  /// The members for the replica's next model; empty if they do not suffice.
-  std::vector<std::string> ConversionMembers(const PlannedReplica& aReplica,
-                                             const ReplicaModel& aModel) const;
+
+  /// Replicas of one fabric domain that would stop for a replica of another
+  /// model.
+  struct Conversion
+  {
+    std::vector<std::string> donors;
+
+    friend bool operator==(const Conversion&, const Conversion&) = default;
+  };
+
+  /// Converts replicas of the model that is best off to one of the model that
+  /// is worst off, in the domain where the fewest have to stop, if that evens
+  /// the models out.
+  void Rebalance();
+  /// The fewest donors of the other model whose members and `aKept`, the
+  /// domain's free targets included, suffice for one more than `aReplicas` of
+  /// the model. None where they do not, or where the other model would then be
+  /// hardly better off.
+  std::optional<Conversion> FindConversion(
+    const ReplicaModel& aModel,
+    const ReplicaModel& aOther,
+    int aReplicas,
+    const std::string& aDomain,
+    const std::vector<std::string>& aKept) const;
+  /// Members of the replica that could serve the model soon.
+  std::vector<std::string> UsableFor(const PlannedReplica& aReplica,
+                                     const ReplicaModel& aModel) const;
+  /// Tells the donors to stop, for their members to go to the replica.
+  void StopDonors(const Conversion& aConversion,
+                  const std::string& aReplica,
+                  OrderKind aHow);
+  /// Completes a replica that lost members from others of its domain; false
+  /// if that is not possible or not worth it.
+  bool RepairFromDonors(PlannedReplica& aReplica);
+  /// The head has stopped, or cannot be told to.
+  bool HasStopped(const PlannedReplica& aReplica) const;
+  /// Its head says that it does not count on the members.
+  bool IsLoose(const PlannedReplica& aReplica) const;
+  /// A donor of the replica still runs.
+  bool AwaitsDonors(const PlannedReplica& aReplica) const;
+  /// What the replica gives its members to still waits for them.
+  bool IsAwaited(const PlannedReplica& aReplica) const;
+  /// Joins the replica's members, its donors' and free ones for its next
+  /// model; false if they do not suffice.
   bool FinishConversion(PlannedReplica& aReplica);
   void BeginJoin(PlannedReplica& aReplica, std::vector<std::string> aMembers);
   void OrderJoins(const PlannedReplica& aReplica, bool aOnlyMissing);
--- a/src/replicas/FleetSpares.cpp
+++ b/src/replicas/FleetSpares.cpp
@@ -123,9 +123,10 @@
     }
   }
   // Targets that come later must not find the weight store busy.
-  if (waiting ||
-      (!this->view.beforeTraffic && this->planner.loads.Running(this->now) >=
-                                      this->planner.options.stagingLoads)) {
+  const int limit =
+    std::max(1, this->engine.concurrentLoads - this->planner.options.loadsKept);
+  if (waiting || (!this->view.beforeTraffic &&
+                  this->planner.loads.Running(this->now) >= limit)) {
     return;
   }
   for (const auto& [id, member] : this->view.members) {
--- a/src/serving/FleetRelay.cpp
+++ b/src/serving/FleetRelay.cpp
@@ -143,6 +143,8 @@
   answer.nodes = this->planner.NodeCount(aNow);
   answer.broken.assign(this->context.broken.begin(),
                        this->context.broken.end());
+  answer.vouched.assign(this->context.vouched.begin(),
+                        this->context.vouched.end());
   const std::uint64_t since =
     aQuestion.source == this->source ? aQuestion.sequence : 0;
   if (!this->context.fleet.ChangesSince(since, answer.targets, answer.gone)) {
--- a/src/serving/FleetTask.cpp
+++ b/src/serving/FleetTask.cpp
@@ -106,7 +106,9 @@
     this->reachable = false;
     co_return 0;
   }
-  if (!this->reachable && this->firstListedAt) {
+  const bool knewTargets = !this->context.fleet.All().empty();
+  if (!this->reachable && (this->firstListedAt || knewTargets)) {
+    // What this node was told of by another may have lapsed meanwhile.
     this->context.fleet.OnStoreReturned(now);
   }
   this->heardAt = now;
--- a/src/serving/FollowTask.cpp
+++ b/src/serving/FollowTask.cpp
@@ -71,6 +71,9 @@
   this->follows = aFollows;
   if (aFollows) {
     this->heardAt = now;
+    if (!this->firstFollowedAt) {
+      this->firstFollowedAt = now;
+    }
   }
   const bool ask =
     this->leads || (!aFollows && now - this->heardAt > this->options.grace);
@@ -159,9 +162,12 @@
   this->source = aAnswer.source;
   this->sequence = aAnswer.sequence;
   std::set<std::string> broken(aAnswer.broken.begin(), aAnswer.broken.end());
-  const bool changed = aAnswer.complete || !aAnswer.targets.empty() ||
-                       !aAnswer.gone.empty() || broken != this->context.broken;
+  std::set<std::string> vouched(aAnswer.vouched.begin(), aAnswer.vouched.end());
+  const bool changed =
+    aAnswer.complete || !aAnswer.targets.empty() || !aAnswer.gone.empty() ||
+    broken != this->context.broken || vouched != this->context.vouched;
   this->context.broken = std::move(broken);
+  this->context.vouched = std::move(vouched);
   if (changed) {
     this->onChange();
   }
--- a/src/serving/FollowTask.h
+++ b/src/serving/FollowTask.h
@@ -8,6 +8,7 @@
 
 #include <functional>
 #include <memory>
+#include <optional>
 #include <set>
 #include <string>
 #include <vector>
@@ -51,6 +52,12 @@
   /// The planner's node answers and is in touch with the store.
   bool Follows() const { return this->follows; }
 
+  /// When a planner's node that is in touch with the store first answered.
+  const std::optional<Instant>& FirstFollowedAt() const
+  {
+    return this->firstFollowedAt;
+  }
+
   /// Tells the planner's node of targets that stand still.
   void ReportStalls(std::vector<std::string> aTargets);
 
@@ -74,6 +81,7 @@
   bool follows = false;
   bool asksStore = false;
   bool leads = false;
+  std::optional<Instant> firstFollowedAt;
   /// When the planner's node was last heard.
   Instant heardAt;
   std::string source;
--- a/src/serving/PlannerCalls.cpp
+++ b/src/serving/PlannerCalls.cpp
@@ -68,11 +68,15 @@
 }
 
 void
-PlannerTask::TellBroken(const FleetPlanner& aPlanner, Instant aNow)
+PlannerTask::TellReplicas(const FleetPlanner& aPlanner,
+                          const PlannerMembers& aMembers,
+                          Instant aNow)
 {
   std::set<std::string> broken = aPlanner.Broken(aNow);
-  if (broken != this->context.broken) {
+  std::set<std::string> vouched = aPlanner.Vouched(aMembers);
+  if (broken != this->context.broken || vouched != this->context.vouched) {
     this->context.broken = std::move(broken);
+    this->context.vouched = std::move(vouched);
     this->hooks.onBroken();
   }
 }
@@ -157,7 +161,8 @@
     probe.report = std::move(*report);
     co_return;
   }
-  if (MonotonicNow() - askedAt > allowed) {
+  const Instant now = MonotonicNow();
+  if (now - askedAt > allowed || now < this->lagsUntil) {
     this->context.counters.Add("reports_judged_late");
     co_return;
   }
@@ -228,7 +233,8 @@
 void
 PlannerTask::Suspect(const std::string& aTarget)
 {
-  if (!this->leading) {
+  const Instant now = MonotonicNow();
+  if (!this->leading || !this->checks.MayCheck(aTarget, now)) {
     return;
   }
   for (const std::string& member : this->ReplicaOf(aTarget)) {
@@ -236,7 +242,7 @@
     const TargetRecord* const record = this->context.fleet.Find(member);
     if (found != this->probed.end() && record != nullptr &&
         !found->second.underWay) {
-      this->StartAsking(member, record->address, true, MonotonicNow());
+      this->StartAsking(member, record->address, true, now);
     }
   }
 }
--- a/src/serving/PlannerTask.cpp
+++ b/src/serving/PlannerTask.cpp
@@ -24,8 +24,16 @@
 constexpr Duration kSmallVmDelay = milliseconds(400);
 constexpr double kLargeCpuShare = 0.2;
 
-/// Time that small VMs leave to large ones when a planner is lost.
-constexpr Duration kSmallVmPatience = milliseconds(2500);
+/// Time that small VMs leave to large ones when a planner is lost; large ones
+/// that have just started need some, too.
+constexpr Duration kSmallVmPatience = milliseconds(6000);
+/// Time that nodes which cannot judge entries yet leave to others.
+constexpr Duration kNewcomerPatience = milliseconds(700);
+/// A round that starts this much late means that the processor was taken, and
+/// answers of targets may lie unread.
+constexpr Duration kOwnLag = milliseconds(40);
+/// Reports that were under way meanwhile end within this time.
+constexpr Duration kLagEcho = milliseconds(300);
 /// A small VM asks who plans now once a large one is likely to.
 constexpr Duration kSmallVmAsk = milliseconds(1200);
 
@@ -118,13 +126,17 @@
 PlannerTask::MayTake(Instant aNow) const
 {
   const bool large = this->context.settings.serving->cpuShare >= kLargeCpuShare;
-  return this->hooks.mayTake() &&
-         (large || aNow - this->leaderlessSince >= kSmallVmPatience);
+  const Duration leaderless = aNow - this->leaderlessSince;
+  // A newcomer that takes the lead passes on what the store says, and orders
+  // nothing until it can judge entries.
+  const bool judges = this->hooks.mayTake() || leaderless >= kNewcomerPatience;
+  return judges && (large || leaderless >= kSmallVmPatience);
 }
 
 void
 PlannerTask::Start()
 {
+  this->leaderlessSince = MonotonicNow();
   this->lease.Start();
   asio::co_spawn(
     this->context.executor,
@@ -144,8 +156,13 @@
 {
   for (;;) {
     asio::steady_timer timer(this->context.executor, this->options.roundEvery);
+    const Instant due = MonotonicNow() + this->options.roundEvery;
     co_await timer.async_wait(kAsTuple);
-    this->RunRound(MonotonicNow());
+    const Instant now = MonotonicNow();
+    if (now - due > kOwnLag) {
+      this->lagsUntil = now + kLagEcho;
+    }
+    this->RunRound(now);
   }
 }
 
@@ -350,7 +367,7 @@
       },
       asio::detached);
   }
-  this->TellBroken(*planner, aNow);
+  this->TellReplicas(*planner, members, aNow);
   this->LogView(aService, members, aNow);
 }
 
--- a/src/serving/PlannerTask.h
+++ b/src/serving/PlannerTask.h
@@ -2,6 +2,7 @@
 #define APRICOTTRACK_SERVING_PLANNERTASK_H
 
 #include "node/LeaseTask.h"
+#include "replicas/CheckPacer.h"
 #include "replicas/FleetPlanner.h"
 #include "serving/ServingContext.h"
 
@@ -52,7 +53,7 @@
     std::function<void(const std::string& aAddress)> onHolder;
     /// Told when this node begins and ceases to plan.
     std::function<void(bool aLeads)> onLead;
-    /// Told when the set of broken replicas changed.
+    /// Told when the set of broken or vouched replicas changed.
     std::function<void()> onBroken;
     /// The store was first listed long enough ago.
     std::function<bool()> entriesSettled;
@@ -111,7 +112,11 @@
   void LogView(const CatalogService& aService,
                const PlannerMembers& aMembers,
                Instant aNow);
-  void TellBroken(const FleetPlanner& aPlanner, Instant aNow);
+  /// Tells nodes of broken replicas and of those that are whole although the
+  /// store does not list all of their members.
+  void TellReplicas(const FleetPlanner& aPlanner,
+                    const PlannerMembers& aMembers,
+                    Instant aNow);
   void PlanService(const CatalogService& aService, Instant aNow);
   void AskForReports(const CatalogService& aService,
                      const PlannerMembers& aMembers,
@@ -148,6 +153,7 @@
   Hooks hooks;
   LeaseTask lease;
   HttpConnectionPool pool;
+  CheckPacer checks{ CheckPacer::Options{} };
   std::map<std::string, std::unique_ptr<FleetPlanner>, std::less<>> planners;
   std::map<std::string, Probed, std::less<>> probed;
   /// Entries of targets, kept when they are gone from the store.
@@ -155,6 +161,8 @@
   std::map<std::string, Instant, std::less<>> loggedAt;
   std::map<std::string, NodeDemands, std::less<>> demandsByNode;
   Instant ledSince;
+  /// Until then, missing reports say nothing about targets.
+  Instant lagsUntil;
   /// Since when no node was known to plan.
   Instant leaderlessSince;
   bool leading = false;
--- a/src/serving/ServingContext.h
+++ b/src/serving/ServingContext.h
@@ -41,6 +41,9 @@
   CandidateDirectory candidates;
   /// Replicas that the planner found to have lost a member, as NAME/EPOCH.
   std::set<std::string> broken;
+  /// Replicas whose members all answer the planner, although the store does
+  /// not list all of them.
+  std::set<std::string> vouched;
   LoadBook loads;
   StallDetector stalls;
   DemandMeter demand;
--- a/src/serving/ServingNode.cpp
+++ b/src/serving/ServingNode.cpp
@@ -250,8 +250,10 @@
 {
   const CatalogPointer& catalog = this->context.catalog.Current();
   if (catalog != nullptr) {
-    this->context.candidates.Rebuild(
-      catalog->Declared(), this->context.fleet, this->context.broken);
+    this->context.candidates.Rebuild(catalog->Declared(),
+                                     this->context.fleet,
+                                     this->context.broken,
+                                     this->context.vouched);
   }
   this->LeaveBrokenReplicas();
   this->relay.Notify();
@@ -285,8 +287,12 @@
 bool
 ServingNode::Impl::EntriesSettled() const
 {
-  const auto listedAt = this->fleetTask.FirstListedAt();
-  return listedAt && MonotonicNow() - *listedAt > kEntryReturn;
+  // A planner's node passes on entries that came back, as the store does.
+  const auto isSettled = [](const std::optional<Instant>& aSince) {
+    return aSince && MonotonicNow() - *aSince > kEntryReturn;
+  };
+  return isSettled(this->fleetTask.FirstListedAt()) ||
+         isSettled(this->follower.FirstFollowedAt());
 }
 
 bool
--- a/tests/CandidateDirectoryTest.cpp
+++ b/tests/CandidateDirectoryTest.cpp
@@ -29,7 +29,8 @@
 
 std::size_t
 ServingCount(const std::vector<TargetRecord>& aRecords,
-             const std::set<std::string>& aBroken = {})
+             const std::set<std::string>& aBroken = {},
+             const std::set<std::string>& aVouched = {})
 {
   Fleet fleet(Fleet::Options{});
   for (const TargetRecord& record : aRecords) {
@@ -37,7 +38,7 @@
   }
   CandidateDirectory directory;
   const Catalog catalog = OneService();
-  directory.Rebuild(catalog, fleet, aBroken);
+  directory.Rebuild(catalog, fleet, aBroken, aVouched);
   return directory.Find(catalog.services.front(), "m").size();
 }
 
@@ -54,6 +55,17 @@
   CHECK(ServingCount({ head, other }, { "r/4" }) == 1);
 }
 
+TEST_CASE(
+  "CandidateDirectory trusts the planner on members that are not listed")
+{
+  const TargetRecord head = Member(0, MemberState::kOpen);
+  CHECK(ServingCount({ head }, {}, { "r/5" }) == 1);
+  CHECK(ServingCount({ head }, {}, { "r/4" }) == 0);
+  CHECK(ServingCount({ head }, { "r/5" }, { "r/5" }) == 0);
+  // The head itself gets requests, so it has to be listed.
+  CHECK(ServingCount({ Member(1, MemberState::kReady) }, {}, { "r/5" }) == 0);
+}
+
 TEST_CASE(
   "CandidateDirectory leaves out members of another epoch and heads that "
   "leave")
@@ -78,7 +90,7 @@
   fleet.Put({ .id = "b", .service = "s", .leaving = true }, kStart);
   fleet.Put({ .id = "c", .service = "other" }, kStart);
   CandidateDirectory directory;
-  directory.Rebuild(catalog, fleet, {});
+  directory.Rebuild(catalog, fleet, {}, {});
   const auto& found = directory.Find(catalog.services.front(), "any");
   REQUIRE(found.size() == 1);
   CHECK(found.front().id == "a");
--- /dev/null
+++ b/tests/CheckPacerTest.cpp
@@ -0,0 +1,37 @@
+#include "replicas/CheckPacer.h"
+
+#include <catch2/catch.hpp>
+
+using namespace apricottrack;
+
+namespace {
+
+constexpr Instant kStart{ seconds(1000) };
+
+} // namespace
+
+TEST_CASE("CheckPacer bounds the checks of a replica under steady alarms")
+{
+  CheckPacer pacer({ .least = milliseconds(150), .most = milliseconds(600) });
+  int checks = 0;
+  for (Duration at = Duration::zero(); at < seconds(6); at += milliseconds(5)) {
+    checks += pacer.MayCheck("t1", kStart + at) ? 1 : 0;
+  }
+  CHECK(checks >= 6000 / 600);
+  CHECK(checks <= 6000 / 600 + 3);
+}
+
+TEST_CASE("CheckPacer checks at once after a calm time, and each replica")
+{
+  CheckPacer pacer({ .least = milliseconds(150),
+                     .most = milliseconds(600),
+                     .calm = seconds(2) });
+  CHECK(pacer.MayCheck("t1", kStart));
+  CHECK_FALSE(pacer.MayCheck("t1", kStart + milliseconds(100)));
+  CHECK(pacer.MayCheck("t2", kStart + milliseconds(100)));
+  CHECK(pacer.MayCheck("t1", kStart + milliseconds(150)));
+  CHECK_FALSE(pacer.MayCheck("t1", kStart + milliseconds(400)));
+  CHECK(pacer.MayCheck("t1", kStart + milliseconds(450)));
+  CHECK(pacer.MayCheck("t1", kStart + seconds(4)));
+  CHECK(pacer.MayCheck("t1", kStart + seconds(4) + milliseconds(150)));
+}
--- /dev/null
+++ b/tests/FakeFleet.h
@@ -0,0 +1,197 @@
+#ifndef APRICOTTRACK_TESTS_FAKEFLEET_H
+#define APRICOTTRACK_TESTS_FAKEFLEET_H
+
+#include "replicas/FleetPlanner.h"
+
+#include <algorithm>
+#include <catch2/catch.hpp>
+#include <fmt/format.h>
+
+/// Targets and planners for tests of the fleet's planning.
+namespace apricottrack {
+
+inline constexpr Instant kStart{ seconds(1000) };
+
+inline CatalogService
+EngineService()
+{
+  EngineSpec engine;
+  engine.batchSlots = 26;
+  engine.loadsPerSecond = 4.5;
+  engine.concurrentLoads = 6;
+  engine.stride = 7;
+  engine.prefillTokensPerSecond = 50'700;
+  engine.models = {
+    { .name = "large", .size = 4, .share = 0.57, .loadTime = seconds(16) },
+    { .name = "small", .size = 3, .share = 0.43, .loadTime = seconds(12) },
+  };
+  return { .name = "advisor", .engine = engine };
+}
+
+inline TargetRecord
+Target(int aNumber, const std::string& aDomain = "d1")
+{
+  return { .id = fmt::format("t{:02}", aNumber),
+           .service = "advisor",
+           .address = fmt::format("10.0.0.{}:80", aNumber),
+           .availabilityZone = "a",
+           .fabricDomain = aDomain,
+           .slots = 26,
+           .startedAt = 1 };
+}
+
+/// Plays the targets of one service: orders take effect at once.
+class FakeFleet
+{
+public:
+  explicit FakeFleet(int aCount)
+  {
+    for (int i = 0; i < aCount; ++i) {
+      this->Add(Target(i));
+    }
+  }
+
+  void Add(TargetRecord aRecord)
+  {
+    const std::string id = aRecord.id;
+    this->members[id] = { .record = std::move(aRecord) };
+  }
+
+  void Carry(const std::vector<ReplicaOrder>& aOrders)
+  {
+    for (const ReplicaOrder& order : aOrders) {
+      if (this->opensLate && order.kind == OrderKind::kOpen) {
+        this->lateOpens.push_back(order);
+      } else {
+        this->CarryOne(order);
+      }
+    }
+  }
+
+  /// Carries out the opens that targets are still busy with.
+  void CarryLateOpens()
+  {
+    for (const ReplicaOrder& order : this->lateOpens) {
+      const auto& membership = this->members.at(order.target).record.membership;
+      if (membership && membership->replica == order.replica &&
+          membership->epoch == order.epoch) {
+        this->CarryOne(order);
+      }
+    }
+    this->lateOpens.clear();
+  }
+
+  FleetPlannerView View(bool aBeforeTraffic = false) const
+  {
+    return { .service = this->service,
+             .members = this->members,
+             .demands = this->demands,
+             .beforeTraffic = aBeforeTraffic };
+  }
+
+  /// Rounds until nothing is ordered any more.
+  int Settle(FleetPlanner& aPlanner, Instant& aNow, bool aBeforeTraffic = false)
+  {
+    int orders = 0;
+    for (int quiet = 0; quiet < 100;) {
+      const auto given = aPlanner.Round(this->View(aBeforeTraffic), aNow);
+      this->Carry(given);
+      orders += static_cast<int>(given.size());
+      for (const ReplicaOrder& order : given) {
+        UNSCOPED_INFO(OrderKindName(order.kind)
+                      << " " << order.target << " " << order.replica << " "
+                      << order.model);
+      }
+      quiet = given.empty() ? quiet + 1 : 0;
+      aNow += milliseconds(50);
+    }
+    return orders;
+  }
+
+  CatalogService service = EngineService();
+  PlannerMembers members;
+  ModelDemands demands;
+  std::vector<std::string> violations;
+  /// Opens are begun, and take effect only when told.
+  bool opensLate = false;
+
+private:
+  std::vector<ReplicaOrder> lateOpens;
+
+  /// The head of the replica that the target belongs to serves.
+  bool InOpenReplica(const TargetRecord& aRecord) const
+  {
+    if (!aRecord.membership) {
+      return false;
+    }
+    for (const auto& [id, member] : this->members) {
+      const auto& membership = member.record.membership;
+      if (membership && membership->replica == aRecord.membership->replica &&
+          membership->epoch == aRecord.membership->epoch &&
+          membership->rank == 0) {
+        return membership->state == MemberState::kOpen;
+      }
+    }
+    return false;
+  }
+
+  void CarryOne(const ReplicaOrder& aOrder)
+  {
+    TargetRecord& record = this->members.at(aOrder.target).record;
+    switch (aOrder.kind) {
+      case OrderKind::kJoin: {
+        if (record.membership && record.membership->epoch >= aOrder.epoch) {
+          return;
+        }
+        if (this->InOpenReplica(record) &&
+            record.membership->replica != aOrder.replica) {
+          this->violations.push_back(aOrder.target);
+        }
+        const auto place = std::find(
+          aOrder.members.begin(), aOrder.members.end(), aOrder.target);
+        record.membership = { .replica = aOrder.replica,
+                              .epoch = aOrder.epoch,
+                              .rank = static_cast<int>(place -
+                                                       aOrder.members.begin()),
+                              .state = MemberState::kReady };
+        record.model = aOrder.model;
+        break;
+      }
+      case OrderKind::kOpen:
+        record.membership->state = MemberState::kOpen;
+        break;
+      case OrderKind::kCloseNow:
+      case OrderKind::kCloseGently:
+        if (record.membership &&
+            record.membership->state == MemberState::kOpen) {
+          record.membership->state = MemberState::kReady;
+        }
+        break;
+      case OrderKind::kLeave:
+        record.membership.reset();
+        record.model.clear();
+        break;
+      case OrderKind::kStage:
+        record.stagedModels = { aOrder.model };
+        break;
+    }
+  }
+};
+
+inline FleetPlanner
+MakePlanner(std::int64_t aFence)
+{
+  return FleetPlanner(FleetPlanner::Options{},
+                      [next = aFence * 1000]() mutable { return ++next; });
+}
+
+inline int
+Serving(const FleetPlanner& aPlanner)
+{
+  return aPlanner.Count("large", ReplicaPhase::kServing) +
+         aPlanner.Count("small", ReplicaPhase::kServing);
+}
+
+} // namespace apricottrack
+
+#endif
