Pass the catalog on between nodes, and pace calls of a store that is away

While the store was away all 90 nodes tried every 0.25 to 0.3 s. The planner's node now passes small documents on, larger ones only to nodes that cannot read them; tries are paced.

First tried: passing all documents on.

--- a/src/fleet/FleetMessages.h
+++ b/src/fleet/FleetMessages.h
@@ -24,6 +24,8 @@
   Duration wait = Duration::zero();
   /// The asker's own.
   ModelDemands demands;
+  /// The store did not answer the asker, which needs the catalog all the same.
+  bool wantsCatalog = false;
 
   friend bool operator==(const FleetQuestion&, const FleetQuestion&) = default;
 };
@@ -48,6 +50,9 @@
   std::vector<std::string> vouched;
   /// Nodes that ask, the sender included.
   int nodes = 0;
+  /// The document of the catalog's revision, as the store holds it; empty
+  /// where the asker has it.
+  std::string catalog;
 
   friend bool operator==(const FleetAnswer&, const FleetAnswer&) = default;
 };
--- a/src/membership/FleetPacking.cpp
+++ b/src/membership/FleetPacking.cpp
@@ -116,7 +116,8 @@
            aMessage.sequence,
            aMessage.catalogRevision,
            static_cast<std::uint32_t>(ToMilliseconds(aMessage.wait)),
-           &demands)
+           &demands,
+           aMessage.wantsCatalog)
     .Union();
 }
 
@@ -143,7 +144,8 @@
            &gone,
            &broken,
            &vouched,
-           static_cast<std::uint32_t>(std::max(0, aMessage.nodes)))
+           static_cast<std::uint32_t>(std::max(0, aMessage.nodes)),
+           aMessage.catalog.c_str())
     .Union();
 }
 
@@ -174,7 +176,8 @@
                         .sequence = aBody.sequence(),
                         .catalogRevision = aBody.catalog_revision(),
                         .wait = milliseconds(aBody.wait_ms()),
-                        .demands = std::move(demands) };
+                        .demands = std::move(demands),
+                        .wantsCatalog = aBody.wants_catalog() };
 }
 
 FleetAnswer
@@ -191,7 +194,8 @@
                       .gone = TextsOf(aBody.gone()),
                       .broken = TextsOf(aBody.broken()),
                       .vouched = TextsOf(aBody.vouched()),
-                      .nodes = static_cast<int>(aBody.nodes()) };
+                      .nodes = static_cast<int>(aBody.nodes()),
+                      .catalog = TextOf(aBody.catalog()) };
   if (aBody.targets() != nullptr) {
     for (const wire::TargetState* const target : *aBody.targets()) {
       answer.targets.push_back(UnpackTarget(*target));
--- a/src/node/LeaseTask.cpp
+++ b/src/node/LeaseTask.cpp
@@ -50,9 +50,12 @@
       this->validUntil = asked + seconds(this->options.ttlSeconds);
     }
     // The spread keeps nodes from asking for a freed key all at once.
+    const bool tries = this->lease == 0 && this->MayTry() &&
+                       this->options.tryEvery > Duration::zero();
+    const Duration pause =
+      tries ? this->options.tryEvery : this->options.renewEvery;
     asio::steady_timer timer(
-      this->executor,
-      FromSeconds(ToSeconds(this->options.renewEvery) * spread(this->random)));
+      this->executor, FromSeconds(ToSeconds(pause) * spread(this->random)));
     co_await timer.async_wait(kAsTuple);
   }
 }
--- a/src/node/LeaseTask.h
+++ b/src/node/LeaseTask.h
@@ -23,6 +23,9 @@
     std::string value;
     std::int64_t ttlSeconds = 5;
     Duration renewEvery = milliseconds(1500);
+    /// Between two tries to take a key that this node does not hold; zero for
+    /// the time between renewals.
+    Duration tryEvery = Duration::zero();
     /// Whether it is worth asking for a key that this node does not hold;
     /// keeps those who only wait from calling the service. May be empty.
     std::function<bool()> mayTry;
--- a/src/serving/CatalogTask.cpp
+++ b/src/serving/CatalogTask.cpp
@@ -77,31 +77,52 @@
   if (item->revision == 0) {
     co_return true;
   }
+  if (item->revision < this->known) {
+    // Another node passed on a newer one while this read was under way.
+    co_return true;
+  }
   if (item->revision == this->known) {
     this->context.catalog.Confirm(askedAt);
     co_return true;
   }
-  auto catalog = this->context.protocol.ReadCatalog(item->value);
-  this->known = item->revision;
+  this->Take(item->revision, item->value, askedAt);
+  co_return true;
+}
+
+void
+CatalogTask::TakeRelayed(Revision aRevision,
+                         const std::string& aDocument,
+                         Instant aProvenAt)
+{
+  if (aRevision > this->known) {
+    this->Take(aRevision, aDocument, aProvenAt);
+  }
+}
+
+void
+CatalogTask::Take(Revision aRevision, std::string aDocument, Instant aProvenAt)
+{
+  auto catalog = this->context.protocol.ReadCatalog(aDocument);
+  this->known = aRevision;
   if (!catalog) {
     // The one in force stays, and loses its proof.
     LogLine("catalog_unreadable")
-      .With("revision", item->revision)
+      .With("revision", aRevision)
       .With(catalog.error())
       .Warn();
     this->known = 0;
-    co_return true;
+    return;
   }
-  if (this->context.catalog.Take(std::move(*catalog), askedAt)) {
+  this->document = std::move(aDocument);
+  if (this->context.catalog.Take(std::move(*catalog), aProvenAt)) {
     const Catalog& declared = this->context.catalog.Current()->Declared();
     LogLine("catalog_in_force")
       .With("version", declared.version)
-      .With("revision", item->revision)
+      .With("revision", aRevision)
       .With("routes", static_cast<std::int64_t>(declared.routes.size()))
       .Info();
     this->onChange();
   }
-  co_return true;
 }
 
 } // namespace apricottrack
--- a/src/serving/CatalogTask.h
+++ b/src/serving/CatalogTask.h
@@ -18,8 +18,9 @@
   {
     /// Well below the bound within which a change has to be in force.
     Duration readEvery = milliseconds(900);
-    /// After a read that failed.
-    Duration retryEvery = milliseconds(250);
+    /// After a read that failed; each call is paid for, and the proof lasts
+    /// for several tries.
+    Duration retryEvery = milliseconds(800);
   };
 
   CatalogTask(ServingContext& aContext,
@@ -36,11 +37,22 @@
   /// Reads the catalog once, whether active or not; false on failure.
   Task<bool> ReadOnce();
 
+  /// Takes a newer document that another node read, and that was proven to be
+  /// the newest at that time. Answers nodes that the store turns away, and
+  /// spares the store a read by each node at each change.
+  void TakeRelayed(Revision aRevision,
+                   const std::string& aDocument,
+                   Instant aProvenAt);
+
+  /// The document that was last read, for other nodes.
+  const std::string& Document() const { return this->document; }
+
   /// Revision of the document in force; zero before the first.
   Revision Known() const { return this->known; }
 
 private:
   Task<void> Run();
+  void Take(Revision aRevision, std::string aDocument, Instant aProvenAt);
 
   ServingContext& context;
   KeyValueStore& store;
@@ -49,6 +61,7 @@
   std::function<void()> onChange;
   /// Revision of the document that was last decoded.
   Revision known = 0;
+  std::string document;
   bool active = false;
   bool reachable = false;
 };
--- a/src/serving/FleetRelay.cpp
+++ b/src/serving/FleetRelay.cpp
@@ -19,6 +19,12 @@
 
 constexpr Duration kMostWait = seconds(2);
 
+/// Bytes of a catalog that goes to all nodes at once; larger ones would keep
+/// this VM's link and processor from telling of targets.
+constexpr std::size_t kSmallDocument = std::size_t{ 64 } * 1024;
+/// Between two larger ones, which only nodes get that cannot reach the store.
+constexpr Duration kLargeDocumentPause = milliseconds(60);
+
 } // namespace
 
 FleetRelay::FleetRelay(ServingContext& aContext,
@@ -129,8 +135,21 @@
   co_return this->Compose(aQuestion, MonotonicNow());
 }
 
+bool
+FleetRelay::MayRelay(const FleetQuestion& aQuestion, Instant aNow)
+{
+  if (this->catalog.Document().size() <= kSmallDocument) {
+    return true;
+  }
+  if (!aQuestion.wantsCatalog || aNow < this->nextLargeAt) {
+    return false;
+  }
+  this->nextLargeAt = aNow + kLargeDocumentPause;
+  return true;
+}
+
 FleetAnswer
-FleetRelay::Compose(const FleetQuestion& aQuestion, Instant aNow) const
+FleetRelay::Compose(const FleetQuestion& aQuestion, Instant aNow)
 {
   FleetAnswer answer{
     .source = this->source,
@@ -141,6 +160,10 @@
     .fleetAge = aNow - this->fleet.HeardAt(),
   };
   answer.nodes = this->planner.NodeCount(aNow);
+  if (aQuestion.catalogRevision < answer.catalogRevision &&
+      this->MayRelay(aQuestion, aNow)) {
+    answer.catalog = this->catalog.Document();
+  }
   answer.broken.assign(this->context.broken.begin(),
                        this->context.broken.end());
   answer.vouched.assign(this->context.vouched.begin(),
--- a/src/serving/FleetRelay.h
+++ b/src/serving/FleetRelay.h
@@ -34,7 +34,9 @@
   Task<void> WakeLater(Duration aPause);
   Task<std::optional<PeerMessage>> Answer(PeerMessage aQuestion);
   Task<FleetAnswer> AnswerFleet(FleetQuestion aQuestion);
-  FleetAnswer Compose(const FleetQuestion& aQuestion, Instant aNow) const;
+  FleetAnswer Compose(const FleetQuestion& aQuestion, Instant aNow);
+  /// The catalog may go along with an answer.
+  bool MayRelay(const FleetQuestion& aQuestion, Instant aNow);
   bool HasNews(const FleetQuestion& aQuestion) const;
 
   ServingContext& context;
@@ -46,6 +48,8 @@
   std::set<boost::asio::steady_timer*> waiting;
   /// When waiting questions were last answered for news.
   Instant wokeAt;
+  /// When the next large catalog may be told.
+  Instant nextLargeAt;
   bool wakePlanned = false;
 };
 
--- a/src/serving/FleetTask.cpp
+++ b/src/serving/FleetTask.cpp
@@ -17,7 +17,7 @@
 
 /// Between two calls of a watch, so that events come in batches.
 constexpr milliseconds kLeadingPause(15);
-constexpr milliseconds kBridgingPause(300);
+constexpr milliseconds kBridgingPause(700);
 
 constexpr Duration kLapseInterval = milliseconds(200);
 
--- a/src/serving/FleetTask.h
+++ b/src/serving/FleetTask.h
@@ -13,8 +13,8 @@
 public:
   struct Options
   {
-    Duration retryLeast = milliseconds(150);
-    Duration retryMost = milliseconds(1000);
+    Duration retryLeast = milliseconds(400);
+    Duration retryMost = milliseconds(1600);
   };
 
   FleetTask(ServingContext& aContext,
--- a/src/serving/FollowTask.cpp
+++ b/src/serving/FollowTask.cpp
@@ -119,7 +119,8 @@
                           .catalogRevision = this->catalog.Known(),
                           .wait = this->options.wait,
                           .demands =
-                            this->context.demand.Demands(MonotonicNow()) };
+                            this->context.demand.Demands(MonotonicNow()),
+                          .wantsCatalog = this->wantsCatalog };
   const Instant askedAt = MonotonicNow();
   const auto reply = co_await this->link->Ask(
     PeerMessage(std::move(question)), this->options.wait + this->options.slack);
@@ -133,10 +134,14 @@
   this->Take(*answer, MonotonicNow());
   // The answer was made after the question was sent, so the age counts back
   // from then, however long the answer was on its way.
+  if (!answer->catalog.empty()) {
+    this->catalog.TakeRelayed(
+      answer->catalogRevision, answer->catalog, askedAt - answer->catalogAge);
+  }
   if (answer->catalogRevision == this->catalog.Known()) {
     this->context.catalog.Confirm(askedAt - answer->catalogAge);
   } else if (answer->catalogRevision > this->catalog.Known()) {
-    const bool read = co_await this->catalog.ReadOnce();
+    const bool read = co_await this->ReadCatalog();
     if (!read) {
       co_return false;
     }
@@ -145,6 +150,19 @@
     answer->fleetAge < this->options.mostAge;
 }
 
+Task<bool>
+FollowTask::ReadCatalog()
+{
+  if (MonotonicNow() < this->nextReadAt) {
+    co_return false;
+  }
+  this->wantsCatalog = !co_await this->catalog.ReadOnce();
+  if (this->wantsCatalog) {
+    this->nextReadAt = MonotonicNow() + this->options.readAgain;
+  }
+  co_return !this->wantsCatalog;
+}
+
 void
 FollowTask::Take(const FleetAnswer& aAnswer, Instant aNow)
 {
--- a/src/serving/FollowTask.h
+++ b/src/serving/FollowTask.h
@@ -28,6 +28,9 @@
     Duration slack = milliseconds(250);
     /// After a failure.
     Duration pause = milliseconds(100);
+    /// After the store did not give a catalog that is known to be there; each
+    /// call is paid for.
+    Duration readAgain = milliseconds(800);
     /// Without a planner's node for longer, this node asks the store; well
     /// within the bound for leaving targets, and long enough for a successor.
     Duration grace = milliseconds(600);
@@ -64,6 +67,8 @@
 private:
   Task<void> Run();
   Task<bool> AskOnce();
+  /// Reads the catalog from the store; false if that failed or is too soon.
+  Task<bool> ReadCatalog();
   void Take(const FleetAnswer& aAnswer, Instant aNow);
   Task<void> SendNotices();
   void SetFollows(bool aFollows);
@@ -86,6 +91,10 @@
   Instant heardAt;
   std::string source;
   std::uint64_t sequence = 0;
+  /// The store did not give this node a catalog that is known to be there.
+  bool wantsCatalog = false;
+  /// When the store may be asked for it again.
+  Instant nextReadAt;
 };
 
 } // namespace apricottrack
--- a/src/serving/PlannerTask.cpp
+++ b/src/serving/PlannerTask.cpp
@@ -27,6 +27,9 @@
 /// Time that small VMs leave to large ones when a planner is lost; large ones
 /// that have just started need some, too.
 constexpr Duration kSmallVmPatience = milliseconds(6000);
+/// Between two questions of a small VM who plans; most nodes are small, and
+/// each call is paid for.
+constexpr Duration kSmallVmTry = milliseconds(800);
 /// Time that nodes which cannot judge entries yet leave to others.
 constexpr Duration kNewcomerPatience = milliseconds(700);
 /// A round that starts this much late means that the processor was taken, and
@@ -96,6 +99,9 @@
         .value = fmt::format("{} {}", aContext.settings.peerListen, RandomId()),
         .ttlSeconds = kLeaseSeconds,
         .renewEvery = kLeaseRenewal,
+        .tryEvery = aContext.settings.serving->cpuShare >= kLargeCpuShare
+                      ? kLeaseRenewal
+                      : kSmallVmTry,
         .mayTry = [this] { return this->MayTry(MonotonicNow()); },
         .mayTake = [this] { return this->MayTake(MonotonicNow()); },
         .onHolder =
--- a/tests/FleetTest.cpp
+++ b/tests/FleetTest.cpp
@@ -94,7 +94,9 @@
                       .targets = { Target("a", 1) },
                       .gone = { "b" },
                       .broken = { "r1/5" },
-                      .nodes = 6 };
+                      .vouched = { "r2/6" },
+                      .nodes = 6,
+                      .catalog = "{}" };
   answer.targets.front().membership = Membership{
     .replica = "r1", .epoch = 5, .rank = 2, .state = MemberState::kOpen
   };
@@ -107,7 +109,8 @@
                                 .sequence = 3,
                                 .catalogRevision = 2,
                                 .wait = milliseconds(400),
-                                .demands = { { "m0", { 1, 2, 3 } } } };
+                                .demands = { { "m0", { 1, 2, 3 } } },
+                                .wantsCatalog = true };
   const auto asked = ParsePeerMessage(EncodePeerMessage(question), "peer");
   REQUIRE(asked);
   CHECK(std::get<FleetQuestion>(*asked) == question);
