Check rank and address before a report counts as a member's own

Cause, from the log: a target came back under a new id at its old address while the old id's entry was listed again. Reports carry no id, so the new target's report, with its own rank in the replica, counted as the old member's, and the head was opened without it. Ruled out: late orders (the join was answered 421), members that the store does not list. The rank must now be the member's own, and of two entries with one address only the target that started last answers there. The test fails without the check.

--- a/src/replicas/FleetPlanningRound.cpp
+++ b/src/replicas/FleetPlanningRound.cpp
@@ -202,8 +202,13 @@
     return nullptr;
   }
   const Membership& membership = *member->record.membership;
+  // A report can come from another target that has the address now; only the
+  // rank then tells that it is not the member's own.
+  const auto& members = aReplica.members;
+  const auto place = std::find(members.begin(), members.end(), aMember);
   return membership.replica == aReplica.name &&
-             membership.epoch == aReplica.epoch
+             membership.epoch == aReplica.epoch &&
+             membership.rank == place - members.begin()
            ? &membership
            : nullptr;
 }
--- a/src/serving/PlannerTask.cpp
+++ b/src/serving/PlannerTask.cpp
@@ -81,6 +81,31 @@
   return record;
 }
 
+/// Where two entries name one address, the target that started last has it,
+/// and answers there do not come from the other one.
+void
+MarkDisplaced(const Fleet& aFleet, PlannerMembers& aMembers)
+{
+  std::map<std::string_view, const TargetRecord*> byAddress;
+  for (auto& [id, member] : aMembers) {
+    const TargetRecord* const entry = aFleet.Find(id);
+    if (entry == nullptr) {
+      continue;
+    }
+    const auto [found, isNew] = byAddress.emplace(entry->address, entry);
+    if (isNew) {
+      continue;
+    }
+    const TargetRecord*& holder = found->second;
+    if (entry->startedAt > holder->startedAt) {
+      aMembers.find(holder->id)->second.silent = true;
+      holder = entry;
+    } else {
+      member.silent = true;
+    }
+  }
+}
+
 } // namespace
 
 PlannerTask::PlannerTask(ServingContext& aContext,
@@ -285,6 +310,7 @@
     }
     members.emplace(id, std::move(member));
   }
+  MarkDisplaced(this->context.fleet, members);
   this->AddUnlisted(aService, members);
   this->ForgetGone(aService, members);
   return members;
--- a/tests/FleetConversionTest.cpp
+++ b/tests/FleetConversionTest.cpp
@@ -139,3 +139,37 @@
   CHECK(planner.Vouched(fleet.members).empty());
   CHECK(fleet.violations.empty());
 }
+
+TEST_CASE("FleetPlanner does not take another target's report for a member's")
+{
+  // The address of one member belongs to another target of the same replica,
+  // whose reports carry that one's rank.
+  FakeFleet fleet(4);
+  FleetPlanner planner = MakePlanner(1);
+  Instant now = kStart;
+  const auto played = [&](const ReplicaOrder& aOrder) {
+    return aOrder.kind == OrderKind::kJoin && aOrder.members.size() == 4 &&
+           aOrder.target == aOrder.members.back();
+  };
+  bool opened = false;
+  for (int i = 0; i < 100; ++i, now += milliseconds(50)) {
+    auto orders = planner.Round(fleet.View(true), now);
+    for (const ReplicaOrder& order : orders) {
+      opened = opened || order.kind == OrderKind::kOpen;
+    }
+    const auto lost = std::find_if(orders.begin(), orders.end(), played);
+    if (lost != orders.end()) {
+      const std::string impostor = lost->target;
+      const Membership other{ .replica = lost->replica,
+                              .epoch = lost->epoch,
+                              .rank = 1,
+                              .state = MemberState::kReady };
+      orders.erase(lost);
+      fleet.Carry(orders);
+      fleet.members.at(impostor).record.membership = other;
+    } else {
+      fleet.Carry(orders);
+    }
+  }
+  CHECK_FALSE(opened);
+}
