Let requests wait while a node that has just started reads what it needs

Cause: a node listens at once, and refused what came before it had read the catalog and the entries. Ruled out: the store, which answered in 4 ms, and targets, which went on serving.

--- a/src/serving/RequestFlow.cpp
+++ b/src/serving/RequestFlow.cpp
@@ -16,6 +16,9 @@
 constexpr Duration kReturnMargin = milliseconds(8);
 /// A call is not worth making with less time left.
 constexpr Duration kLeastCallTime = milliseconds(20);
+/// How long a request waits for a node that has just started; what the node
+/// has to read takes less, and callers give up after a second.
+constexpr Duration kStartPatience = milliseconds(600);
 /// Largest plain answer that is held back until it is whole.
 constexpr std::size_t kHeldBodyLimit = std::size_t{ 16 } * 1024 * 1024;
 
@@ -53,6 +56,9 @@
 Task<void>
 RequestFlow::Serve()
 {
+  if (!this->context.startGate.IsOpen()) {
+    co_await this->context.startGate.Wait(this->arrived + kStartPatience);
+  }
   const HttpRequest& request = this->exchange.Request();
   IntakeVerdict verdict = Admit(this->context.catalog,
                                 this->caller,
--- a/src/serving/ServingContext.h
+++ b/src/serving/ServingContext.h
@@ -13,6 +13,7 @@
 #include "placement/StallDetector.h"
 #include "retry/RetryBudget.h"
 #include "serving/PlatformProtocol.h"
+#include "serving/StartGate.h"
 
 #include <boost/asio/any_io_executor.hpp>
 #include <functional>
@@ -48,6 +49,7 @@
   StallDetector stalls;
   DemandMeter demand;
   HttpConnectionPool targetPool;
+  StartGate startGate;
   std::map<std::string, RetryBudget> retryBudgets;
   /// Requests that run now, by the target that runs them.
   std::multimap<std::string, RequestFlow*> running;
--- a/src/serving/ServingNode.cpp
+++ b/src/serving/ServingNode.cpp
@@ -114,6 +114,7 @@
                            .idlePerAddress = 32,
                            .idleTimeout = seconds(3),
                            .connectTimeout = milliseconds(300) }),
+    .startGate = StartGate(aExecutor),
     .retryBudgets = {},
     .running = {},
     .random = std::mt19937_64(std::random_device{}()),
@@ -254,6 +255,9 @@
                                      this->context.fleet,
                                      this->context.broken,
                                      this->context.vouched);
+    if (this->fleetTask.FirstListedAt() || this->follower.FirstFollowedAt()) {
+      this->context.startGate.Open();
+    }
   }
   this->LeaveBrokenReplicas();
   this->relay.Notify();
--- /dev/null
+++ b/src/serving/StartGate.cpp
@@ -0,0 +1,24 @@
+#include "serving/StartGate.h"
+
+#include <boost/asio/steady_timer.hpp>
+
+namespace apricottrack {
+
+namespace {
+
+/// Between looks whether the gate has opened.
+constexpr Duration kLookInterval = milliseconds(10);
+
+} // namespace
+
+Task<void>
+StartGate::Wait(Instant aUntil)
+{
+  boost::asio::steady_timer timer(this->executor);
+  while (!this->isOpen && MonotonicNow() < aUntil) {
+    timer.expires_after(kLookInterval);
+    co_await timer.async_wait(kAsTuple);
+  }
+}
+
+} // namespace apricottrack
