Let a planner that took over wait for reports and for the former one

While the store was silent, a former planner that had lost its lease unknown to itself gave orders for 0.55 s beside the new one, which planned from entries older than those orders. A planner that takes over now orders nothing for 1.5 s, and nothing before each target has reported to it or 2.3 s are over. TakeoverGuardTest holds both.

--- a/src/serving/PlannerTask.cpp
+++ b/src/serving/PlannerTask.cpp
@@ -4,6 +4,7 @@
 #include "base/Log.h"
 #include "kv/PlatformKeys.h"
 
+#include <algorithm>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/steady_timer.hpp>
@@ -365,6 +366,16 @@
   return silent * 2 > aMembers.size();
 }
 
+bool
+PlannerTask::HeardAll(const PlannerMembers& aMembers) const
+{
+  return std::all_of(aMembers.begin(), aMembers.end(), [&](const auto& aEntry) {
+    const auto probe = this->probed.find(aEntry.first);
+    return aEntry.second.silent ||
+           (probe != this->probed.end() && probe->second.report);
+  });
+}
+
 void
 PlannerTask::PlanService(const CatalogService& aService, Instant aNow)
 {
@@ -390,6 +401,10 @@
   if (this->MostlySilent(members)) {
     return;
   }
+  if (!view.beforeTraffic &&
+      !this->takeover.MayOrder(this->ledSince, this->HeardAll(members), aNow)) {
+    return;
+  }
   for (ReplicaOrder& order : planner->Round(view, aNow)) {
     order.fencingToken = this->fence;
     asio::co_spawn(
--- a/src/serving/PlannerTask.h
+++ b/src/serving/PlannerTask.h
@@ -4,6 +4,7 @@
 #include "node/LeaseTask.h"
 #include "replicas/CheckPacer.h"
 #include "replicas/FleetPlanner.h"
+#include "replicas/TakeoverGuard.h"
 #include "serving/ServingContext.h"
 
 #include <functional>
@@ -131,6 +132,8 @@
   TargetRecord NewestOf(const CatalogService& aService,
                         const TargetRecord& aEntry,
                         const Probed& aProbe) const;
+  /// Each target has reported since this node took the lead, or is silent.
+  bool HeardAll(const PlannerMembers& aMembers) const;
   bool MostlySilent(const PlannerMembers& aMembers) const;
   /// Targets of the replica that this one is the head of.
   std::vector<std::string> ReplicaOf(const std::string& aHead) const;
@@ -154,6 +157,7 @@
   LeaseTask lease;
   HttpConnectionPool pool;
   CheckPacer checks{ CheckPacer::Options{} };
+  TakeoverGuard takeover{ TakeoverGuard::Options{} };
   std::map<std::string, std::unique_ptr<FleetPlanner>, std::less<>> planners;
   std::map<std::string, Probed, std::less<>> probed;
   /// Entries of targets, kept when they are gone from the store.
