--- a/src/replicas/FleetConversions.cpp
+++ b/src/replicas/FleetConversions.cpp
@@ -161,31 +161,6 @@
   }
 }
 
-bool
-FleetPlanningRound::RepairFromDonors(PlannedReplica& aReplica)
-{
-  const ReplicaModel& model = this->ModelOf(aReplica);
-  std::vector<std::string> kept = this->UsableFor(aReplica, model);
-  for (std::string& id : this->FreeIn(aReplica.domain, model.name)) {
-    kept.push_back(std::move(id));
-  }
-  std::optional<Conversion> conversion;
-  for (const ReplicaModel& other : this->engine.models) {
-    if (!conversion && other.name != model.name) {
-      conversion = this->FindConversion(
-        model, other, this->ReplicasOf(model.name) - 1, aReplica.domain, kept);
-    }
-  }
-  if (!conversion) {
-    return false;
-  }
-  // The survivors stand idle meanwhile, and what is cut goes on elsewhere.
-  this->StopDonors(*conversion, aReplica.name, OrderKind::kCloseNow);
-  this->Dissolve(aReplica);
-  aReplica.nextModel = model.name;
-  return true;
-}
-
 bool
 FleetPlanningRound::FinishConversion(PlannedReplica& aReplica)
 {
