--- a/src/serving/FleetRelay.cpp
+++ b/src/serving/FleetRelay.cpp
@@ -12,11 +12,11 @@
 
 namespace {
 
-/// Longest time that a question is held, whatever the asker wants.
 /// News are collected for this long per node that waits for them, so that
 /// telling all of them takes a bounded share of the processor.
 constexpr Duration kPausePerNode = microseconds(1200);
 
+/// Longest time that a question is held, whatever the asker wants.
 constexpr Duration kMostWait = seconds(2);
 
 /// Bytes of a catalog that goes to all nodes at once; larger ones would keep
