Share targets' loads among nodes, and place by the room below a common level

After all nodes had lost power, what came at once queued for six seconds, since no node knew of the others' requests. Ruled out: too few replicas (the small model's strain was 0.85 to 0.9 with 25 replicas, and its replicas hold 16 of 30 slots once loads are even).

Change: questions to the planner's node carry reports of loads, answers carry those of all nodes and the demand of all. Placement fills targets to a common level with the requests that are not seen yet, and draws by room; reports of short requests fade as fast as those end. Strain counts the batch that runs instead of a full one, so replicas move to the large model; a model counts as at ease below a strain of 0.9 instead of 0.7.

--- a/src/engine/EngineCost.cpp
+++ b/src/engine/EngineCost.cpp
@@ -13,6 +13,8 @@
 /// Share of the slots that may be taken on average; the rest takes up what
 /// arrives unevenly.
 constexpr double kSlotLimit = 0.85;
+/// Steps depend so little on the batch that this settles to a percent.
+constexpr int kRounds = 3;
 constexpr double kTokensPerThousand = 1000;
 constexpr double kPairsPerMillion = 1e6;
 
@@ -73,11 +75,16 @@
   if (aDemand.requests <= 0) {
     return 0;
   }
-  const double context =
-    aDemand.promptTokens / aDemand.requests * this->engine.batchSlots;
-  const double step =
-    ToSeconds(this->Step(this->engine.batchSlots, context)) / left;
-  return aDemand.outputTokens / aReplicas * step;
+  const double context = aDemand.promptTokens / aDemand.requests;
+  // Steps grow with what runs, and what runs with the steps.
+  double running = this->engine.batchSlots;
+  for (int i = 0; i < kRounds; ++i) {
+    const double batch =
+      std::min(running, static_cast<double>(this->engine.batchSlots));
+    running = aDemand.outputTokens / aReplicas *
+              ToSeconds(this->Step(batch, batch * context)) / left;
+  }
+  return running;
 }
 
 double
--- a/src/engine/ReplicaBudget.cpp
+++ b/src/engine/ReplicaBudget.cpp
@@ -15,9 +15,12 @@
 ReplicaBudget::Allocate(int aTargets, const ModelDemands& aDemands) const
 {
   const double serving = aTargets * (1 - this->options.spareShare);
-  const bool known =
-    std::any_of(aDemands.begin(), aDemands.end(), [](const auto& aEntry) {
-      return aEntry.second.requests > 0;
+  const bool known = std::any_of(
+    this->engine.models.begin(),
+    this->engine.models.end(),
+    [&](const ReplicaModel& aModel) {
+      const auto demand = aDemands.find(aModel.name);
+      return demand != aDemands.end() && demand->second.requests > 0;
     });
   return known ? this->ByDemand(serving, aDemands) : this->ByShare(serving);
 }
--- a/src/fleet/FleetMessages.h
+++ b/src/fleet/FleetMessages.h
@@ -4,6 +4,7 @@
 #include "apricottrack/Time.h"
 #include "engine/ReplicaBudget.h"
 #include "fleet/TargetRecord.h"
+#include "placement/LoadSample.h"
 
 #include <cstdint>
 #include <string>
@@ -26,6 +27,8 @@
   ModelDemands demands;
   /// The store did not answer the asker, which needs the catalog all the same.
   bool wantsCatalog = false;
+  /// What targets told the asker since its last question.
+  std::vector<LoadSample> loads;
 
   friend bool operator==(const FleetQuestion&, const FleetQuestion&) = default;
 };
@@ -53,6 +56,10 @@
   /// The document of the catalog's revision, as the store holds it; empty
   /// where the asker has it.
   std::string catalog;
+  /// What targets told any node a short while ago.
+  std::vector<LoadSample> loads;
+  /// Of all nodes together; empty while unknown.
+  ModelDemands demands;
 
   friend bool operator==(const FleetAnswer&, const FleetAnswer&) = default;
 };
--- a/src/membership/FleetPacking.cpp
+++ b/src/membership/FleetPacking.cpp
@@ -96,19 +96,73 @@
   return record;
 }
 
-} // namespace
-
-flatbuffers::Offset<void>
-Pack(Builder& aBuilder, const FleetQuestion& aMessage)
+std::vector<flatbuffers::Offset<wire::ModelDemand>>
+PackModelDemands(Builder& aBuilder, const ModelDemands& aDemands)
 {
   std::vector<flatbuffers::Offset<wire::ModelDemand>> demands;
-  for (const auto& [model, demand] : aMessage.demands) {
+  for (const auto& [model, demand] : aDemands) {
     demands.push_back(wire::CreateModelDemandDirect(aBuilder,
                                                     model.c_str(),
                                                     demand.requests,
                                                     demand.promptTokens,
                                                     demand.outputTokens));
   }
+  return demands;
+}
+
+ModelDemands
+UnpackModelDemands(
+  const flatbuffers::Vector<flatbuffers::Offset<wire::ModelDemand>>* aItems)
+{
+  ModelDemands demands;
+  if (aItems != nullptr) {
+    for (const wire::ModelDemand* const demand : *aItems) {
+      demands[TextOf(demand->model())] = {
+        .requests = demand->requests(),
+        .promptTokens = demand->prompt_tokens(),
+        .outputTokens = demand->output_tokens(),
+      };
+    }
+  }
+  return demands;
+}
+
+std::vector<flatbuffers::Offset<wire::LoadSample>>
+PackLoads(Builder& aBuilder, const std::vector<LoadSample>& aLoads)
+{
+  std::vector<flatbuffers::Offset<wire::LoadSample>> loads;
+  for (const LoadSample& sample : aLoads) {
+    loads.push_back(wire::CreateLoadSampleDirect(
+      aBuilder,
+      sample.target.c_str(),
+      sample.requests,
+      static_cast<std::uint32_t>(ToMilliseconds(sample.age))));
+  }
+  return loads;
+}
+
+std::vector<LoadSample>
+UnpackLoads(
+  const flatbuffers::Vector<flatbuffers::Offset<wire::LoadSample>>* aItems)
+{
+  std::vector<LoadSample> loads;
+  if (aItems != nullptr) {
+    for (const wire::LoadSample* const sample : *aItems) {
+      loads.push_back({ .target = TextOf(sample->target()),
+                        .requests = sample->requests(),
+                        .age = milliseconds(sample->age_ms()) });
+    }
+  }
+  return loads;
+}
+
+} // namespace
+
+flatbuffers::Offset<void>
+Pack(Builder& aBuilder, const FleetQuestion& aMessage)
+{
+  const auto demands = PackModelDemands(aBuilder, aMessage.demands);
+  const auto loads = PackLoads(aBuilder, aMessage.loads);
   return wire::CreateFleetQuestionDirect(
            aBuilder,
            aMessage.node.c_str(),
@@ -117,7 +171,8 @@
            aMessage.catalogRevision,
            static_cast<std::uint32_t>(ToMilliseconds(aMessage.wait)),
            &demands,
-           aMessage.wantsCatalog)
+           aMessage.wantsCatalog,
+           &loads)
     .Union();
 }
 
@@ -131,6 +186,8 @@
   const TextOffsets gone = PackTexts(aBuilder, aMessage.gone);
   const TextOffsets broken = PackTexts(aBuilder, aMessage.broken);
   const TextOffsets vouched = PackTexts(aBuilder, aMessage.vouched);
+  const auto loads = PackLoads(aBuilder, aMessage.loads);
+  const auto demands = PackModelDemands(aBuilder, aMessage.demands);
   return wire::CreateFleetAnswerDirect(
            aBuilder,
            aMessage.source.c_str(),
@@ -145,7 +202,9 @@
            &broken,
            &vouched,
            static_cast<std::uint32_t>(std::max(0, aMessage.nodes)),
-           aMessage.catalog.c_str())
+           aMessage.catalog.c_str(),
+           &loads,
+           &demands)
     .Union();
 }
 
@@ -161,23 +220,14 @@
 FleetQuestion
 Unpack(const wire::FleetQuestion& aBody)
 {
-  ModelDemands demands;
-  if (aBody.demands() != nullptr) {
-    for (const wire::ModelDemand* const demand : *aBody.demands()) {
-      demands[TextOf(demand->model())] = {
-        .requests = demand->requests(),
-        .promptTokens = demand->prompt_tokens(),
-        .outputTokens = demand->output_tokens(),
-      };
-    }
-  }
   return FleetQuestion{ .node = TextOf(aBody.node()),
                         .source = TextOf(aBody.source()),
                         .sequence = aBody.sequence(),
                         .catalogRevision = aBody.catalog_revision(),
                         .wait = milliseconds(aBody.wait_ms()),
-                        .demands = std::move(demands),
-                        .wantsCatalog = aBody.wants_catalog() };
+                        .demands = UnpackModelDemands(aBody.demands()),
+                        .wantsCatalog = aBody.wants_catalog(),
+                        .loads = UnpackLoads(aBody.loads()) };
 }
 
 FleetAnswer
@@ -195,7 +245,9 @@
                       .broken = TextsOf(aBody.broken()),
                       .vouched = TextsOf(aBody.vouched()),
                       .nodes = static_cast<int>(aBody.nodes()),
-                      .catalog = TextOf(aBody.catalog()) };
+                      .catalog = TextOf(aBody.catalog()),
+                      .loads = UnpackLoads(aBody.loads()),
+                      .demands = UnpackModelDemands(aBody.demands()) };
   if (aBody.targets() != nullptr) {
     for (const wire::TargetState* const target : *aBody.targets()) {
       answer.targets.push_back(UnpackTarget(*target));
--- a/src/placement/DemandMeter.h
+++ b/src/placement/DemandMeter.h
@@ -8,7 +8,8 @@
 
 namespace apricottrack {
 
-/// Measures the demand for each model at one node, as a mean that fades.
+/// Measures the demand for each model, and for each service without models,
+/// at one node, as a mean that fades.
 class DemandMeter
 {
 public:
--- a/src/placement/LoadBook.cpp
+++ b/src/placement/LoadBook.cpp
@@ -25,8 +25,39 @@
 {
   this->ForgetOld(aNow);
   Entry& entry = this->entries[aTarget];
-  entry.others = std::max(0, aRequests - entry.own);
-  entry.reportedAt = aNow;
+  this->Take(entry, aRequests, aNow);
+  entry.direct = true;
+}
+
+void
+LoadBook::Take(Entry& aEntry, int aRequests, Instant aReportedAt) const
+{
+  // Of a report to another node, this node's share is not known; it changes
+  // little meanwhile.
+  const double others = std::max(0, aRequests - aEntry.own);
+  const bool follows = aEntry.reportedAt &&
+                       aReportedAt - *aEntry.reportedAt <= this->options.memory;
+  const double kept =
+    follows ? std::exp2(-ToSeconds(aReportedAt - *aEntry.reportedAt) /
+                        ToSeconds(this->options.usualHalfLife))
+            : 0;
+  aEntry.usual = kept * aEntry.usual + (1 - kept) * others;
+  aEntry.reported = aRequests;
+  aEntry.ownThen = aEntry.own;
+  aEntry.reportedAt = aReportedAt;
+}
+
+void
+LoadBook::OnTold(const LoadSample& aSample, Instant aNow)
+{
+  this->ForgetOld(aNow);
+  Entry& entry = this->entries[aSample.target];
+  const Instant reportedAt = aNow - aSample.age;
+  if (entry.reportedAt && *entry.reportedAt >= reportedAt) {
+    return;
+  }
+  this->Take(entry, aSample.requests, reportedAt);
+  entry.direct = false;
 }
 
 void
@@ -37,7 +68,8 @@
   }
   std::erase_if(this->entries, [&](const auto& aEntry) {
     return aEntry.second.own == 0 &&
-           aNow - aEntry.second.reportedAt > 10 * this->options.reportHalfLife;
+           (!aEntry.second.reportedAt ||
+            aNow - *aEntry.second.reportedAt > this->options.memory);
   });
   this->forgetAt = std::max<std::size_t>(1024, 2 * this->entries.size());
 }
@@ -49,17 +81,38 @@
   return found == this->entries.end() ? 0 : found->second.own;
 }
 
-double
-LoadBook::Estimate(const std::string& aTarget, Instant aNow) const
+std::optional<LoadBook::Others>
+LoadBook::OthersAt(const std::string& aTarget, Instant aNow) const
 {
   const auto found = this->entries.find(aTarget);
-  if (found == this->entries.end()) {
-    return 0;
+  if (found == this->entries.end() || !found->second.reportedAt) {
+    return std::nullopt;
   }
   const Entry& entry = found->second;
-  const double age = ToSeconds(aNow - entry.reportedAt);
-  const double left = std::exp2(-age / ToSeconds(this->options.reportHalfLife));
-  return entry.own + entry.others * left;
+  const Duration age = aNow - *entry.reportedAt;
+  if (age > this->options.memory) {
+    return std::nullopt;
+  }
+  return Others{ .requests = static_cast<double>(
+                   std::max(0, entry.reported - entry.ownThen)),
+                 .usual = entry.usual,
+                 .age = age };
+}
+
+std::vector<LoadSample>
+LoadBook::SamplesSince(Instant aSince, bool aTold, Instant aNow) const
+{
+  std::vector<LoadSample> samples;
+  for (const auto& [target, entry] : this->entries) {
+    if (entry.reportedAt && *entry.reportedAt > aSince &&
+        aNow - *entry.reportedAt <= this->options.memory &&
+        (aTold || entry.direct)) {
+      samples.push_back({ .target = target,
+                          .requests = entry.reported,
+                          .age = aNow - *entry.reportedAt });
+    }
+  }
+  return samples;
 }
 
 } // namespace apricottrack
--- a/src/placement/Placement.cpp
+++ b/src/placement/Placement.cpp
@@ -1,18 +1,28 @@
 #include "placement/Placement.h"
 
 #include <algorithm>
+#include <cmath>
 
 namespace apricottrack {
 
 namespace {
 
-struct Ranked
+/// The level up to which the given amount fills vessels of these heights,
+/// which are sorted.
+double
+WaterLevel(const std::vector<double>& aHeights, double aAmount)
 {
-  const Candidate* candidate = nullptr;
-  double load = 0;
-  /// Load as a share of the slots, with the cost of distance.
-  double cost = 0;
-};
+  double sum = 0;
+  double level = 0;
+  for (std::size_t i = 0; i < aHeights.size(); ++i) {
+    sum += aHeights[i];
+    level = (aAmount + sum) / static_cast<double>(i + 1);
+    if (i + 1 < aHeights.size() && level <= aHeights[i + 1]) {
+      break;
+    }
+  }
+  return level;
+}
 
 } // namespace
 
@@ -27,44 +37,112 @@
 {
 }
 
-PlacementChoice
-Placement::Choose(const std::vector<Candidate>& aCandidates,
-                  const std::set<std::string>& aTried,
-                  Instant aNow,
-                  std::mt19937_64& aRandom) const
+Duration
+Placement::StayOf(double aRequests, double aRate) const
 {
-  std::vector<Ranked> ranked;
+  if (aRate <= 0) {
+    return this->options.evenAfter;
+  }
+  return std::clamp(FromSeconds(aRequests / aRate),
+                    this->options.leastStay,
+                    this->options.evenAfter);
+}
+
+Placement::Survey
+Placement::Look(const std::vector<Candidate>& aCandidates,
+                const std::set<std::string>& aTried,
+                double aRate,
+                Instant aNow) const
+{
+  struct Sight
+  {
+    const Candidate* candidate = nullptr;
+    std::optional<LoadBook::Others> others;
+  };
+  std::vector<Sight> sights;
+  double known = 0;
+  double sum = 0;
+  double slots = 0;
+  Duration ages = Duration::zero();
   for (const Candidate& candidate : aCandidates) {
     if (aTried.contains(candidate.id) ||
         this->stalls.Avoids(candidate.id, aNow)) {
       continue;
     }
-    const double load = this->loads.Estimate(candidate.id, aNow);
-    const bool doubted = this->stalls.Doubts(candidate.id, aNow);
-    const bool near = candidate.availabilityZone == this->availabilityZone;
-    ranked.push_back({ .candidate = &candidate,
-                       .load = load,
-                       .cost = load + (near ? 0 : this->options.crossZoneLoad) +
-                               (doubted ? candidate.slots : 0) });
+    sights.push_back({ &candidate, this->loads.OthersAt(candidate.id, aNow) });
+    slots += candidate.slots;
+    if (const auto& others = sights.back().others) {
+      known += 1;
+      sum += others->usual;
+      ages += others->age;
+    }
+  }
+  // What a report said gives way to what targets usually hold, which is also
+  // what is thought of a target that nothing is known of.
+  const double mean = known > 0 ? sum / known : 0;
+  const auto count = static_cast<double>(sights.size());
+  const Duration stay = this->StayOf(mean * count, aRate);
+  const double age = known > 0 ? ToSeconds(ages) / known : 0;
+  Survey survey;
+  survey.unseen = std::max(this->options.leastUnseen * count,
+                           aRate > 0 ? aRate * std::max(age, ToSeconds(stay))
+                                     : this->options.unknownShare * slots);
+  for (const auto& [candidate, others] : sights) {
+    double load = this->loads.Own(candidate->id) + mean;
+    if (others) {
+      load += (others->requests - mean) *
+              std::exp2(-ToSeconds(others->age) / ToSeconds(stay));
+    }
+    const bool doubted = this->stalls.Doubts(candidate->id, aNow);
+    const bool near = candidate->availabilityZone == this->availabilityZone;
+    survey.targets.push_back(
+      { .candidate = candidate,
+        .load = load,
+        .cost = load + (near ? 0 : this->options.crossZoneLoad) +
+                (doubted ? candidate->slots : 0) });
   }
-  if (ranked.empty()) {
+  return survey;
+}
+
+bool
+Placement::IsFull(const Ranked& aTarget) const
+{
+  return aTarget.load >=
+         aTarget.candidate->slots * (1 + this->options.queueShare);
+}
+
+PlacementChoice
+Placement::Choose(const std::vector<Candidate>& aCandidates,
+                  const std::set<std::string>& aTried,
+                  double aRate,
+                  Instant aNow,
+                  std::mt19937_64& aRandom) const
+{
+  Survey survey = this->Look(aCandidates, aTried, aRate, aNow);
+  std::vector<Ranked>& targets = survey.targets;
+  if (targets.empty()) {
     return { .refusal = PlacementRefusal::kNoTarget };
   }
-  const auto best =
-    std::min_element(ranked.begin(),
-                     ranked.end(),
-                     [](const Ranked& aLeft, const Ranked& aRight) {
-                       return aLeft.cost < aRight.cost;
-                     });
-  const double slots = best->candidate->slots;
-  if (best->load >= slots * (1 + this->options.queueShare)) {
-    return { .refusal = PlacementRefusal::kFull, .load = best->load };
+  std::sort(targets.begin(), targets.end(), [](const auto& a, const auto& b) {
+    return a.cost < b.cost;
+  });
+  const double least = targets.front().load;
+  std::erase_if(targets,
+                [&](const Ranked& aTarget) { return this->IsFull(aTarget); });
+  if (targets.empty()) {
+    return { .refusal = PlacementRefusal::kFull, .load = least };
+  }
+  std::vector<double> heights;
+  for (const Ranked& target : targets) {
+    heights.push_back(target.cost);
+  }
+  const double level = WaterLevel(heights, survey.unseen);
+  std::vector<double> rooms;
+  for (const double height : heights) {
+    rooms.push_back(std::max(0.0, level - height));
   }
-  const double limit = best->cost + this->options.tieWidth;
-  std::erase_if(ranked,
-                [&](const Ranked& aRanked) { return aRanked.cost >= limit; });
-  std::uniform_int_distribution<std::size_t> pick(0, ranked.size() - 1);
-  const Ranked& chosen = ranked[pick(aRandom)];
+  std::discrete_distribution<std::size_t> pick(rooms.begin(), rooms.end());
+  const Ranked& chosen = targets[pick(aRandom)];
   return { .refusal = PlacementRefusal::kNone,
            .target = *chosen.candidate,
            .load = chosen.load };
--- a/src/replicas/FleetPlanner.h
+++ b/src/replicas/FleetPlanner.h
@@ -105,7 +105,7 @@
     /// this much better off.
     double convertMargin = 0.75;
     /// Below this strain nearly all answers are in time.
-    double calmStrain = 0.7;
+    double calmStrain = 0.9;
     /// Between two conversions, for the effect of the first to show.
     Duration convertEvery = milliseconds(1500);
     /// How long nodes are told of a broken list of members; by then they know
--- a/src/serving/FleetRelay.cpp
+++ b/src/serving/FleetRelay.cpp
@@ -16,6 +16,9 @@
 /// telling all of them takes a bounded share of the processor.
 constexpr Duration kPausePerNode = microseconds(1200);
 
+/// Older reports of targets' loads are not passed on.
+constexpr Duration kLoadLifetime = milliseconds(700);
+
 /// Longest time that a question is held, whatever the asker wants.
 constexpr Duration kMostWait = seconds(2);
 
@@ -123,8 +126,11 @@
 Task<FleetAnswer>
 FleetRelay::AnswerFleet(FleetQuestion aQuestion)
 {
-  this->planner.TakeDemands(
-    aQuestion.node, std::move(aQuestion.demands), MonotonicNow());
+  const Instant now = MonotonicNow();
+  this->planner.TakeDemands(aQuestion.node, std::move(aQuestion.demands), now);
+  for (const LoadSample& sample : aQuestion.loads) {
+    this->context.loads.OnTold(sample, now);
+  }
   if (!this->HasNews(aQuestion)) {
     asio::steady_timer timer(this->context.executor,
                              std::min(aQuestion.wait, kMostWait));
@@ -160,6 +166,9 @@
     .fleetAge = aNow - this->fleet.HeardAt(),
   };
   answer.nodes = this->planner.NodeCount(aNow);
+  answer.loads =
+    this->context.loads.SamplesSince(aNow - kLoadLifetime, true, aNow);
+  answer.demands = this->context.fleetDemands;
   if (aQuestion.catalogRevision < answer.catalogRevision &&
       this->MayRelay(aQuestion, aNow)) {
     answer.catalog = this->catalog.Document();
--- a/src/serving/FollowTask.cpp
+++ b/src/serving/FollowTask.cpp
@@ -113,15 +113,17 @@
     this->link =
       std::make_unique<PeerLink>(this->context.executor, this->leader);
   }
+  const Instant now = MonotonicNow();
   FleetQuestion question{ .node = this->context.settings.node,
                           .source = this->source,
                           .sequence = this->sequence,
                           .catalogRevision = this->catalog.Known(),
                           .wait = this->options.wait,
-                          .demands =
-                            this->context.demand.Demands(MonotonicNow()),
-                          .wantsCatalog = this->wantsCatalog };
-  const Instant askedAt = MonotonicNow();
+                          .demands = this->context.demand.Demands(now),
+                          .wantsCatalog = this->wantsCatalog,
+                          .loads = this->context.loads.SamplesSince(
+                            this->askedAt, false, now) };
+  this->askedAt = now;
   const auto reply = co_await this->link->Ask(
     PeerMessage(std::move(question)), this->options.wait + this->options.slack);
   if (!reply) {
@@ -135,11 +137,12 @@
   // The answer was made after the question was sent, so the age counts back
   // from then, however long the answer was on its way.
   if (!answer->catalog.empty()) {
-    this->catalog.TakeRelayed(
-      answer->catalogRevision, answer->catalog, askedAt - answer->catalogAge);
+    this->catalog.TakeRelayed(answer->catalogRevision,
+                              answer->catalog,
+                              this->askedAt - answer->catalogAge);
   }
   if (answer->catalogRevision == this->catalog.Known()) {
-    this->context.catalog.Confirm(askedAt - answer->catalogAge);
+    this->context.catalog.Confirm(this->askedAt - answer->catalogAge);
   } else if (answer->catalogRevision > this->catalog.Known()) {
     const bool read = co_await this->ReadCatalog();
     if (!read) {
@@ -177,6 +180,10 @@
     }
   }
   this->context.nodeCount = std::max(1, aAnswer.nodes);
+  this->context.fleetDemands = aAnswer.demands;
+  for (const LoadSample& sample : aAnswer.loads) {
+    this->context.loads.OnTold(sample, aNow);
+  }
   this->source = aAnswer.source;
   this->sequence = aAnswer.sequence;
   std::set<std::string> broken(aAnswer.broken.begin(), aAnswer.broken.end());
--- a/src/serving/FollowTask.h
+++ b/src/serving/FollowTask.h
@@ -22,8 +22,8 @@
 public:
   struct Options
   {
-    /// Longest wait for a change.
-    Duration wait = milliseconds(400);
+    /// Longest wait for a change; targets' loads are passed on as often.
+    Duration wait = milliseconds(250);
     /// Added for the answer to come; a longer silence is a failure.
     Duration slack = milliseconds(250);
     /// After a failure.
@@ -89,6 +89,8 @@
   std::optional<Instant> firstFollowedAt;
   /// When the planner's node was last heard.
   Instant heardAt;
+  /// When the last question was sent.
+  Instant askedAt;
   std::string source;
   std::uint64_t sequence = 0;
   /// The store did not give this node a catalog that is known to be there.
--- a/src/serving/PlannerTask.cpp
+++ b/src/serving/PlannerTask.cpp
@@ -217,6 +217,7 @@
     return;
   }
   this->context.nodeCount = this->NodeCount(aNow);
+  this->context.fleetDemands = this->TotalDemands(aNow);
   for (const CatalogService& service : catalog->Declared().services) {
     if (service.engine) {
       this->PlanService(service, aNow);
@@ -386,7 +387,7 @@
   const FleetPlannerView view{
     .service = aService,
     .members = members,
-    .demands = this->TotalDemands(aNow),
+    .demands = this->context.fleetDemands,
     .beforeTraffic =
       this->context.settings.serving->firstStart && !this->context.requestsSeen,
     .entriesSettled = this->hooks.entriesSettled(),
--- a/src/serving/RequestFlow.cpp
+++ b/src/serving/RequestFlow.cpp
@@ -4,6 +4,7 @@
 #include "serving/Refusals.h"
 
 #include <algorithm>
+#include <cmath>
 
 namespace apricottrack {
 
@@ -76,12 +77,10 @@
     co_return;
   }
   this->Budget().OnFirstAttempt();
-  if (!this->caller.model.empty()) {
-    this->context.demand.OnRequest(this->caller.model,
-                                   this->caller.promptTokens,
-                                   this->caller.outputTokens,
-                                   this->arrived);
-  }
+  this->context.demand.OnRequest(this->DemandKey(),
+                                 this->caller.promptTokens,
+                                 this->caller.outputTokens,
+                                 this->arrived);
   this->exchange.WatchCaller([this] {
     this->callerGone = true;
     if (this->call != nullptr) {
@@ -108,6 +107,7 @@
                                                          : NextStep::kRefuse);
       co_return;
     }
+    this->lastLoad = choice.load;
     const CallEnd end = co_await this->CallTarget(choice.target);
     this->LogCall(choice.target, end);
     const NextStep step = this->Decide(end);
@@ -125,13 +125,22 @@
                             this->context.loads,
                             this->context.stalls,
                             this->context.settings.availabilityZone);
+  const auto demand = this->context.fleetDemands.find(this->DemandKey());
   return placement.Choose(
     this->context.candidates.Find(*this->accepted.service, this->caller.model),
     this->tried,
+    demand == this->context.fleetDemands.end() ? 0 : demand->second.requests,
     aNow,
     this->context.random);
 }
 
+const std::string&
+RequestFlow::DemandKey() const
+{
+  return this->caller.model.empty() ? this->accepted.service->name
+                                    : this->caller.model;
+}
+
 Task<CallEnd>
 RequestFlow::CallTarget(const Candidate& aTarget)
 {
@@ -461,7 +470,10 @@
     .With("status", std::int64_t{ aStatus })
     .With("route",
           this->accepted.route == nullptr ? "" : this->accepted.route->name)
+    .With("model", this->caller.model)
+    .With("prompt", std::int64_t{ this->caller.promptTokens })
     .With("target", this->lastTarget)
+    .With("load", static_cast<std::int64_t>(std::lround(this->lastLoad)))
     .With("sends", std::int64_t{ this->history.sent })
     .With("first_ms", std::int64_t{ this->firstByte / milliseconds(1) })
     .With("total_ms", std::int64_t{ (now - this->arrived) / milliseconds(1) })
--- a/src/serving/RequestFlow.h
+++ b/src/serving/RequestFlow.h
@@ -30,6 +30,8 @@
 
 private:
   Task<void> Run();
+  /// What demand is counted by: the model or, without one, the service.
+  const std::string& DemandKey() const;
   PlacementChoice ChooseTarget(Instant aNow) const;
   Task<CallEnd> CallTarget(const Candidate& aTarget);
   Task<CallEnd> TakeAnswer(TargetCall& aCall, const HttpResponse& aHead);
@@ -61,6 +63,8 @@
   std::unique_ptr<HttpResponse> answer;
   Error lastError;
   std::string lastTarget;
+  /// Requests that it was thought to hold when it was chosen.
+  double lastLoad = 0;
   Duration firstByte = Duration::zero();
   bool callerGone = false;
   bool leftTarget = false;
--- a/src/serving/ServingContext.h
+++ b/src/serving/ServingContext.h
@@ -47,7 +47,10 @@
   std::set<std::string> vouched;
   LoadBook loads;
   StallDetector stalls;
+  /// Of this node.
   DemandMeter demand;
+  /// Of all nodes together; empty while unknown.
+  ModelDemands fleetDemands;
   HttpConnectionPool targetPool;
   StartGate startGate;
   std::map<std::string, RetryBudget> retryBudgets;
--- a/src/serving/ServingNode.cpp
+++ b/src/serving/ServingNode.cpp
@@ -108,6 +108,7 @@
     .loads = LoadBook(LoadBook::Options{}),
     .stalls = StallDetector(StallDetector::Options{}),
     .demand = DemandMeter(DemandMeter::Options{}),
+    .fleetDemands = {},
     .targetPool =
       HttpConnectionPool(aExecutor,
                          HttpConnectionPool::Options{
--- a/tests/EngineCostTest.cpp
+++ b/tests/EngineCostTest.cpp
@@ -41,6 +41,20 @@
   CHECK(cost.Strain({}, 1) == 0);
 }
 
+TEST_CASE(
+  "EngineCost counts the steps of the batch that runs, not of a full one")
+{
+  const EngineSpec engine = Engine();
+  const EngineCost cost(engine, engine.models[1]);
+  const double running = cost.Running(kSmallDemand, 7);
+  const double left = 1 - cost.PrefillShare(kSmallDemand, 7);
+  const double context = running * 63'000 / 88;
+  CHECK(running < 26);
+  CHECK(running ==
+        Approx(19'700.0 / 7 * ToSeconds(cost.Step(running, context)) / left)
+          .epsilon(0.01));
+}
+
 TEST_CASE("ReplicaBudget divides targets by share until demand is known")
 {
   const EngineSpec engine = Engine();
@@ -51,6 +65,14 @@
   CHECK(budget.Allocate(1, {}).at("large") == 1);
 }
 
+TEST_CASE("ReplicaBudget heeds demand for models only")
+{
+  const EngineSpec engine = Engine();
+  const ReplicaBudget budget(ReplicaBudget::Options{}, engine);
+  CHECK(budget.Allocate(54, { { "another", kSmallDemand } }) ==
+        budget.Allocate(54, {}));
+}
+
 TEST_CASE("ReplicaBudget evens out how far models are from being in time")
 {
   const EngineSpec engine = Engine();
--- a/tests/PlacementTest.cpp
+++ b/tests/PlacementTest.cpp
@@ -2,6 +2,7 @@
 
 #include <catch2/catch.hpp>
 #include <fmt/format.h>
+#include <map>
 
 using namespace apricottrack;
 
@@ -32,7 +33,7 @@
   std::mt19937_64 random(3);
   int placed = 0;
   for (int i = 0; i < 200; ++i) {
-    const auto choice = placement.Choose(candidates, {}, kStart, random);
+    const auto choice = placement.Choose(candidates, {}, 0, kStart, random);
     if (choice.refusal == PlacementRefusal::kNone) {
       loads.OnSent(choice.target.id);
       ++placed;
@@ -45,15 +46,28 @@
   }
 }
 
-TEST_CASE("Placement corrects reports by what this node did since")
+TEST_CASE("Placement sends where reports, corrected by own sends, say least")
 {
   LoadBook loads(LoadBook::Options{});
-  loads.OnSent("t0");
-  loads.OnReported("t0", 3, kStart);
-  CHECK(loads.Estimate("t0", kStart) == Approx(3));
-  loads.OnEnded("t0");
-  CHECK(loads.Estimate("t0", kStart) == Approx(2));
-  CHECK(loads.Estimate("t0", kStart + seconds(1)) == Approx(1));
+  StallDetector stalls(StallDetector::Options{});
+  const Placement placement(
+    Placement::Options{ .leastUnseen = 0.1, .crossZoneLoad = 0 },
+    loads,
+    stalls,
+    "a");
+  const auto candidates = Candidates(2);
+  std::mt19937_64 random(3);
+  loads.OnTold({ .target = "t0", .requests = 3 }, kStart);
+  loads.OnTold({ .target = "t1", .requests = 1 }, kStart);
+  const auto choose = [&] {
+    // Requests so rare that a report still holds.
+    return placement.Choose(candidates, {}, 0.1, kStart, random).target.id;
+  };
+  CHECK(choose() == "t1");
+  loads.OnSent("t1");
+  loads.OnSent("t1");
+  loads.OnSent("t1");
+  CHECK(choose() == "t0");
 }
 
 TEST_CASE("Placement keeps away from targets that were tried or stand still")
@@ -64,9 +78,164 @@
   const Placement placement(Placement::Options{}, loads, stalls, "a");
   std::mt19937_64 random(3);
   for (int i = 0; i < 20; ++i) {
-    CHECK(placement.Choose(Candidates(3), { "t0" }, kStart, random).target.id ==
-          "t2");
+    CHECK(
+      placement.Choose(Candidates(3), { "t0" }, 0, kStart, random).target.id ==
+      "t2");
   }
-  CHECK(placement.Choose(Candidates(2), { "t0" }, kStart, random).refusal ==
+  CHECK(placement.Choose(Candidates(2), { "t0" }, 0, kStart, random).refusal ==
         PlacementRefusal::kNoTarget);
 }
+
+namespace {
+
+/// Nodes that send requests of one model to replicas, each seeing only its
+/// own and what it is told: 90 nodes, as many requests as fill 70% of slots.
+class Crowd
+{
+public:
+  explicit Crowd(bool aTells)
+    : tells(aTells)
+    , stalls(StallDetector::Options{})
+    , books(kNodes, LoadBook(LoadBook::Options{}))
+  {
+    for (int i = 0; i < kTargets; ++i) {
+      this->candidates.push_back({ .id = fmt::format("t{}", i),
+                                   .availabilityZone = "a",
+                                   .slots = kSlots });
+      this->held[this->candidates.back().id] = 0;
+    }
+  }
+
+  /// Share of requests that found all slots taken.
+  double Play(Duration aTime)
+  {
+    std::exponential_distribution<double> pause(kRate);
+    Instant now = kStart;
+    Instant tellAt = kStart;
+    while (now < kStart + aTime) {
+      now += FromSeconds(pause(this->random));
+      this->EndUntil(now);
+      if (this->tells && now >= tellAt) {
+        tellAt = now + milliseconds(250);
+        this->TellAll(now);
+      }
+      this->SendOne(now);
+    }
+    return static_cast<double>(this->queued) / this->sent;
+  }
+
+  int Refused() const { return this->refused; }
+
+private:
+  static constexpr int kNodes = 90;
+  static constexpr int kTargets = 25;
+  static constexpr int kSlots = 30;
+  static constexpr double kStaySeconds = 1.1;
+  static constexpr double kRate = 0.7 * kTargets * kSlots / kStaySeconds;
+
+  struct Running
+  {
+    std::string target;
+    std::size_t node = 0;
+  };
+
+  void EndUntil(Instant aNow)
+  {
+    while (!this->running.empty() && this->running.begin()->first <= aNow) {
+      const auto& [target, node] = this->running.begin()->second;
+      --this->held[target];
+      this->books[node].OnEnded(target);
+      this->running.erase(this->running.begin());
+    }
+  }
+
+  void TellAll(Instant aNow)
+  {
+    std::vector<LoadSample> all = this->samples;
+    this->samples.clear();
+    for (LoadSample& sample : all) {
+      sample.age = aNow - this->sampledAt[sample.target];
+    }
+    for (LoadBook& book : this->books) {
+      for (const LoadSample& sample : all) {
+        book.OnTold(sample, aNow);
+      }
+    }
+  }
+
+  void SendOne(Instant aNow)
+  {
+    std::uniform_int_distribution<std::size_t> pick(0, kNodes - 1);
+    const std::size_t node = pick(this->random);
+    const Placement placement(
+      Placement::Options{}, this->books[node], this->stalls, "a");
+    const auto choice = placement.Choose(
+      this->candidates, {}, this->tells ? kRate : 0, aNow, this->random);
+    ++this->sent;
+    if (choice.refusal != PlacementRefusal::kNone) {
+      ++this->refused;
+      return;
+    }
+    const std::string& target = choice.target.id;
+    this->queued += this->held[target] >= kSlots ? 1 : 0;
+    ++this->held[target];
+    std::exponential_distribution<double> stay(1 / kStaySeconds);
+    this->running.emplace(aNow + FromSeconds(stay(this->random)),
+                          Running{ target, node });
+    this->books[node].OnSent(target);
+    this->books[node].OnReported(target, this->held[target], aNow);
+    std::erase_if(this->samples, [&](const LoadSample& aSample) {
+      return aSample.target == target;
+    });
+    this->samples.push_back(
+      { .target = target, .requests = this->held[target] });
+    this->sampledAt[target] = aNow;
+  }
+
+  bool tells;
+  StallDetector stalls;
+  std::vector<LoadBook> books;
+  std::vector<Candidate> candidates;
+  std::map<std::string, int> held;
+  std::multimap<Instant, Running> running;
+  std::vector<LoadSample> samples;
+  std::map<std::string, Instant> sampledAt;
+  std::mt19937_64 random{ 11 };
+  int sent = 0;
+  int queued = 0;
+  int refused = 0;
+};
+
+} // namespace
+
+TEST_CASE("Placement at many nodes keeps replicas even once they share reports")
+{
+  Crowd alone(false);
+  const double before = alone.Play(seconds(20));
+  Crowd together(true);
+  const double after = together.Play(seconds(20));
+  INFO("found no slot: " << before << " alone, " << after << " together");
+  // Chance alone fills a replica now and then; told nodes avoid most of it.
+  CHECK(after < before / 4);
+  CHECK(after < 0.005);
+  CHECK(together.Refused() == 0);
+}
+
+TEST_CASE("Placement does not refuse short requests for one old report")
+{
+  LoadBook loads(LoadBook::Options{});
+  StallDetector stalls(StallDetector::Options{});
+  const Placement placement(Placement::Options{}, loads, stalls, "a");
+  std::mt19937_64 random(3);
+  // Sixty requests a second of some 30 ms each; one report found a crowd.
+  Instant now = kStart;
+  for (int i = 0; i < 50; ++i) {
+    loads.OnTold({ .target = "t0", .requests = i % 3 }, now);
+    now += milliseconds(16);
+  }
+  loads.OnTold({ .target = "t0", .requests = 6 }, now);
+  CHECK(placement.Choose(Candidates(1), {}, 60, now, random).refusal ==
+        PlacementRefusal::kFull);
+  CHECK(placement.Choose(Candidates(1), {}, 60, now + milliseconds(150), random)
+          .refusal == PlacementRefusal::kNone);
+}
