Leave slots of batches free, and come back to targets that went silent

Cause: where all targets seemed full, nobody sent to them, so nobody heard how they emptied; and targets that nothing was known of were taken to be as full as the others.

Change: reports fade when a target is checked for room, an unheard target is taken as nearly empty, requests for models stop at 90% of the slots, and a small VM's patience begins once the store answers.

--- a/src/node/LeaseTask.cpp
+++ b/src/node/LeaseTask.cpp
@@ -82,6 +82,9 @@
 {
   auto present = co_await this->store.Get(this->options.key);
   if (!present) {
+    if (this->options.onNoReply) {
+      this->options.onNoReply();
+    }
     co_return false;
   }
   const bool own = present->value == this->options.value;
--- a/src/node/LeaseTask.h
+++ b/src/node/LeaseTask.h
@@ -33,6 +33,8 @@
     std::function<bool()> mayTake;
     /// Told of the value that the present holder wrote. May be empty.
     std::function<void(const std::string& aValue)> onHolder;
+    /// Told when the service did not say who holds the key.
+    std::function<void()> onNoReply = {};
     /// Before the first try, so that nodes of one start do not all ask.
     Duration firstDelay = Duration::zero();
   };
--- a/src/placement/Placement.cpp
+++ b/src/placement/Placement.cpp
@@ -77,8 +77,7 @@
       ages += others->age;
     }
   }
-  // What a report said gives way to what targets usually hold, which is also
-  // what is thought of a target that nothing is known of.
+  // What a report said gives way to what targets usually hold.
   const double mean = known > 0 ? sum / known : 0;
   const auto count = static_cast<double>(sights.size());
   const Duration stay = this->StayOf(mean * count, aRate);
@@ -88,17 +87,24 @@
                            aRate > 0 ? aRate * std::max(age, ToSeconds(stay))
                                      : this->options.unknownShare * slots);
   for (const auto& [candidate, others] : sights) {
-    double load = this->loads.Own(candidate->id) + mean;
+    const double own = this->loads.Own(candidate->id);
+    // Where nobody sends, nobody hears how a target empties.
+    const auto left = [&](Duration aAge) {
+      return std::exp2(-ToSeconds(aAge) / ToSeconds(this->options.halfLife));
+    };
+    double elsewhere = mean * left(this->options.unheard);
+    double now = elsewhere;
     if (others) {
-      load += (others->requests - mean) *
-              std::exp2(-ToSeconds(others->age) / ToSeconds(stay));
+      elsewhere = mean + (others->requests - mean) *
+                           std::exp2(-ToSeconds(others->age) / ToSeconds(stay));
+      now = elsewhere * left(others->age);
     }
     const bool doubted = this->stalls.Doubts(candidate->id, aNow);
     const bool near = candidate->availabilityZone == this->availabilityZone;
     survey.targets.push_back(
       { .candidate = candidate,
-        .load = load,
-        .cost = load + (near ? 0 : this->options.crossZoneLoad) +
+        .load = own + now,
+        .cost = own + elsewhere + (near ? 0 : this->options.crossZoneLoad) +
                 (doubted ? candidate->slots : 0) });
   }
   return survey;
--- a/src/placement/Placement.h
+++ b/src/placement/Placement.h
@@ -42,7 +42,8 @@
 public:
   struct Options
   {
-    /// Requests that may wait at a target, as a share of its slots.
+    /// Requests that may wait at a target, as a share of its slots; negative
+    /// to leave slots for requests that are not seen.
     double queueShare = 0.15;
     /// Requests a target that are taken as unseen at least; nodes that choose
     /// at the same moment do not see each other.
@@ -53,6 +54,12 @@
     /// stay at a target if that is less. Sooner would send bursts of prompts to
     /// a target that happens to hold few requests.
     Duration evenAfter = milliseconds(1000);
+    /// What other nodes had running at a target is taken to end at this rate
+    /// when the target is checked for room.
+    Duration halfLife = milliseconds(1000);
+    /// Age taken for targets that nothing is known of; reports that are older
+    /// are forgotten.
+    Duration unheard = milliseconds(2000);
     /// Requests stay at least as long.
     Duration leastStay = milliseconds(50);
     /// While the rate is unknown this share of all slots is taken as unseen.
--- a/src/serving/PlannerTask.cpp
+++ b/src/serving/PlannerTask.cpp
@@ -134,6 +134,7 @@
           [this](const std::string& aValue) {
             this->hooks.onHolder(aValue.substr(0, aValue.find(' ')));
           },
+        .onNoReply = [this] { this->storeSilentAt = MonotonicNow(); },
         .firstDelay = FirstDelay(aContext) })
   , pool(aContext.executor,
          HttpConnectionPool::Options{ .idlePerAddress = 2,
@@ -158,7 +159,10 @@
 PlannerTask::MayTake(Instant aNow) const
 {
   const bool large = this->context.settings.serving->cpuShare >= kLargeCpuShare;
-  const Duration leaderless = aNow - this->leaderlessSince;
+  // While the store is away nobody can take the lead, so large VMs have not
+  // passed it by.
+  const Duration leaderless =
+    aNow - std::max(this->leaderlessSince, this->storeSilentAt);
   // A newcomer that takes the lead passes on what the store says, and orders
   // nothing until it can judge entries.
   const bool judges = this->hooks.mayTake() || leaderless >= kNewcomerPatience;
--- a/src/serving/PlannerTask.h
+++ b/src/serving/PlannerTask.h
@@ -169,6 +169,8 @@
   Instant lagsUntil;
   /// Since when no node was known to plan.
   Instant leaderlessSince;
+  /// When the store last failed to say who plans.
+  Instant storeSilentAt;
   bool leading = false;
   std::int64_t fence = 0;
   std::int64_t issued = 0;
--- a/src/serving/RequestFlow.cpp
+++ b/src/serving/RequestFlow.cpp
@@ -1,7 +1,6 @@
 #include "serving/RequestFlow.h"
 
 #include "base/Log.h"
-#include "serving/Refusals.h"
 
 #include <algorithm>
 #include <cmath>
@@ -27,6 +26,10 @@
 /// nodes see differently.
 constexpr double kBudgetPart = 0.9;
 
+/// A request beyond the slots of a batch waits for another one's end, longer
+/// than objectives allow; below them, what reports do not show is left room.
+constexpr double kBatchQueueShare = -0.1;
+
 constexpr unsigned kFirstSuccess = 200;
 constexpr unsigned kFirstRedirect = 300;
 constexpr unsigned kFirstServerError = 500;
@@ -121,7 +124,11 @@
 PlacementChoice
 RequestFlow::ChooseTarget(Instant aNow) const
 {
-  const Placement placement(Placement::Options{},
+  Placement::Options options{};
+  if (this->accepted.service->engine) {
+    options.queueShare = kBatchQueueShare;
+  }
+  const Placement placement(options,
                             this->context.loads,
                             this->context.stalls,
                             this->context.settings.availabilityZone);
--- a/src/serving/RequestFlow.h
+++ b/src/serving/RequestFlow.h
@@ -4,6 +4,7 @@
 #include "http/HttpServer.h"
 #include "serving/EventSplitter.h"
 #include "serving/Intake.h"
+#include "serving/Refusals.h"
 #include "serving/RepeatRules.h"
 #include "serving/ServingContext.h"
 #include "serving/TargetCall.h"
--- a/tests/LeaseTaskTest.cpp
+++ b/tests/LeaseTaskTest.cpp
@@ -14,6 +14,9 @@
 public:
   Task<Result<KeyValue>> Get(std::string aKey) override
   {
+    if (this->away) {
+      co_return Failure(ErrorCode::kUnreachable, "get", "store", "away");
+    }
     co_return KeyValue{ .key = std::move(aKey),
                         .value = this->value,
                         .revision = this->revision };
@@ -54,6 +57,7 @@
     co_return Error{};
   }
 
+  bool away = false;
   std::string value;
   Revision revision = 0;
   Revision writes = 0;
@@ -110,3 +114,27 @@
   CHECK(store.writes == 0);
   CHECK(store.granted == 0);
 }
+
+TEST_CASE("LeaseTask tells that nobody said who holds the key")
+{
+  boost::asio::io_context context(1);
+  OneKeyStore store;
+  store.away = true;
+  int missed = 0;
+  LeaseTask asker(context.get_executor(),
+                  store,
+                  { .key = "k",
+                    .value = "v",
+                    .ttlSeconds = 60,
+                    .renewEvery = milliseconds(10),
+                    .onNoReply = [&] { ++missed; } });
+  asker.Start();
+  context.run_for(milliseconds(50));
+  CHECK(missed > 0);
+  CHECK_FALSE(asker.NotKnownLost());
+  store.away = false;
+  missed = 0;
+  context.run_for(milliseconds(50));
+  CHECK(missed == 0);
+  CHECK(asker.NotKnownLost());
+}
--- a/tests/PlacementTest.cpp
+++ b/tests/PlacementTest.cpp
@@ -239,3 +239,39 @@
   CHECK(placement.Choose(Candidates(1), {}, 60, now + milliseconds(150), random)
           .refusal == PlacementRefusal::kNone);
 }
+
+TEST_CASE("Placement leaves slots of a batch for requests that are not seen")
+{
+  LoadBook loads(LoadBook::Options{});
+  StallDetector stalls(StallDetector::Options{});
+  const Placement placement(
+    Placement::Options{ .queueShare = -0.25 }, loads, stalls, "a");
+  std::mt19937_64 random(3);
+  loads.OnTold({ .target = "t0", .requests = 2 }, kStart);
+  CHECK(placement.Choose(Candidates(1), {}, 4, kStart, random).refusal ==
+        PlacementRefusal::kNone);
+  loads.OnTold({ .target = "t0", .requests = 3 }, kStart + milliseconds(1));
+  CHECK(placement.Choose(Candidates(1), {}, 4, kStart + milliseconds(1), random)
+          .refusal == PlacementRefusal::kFull);
+}
+
+TEST_CASE("Placement comes back to full targets once nothing is heard of them")
+{
+  LoadBook loads(LoadBook::Options{});
+  StallDetector stalls(StallDetector::Options{});
+  const Placement placement(Placement::Options{}, loads, stalls, "a");
+  std::mt19937_64 random(3);
+  const auto choose = [&](int aTargets, Instant aNow) {
+    return placement.Choose(Candidates(aTargets), {}, 8, aNow, random);
+  };
+  loads.OnTold({ .target = "t0", .requests = 8 }, kStart);
+  loads.OnTold({ .target = "t1", .requests = 8 }, kStart);
+  CHECK(choose(2, kStart).refusal == PlacementRefusal::kFull);
+  // Nobody sends to them, so there are no reports of how they empty.
+  CHECK(choose(2, kStart + milliseconds(1100)).refusal ==
+        PlacementRefusal::kNone);
+  // Others that nothing is known of are not taken to be as full.
+  const auto choice = choose(4, kStart + milliseconds(100));
+  CHECK(choice.refusal == PlacementRefusal::kNone);
+  CHECK((choice.target.id == "t2" || choice.target.id == "t3"));
+}
