Keep a target warm for each large replica, and spares for models that are short

Spares had become further small replicas although the small model was at ease (strain 0.65; 98% in time up to 0.9), and targets without weights always loaded for the small model, since a whole large replica was so many loads away.

Change: a target without weights loads the largest model of which its domain has fewer spares than replicas, unless one load completes a replica that is short; spares form replicas only of a model whose strain is above one; further replicas below a strain of 0.85 are not planned. A large model's strain is one at 0.36 of the time for prompts, not 0.28: at 0.36 and below 95% of its answers are in time.

--- a/src/engine/EngineCost.cpp
+++ b/src/engine/EngineCost.cpp
@@ -9,7 +9,7 @@
 
 /// Prompts may take this share of a replica's time; beyond it the wait for
 /// the first token grows past usual objectives.
-constexpr double kPrefillLimit = 0.28;
+constexpr double kPrefillLimit = 0.36;
 /// Share of the slots that may be taken on average; the rest takes up what
 /// arrives unevenly.
 constexpr double kSlotLimit = 0.85;
--- a/src/engine/ReplicaBudget.h
+++ b/src/engine/ReplicaBudget.h
@@ -22,8 +22,9 @@
   {
     /// Share of the targets that stands by while replicas are wanted.
     double spareShare = 0.12;
-    /// Further replicas of a model are of little use below this strain.
-    double easyStrain = 0.65;
+    /// Below this strain nearly all answers are in time; further targets are
+    /// of more use as spares.
+    double easyStrain = 0.85;
   };
 
   ReplicaBudget(Options aOptions, const EngineSpec& aEngine);
--- a/src/replicas/FleetForming.cpp
+++ b/src/replicas/FleetForming.cpp
@@ -89,18 +89,14 @@
 void
 FleetPlanningRound::FormSubstitutes()
 {
-  const bool isShort =
-    std::any_of(this->engine.models.begin(),
-                this->engine.models.end(),
-                [&](const ReplicaModel& aModel) {
-                  return this->StrainOf(aModel, this->ReplicasOf(aModel.name)) >
-                         this->planner.options.shortStrain;
-                });
-  if (!isShort || this->view.beforeTraffic) {
+  if (this->view.beforeTraffic) {
     return;
   }
+  // A model that is not short leaves the targets to repairs.
+  const double most = this->planner.options.shortStrain;
   for (const ReplicaModel* const model : this->ModelsBySize()) {
-    while (this->FormOne(*model)) {
+    while (this->StrainOf(*model, this->ReplicasOf(model->name)) > most &&
+           this->FormOne(*model)) {
     }
   }
 }
@@ -154,6 +150,13 @@
 int
 FleetPlanningRound::MissingFor(const ReplicaModel& aModel,
                                std::string_view aDomain) const
+{
+  return aModel.size - this->SparesFor(aModel, aDomain) % aModel.size;
+}
+
+int
+FleetPlanningRound::SparesFor(const ReplicaModel& aModel,
+                              std::string_view aDomain) const
 {
   int have = static_cast<int>(this->FreeIn(aDomain, aModel.name).size());
   for (const auto& [id, preparation] : this->planner.preparing) {
@@ -164,12 +167,45 @@
               ? 1
               : 0;
   }
-  return aModel.size - have % aModel.size;
+  return have;
+}
+
+const ReplicaModel*
+FleetPlanningRound::UnguardedModel(std::string_view aDomain) const
+{
+  for (const ReplicaModel* const model : this->ModelsBySize()) {
+    const auto replicas =
+      std::count_if(this->planner.replicas.begin(),
+                    this->planner.replicas.end(),
+                    [&](const auto& aEntry) {
+                      return aEntry.second.domain == aDomain &&
+                             aEntry.second.model == model->name;
+                    });
+    if (this->SparesFor(*model, aDomain) < replicas) {
+      return model;
+    }
+  }
+  return nullptr;
 }
 
 const ReplicaModel&
 FleetPlanningRound::SpareModelFor(const TargetRecord& aRecord) const
 {
+  const bool isShort =
+    std::any_of(this->engine.models.begin(),
+                this->engine.models.end(),
+                [&](const ReplicaModel& aModel) {
+                  return this->MissingFor(aModel, aRecord.fabricDomain) == 1 &&
+                         this->StrainOf(aModel, this->ReplicasOf(aModel.name)) >
+                           this->planner.options.shortStrain;
+                });
+  // A large replica that cannot be repaired leaves many targets idle for as
+  // long as a load takes.
+  const ReplicaModel* const unguarded =
+    isShort ? nullptr : this->UnguardedModel(aRecord.fabricDomain);
+  if (unguarded != nullptr) {
+    return *unguarded;
+  }
   // The loads that are still missing for a whole replica here, by how much
   // the model needs one.
   const auto cost = [&](const ReplicaModel& aModel) {
--- a/src/replicas/FleetPlanner.h
+++ b/src/replicas/FleetPlanner.h
@@ -100,7 +100,7 @@
     /// staging, a model that lost replicas could not get them back from others.
     int loadsKept = 6;
     /// Strain of a model from which on spares are of more use in replicas.
-    double shortStrain = 1.25;
+    double shortStrain = 1.0;
     /// A model gives up a replica to another one only if it is then still
     /// this much better off.
     double convertMargin = 0.75;
--- a/src/replicas/FleetPlanningRound.h
+++ b/src/replicas/FleetPlanningRound.h
@@ -99,8 +99,14 @@
   /// Targets of the domain that have yet to load the model for one more whole
   /// replica of it.
   int MissingFor(const ReplicaModel& aModel, std::string_view aDomain) const;
-  /// The model that a target without any should load: the one of which its
-  /// domain can have a whole replica soonest.
+  /// Targets of the domain that could join a replica of the model soon.
+  int SparesFor(const ReplicaModel& aModel, std::string_view aDomain) const;
+  /// The largest model of which the domain has fewer spares than replicas, or
+  /// null.
+  const ReplicaModel* UnguardedModel(std::string_view aDomain) const;
+  /// The model that a target without any should load: one whose replicas could
+  /// not be repaired, or the one of which its domain can have a whole replica
+  /// soonest.
   const ReplicaModel& SpareModelFor(const TargetRecord& aRecord) const;
   int ReplicasOf(std::string_view aModel) const;
   /// Replicas of any model, from targets that stand idle while a model is
--- a/src/serving/RequestFlow.cpp
+++ b/src/serving/RequestFlow.cpp
@@ -28,7 +28,7 @@
 
 /// A request beyond the slots of a batch waits for another one's end, longer
 /// than objectives allow; below them, what reports do not show is left room.
-constexpr double kBatchQueueShare = -0.1;
+constexpr double kBatchQueueShare = 0.1;
 
 constexpr unsigned kFirstSuccess = 200;
 constexpr unsigned kFirstRedirect = 300;
--- a/tests/FleetConversionTest.cpp
+++ b/tests/FleetConversionTest.cpp
@@ -173,3 +173,55 @@
   }
   CHECK_FALSE(opened);
 }
+
+TEST_CASE("FleetPlanner keeps a target warm for a large replica's repair")
+{
+  FakeFleet fleet = MixedFleet(14);
+  FleetPlanner planner = MakePlanner(1);
+  Instant now = kStart;
+  fleet.Settle(planner, now, true);
+  REQUIRE(planner.Count("large", ReplicaPhase::kServing) == 1);
+  fleet.demands = { { "large", Demand(40) }, { "small", Demand(60) } };
+  // A target that holds nothing comes. Two more like it would make a small
+  // replica sooner, but the large one could not be repaired meanwhile.
+  PlannerMember fresh;
+  fresh.record = fleet.members.begin()->second.record;
+  fresh.record.id = "fresh";
+  fresh.record.address = "fresh:1";
+  fresh.record.model.clear();
+  fresh.record.stagedModels.clear();
+  fresh.record.membership.reset();
+  fleet.members.emplace("fresh", fresh);
+  std::string loaded;
+  for (int i = 0; i < 40; ++i, now += milliseconds(50)) {
+    const auto orders = planner.Round(fleet.View(), now);
+    for (const ReplicaOrder& order : orders) {
+      if (order.target == "fresh" && order.kind == OrderKind::kJoin) {
+        loaded = order.model;
+      }
+    }
+    fleet.Carry(orders);
+  }
+  CHECK(loaded == "large");
+}
+
+TEST_CASE("FleetPlanner leaves spares to repairs while no model is short")
+{
+  FakeFleet fleet = MixedFleet(20);
+  FleetPlanner planner = MakePlanner(1);
+  Instant now = kStart;
+  fleet.Settle(planner, now, true);
+  const auto small = [&] {
+    return planner.Count("small", ReplicaPhase::kServing);
+  };
+  const int before = small();
+  REQUIRE(planner.Count("large", ReplicaPhase::kServing) == 1);
+  // The large model is short and cannot have another replica here; the small
+  // one is at ease.
+  fleet.demands = { { "large", Demand(200) }, { "small", Demand(20) } };
+  for (int i = 0; i < 3; ++i, now += seconds(2)) {
+    fleet.Settle(planner, now);
+  }
+  CHECK(small() <= before);
+  CHECK(fleet.violations.empty());
+}
