--- a/src/membership/FleetPacking.cpp
+++ b/src/membership/FleetPacking.cpp
@@ -131,6 +131,7 @@
 PackLoads(Builder& aBuilder, const std::vector<LoadSample>& aLoads)
 {
   std::vector<flatbuffers::Offset<wire::LoadSample>> loads;
+  loads.reserve(aLoads.size());
   for (const LoadSample& sample : aLoads) {
     loads.push_back(wire::CreateLoadSampleDirect(
       aBuilder,
--- a/src/placement/Placement.cpp
+++ b/src/placement/Placement.cpp
@@ -93,17 +93,17 @@
       return std::exp2(-ToSeconds(aAge) / ToSeconds(this->options.halfLife));
     };
     double elsewhere = mean * left(this->options.unheard);
-    double now = elsewhere;
+    double stillThere = elsewhere;
     if (others) {
       elsewhere = mean + (others->requests - mean) *
                            std::exp2(-ToSeconds(others->age) / ToSeconds(stay));
-      now = elsewhere * left(others->age);
+      stillThere = elsewhere * left(others->age);
     }
     const bool doubted = this->stalls.Doubts(candidate->id, aNow);
     const bool near = candidate->availabilityZone == this->availabilityZone;
     survey.targets.push_back(
       { .candidate = candidate,
-        .load = own + now,
+        .load = own + stillThere,
         .cost = own + elsewhere + (near ? 0 : this->options.crossZoneLoad) +
                 (doubted ? candidate->slots : 0) });
   }
@@ -129,9 +129,11 @@
   if (targets.empty()) {
     return { .refusal = PlacementRefusal::kNoTarget };
   }
-  std::sort(targets.begin(), targets.end(), [](const auto& a, const auto& b) {
-    return a.cost < b.cost;
-  });
+  std::sort(targets.begin(),
+            targets.end(),
+            [](const Ranked& aLeft, const Ranked& aRight) {
+              return aLeft.cost < aRight.cost;
+            });
   const double least = targets.front().load;
   std::erase_if(targets,
                 [&](const Ranked& aTarget) { return this->IsFull(aTarget); });
@@ -139,11 +141,13 @@
     return { .refusal = PlacementRefusal::kFull, .load = least };
   }
   std::vector<double> heights;
+  heights.reserve(targets.size());
   for (const Ranked& target : targets) {
     heights.push_back(target.cost);
   }
   const double level = WaterLevel(heights, survey.unseen);
   std::vector<double> rooms;
+  rooms.reserve(heights.size());
   for (const double height : heights) {
     rooms.push_back(std::max(0.0, level - height));
   }
