--- a/tests/FleetConversionTest.cpp
+++ b/tests/FleetConversionTest.cpp
@@ -37,6 +37,17 @@
   }
 }
 
+/// Only the small model is asked for, and gets all there is.
+void
+ServeSmall(FakeFleet& aFleet, FleetPlanner& aPlanner, Instant& aNow)
+{
+  aFleet.demands = { { "large", Demand(0.1) }, { "small", Demand(150) } };
+  Play(aFleet, aPlanner, aNow);
+  for (auto& [id, member] : aFleet.members) {
+    member.record.stagedModels = { "large", "small" };
+  }
+}
+
 } // namespace
 
 TEST_CASE("FleetPlanner makes a large replica of several small ones")
@@ -44,12 +55,7 @@
   FakeFleet fleet = MixedFleet(20);
   FleetPlanner planner = MakePlanner(1);
   Instant now = kStart;
-  // Only the small model is asked for, and gets all there is.
-  fleet.demands = { { "large", Demand(0.1) }, { "small", Demand(150) } };
-  Play(fleet, planner, now);
-  for (auto& [id, member] : fleet.members) {
-    member.record.stagedModels = { "large", "small" };
-  }
+  ServeSmall(fleet, planner, now);
   const int small = planner.Count("small", ReplicaPhase::kServing);
   const int large = planner.Count("large", ReplicaPhase::kServing);
   REQUIRE(small >= 3);
@@ -88,11 +94,7 @@
   FakeFleet fleet = MixedFleet(20);
   FleetPlanner planner = MakePlanner(1);
   Instant now = kStart;
-  fleet.demands = { { "large", Demand(0.1) }, { "small", Demand(150) } };
-  Play(fleet, planner, now);
-  for (auto& [id, member] : fleet.members) {
-    member.record.stagedModels = { "large", "small" };
-  }
+  ServeSmall(fleet, planner, now);
   fleet.demands = { { "large", Demand(120) }, { "small", Demand(1) } };
   // The donors' heads fall silent right after they were told to stop, and do
   // not carry that out.
