Replace slow members of replicas and index planning rounds

Cause: a replica runs at the speed of its slowest member. The search for idle targets compared each target with each member of each replica, which grows with the square of the fleet.

Change: a serving replica whose domain has enough idle, warm targets of normal speed gets a new list of members without the slow ones. RoundIndex holds the lookup tables of a round.

--- a/src/replicas/FleetConversions.cpp
+++ b/src/replicas/FleetConversions.cpp
@@ -145,12 +145,9 @@
   if (saturation(*mostSaturated) <= 1) {
     return;
   }
-  std::set<std::string> domains;
-  for (const auto& [id, member] : this->view.members) {
-    domains.insert(member.record.fabricDomain);
-  }
   std::optional<Conversion> bestConversion;
-  for (const std::string& domain : domains) {
+  for (const auto& [domainName, targets] : this->index.Domains()) {
+    const std::string domain(domainName);
     const auto found =
       this->FindConversion(*mostSaturated,
                            *leastSaturated,
@@ -199,6 +196,7 @@
     const bool isDonor = aEntry.second.recipient == aReplica.name;
     if (isDonor) {
       this->RetireMemberList(aEntry.second);
+      this->index.RemovePlanned(aEntry.second.members);
     }
     return isDonor;
   });
--- a/src/replicas/FleetForming.cpp
+++ b/src/replicas/FleetForming.cpp
@@ -121,24 +121,21 @@
 bool
 FleetPlanningRound::FormReplica(const ReplicaModel& aModel)
 {
-  std::set<std::string_view> domains;
-  for (const auto& [id, member] : this->view.members) {
-    domains.insert(member.record.fabricDomain);
-  }
-  std::vector<std::string> bestTargets;
+  int mostTargets = 0;
   std::string_view bestDomain;
-  for (const std::string_view domain : domains) {
-    std::vector<std::string> idle = this->IdleTargetsIn(domain, aModel.name);
-    if (idle.size() > bestTargets.size()) {
-      bestTargets = std::move(idle);
+  for (const auto& [domain, targets] : this->index.Domains()) {
+    const int idle = this->CountIdleTargetsIn(domain, aModel.name);
+    if (idle > mostTargets) {
+      mostTargets = idle;
       bestDomain = domain;
     }
   }
-  const auto size = static_cast<std::size_t>(aModel.size);
-  if (bestTargets.size() < size) {
+  if (mostTargets < aModel.size) {
     return false;
   }
-  bestTargets.resize(size);
+  std::vector<std::string> bestTargets =
+    this->IdleTargetsIn(bestDomain, aModel.name);
+  bestTargets.resize(static_cast<std::size_t>(aModel.size));
   const std::int64_t firstEpoch = this->planner.nextEpoch();
   PlannedReplica replica{ .name = fmt::format("r{}", firstEpoch),
                           .model = aModel.name,
@@ -162,8 +159,7 @@
 FleetPlanningRound::CountSparesFor(const ReplicaModel& aModel,
                                    std::string_view aDomain) const
 {
-  int spares =
-    static_cast<int>(this->IdleTargetsIn(aDomain, aModel.name).size());
+  int spares = this->CountIdleTargetsIn(aDomain, aModel.name);
   for (const auto& [id, preparation] : this->planner.preparations) {
     const PlannerMember* const member = this->FindTarget(id);
     const bool inDomain =
--- a/src/replicas/FleetPlanner.h
+++ b/src/replicas/FleetPlanner.h
@@ -24,6 +24,10 @@
   /// Missed `PlannerTask::Options::maxMissedReports` report queries in a row,
   /// or another target now listens on its address.
   bool unresponsive = false;
+  /// Reports to be slower than others of its kind by
+  /// `PlannerTask::Options::slowTimeFactor`. A replica runs at the speed of its
+  /// slowest member.
+  bool slow = false;
   /// The store lists its entry. Nodes send requests to listed targets only.
   bool listed = true;
 
--- a/src/replicas/FleetPlanningRound.cpp
+++ b/src/replicas/FleetPlanningRound.cpp
@@ -59,6 +59,7 @@
   , view(aView)
   , engine(*aView.service.engine)
   , now(aNow)
+  , index(aView.members)
 {
 }
 
@@ -79,6 +80,9 @@
   this->PruneStaleState();
   this->RecordHeldModels();
   this->AdoptUnknownReplicas();
+  for (const auto& [name, replica] : this->planner.replicas) {
+    this->index.AddPlanned(replica.members);
+  }
   this->AdvanceReplicas();
   this->ReleaseOrphanedTargets();
   this->FormReplicas();
@@ -274,7 +278,12 @@
     if (replica.phase == ReplicaPhase::kClosing) {
       ended = this->AdvanceClosing(replica);
     }
-    it = ended ? replicas.erase(it) : std::next(it);
+    if (ended) {
+      this->index.RemovePlanned(replica.members);
+      it = replicas.erase(it);
+    } else {
+      ++it;
+    }
   }
 }
 
@@ -349,6 +358,9 @@
     }
     return;
   }
+  if (this->ReplaceSlowMembers(aReplica)) {
+    return;
+  }
   if (this->HasLeavingMember(aReplica) && !this->CanKeepServing(aReplica)) {
     // Running requests finish first; the replacement joins afterwards.
     aReplica.phase = ReplicaPhase::kClosing;
@@ -398,7 +410,9 @@
 FleetPlanningRound::BeginJoin(PlannedReplica& aReplica,
                               std::vector<std::string> aMembers)
 {
+  this->index.RemovePlanned(aReplica.members);
   aReplica.members = std::move(aMembers);
+  this->index.AddPlanned(aReplica.members);
   aReplica.epoch = this->planner.nextEpoch();
   aReplica.phase = ReplicaPhase::kJoining;
   aReplica.phaseSince = this->now;
--- a/src/replicas/FleetPlanningRound.h
+++ b/src/replicas/FleetPlanningRound.h
@@ -2,6 +2,7 @@
 #define APRICOTTRACK_REPLICAS_FLEETPLANNINGROUND_H
 
 #include "replicas/FleetPlanner.h"
+#include "replicas/RoundIndex.h"
 
 #include <optional>
 #include <string>
@@ -87,20 +88,28 @@
   /// under a new epoch. Returns false if no member is usable or the fabric
   /// domain has too few targets.
   bool Repair(PlannedReplica& aReplica);
+  /// Replaces the slow members of a serving replica by idle targets. Returns
+  /// false if none is slow or the domain has too few idle targets.
+  bool ReplaceSlowMembers(PlannedReplica& aReplica);
   /// Orders the head, if it responds, to stop immediately and moves the replica
   /// to kClosing; its members are released once the head has stopped.
   void Dissolve(PlannedReplica& aReplica);
   /// Records the current list of members as given up.
   void RetireMemberList(const PlannedReplica& aReplica);
 
-  /// Returns the idle targets of a domain that are not cold for the model, the
-  /// fastest to join first. Before traffic, cold ones are included.
+  /// Returns the idle targets of a domain that are neither slow nor cold for
+  /// the model, the fastest to join first. Before traffic, slow and cold ones
+  /// are included.
   std::vector<std::string> IdleTargetsIn(std::string_view aDomain,
                                          std::string_view aModel) const;
+  /// Returns the number of targets that IdleTargetsIn returns.
+  int CountIdleTargetsIn(std::string_view aDomain,
+                         std::string_view aModel) const;
+  /// Returns true if the target is idle, is not slow and can join a replica of
+  /// the model without a load. Before traffic any idle target can.
+  bool IsIdleFor(const PlannerMember& aMember, std::string_view aModel) const;
   /// Returns true if the target is usable and no replica depends on it.
   bool IsIdle(const PlannerMember& aMember) const;
-  /// Returns true if the target is a member of a planned replica.
-  bool IsInPlannedReplica(std::string_view aId) const;
   /// Returns true if the target has joined, the head of its list of members
   /// reports kReady, which means that it does not serve, and no open order to
   /// the head is outstanding.
@@ -234,6 +243,7 @@
   const FleetPlannerView& view;
   const EngineSpec& engine;
   Instant now;
+  RoundIndex index;
   std::vector<ReplicaOrder> orders;
 };
 
--- a/src/replicas/FleetRepair.cpp
+++ b/src/replicas/FleetRepair.cpp
@@ -24,11 +24,11 @@
     possibleMembers += this->CanBeMember(id) ? 1 : 0;
   }
   const int size = this->ModelOf(aReplica).size;
-  const auto spares =
-    this->IdleTargetsIn(aReplica.domain, aReplica.model).size();
+  const int spares =
+    this->CountIdleTargetsIn(aReplica.domain, aReplica.model);
   return this->IsUsable(aReplica.members.front()) &&
          (possibleMembers == size ||
-          possibleMembers + static_cast<int>(spares) < size);
+          possibleMembers + spares < size);
 }
 
 bool
@@ -72,6 +72,38 @@
   return true;
 }
 
+bool
+FleetPlanningRound::ReplaceSlowMembers(PlannedReplica& aReplica)
+{
+  std::vector<std::string> members;
+  for (const std::string& id : aReplica.members) {
+    const PlannerMember* const member = this->FindTarget(id);
+    if (!member->slow && !member->record.leaving) {
+      members.push_back(id);
+    }
+  }
+  const auto size = aReplica.members.size();
+  const bool hasSlowMember = std::any_of(
+    aReplica.members.begin(), aReplica.members.end(), [&](const auto& aId) {
+      return this->FindTarget(aId)->slow;
+    });
+  const int spares =
+    hasSlowMember ? this->CountIdleTargetsIn(aReplica.domain, aReplica.model)
+                  : 0;
+  if (!hasSlowMember || members.size() + spares < size) {
+    return false;
+  }
+  for (std::string& id :
+       this->IdleTargetsIn(aReplica.domain, aReplica.model)) {
+    if (members.size() < size) {
+      members.push_back(std::move(id));
+    }
+  }
+  this->MarkBroken(aReplica);
+  this->BeginJoin(aReplica, std::move(members));
+  return true;
+}
+
 bool
 FleetPlanningRound::RepairFromDonors(PlannedReplica& aReplica)
 {
--- a/src/replicas/FleetSpares.cpp
+++ b/src/replicas/FleetSpares.cpp
@@ -6,41 +6,20 @@
 // The part of FleetPlanningRound that manages targets outside replicas.
 namespace apricottrack {
 
-bool
-FleetPlanningRound::IsInPlannedReplica(std::string_view aId) const
-{
-  return std::any_of(this->planner.replicas.begin(),
-                     this->planner.replicas.end(),
-                     [&](const auto& aEntry) {
-                       const auto& members = aEntry.second.members;
-                       return std::find(members.begin(), members.end(), aId) !=
-                              members.end();
-                     });
-}
-
 bool
 FleetPlanningRound::HasReadyHead(const Membership& aMembership) const
 {
-  if (aMembership.state == MemberState::kJoining ||
-      this->planner.retiredListsWithPendingOpen.contains(
-        ReplicaKey(aMembership))) {
-    return false;
-  }
-  for (const auto& [id, member] : this->view.members) {
-    const auto& other = member.record.membership;
-    if (other && other->rank == 0 && other->replica == aMembership.replica &&
-        other->epoch == aMembership.epoch) {
-      return other->state == MemberState::kReady;
-    }
-  }
-  return false;
+  return aMembership.state != MemberState::kJoining &&
+         !this->planner.retiredListsWithPendingOpen.contains(
+           ReplicaKey(aMembership)) &&
+         this->index.HeadState(aMembership) == MemberState::kReady;
 }
 
 bool
 FleetPlanningRound::IsIdle(const PlannerMember& aMember) const
 {
   const auto& membership = aMember.record.membership;
-  return aMember.IsUsable() && !this->IsInPlannedReplica(aMember.record.id) &&
+  return aMember.IsUsable() && !this->index.IsPlanned(aMember.record.id) &&
          (!membership || this->HasReadyHead(*membership));
 }
 
@@ -49,7 +28,7 @@
 {
   for (const auto& [id, member] : this->view.members) {
     const auto& membership = member.record.membership;
-    if (!member.IsUsable() || !membership || this->IsInPlannedReplica(id) ||
+    if (!member.IsUsable() || !membership || this->index.IsPlanned(id) ||
         this->planner.preparations.contains(id)) {
       continue;
     }
@@ -70,36 +49,66 @@
   }
 }
 
+bool
+FleetPlanningRound::IsIdleFor(const PlannerMember& aMember,
+                              std::string_view aModel) const
+{
+  return this->IsIdle(aMember) &&
+         (this->view.beforeTraffic ||
+          (!aMember.slow &&
+           this->WarmthOf(aMember.record, aModel) != Warmth::kCold));
+}
+
+int
+FleetPlanningRound::CountIdleTargetsIn(std::string_view aDomain,
+                                       std::string_view aModel) const
+{
+  const auto& targets = this->index.TargetsIn(aDomain);
+  return static_cast<int>(std::count_if(
+    targets.begin(), targets.end(), [&](const PlannerMember* aMember) {
+      return this->IsIdleFor(*aMember, aModel);
+    }));
+}
+
 std::vector<std::string>
 FleetPlanningRound::IdleTargetsIn(std::string_view aDomain,
                                   std::string_view aModel) const
 {
-  std::vector<std::string> idle;
-  for (const auto& [id, member] : this->view.members) {
-    if (member.record.fabricDomain != aDomain || !this->IsIdle(member)) {
-      continue;
-    }
-    if (this->view.beforeTraffic ||
-        this->WarmthOf(member.record, aModel) != Warmth::kCold) {
-      idle.push_back(id);
-    }
-  }
   // Of equally warm targets, those that are warm for the fewest models come
   // first, so that the others remain available.
-  const auto rank = [&](const std::string& aId) {
-    const TargetRecord& record = this->FindTarget(aId)->record;
-    const auto warmModels = std::count_if(
-      this->engine.models.begin(),
-      this->engine.models.end(),
-      [&](const ReplicaModel& aOther) {
-        return this->WarmthOf(record, aOther.name) != Warmth::kCold;
-      });
-    return std::pair(this->WarmthOf(record, aModel), warmModels);
+  struct RankedTarget
+  {
+    Warmth warmth;
+    std::ptrdiff_t warmModels;
+    const std::string* id;
   };
-  std::stable_sort(
-    idle.begin(), idle.end(), [&](const auto& aLeft, const auto& aRight) {
-      return rank(aLeft) < rank(aRight);
-    });
+  std::vector<RankedTarget> ranked;
+  for (const PlannerMember* const member : this->index.TargetsIn(aDomain)) {
+    if (!this->IsIdleFor(*member, aModel)) {
+      continue;
+    }
+    const TargetRecord& record = member->record;
+    ranked.push_back(
+      { .warmth = this->WarmthOf(record, aModel),
+        .warmModels = std::count_if(
+          this->engine.models.begin(),
+          this->engine.models.end(),
+          [&](const ReplicaModel& aOther) {
+            return this->WarmthOf(record, aOther.name) != Warmth::kCold;
+          }),
+        .id = &record.id });
+  }
+  std::stable_sort(ranked.begin(),
+                   ranked.end(),
+                   [](const RankedTarget& aLeft, const RankedTarget& aRight) {
+                     return std::pair(aLeft.warmth, aLeft.warmModels) <
+                            std::pair(aRight.warmth, aRight.warmModels);
+                   });
+  std::vector<std::string> idle;
+  idle.reserve(ranked.size());
+  for (const RankedTarget& target : ranked) {
+    idle.push_back(*target.id);
+  }
   return idle;
 }
 
--- a/src/serving/PlannerTask.cpp
+++ b/src/serving/PlannerTask.cpp
@@ -331,6 +331,9 @@
       member.record = this->NewestRecord(aService, entry, found->second);
       member.unresponsive =
         found->second.missedReports >= this->options.maxMissedReports;
+      const auto& report = found->second.report;
+      member.slow = report && report->startedAt == member.record.startedAt &&
+                    report->pace >= this->options.slowTimeFactor;
     }
     members.emplace(id, std::move(member));
   }
--- a/src/serving/PlannerTask.h
+++ b/src/serving/PlannerTask.h
@@ -44,6 +44,9 @@
     Duration lateReportThreshold = milliseconds(60);
     /// Consecutive missed reports after which a target is unresponsive.
     int maxMissedReports = 2;
+    /// Reported factor on the times of the engine from which a target counts as
+    /// slow. Replacing a member interrupts its replica for less than a second.
+    double slowTimeFactor = 1.6;
   };
 
   /// What the task needs from its node.
--- a/tests/FleetPlannerTest.cpp
+++ b/tests/FleetPlannerTest.cpp
@@ -236,3 +236,38 @@
   CHECK(CountServing(planner) == 1);
   CHECK(fleet.violations.empty());
 }
+
+TEST_CASE("FleetPlanner replaces a slow member by a spare")
+{
+  // A replica runs at the speed of its slowest member, so that one slow target
+  // makes all responses of its replica late.
+  FakeFleet fleet(9);
+  FleetPlanner planner = MakePlanner(1);
+  Instant now = kStart;
+  fleet.RunUntilIdle(planner, now, true);
+  const int before = CountServing(planner);
+  const PlannedReplica replica = planner.Replicas().begin()->second;
+  const std::string slow =
+    GENERATE(false, true) ? replica.members.front() : replica.members.back();
+  fleet.members.at(slow).slow = true;
+  fleet.RunUntilIdle(planner, now);
+  CHECK(CountServing(planner) == before);
+  for (const auto& [name, current] : planner.Replicas()) {
+    CHECK(std::count(current.members.begin(), current.members.end(), slow) ==
+          0);
+  }
+  CHECK(fleet.violations.empty());
+}
+
+TEST_CASE("FleetPlanner keeps a slow member while its domain has no spare")
+{
+  FakeFleet fleet(4);
+  FleetPlanner planner = MakePlanner(1);
+  Instant now = kStart;
+  fleet.RunUntilIdle(planner, now, true);
+  const auto replicas = planner.Replicas();
+  REQUIRE(replicas.size() == 1);
+  fleet.members.at(replicas.begin()->second.members.back()).slow = true;
+  CHECK(fleet.RunUntilIdle(planner, now) == 0);
+  CHECK(planner.Replicas() == replicas);
+}
