Send nodes only the targets that accept requests

Nodes that did not yet know the node count each took a twentieth of the shared retry reserve.

Change: FleetRelay publishes the candidates alone, with a sequence of their own; a node that reads the store itself asks for the complete state afterwards. A new planner answers only once it has read the store and plans only with targets that have reported to it; a report of a newer epoch wins over an entry that was read late. The retry reserve of a node is at least one retry while the node count is unknown, and is filled up with the first count. Probes are limited per round and by the number of targets. Changes of targets are logged by the planner's node only. retry_slack may be a fraction.

--- a/include/apricottrack/Settings.h
+++ b/include/apricottrack/Settings.h
@@ -22,7 +22,7 @@
   /// Retry budget of a service, in retries per request.
   double retryRatio = 0.2;
   /// Retries allowed in addition to the ratio, summed over all nodes.
-  int retryReserve = 60;
+  double retryReserve = 60;
   /// Time from the platform's stop signal until it kills the process.
   Duration stopLimit = seconds(8);
   /// Longest time for which a target that leaves may still receive requests.
--- a/src/config/Settings.cpp
+++ b/src/config/Settings.cpp
@@ -45,9 +45,9 @@
     { .minimum = 0, .maximum = 10, .unit = "repeats per request" },
     serving.retryRatio);
   serving.retryReserve =
-    aReader.Integer("retry_slack",
-                    { .minimum = 0, .maximum = 1'000'000, .unit = "repeats" },
-                    serving.retryReserve);
+    aReader.Number("retry_slack",
+                   { .minimum = 0, .maximum = 1'000'000, .unit = "repeats" },
+                   serving.retryReserve);
   serving.stopLimit = FromSeconds(
     aReader.Number("stop_limit_s",
                    { .minimum = 1, .maximum = 600, .unit = "seconds" },
--- a/src/fleet/Fleet.cpp
+++ b/src/fleet/Fleet.cpp
@@ -24,6 +24,7 @@
 void
 Fleet::RemoveNow(const std::string& aId)
 {
+  this->graceEnds.erase(aId);
   if (this->records.erase(aId) > 0) {
     this->changeSequences[aId] = ++this->sequence;
     this->changedAt.erase(aId);
@@ -71,7 +72,6 @@
 {
   if (this->storeRecoveredAt == Instant::min() ||
       aNow - this->storeRecoveredAt >= this->options.absenceGrace) {
-    this->graceEnds.erase(aId);
     this->RemoveNow(aId);
   } else if (this->records.contains(aId)) {
     this->graceEnds.emplace(
@@ -80,7 +80,9 @@
 }
 
 void
-Fleet::ReplaceAll(std::vector<TargetRecord> aRecords, Instant aNow)
+Fleet::ReplaceAll(std::vector<TargetRecord> aRecords,
+                  Removal aRemoval,
+                  Instant aNow)
 {
   std::set<std::string> absent;
   for (const auto& [id, record] : this->records) {
@@ -91,7 +93,11 @@
     this->Put(std::move(record), aNow);
   }
   for (const std::string& id : absent) {
-    this->Remove(id, aNow);
+    if (aRemoval == Removal::kImmediate) {
+      this->RemoveNow(id);
+    } else {
+      this->Remove(id, aNow);
+    }
   }
 }
 
@@ -104,8 +110,9 @@
       ++it;
       continue;
     }
-    this->RemoveNow(it->first);
-    it = this->graceEnds.erase(it);
+    const std::string id = it->first;
+    ++it;
+    this->RemoveNow(id);
     removed = true;
   }
   return removed;
--- a/src/fleet/Fleet.h
+++ b/src/fleet/Fleet.h
@@ -47,9 +47,24 @@
   /// reappears.
   void Remove(const std::string& aId, Instant aNow);
 
+  /// Removes a target without a grace period, as another node has found it to
+  /// be unusable.
+  void RemoveNow(const std::string& aId);
+
+  /// How `ReplaceAll` removes the targets that are not listed.
+  enum class Removal
+  {
+    /// Like `Remove`.
+    kWithGrace,
+    /// Like `RemoveNow`.
+    kImmediate,
+  };
+
   /// Applies a complete listing: updates all listed targets and removes all
   /// others.
-  void ReplaceAll(std::vector<TargetRecord> aRecords, Instant aNow);
+  void ReplaceAll(std::vector<TargetRecord> aRecords,
+                  Removal aRemoval,
+                  Instant aNow);
 
   /// Starts the grace period: the store responds again after an outage.
   void OnStoreRecovered(Instant aNow) { this->storeRecoveredAt = aNow; }
@@ -82,9 +97,6 @@
   Records records;
   /// End of the grace period of each target that is absent from the store.
   std::map<std::string, Instant, std::less<>> graceEnds;
-  /// Removes a target without a grace period.
-  void RemoveNow(const std::string& aId);
-
   /// Instant::min() until the store has recovered from an outage.
   Instant storeRecoveredAt = Instant::min();
   /// Deletes all removed targets from the history once there are more than
--- a/src/fleet/FleetMessages.h
+++ b/src/fleet/FleetMessages.h
@@ -63,7 +63,8 @@
   /// Replicas, as NAME/EPOCH, that are confirmed intact although the store
   /// does not list all members.
   std::vector<std::string> vouched;
-  /// Number of nodes that query the sender, the sender included.
+  /// Number of nodes that query the sender, the sender included; zero while
+  /// unknown.
   int nodes = 0;
   /// The catalog's document as stored at `catalogRevision`. Empty if the
   /// query's revision is as new; a large document is sent only to a sender that
--- a/src/placement/Candidate.h
+++ b/src/placement/Candidate.h
@@ -14,6 +14,9 @@
   std::string availabilityZone;
   /// Requests that the target runs concurrently.
   int slots = 1;
+  /// ReplicaKey of the replica that the target heads; empty for a target of a
+  /// service without replicas.
+  std::string replica;
 
   friend bool operator==(const Candidate&, const Candidate&) = default;
 };
--- a/src/placement/CandidateDirectory.cpp
+++ b/src/placement/CandidateDirectory.cpp
@@ -19,7 +19,9 @@
   return { .id = aRecord.id,
            .address = aRecord.address,
            .availabilityZone = aRecord.availabilityZone,
-           .slots = aRecord.slots };
+           .slots = aRecord.slots,
+           .replica =
+             aRecord.membership ? ReplicaKey(*aRecord.membership) : "" };
 }
 
 } // namespace
@@ -108,4 +110,18 @@
   return found == models->second.end() ? kNoCandidates : found->second;
 }
 
+std::vector<std::string>
+CandidateDirectory::TargetIds() const
+{
+  std::vector<std::string> ids;
+  for (const auto& [service, models] : this->candidatesByService) {
+    for (const auto& [model, candidates] : models) {
+      for (const Candidate& candidate : candidates) {
+        ids.push_back(candidate.id);
+      }
+    }
+  }
+  return ids;
+}
+
 } // namespace apricottrack
--- a/src/placement/CandidateDirectory.h
+++ b/src/placement/CandidateDirectory.h
@@ -38,6 +38,9 @@
   const std::vector<Candidate>& Find(const CatalogService& aService,
                                      std::string_view aModel) const;
 
+  /// Returns the ids of all candidates.
+  std::vector<std::string> TargetIds() const;
+
 private:
   /// The candidates of one service by model; the key is empty for a service
   /// without replicas.
--- a/src/replicas/FleetPlanner.h
+++ b/src/replicas/FleetPlanner.h
@@ -24,6 +24,9 @@
   /// Missed `PlannerTask::Options::maxMissedReports` report queries in a row,
   /// or another target now listens on its address.
   bool unresponsive = false;
+  /// Has reported to this planner. The entry of one that has not may precede
+  /// orders of another planner.
+  bool reported = true;
   /// Reports to be slower than others of its kind by
   /// `PlannerTask::Options::slowTimeFactor`. A replica runs at the speed of its
   /// slowest member.
--- a/src/replicas/FleetRepair.cpp
+++ b/src/replicas/FleetRepair.cpp
@@ -45,7 +45,8 @@
   const auto size = static_cast<std::size_t>(this->ModelOf(aReplica).size);
   std::vector<std::string> members;
   for (const std::string& id : aReplica.members) {
-    if (this->IsUsable(id) && members.size() < size) {
+    if (this->IsUsable(id) && this->FindTarget(id)->reported &&
+        members.size() < size) {
       members.push_back(id);
     }
   }
--- a/src/replicas/FleetSpares.cpp
+++ b/src/replicas/FleetSpares.cpp
@@ -19,7 +19,8 @@
 FleetPlanningRound::IsIdle(const PlannerMember& aMember) const
 {
   const auto& membership = aMember.record.membership;
-  return aMember.IsUsable() && !this->index.IsPlanned(aMember.record.id) &&
+  return aMember.IsUsable() && (aMember.reported || this->view.beforeTraffic) &&
+         !this->index.IsPlanned(aMember.record.id) &&
          (!membership || this->HasReadyHead(*membership));
 }
 
--- a/src/retry/RetryBudget.cpp
+++ b/src/retry/RetryBudget.cpp
@@ -20,6 +20,10 @@
 void
 RetryBudget::SetReserve(double aReserve)
 {
+  if (this->options.isProvisional) {
+    this->availableRetries += std::max(0.0, aReserve - this->options.reserve);
+    this->options.isProvisional = false;
+  }
   this->options.reserve = aReserve;
   this->availableRetries = std::min(this->availableRetries, aReserve);
 }
--- a/src/retry/RetryBudget.h
+++ b/src/retry/RetryBudget.h
@@ -15,6 +15,9 @@
     double ratio = 0.2;
     /// Maximum number of unused retries, and the initial number.
     double reserve = 20;
+    /// The reserve is a lower bound until SetReserve is called; the retries
+    /// that are missing from the initial number are added then.
+    bool isProvisional = false;
   };
 
   explicit RetryBudget(Options aOptions);
--- a/src/serving/FleetRelay.cpp
+++ b/src/serving/FleetRelay.cpp
@@ -60,6 +60,48 @@
   return {};
 }
 
+void
+FleetRelay::Publish(Instant aNow)
+{
+  this->publishedFencingToken = this->planner.FencingToken();
+  std::vector<TargetRecord> records;
+  for (const std::string& id : this->context.candidates.TargetIds()) {
+    if (const TargetRecord* const record = this->context.fleet.Find(id)) {
+      records.push_back(*record);
+    }
+  }
+  this->published.ReplaceAll(
+    std::move(records), Fleet::Removal::kImmediate, aNow);
+  if (this->publishedBroken != this->context.broken) {
+    this->publishedBroken = this->context.broken;
+    this->published.MarkChanged();
+  }
+}
+
+bool
+FleetRelay::MayAnswer(Instant aNow)
+{
+  if (!this->planner.HasCurrentFleet()) {
+    return false;
+  }
+  if (this->publishedFencingToken != this->planner.FencingToken()) {
+    this->Publish(aNow);
+  }
+  return true;
+}
+
+void
+FleetRelay::OnFleetChange()
+{
+  if (this->planner.HasCurrentFleet()) {
+    const std::uint64_t before = this->published.Sequence();
+    this->Publish(MonotonicNow());
+    if (this->published.Sequence() != before) {
+      this->NotifyWaitingNodes();
+    }
+  }
+}
+
 void
 FleetRelay::NotifyWaitingNodes()
 {
@@ -67,7 +109,7 @@
     return;
   }
   const Instant now = MonotonicNow();
-  const Duration minInterval = kWakeIntervalPerNode * this->context.nodeCount;
+  const Duration minInterval = kWakeIntervalPerNode * this->context.nodeCount.value_or(1);
   if (now - this->lastWakeAt >= minInterval) {
     this->WakeWaitingQueries();
     return;
@@ -118,12 +160,11 @@
 }
 
 bool
-FleetRelay::HasChanges(const FleetQuestion& aQuestion) const
+FleetRelay::HasChanges(const FleetQuestion& aQuestion, Instant aNow)
 {
-  return aQuestion.source != this->source ||
-         aQuestion.sequence != this->context.fleet.Sequence() ||
-         aQuestion.catalogRevision != this->catalog.KnownRevision() ||
-         !this->planner.IsPlanner();
+  return !this->MayAnswer(aNow) || aQuestion.source != this->source ||
+         aQuestion.sequence != this->published.Sequence() ||
+         aQuestion.catalogRevision != this->catalog.KnownRevision();
 }
 
 Task<FleetAnswer>
@@ -135,7 +176,7 @@
   for (const LoadSample& sample : aQuestion.loads) {
     this->context.loads.OnForwardedReport(sample, now);
   }
-  if (!this->HasChanges(aQuestion)) {
+  if (!this->HasChanges(aQuestion, now)) {
     asio::steady_timer timer(this->context.executor,
                              std::min(aQuestion.wait, kMaxQueryWait));
     this->waitingQueries.insert(&timer);
@@ -161,14 +202,18 @@
 FleetAnswer
 FleetRelay::BuildAnswer(const FleetQuestion& aQuestion, Instant aNow)
 {
+  const bool leads = this->MayAnswer(aNow);
   FleetAnswer answer{
     .source = this->source,
-    .leads = this->planner.IsPlanner(),
-    .sequence = this->context.fleet.Sequence(),
+    .leads = leads,
+    .sequence = this->published.Sequence(),
     .catalogRevision = this->catalog.KnownRevision(),
     .catalogAge = this->context.catalog.VerificationAge(aNow),
     .fleetAge = aNow - this->fleet.LastContactAt(),
   };
+  if (!answer.leads) {
+    return answer;
+  }
   answer.nodes = this->planner.NodeCount(aNow);
   answer.loads =
     this->context.loads.SamplesSince(aNow - kMaxLoadReportAge, true, aNow);
@@ -179,13 +224,16 @@
   }
   answer.broken.assign(this->context.broken.begin(),
                        this->context.broken.end());
-  answer.vouched.assign(this->context.vouched.begin(),
-                        this->context.vouched.end());
+  for (const auto& [id, record] : this->published.All()) {
+    if (record.membership) {
+      answer.vouched.push_back(ReplicaKey(*record.membership));
+    }
+  }
   const std::uint64_t since =
     aQuestion.source == this->source ? aQuestion.sequence : 0;
-  if (!this->context.fleet.ChangesSince(since, answer.targets, answer.gone)) {
+  if (!this->published.ChangesSince(since, answer.targets, answer.gone)) {
     answer.complete = true;
-    for (const auto& [id, record] : this->context.fleet.All()) {
+    for (const auto& [id, record] : this->published.All()) {
       answer.targets.push_back(record);
     }
   }
--- a/src/serving/FleetRelay.h
+++ b/src/serving/FleetRelay.h
@@ -16,7 +16,8 @@
 
 /// Answers the queries of other nodes with the fleet state that this node, as
 /// the planner, reads from the store, so that store calls do not grow with the
-/// number of nodes.
+/// number of nodes. Only targets that accept requests are sent, which are few:
+/// of a replica just its head.
 class FleetRelay
 {
 public:
@@ -28,11 +29,20 @@
   /// Listens on the peer address; fails if it cannot be bound.
   Result<void> Start();
 
+  /// Publishes the fleet after a change of it or of its replicas.
+  void OnFleetChange();
+
   /// Answers the waiting queries, at intervals that grow with the number of
-  /// nodes; called after a change of the fleet, the catalog or the planner.
+  /// nodes.
   void NotifyWaitingNodes();
 
 private:
+  /// Updates `published` from the candidates of this node.
+  void Publish(Instant aNow);
+  /// True if this node is the planner and `published` holds what it has read
+  /// from the store. Publishes that after a takeover, as the fleet may not have
+  /// changed since.
+  bool MayAnswer(Instant aNow);
   void WakeWaitingQueries();
   Task<void> WakeAfterDelay(Duration aDelay);
   /// Returns the reply to a FleetQuestion or a StallNotice, or none for a
@@ -47,12 +57,18 @@
   bool TryReserveCatalogSend(const FleetQuestion& aQuestion, Instant aNow);
   /// True if the state has changed since the one named in the query, or if this
   /// node is not the planner: then the answer must not wait.
-  bool HasChanges(const FleetQuestion& aQuestion) const;
+  bool HasChanges(const FleetQuestion& aQuestion, Instant aNow);
 
   ServingContext& context;
   const CatalogTask& catalog;
   const FleetTask& fleet;
   PlannerTask& planner;
+  /// The targets that are sent to other nodes. Its sequence also counts changes
+  /// of the broken replicas and of the planner's node.
+  Fleet published{ Fleet::Options{} };
+  std::set<std::string> publishedBroken;
+  /// Fencing token under which the fleet was last published.
+  std::int64_t publishedFencingToken = 0;
   /// Random id of this process, sent as `source` with each answer; sequence
   /// numbers are valid only within it.
   std::string source;
--- a/src/serving/FleetTask.cpp
+++ b/src/serving/FleetTask.cpp
@@ -53,9 +53,19 @@
     asio::detached);
 }
 
+void
+FleetTask::SetActive(bool aActive)
+{
+  if (aActive && !this->active) {
+    this->listedSince.reset();
+  }
+  this->active = aActive;
+}
+
 void
 FleetTask::SetIsPlanner(bool aIsPlanner)
 {
+  this->isPlanner = aIsPlanner;
   this->store.SetWatchInterval(aIsPlanner ? kPlannerWatchInterval
                                           : kNoPlannerWatchInterval);
 }
@@ -79,6 +89,9 @@
         revision + 1,
         [this](const std::vector<KeyValue>& aChanges) {
           const Instant now = MonotonicNow();
+          if (!this->active) {
+            return false;
+          }
           this->lastContactAt = now;
           for (const KeyValue& change : aChanges) {
             this->ApplyChange(change, now);
@@ -106,6 +119,10 @@
   const auto items =
     co_await this->store.List(this->context.protocol.TargetPrefix(), revision);
   const Instant now = MonotonicNow();
+  if (!this->active) {
+    // The planner's node is followed again; what it sent may be newer.
+    co_return 0;
+  }
   if (!items) {
     if (this->isStoreReachable) {
       LogLine("fleet_unreachable").With(items.error()).Warn();
@@ -113,17 +130,16 @@
     this->isStoreReachable = false;
     co_return 0;
   }
-  const bool knewTargets = !this->context.fleet.All().empty();
-  if (!this->isStoreReachable && (this->firstListedAt || knewTargets)) {
+  if (!this->isStoreReachable && !this->context.fleet.All().empty()) {
     // Entries of live targets, known from an earlier listing or from the
     // planner, may have expired while the store was unreachable.
     this->context.fleet.OnStoreRecovered(now);
   }
   this->lastContactAt = now;
-  this->isStoreReachable = true;
-  if (!this->firstListedAt) {
-    this->firstListedAt = now;
+  if (!this->isStoreReachable || !this->listedSince) {
+    this->listedSince = now;
   }
+  this->isStoreReachable = true;
   std::vector<TargetRecord> records;
   for (const KeyValue& item : *items) {
     auto record = this->context.protocol.ReadTarget(item);
@@ -137,7 +153,8 @@
     .With("targets", static_cast<std::int64_t>(records.size()))
     .With("revision", revision)
     .Info();
-  this->context.fleet.ReplaceAll(std::move(records), now);
+  this->context.fleet.ReplaceAll(
+    std::move(records), Fleet::Removal::kWithGrace, now);
   this->onChange();
   co_return revision;
 }
@@ -158,8 +175,13 @@
     return;
   }
   const TargetRecord* const previous = this->context.fleet.Find(id);
-  if (previous == nullptr || previous->leaving != record->leaving ||
-      previous->membership != record->membership) {
+  const bool newlyLeaving =
+    record->leaving && (previous == nullptr || !previous->leaving);
+  // Only the planner's node reads every change over the whole day; the lines of
+  // all nodes together would grow with the square of the deployment.
+  if (newlyLeaving ||
+      (this->isPlanner &&
+       (previous == nullptr || previous->membership != record->membership))) {
     LogLine line("target_changed");
     line.With("target", id)
       .With("revision", aItem.revision)
--- a/src/serving/FleetTask.h
+++ b/src/serving/FleetTask.h
@@ -30,17 +30,18 @@
 
   /// Starts or stops store calls; an inactive task makes none, as the planner's
   /// node then sends the changes.
-  void SetActive(bool aActive) { this->active = aActive; }
+  void SetActive(bool aActive);
 
   /// Sets how often a watch polls: `aIsPlanner` is true on the planner's node,
   /// which has to see changes with little delay. Other nodes poll rarely to
   /// save store calls while there is no planner.
   void SetIsPlanner(bool aIsPlanner);
 
-  /// When this process first listed the store.
-  const std::optional<Instant>& FirstListedAt() const
+  /// When this task first listed the store since it became active or, if that
+  /// is later, since the store was last unreachable; none before.
+  const std::optional<Instant>& ListedSince() const
   {
-    return this->firstListedAt;
+    return this->listedSince;
   }
 
   /// When a listing or a watch last confirmed that the fleet is up to date.
@@ -59,10 +60,11 @@
   Options options;
   std::function<void()> onChange;
   bool active = false;
+  bool isPlanner = false;
   Instant lastContactAt;
   /// The last listing of the store succeeded.
   bool isStoreReachable = false;
-  std::optional<Instant> firstListedAt;
+  std::optional<Instant> listedSince;
 };
 
 } // namespace apricottrack
--- a/src/serving/FollowTask.cpp
+++ b/src/serving/FollowTask.cpp
@@ -88,6 +88,12 @@
       .Info();
   }
   this->readsStore = mustReadStore;
+  if (mustReadStore) {
+    // The store lists more targets than the planner's node sends, so increments
+    // do not apply to them.
+    this->source.clear();
+    this->sequence = 0;
+  }
   // The catalog is read without waiting for `plannerTimeout`: a change must not
   // wait until another node is the planner, and a read is a single store call.
   this->catalog.SetActive(!aFollowsPlanner);
@@ -180,16 +186,19 @@
 FollowTask::ApplyAnswer(const FleetAnswer& aAnswer, Instant aNow)
 {
   if (aAnswer.complete) {
-    this->context.fleet.ReplaceAll(aAnswer.targets, aNow);
+    this->context.fleet.ReplaceAll(
+      aAnswer.targets, Fleet::Removal::kImmediate, aNow);
   } else {
     for (const TargetRecord& record : aAnswer.targets) {
       this->context.fleet.Put(record, aNow);
     }
     for (const std::string& id : aAnswer.gone) {
-      this->context.fleet.Remove(id, aNow);
+      this->context.fleet.RemoveNow(id);
     }
   }
-  this->context.nodeCount = std::max(1, aAnswer.nodes);
+  if (aAnswer.nodes > 0) {
+    this->context.nodeCount = aAnswer.nodes;
+  }
   this->context.fleetDemands = aAnswer.demands;
   for (const LoadSample& sample : aAnswer.loads) {
     this->context.loads.OnForwardedReport(sample, aNow);
--- a/src/serving/FollowTask.h
+++ b/src/serving/FollowTask.h
@@ -67,6 +67,9 @@
     return this->firstFollowedAt;
   }
 
+  /// When a planner's node with recent store reads last responded.
+  Instant LastFollowedAt() const { return this->lastResponseAt; }
+
   /// Reports targets that are suspected to be stalled to the planner's node,
   /// which probes them. Has no effect while the planner's address is unknown.
   void ReportStalls(std::vector<std::string> aTargets);
--- a/src/serving/PlannerCalls.cpp
+++ b/src/serving/PlannerCalls.cpp
@@ -1,6 +1,7 @@
 #include "base/Log.h"
 #include "serving/PlannerTask.h"
 
+#include <algorithm>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <fmt/format.h>
@@ -88,6 +89,10 @@
                           const PlannerMembers& aMembers,
                           Instant aNow)
 {
+  const Duration reportInterval = std::max<Duration>(
+    this->options.reportInterval,
+    this->options.reportIntervalPerTarget * aMembers.size());
+  int remainingProbes = this->options.maxProbesPerRound;
   const std::set<std::string> targetsInProgress =
     this->planners[aService.name]->TargetsChangingState();
   for (const auto& [id, member] : aMembers) {
@@ -99,8 +104,10 @@
     const Duration interval = urgent ? this->options.urgentInterval
                               : orderPending
                                 ? this->options.pendingOrderInterval
-                                : this->options.reportInterval;
-    if (!probe.isPending && aNow - probe.probeSentAt >= interval) {
+                                : reportInterval;
+    if (!probe.isPending && aNow - probe.probeSentAt >= interval &&
+        remainingProbes > 0) {
+      --remainingProbes;
       this->StartProbe(id, member.record.address, urgent, aNow);
     }
   }
--- a/src/serving/PlannerTask.cpp
+++ b/src/serving/PlannerTask.cpp
@@ -68,9 +68,27 @@
 /// Mean time between two renewals, and between two attempts of a large VM.
 constexpr Duration kLeaseRenewInterval = milliseconds(300);
 
-/// Returns the entry, updated from the report if that is newer or comes from a
-/// later start of the target. `aReportAt` is the time of the reported state,
-/// which is before the probe was sent.
+/// True if the report describes a later state of the target than the entry.
+/// `aReportAt` is the time of the reported state, which is before the probe was
+/// sent. It decides only between states of the same epoch, because entries may
+/// be read late.
+bool
+IsReportNewer(const TargetRecord& aEntry,
+              Instant aEntryAt,
+              const TargetReport& aReport,
+              Instant aReportAt)
+{
+  if (aReport.startedAt != aEntry.startedAt) {
+    return aReport.startedAt > aEntry.startedAt;
+  }
+  if (aReport.membership && aEntry.membership &&
+      aReport.membership->epoch != aEntry.membership->epoch) {
+    return aReport.membership->epoch > aEntry.membership->epoch;
+  }
+  return aReportAt > aEntryAt;
+}
+
+/// Returns the entry, updated from the report if that is newer.
 TargetRecord
 MergeReport(const TargetRecord& aEntry,
             Instant aEntryAt,
@@ -78,10 +96,7 @@
             Instant aReportAt)
 {
   TargetRecord record = aEntry;
-  const bool restarted = aReport && aReport->startedAt > aEntry.startedAt;
-  const bool isNewer =
-    aReport && aReport->startedAt == aEntry.startedAt && aReportAt > aEntryAt;
-  if (!restarted && !isNewer) {
+  if (!aReport || !IsReportNewer(aEntry, aEntryAt, *aReport, aReportAt)) {
     return record;
   }
   record.model = aReport->model;
@@ -230,13 +245,12 @@
     LogLine("planner_lost").With("fence", this->fencingToken).Info();
   }
   const CatalogPointer& catalog = this->context.catalog.Current();
-  // State received from the previous planner may be older than its last orders.
-  const bool fleetIsCurrent =
-    this->hooks.fleetLastContactAt() > this->plannerSince;
-  if (!this->isPlanner || catalog == nullptr || !fleetIsCurrent) {
+  if (catalog == nullptr || !this->HasCurrentFleet()) {
     return;
   }
-  this->context.nodeCount = this->NodeCount(aNow);
+  if (const int nodeCount = this->NodeCount(aNow); nodeCount > 0) {
+    this->context.nodeCount = nodeCount;
+  }
   this->context.fleetDemands = this->TotalDemands(aNow);
   for (const CatalogService& service : catalog->Contents().services) {
     if (service.engine) {
@@ -245,6 +259,13 @@
   }
 }
 
+bool
+PlannerTask::HasCurrentFleet() const
+{
+  return this->isPlanner &&
+         this->hooks.fleetLastContactAt() > this->plannerSince;
+}
+
 void
 PlannerTask::RecordDemands(const std::string& aNode,
                            ModelDemands aDemands,
@@ -257,12 +278,20 @@
 int
 PlannerTask::NodeCount(Instant aNow) const
 {
-  return 1 + static_cast<int>(std::count_if(
-               this->demandsByNode.begin(),
-               this->demandsByNode.end(),
-               [&](const auto& aEntry) {
-                 return aNow - aEntry.second.receivedAt <= kDemandLifetime;
-               }));
+  const auto reporting = std::count_if(
+    this->demandsByNode.begin(),
+    this->demandsByNode.end(),
+    [&](const auto& aEntry) {
+      return aNow - aEntry.second.receivedAt <= kDemandLifetime;
+    });
+  const int count = 1 + static_cast<int>(reporting);
+  if (aNow - this->plannerSince > kDemandLifetime) {
+    return count;
+  }
+  // Not all nodes have had the time to report to this planner.
+  return this->nodeCountAtTakeover > 0
+           ? std::max(count, this->nodeCountAtTakeover)
+           : 0;
 }
 
 ModelDemands
@@ -289,6 +318,7 @@
   this->fencingToken = this->lease.AcquiredRevision();
   this->issuedEpochs = 0;
   this->plannerSince = MonotonicNow();
+  this->nodeCountAtTakeover = this->context.nodeCount.value_or(0);
   this->isPlanner = true;
   this->planners.clear();
   this->probes.clear();
@@ -327,7 +357,9 @@
     PlannerMember member;
     if (found == this->probes.end()) {
       member.record = entry;
+      member.reported = false;
     } else {
+      member.reported = found->second.report.has_value();
       member.record = this->NewestRecord(aService, entry, found->second);
       member.unresponsive =
         found->second.missedReports >= this->options.maxMissedReports;
--- a/src/serving/PlannerTask.h
+++ b/src/serving/PlannerTask.h
@@ -24,9 +24,14 @@
   {
     /// Between two planning rounds.
     Duration roundInterval = milliseconds(50);
-    /// Between two reports of a target without pending orders; a target that
-    /// is suspected of a stall is probed without this delay.
+    /// Shortest time between two reports of a target without pending orders; a
+    /// target that is suspected of a stall is probed without this delay.
     Duration reportInterval = milliseconds(1000);
+    /// Times the number of targets: shortest time between two reports of one,
+    /// which bounds the probes per second in a large fleet.
+    Duration reportIntervalPerTarget = milliseconds(3);
+    /// Probes that are started in one round; more would delay each other.
+    int maxProbesPerRound = 60;
     /// Between two reports of a target with a pending order; its entry in the
     /// store mostly shows the result earlier.
     Duration pendingOrderInterval = milliseconds(500);
@@ -88,11 +93,21 @@
                      ModelDemands aDemands,
                      Instant aNow);
 
-  /// Nodes that reported their demand within its lifetime, plus this one.
+  /// Nodes that reported their demand within its lifetime, plus this one. Right
+  /// after a takeover, not less than this node knew before, or zero if it did
+  /// not know.
   int NodeCount(Instant aNow) const;
 
   bool IsPlanner() const { return this->isPlanner; }
 
+  /// True if this node is the planner and has read the fleet from the store
+  /// since it became so. State received from the previous planner lacks most
+  /// targets and may be older than its last orders.
+  bool HasCurrentFleet() const;
+
+  /// Fencing token of the lease that this node last took.
+  std::int64_t FencingToken() const { return this->fencingToken; }
+
   /// Ends the lease, so that another node can become the planner.
   void Release();
 
@@ -221,7 +236,8 @@
   /// When the store last failed to return the lease holder.
   Instant storeFailedAt;
   bool isPlanner = false;
-  /// Fencing token of the lease that this node last took.
+  /// Number of nodes known when this node became the planner; zero if unknown.
+  int nodeCountAtTakeover = 0;
   std::int64_t fencingToken = 0;
   /// Epochs issued under that token.
   std::int64_t issuedEpochs = 0;
--- a/src/serving/RequestFlow.cpp
+++ b/src/serving/RequestFlow.cpp
@@ -22,6 +22,9 @@
 /// Share of the retry ratio and reserve in the settings that the nodes use; the
 /// rest covers differences between the time windows of the nodes.
 constexpr double kUsedBudgetShare = 0.9;
+/// Smallest retry reserve of a node, and its reserve while the number of nodes
+/// that share the reserve is unknown.
+constexpr double kMinRetryReserve = 1;
 
 /// Requests beyond a batch's slots, as a share of them. Each place in the queue
 /// costs some 40 to 60 ms; a longer queue would make all of its requests late.
@@ -172,6 +175,7 @@
                   });
   this->calledTargets.insert(id);
   this->lastTargetId = id;
+  this->replica = aTarget.replica;
   this->targetAbandoned = false;
   this->responseStarted = false;
   this->call = &call;
@@ -428,16 +432,22 @@
 RequestFlow::Budget()
 {
   const ServingSettings& settings = *this->context.settings.serving;
-  const double reserve = std::max(
-    1.0, kUsedBudgetShare * settings.retryReserve / this->context.nodeCount);
+  const auto& nodeCount = this->context.nodeCount;
+  const double reserve =
+    nodeCount ? std::max(kMinRetryReserve,
+                         kUsedBudgetShare * settings.retryReserve / *nodeCount)
+              : kMinRetryReserve;
   RetryBudget& budget =
     this->context.retryBudgets
       .try_emplace(
         this->admittedRequest.service->name,
         RetryBudget::Options{ .ratio = kUsedBudgetShare * settings.retryRatio,
-                              .reserve = reserve })
+                              .reserve = reserve,
+                              .isProvisional = !nodeCount })
       .first->second;
-  budget.SetReserve(reserve);
+  if (nodeCount) {
+    budget.SetReserve(reserve);
+  }
   return budget;
 }
 
--- a/src/serving/RequestFlow.h
+++ b/src/serving/RequestFlow.h
@@ -32,6 +32,10 @@
   /// it or has capacity.
   void AbandonTarget();
 
+  /// ReplicaKey of the replica that runs the request; empty for a target of a
+  /// service without replicas, and between two calls.
+  const std::string& Replica() const { return this->replica; }
+
 private:
   /// Calls one target after another until the request has ended.
   Task<void> Run();
@@ -78,6 +82,7 @@
   std::unique_ptr<HttpResponse> heldResponse;
   Error lastError;
   std::string lastTargetId;
+  std::string replica;
   /// Estimated number of requests at the target when it was chosen.
   double estimatedLoad = 0;
   /// From arrival to the first response head of a target.
--- a/src/serving/ServingContext.h
+++ b/src/serving/ServingContext.h
@@ -18,6 +18,7 @@
 #include <boost/asio/any_io_executor.hpp>
 #include <functional>
 #include <map>
+#include <optional>
 #include <random>
 #include <set>
 #include <string>
@@ -26,10 +27,6 @@
 
 class RequestFlow;
 
-/// Node count assumed until the planner has counted the nodes. Above that of
-/// small deployments, so that no node exceeds its share of the retry reserve.
-inline constexpr int kUnknownNodeCount = 20;
-
 /// State that the requests and tasks of a node share; used by one thread.
 struct ServingContext
 {
@@ -63,8 +60,9 @@
   bool requestsSeen = false;
   /// Caller requests in progress.
   int inFlight = 0;
-  /// Number of nodes that share budgets, as last counted by the planner.
-  int nodeCount = kUnknownNodeCount;
+  /// Number of nodes that share budgets, as last counted by a planner; none
+  /// before the first count.
+  std::optional<int> nodeCount;
 };
 
 } // namespace apricottrack
--- a/src/serving/ServingNode.cpp
+++ b/src/serving/ServingNode.cpp
@@ -23,6 +23,9 @@
 /// Time after this node first read the fleet, from the store or from a planner,
 /// within which entries that had expired before return to the store.
 constexpr Duration kEntryReturnTime = milliseconds(2300);
+/// Longest time without a planner after which the store is assumed to have been
+/// available in between; targets' entries expire only after a longer outage.
+constexpr Duration kMaxFollowGap = milliseconds(2500);
 /// Between two checks for stalled targets.
 constexpr Duration kStallCheckInterval = milliseconds(25);
 /// Time for which a stopping node still accepts connections: the platform sends
@@ -77,8 +80,12 @@
   void AbandonBrokenReplicas();
   /// Moves this node's running requests away from a target.
   void AbandonTarget(const std::string& aTarget);
-  /// True once expired entries have had the time to return.
+  /// True if the entries that the store lists are complete: expired ones have
+  /// had the time to return.
   bool EntriesSettled() const;
+  /// True if a planner with recent store reads was followed until a short time
+  /// ago. The store was available then, so entries have not expired.
+  bool HasFollowedRecently() const;
   bool IsReady() const;
   Task<void> HandleAdminRequest(HttpExchange& aExchange);
   Task<void> DetectStalls();
@@ -93,6 +100,8 @@
   PlannerTask planner;
   FollowTask follower;
   FleetRelay relay;
+  /// This node is the planner and had followed the previous one until then.
+  bool entriesTrustedAtTakeover = false;
   std::shared_ptr<HttpServer> callerServer;
   std::shared_ptr<HttpServer> readyServer;
   std::shared_ptr<HttpServer> adminServer;
@@ -146,19 +155,20 @@
                   // The entries of a node that has just started may be
                   // incomplete.
                   return this->settings.serving->firstStart ||
-                         this->EntriesSettled();
+                         this->EntriesSettled() || this->HasFollowedRecently();
                 },
               .onOtherHolder =
                 [this](const std::string& aAddress) {
                   this->follower.SetPlannerAddress(aAddress);
                 },
               .onPlannerChange =
-                [this](bool aIsPlanner) { this->follower.SetIsPlanner(aIsPlanner); },
-              .onReplicaChange =
-                [this] {
-                  this->context.fleet.MarkChanged();
-                  this->OnFleetChange();
+                [this](bool aIsPlanner) {
+                  this->entriesTrustedAtTakeover =
+                    aIsPlanner && this->HasFollowedRecently();
+                  this->follower.SetIsPlanner(aIsPlanner);
+                  this->relay.NotifyWaitingNodes();
                 },
+              .onReplicaChange = [this] { this->OnFleetChange(); },
               .entriesSettled = [this] { return this->EntriesSettled(); },
               .fleetLastContactAt = [this] { return this->fleetTask.LastContactAt(); },
             })
@@ -264,27 +274,26 @@
                                      this->context.fleet,
                                      this->context.broken,
                                      this->context.vouched);
-    if (this->fleetTask.FirstListedAt() || this->follower.FirstFollowedAt()) {
+    if (this->fleetTask.ListedSince() || this->follower.FirstFollowedAt()) {
       this->context.startGate.Open();
     }
   }
   this->AbandonBrokenReplicas();
-  this->relay.NotifyWaitingNodes();
+  this->relay.OnFleetChange();
 }
 
 void
 ServingNode::Impl::AbandonBrokenReplicas()
 {
-  std::set<std::string> targetsToAbandon;
+  // AbandonTarget may end a request and so change `running`.
+  std::vector<RequestFlow*> flowsToAbandon;
   for (const auto& [target, flow] : this->context.running) {
-    const TargetRecord* const record = this->context.fleet.Find(target);
-    if (record != nullptr && record->membership &&
-        this->context.broken.contains(ReplicaKey(*record->membership))) {
-      targetsToAbandon.insert(target);
+    if (this->context.broken.contains(flow->Replica())) {
+      flowsToAbandon.push_back(flow);
     }
   }
-  for (const std::string& target : targetsToAbandon) {
-    this->AbandonTarget(target);
+  for (RequestFlow* const flow : flowsToAbandon) {
+    flow->AbandonTarget();
   }
 }
 
@@ -300,12 +309,19 @@
 bool
 ServingNode::Impl::EntriesSettled() const
 {
-  // The planner's node relays returned entries just as the store lists them.
-  const auto isSettled = [](const std::optional<Instant>& aSince) {
-    return aSince && MonotonicNow() - *aSince > kEntryReturnTime;
-  };
-  return isSettled(this->fleetTask.FirstListedAt()) ||
-         isSettled(this->follower.FirstFollowedAt());
+  const Instant now = MonotonicNow();
+  const auto& listedSince = this->fleetTask.ListedSince();
+  return this->entriesTrustedAtTakeover ||
+         (listedSince && now - *listedSince > kEntryReturnTime);
+}
+
+bool
+ServingNode::Impl::HasFollowedRecently() const
+{
+  const Instant now = MonotonicNow();
+  const auto& firstFollowedAt = this->follower.FirstFollowedAt();
+  return firstFollowedAt && now - *firstFollowedAt > kEntryReturnTime &&
+         now - this->follower.LastFollowedAt() < kMaxFollowGap;
 }
 
 bool
--- a/tests/FleetTest.cpp
+++ b/tests/FleetTest.cpp
@@ -76,7 +76,7 @@
   fleet.Put(MakeTarget("a", 1), kStart);
   fleet.Put(MakeTarget("b", 2), kStart);
   fleet.OnStoreRecovered(kStart);
-  fleet.ReplaceAll({}, kStart);
+  fleet.ReplaceAll({}, Fleet::Removal::kWithGrace, kStart);
   CHECK(fleet.All().size() == 2);
   fleet.Put(MakeTarget("b", 3), kStart + seconds(1));
   CHECK(fleet.RemoveExpired(kStart + seconds(2)));
