Bound and verify responses of targets in trouble; answer queued callers at a stop

Causes, each shown by a test that failed before: - RequestFlow, ResponseRelay: a broken stream whose continuation was not an event stream (200, 404 or 500 with a plain body) ended like a complete one (RequestFlowTest, four of four variants; ResponseRelayTest). - TargetCall: on a reused connection, a late second copy of the previous response that names no request was returned to the next caller. Interim responses, and bodies while data was always ready, were read past the deadline without end; the body of a response to another request was collected up to 64 MB. RequestFlow: an event without end was collected up to 64 MB. - HttpServer::Stop reset connections in the listener's queue and requests in sockets not read yet (HttpServerTest). - LeaseTask: a renewal in flight made a node hold a lease that it had given up (LeaseTaskTest). EtcdStore took a rate limit for an expired lease.

Changes: the deadline is checked before each read; limits on interim responses, on discarded bodies (1 MB), on an event (256 KB) and on buffered bodies (4 MB, before 16 MB); a stopping server accepts its queue and waits 300 ms for the requests of these connections.

Ruled out by new tests that passed at once: lost responses repeated or called not run, broken bodies passed on as complete, slow streams cut, dripping streams kept past the deadline.

--- a/src/http/HttpServer.cpp
+++ b/src/http/HttpServer.cpp
@@ -13,6 +13,14 @@
 namespace http = boost::beast::http;
 using asio::ip::tcp;
 
+namespace {
+
+/// How long a stopping server waits for the request of a connection that it has
+/// just accepted.
+constexpr Duration kLastRequestWait = milliseconds(300);
+
+} // namespace
+
 HttpExchange::HttpExchange(beast::tcp_stream& aStream,
                            HttpRequest aRequest,
                            Duration aSendTimeout)
@@ -164,15 +172,53 @@
 HttpServer::Stop()
 {
   this->stopping = true;
+  this->AcceptQueuedConnections();
   boost::system::error_code ignored;
   this->acceptor.close(ignored);
   for (const auto& session : this->sessions) {
-    if (!session->busy) {
+    if (!session->busy && session->stream.socket().available(ignored) == 0) {
       session->stream.cancel();
     }
   }
 }
 
+void
+HttpServer::AcceptQueuedConnections()
+{
+  // Closing the listener would reset them, although their requests may already
+  // have been sent.
+  boost::system::error_code error;
+  this->acceptor.non_blocking(true, error);
+  while (!error) {
+    tcp::socket socket(this->executor);
+    this->acceptor.accept(socket, error);
+    if (!error) {
+      this->StartSession(std::move(socket));
+    }
+  }
+}
+
+void
+HttpServer::StartSession(tcp::socket aSocket)
+{
+  if (this->sessions.size() >= this->options.limits.connections) {
+    return;
+  }
+  boost::system::error_code ignored;
+  aSocket.set_option(tcp::no_delay(true), ignored);
+  auto session = std::make_shared<Session>(std::move(aSocket));
+  // A connection that was just accepted may have a request on the way.
+  session->busy = this->stopping;
+  this->sessions.insert(session);
+  asio::co_spawn(
+    this->executor,
+    [self = this->shared_from_this(), session]() -> Task<void> {
+      co_await self->ServeConnection(session);
+      self->sessions.erase(session);
+    },
+    asio::detached);
+}
+
 Task<void>
 HttpServer::AcceptConnections()
 {
@@ -188,19 +234,7 @@
       co_await retryTimer.async_wait(kAsTuple);
       continue;
     }
-    if (this->sessions.size() >= this->options.limits.connections) {
-      continue;
-    }
-    socket.set_option(tcp::no_delay(true), error);
-    auto session = std::make_shared<Session>(std::move(socket));
-    this->sessions.insert(session);
-    asio::co_spawn(
-      this->executor,
-      [self = this->shared_from_this(), session]() -> Task<void> {
-        co_await self->ServeConnection(session);
-        self->sessions.erase(session);
-      },
-      asio::detached);
+    this->StartSession(std::move(socket));
   }
 }
 
@@ -223,7 +257,9 @@
   http::request_parser<http::string_body> parser;
   parser.header_limit(limits.headerBytes);
   parser.body_limit(limits.bodyBytes);
-  aSession.stream.expires_after(limits.idleTimeout);
+  aSession.stream.expires_after(
+    this->stopping ? std::min(limits.idleTimeout, kLastRequestWait)
+                   : limits.idleTimeout);
   if (aSession.buffer.size() == 0) {
     auto [waitError, read] = co_await aSession.stream.async_read_some(
       aSession.buffer.prepare(4096), kAsTuple);
--- a/src/http/HttpServer.h
+++ b/src/http/HttpServer.h
@@ -128,6 +128,9 @@
 
   HttpServer(boost::asio::any_io_executor aExecutor, Options aOptions);
   Task<void> AcceptConnections();
+  /// Accepts all connections that wait in the listener's queue.
+  void AcceptQueuedConnections();
+  void StartSession(boost::asio::ip::tcp::socket aSocket);
   Task<void> ServeConnection(std::shared_ptr<Session> aSession);
   Task<bool> ServeRequest(Session& aSession);
   Task<void> RejectRequest(Session& aSession, boost::system::error_code aError);
--- a/src/kv/EtcdStore.cpp
+++ b/src/kv/EtcdStore.cpp
@@ -57,7 +57,7 @@
     co_return tl::unexpected(std::move(error));
   }
   if (response->result_int() != 200) {
-    co_return Failure(response->result_int() == 429 ? ErrorCode::kRefused
+    co_return Failure(response->result_int() == 429 ? ErrorCode::kBusy
                                                     : ErrorCode::kNoReply,
                       "kv" + aPath,
                       this->options.address,
--- a/src/node/LeaseTask.cpp
+++ b/src/node/LeaseTask.cpp
@@ -46,7 +46,8 @@
     } else if (this->MayQuery()) {
       held = co_await this->Acquire();
     }
-    if (held) {
+    // The lease may have been given up during the call.
+    if (held && this->lease != 0) {
       this->leaseExpiresAt = callStart + seconds(this->options.ttlSeconds);
     }
     // The random factor keeps nodes from querying an expired key all at the
--- a/src/node/ResponseRelay.cpp
+++ b/src/node/ResponseRelay.cpp
@@ -76,7 +76,8 @@
 bool
 ResponseRelay::IsComplete() const
 {
-  return !this->isEventStream || this->doneReceived;
+  // A started stream is not completed by a response of another kind.
+  return this->isEventStream ? this->doneReceived : !this->streamStarted;
 }
 
 void
--- a/src/serving/EventSplitter.cpp
+++ b/src/serving/EventSplitter.cpp
@@ -1,5 +1,6 @@
 #include "serving/EventSplitter.h"
 
+#include <algorithm>
 #include <charconv>
 
 namespace apricottrack {
@@ -42,7 +43,8 @@
   std::string newEvents;
   std::size_t start = 0;
   for (;;) {
-    const auto end = this->pendingBytes.find(kEventEnd, start);
+    const auto end = this->pendingBytes.find(
+      kEventEnd, std::max(start, this->searchedBytes));
     if (end == std::string::npos) {
       break;
     }
@@ -60,6 +62,8 @@
     newEvents.append(event);
   }
   this->pendingBytes.erase(0, start);
+  // The last byte may be the first half of an event's end.
+  this->searchedBytes = std::max<std::size_t>(this->pendingBytes.size(), 1) - 1;
   return newEvents;
 }
 
--- a/src/serving/EventSplitter.h
+++ b/src/serving/EventSplitter.h
@@ -25,11 +25,22 @@
   std::string Append(std::string_view aBytes);
 
   /// Discards a partial event, because another target continues the stream.
-  void DiscardPartialEvent() { this->pendingBytes.clear(); }
+  void DiscardPartialEvent()
+  {
+    this->pendingBytes.clear();
+    this->searchedBytes = 0;
+  }
 
   /// Id of the last event that was passed on.
   std::optional<std::int64_t> LastId() const { return this->lastId; }
 
+  /// True if the partial event exceeds the size limit; the target then sends
+  /// no event stream.
+  bool IsEventTooLarge() const
+  {
+    return this->pendingBytes.size() > kMaxEventBytes;
+  }
+
   /// True while a partial event is buffered.
   bool HasPartialEvent() const { return !this->pendingBytes.empty(); }
 
@@ -37,7 +48,12 @@
   std::int64_t EventCount() const { return this->eventCount; }
 
 private:
+  /// Bounds the memory that a target can use up by an event without end.
+  static constexpr std::size_t kMaxEventBytes = std::size_t{ 256 } * 1024;
+
   std::string pendingBytes;
+  /// Bytes of `pendingBytes` that were searched for the end of an event.
+  std::size_t searchedBytes = 0;
   std::optional<std::int64_t> lastId;
   std::int64_t eventCount = 0;
 };
--- a/src/serving/RequestFlow.cpp
+++ b/src/serving/RequestFlow.cpp
@@ -17,7 +17,8 @@
 constexpr Duration kMinCallTime = milliseconds(20);
 /// Reading catalog and targets takes less; callers give up after a second.
 constexpr Duration kMaxStartWait = milliseconds(600);
-constexpr std::size_t kMaxBufferedBodyBytes = std::size_t{ 16 } * 1024 * 1024;
+/// Larger responses other than streams fail; small VMs have 160 MB.
+constexpr std::size_t kMaxBufferedBodyBytes = std::size_t{ 4 } * 1024 * 1024;
 
 /// Share of the retry ratio and reserve in the settings that the nodes use; the
 /// rest covers differences between the time windows of the nodes.
@@ -238,6 +239,11 @@
   if (success && targetHead.isEventStream && this->IsStream()) {
     co_return co_await this->RelayEvents(aCall, aHead);
   }
+  if (this->streamStarted) {
+    this->lastError.detail = "continuation is no event stream, status " +
+                             std::to_string(aHead.result_int());
+    co_return CallEnd::kTruncated;
+  }
   co_return co_await this->BufferResponse(aCall, aHead, targetHead);
 }
 
@@ -263,8 +269,13 @@
       break;
     }
     this->context.stalls.OnProgress(this->lastTargetId, false, MonotonicNow());
+    std::string events = this->eventSplitter.Append(*chunk);
+    if (this->eventSplitter.IsEventTooLarge()) {
+      this->lastError.detail = "an event exceeds the size limit";
+      co_return CallEnd::kTruncated;
+    }
     const bool callerConnected =
-      co_await this->exchange.WriteChunk(this->eventSplitter.Append(*chunk));
+      co_await this->exchange.WriteChunk(std::move(events));
     if (!callerConnected) {
       co_return CallEnd::kCallerGone;
     }
--- a/src/serving/TargetCall.cpp
+++ b/src/serving/TargetCall.cpp
@@ -12,9 +12,16 @@
 /// Discarded responses to earlier requests after which the call fails.
 constexpr int kMaxForeignResponses = 3;
 
-/// Maximum body size, in bytes; above that of any response that targets send.
+/// Interim (1xx) responses after which the call fails.
+constexpr int kMaxInterimResponses = 16;
+
+/// Maximum body size of a response, in bytes; above that of any response that
+/// targets send.
 constexpr std::uint64_t kMaxBodyBytes = std::uint64_t{ 64 } * 1024 * 1024;
 
+/// Maximum body size of a response to another request that is read to its end.
+constexpr std::size_t kMaxForeignBodyBytes = std::size_t{ 1024 } * 1024;
+
 constexpr unsigned kFirstFinalStatus = 200;
 
 } // namespace
@@ -77,24 +84,53 @@
   co_return co_await this->ReceiveOwnHead();
 }
 
+std::optional<Error>
+TargetCall::DeadlineError(std::string_view aStep) const
+{
+  if (MonotonicNow() < this->options.deadline + kMinTimeout) {
+    return std::nullopt;
+  }
+  return Error{ .code = ErrorCode::kTimeout,
+                .step = std::string(aStep),
+                .peer = this->options.address,
+                .detail = "the deadline has passed" };
+}
+
+bool
+TargetCall::IsOwnResponse(const HttpResponse& aHead) const
+{
+  const std::string attemptId = this->protocol.ReadHead(aHead).attemptId;
+  // On a reused connection, a response without an id may be a late copy of the
+  // one to the previous request.
+  return attemptId == this->options.attemptId ||
+         (attemptId.empty() && !this->reusedConnection);
+}
+
 Task<Result<HttpResponse>>
 TargetCall::ReceiveOwnHead()
 {
-  for (int foreignResponses = 0; foreignResponses < kMaxForeignResponses;) {
+  int interimResponses = 0;
+  int foreignResponses = 0;
+  while (interimResponses < kMaxInterimResponses &&
+         foreignResponses < kMaxForeignResponses) {
+    // A target that sends without end never lets a read time out.
+    if (auto expired = this->DeadlineError("target.head")) {
+      co_return tl::unexpected(std::move(*expired));
+    }
     auto head =
       co_await this->connection->ReceiveHead(this->TimeLeft(), kMaxBodyBytes);
     if (!head) {
       co_return head;
     }
     if (head->result_int() < kFirstFinalStatus) {
+      ++interimResponses;
       continue;
     }
-    const std::string namedAttemptId = this->protocol.ReadHead(*head).attemptId;
-    if (namedAttemptId.empty() || namedAttemptId == this->options.attemptId) {
+    if (this->IsOwnResponse(*head)) {
       co_return head;
     }
     ++foreignResponses;
-    const auto discarded = co_await this->ReadBody(kMaxBodyBytes);
+    const auto discarded = co_await this->DiscardBody();
     if (!discarded) {
       co_return tl::unexpected(discarded.error());
     }
@@ -102,12 +138,35 @@
   co_return Failure(ErrorCode::kBadReply,
                     "target.head",
                     this->options.address,
-                    "responses belong to other requests");
+                    "too many interim responses or responses to others");
+}
+
+Task<Result<void>>
+TargetCall::DiscardBody()
+{
+  std::size_t size = 0;
+  while (size <= kMaxForeignBodyBytes) {
+    const auto chunk = co_await this->ReadChunk();
+    if (!chunk) {
+      co_return tl::unexpected(chunk.error());
+    }
+    if (chunk->empty()) {
+      co_return Result<void>{};
+    }
+    size += chunk->size();
+  }
+  co_return Failure(ErrorCode::kBadReply,
+                    "target.body",
+                    this->options.address,
+                    "a response to another request is too large");
 }
 
 Task<Result<std::string>>
 TargetCall::ReadChunk()
 {
+  if (auto expired = this->DeadlineError("target.body")) {
+    co_return tl::unexpected(std::move(*expired));
+  }
   co_return co_await this->connection->ReceiveBodyChunk(this->TimeLeft());
 }
 
--- a/src/serving/TargetCall.h
+++ b/src/serving/TargetCall.h
@@ -55,6 +55,12 @@
   /// Receives the head of the final response to this request; skips 1xx
   /// responses and discards responses to earlier requests.
   Task<Result<HttpResponse>> ReceiveOwnHead();
+  /// True if the response belongs to this request.
+  bool IsOwnResponse(const HttpResponse& aHead) const;
+  /// Reads the body of a response to another request to its end.
+  Task<Result<void>> DiscardBody();
+  /// Returns an error once the deadline has passed.
+  std::optional<Error> DeadlineError(std::string_view aStep) const;
   /// Time until the deadline, but at least the smallest timeout.
   Duration TimeLeft() const;
 
--- a/tests/EventSplitterTest.cpp
+++ b/tests/EventSplitterTest.cpp
@@ -74,3 +74,23 @@
     REQUIRE(returnedEvents == expected);
   }
 }
+
+TEST_CASE("EventSplitter reports an event without end")
+{
+  EventSplitter splitter(std::nullopt);
+  const std::string filler(64 * 1024, 'x');
+  for (int i = 0; i < 4; ++i) {
+    CHECK(splitter.Append(filler).empty());
+    CHECK_FALSE(splitter.IsEventTooLarge());
+  }
+  CHECK(splitter.Append("x").empty());
+  CHECK(splitter.IsEventTooLarge());
+}
+
+TEST_CASE("EventSplitter finds an event's end that is split between two parts")
+{
+  EventSplitter splitter(std::nullopt);
+  CHECK(splitter.Append("id: 1\n").empty());
+  CHECK(splitter.Append("\nid: 2\n") == "id: 1\n\n");
+  CHECK(splitter.Append("\n") == "id: 2\n\n");
+}
--- a/tests/FleetPlannerTest.cpp
+++ b/tests/FleetPlannerTest.cpp
@@ -271,3 +271,22 @@
   CHECK(fleet.RunUntilIdle(planner, now) == 0);
   CHECK(planner.Replicas() == replicas);
 }
+
+// The entry of a target that has not reported to a new planner may precede
+// orders of the previous one.
+TEST_CASE("FleetPlanner does not join targets that have not reported")
+{
+  FakeFleet fleet(9);
+  for (auto& [id, member] : fleet.members) {
+    member.reported = false;
+    member.record.stagedModels = { "large", "small" };
+  }
+  FleetPlanner planner = MakePlanner(1);
+  Instant now = kStart;
+  CHECK(planner.PlanRound(fleet.View(), now).empty());
+  for (auto& [id, member] : fleet.members) {
+    member.reported = true;
+  }
+  fleet.RunUntilIdle(planner, now);
+  CHECK(CountServing(planner) >= 2);
+}
--- a/tests/FleetTest.cpp
+++ b/tests/FleetTest.cpp
@@ -167,3 +167,21 @@
   close(pipeEnds[0]);
   close(pipeEnds[1]);
 }
+
+// A node that follows the planner must not route to a target that the planner
+// has taken out, whatever its own view of the store's outage is.
+TEST_CASE("Fleet removes targets without a grace period where this is asked")
+{
+  Fleet fleet(Fleet::Options{ .absenceGrace = seconds(2) });
+  for (const char* const id : { "a", "b", "c" }) {
+    fleet.Put(MakeTarget(id, 1), kStart);
+  }
+  fleet.OnStoreRecovered(kStart);
+  fleet.Remove("a", kStart);
+  fleet.RemoveNow("a");
+  CHECK(fleet.Find("a") == nullptr);
+  fleet.ReplaceAll({ MakeTarget("c", 1) }, Fleet::Removal::kImmediate, kStart);
+  CHECK(fleet.Find("b") == nullptr);
+  CHECK(fleet.Find("c") != nullptr);
+  CHECK_FALSE(fleet.RemoveExpired(kStart + seconds(9)));
+}
--- /dev/null
+++ b/tests/HttpServerTest.cpp
@@ -0,0 +1,59 @@
+#include "ServingHarness.h"
+
+using namespace apricottrack;
+
+namespace {
+
+HttpServer::Options
+OptionsFor(const std::string& aAddress)
+{
+  return { .address = aAddress,
+           .handler = [](HttpExchange& aExchange) -> Task<void> {
+             HttpResponse response;
+             response.result(200);
+             response.body() = "served";
+             co_await aExchange.Reply(std::move(response));
+           },
+           .errorResponder = {} };
+}
+
+} // namespace
+
+// A node that stops under load has connections in its accept queue, and
+// requests in sockets that it has not read yet.
+TEST_CASE("HttpServer::Stop answers requests that were sent before it")
+{
+  asio::io_context io{ 1 };
+  const std::string address = ServingHarness::FreeAddress(io);
+  const auto server =
+    *HttpServer::Make(io.get_executor(), OptionsFor(address));
+  const bool connectedBefore = GENERATE(true, false);
+  constexpr int kCallers = 40;
+  // Callers that block, so that the server's loop does not run meanwhile.
+  asio::io_context callersIo{ 1 };
+  std::vector<tcp::socket> sockets;
+  const std::string request = "GET / HTTP/1.1\r\nHost: h\r\n\r\n";
+  for (int i = 0; i < kCallers; ++i) {
+    sockets.emplace_back(callersIo);
+    sockets.back().connect(*ParseEndpoint(address));
+  }
+  if (connectedBefore) {
+    io.run_for(milliseconds(50));
+    CHECK(server->ConnectionCount() == kCallers);
+  }
+  for (tcp::socket& socket : sockets) {
+    asio::write(socket, asio::buffer(request));
+  }
+  server->Stop();
+  io.restart();
+  io.run_for(milliseconds(200));
+  int answered = 0;
+  for (tcp::socket& socket : sockets) {
+    std::string response;
+    boost::system::error_code error;
+    asio::read(socket, asio::dynamic_buffer(response), error);
+    answered += response.ends_with("served") ? 1 : 0;
+  }
+  CHECK(answered == kCallers);
+  CHECK(server->ConnectionCount() == 0);
+}
--- a/tests/LeaseTaskTest.cpp
+++ b/tests/LeaseTaskTest.cpp
@@ -1,6 +1,10 @@
 #include "node/LeaseTask.h"
 
+#include "http/HttpTypes.h"
+
 #include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/this_coro.hpp>
 #include <catch2/catch.hpp>
 #include <set>
 
@@ -44,7 +48,15 @@
     co_return this->lastGrantedLease;
   }
 
-  Task<Result<std::int64_t>> RenewLease(LeaseId) override { co_return 1; }
+  Task<Result<std::int64_t>> RenewLease(LeaseId) override
+  {
+    this->isRenewing = true;
+    boost::asio::steady_timer timer(co_await boost::asio::this_coro::executor,
+                                    this->renewDelay);
+    co_await timer.async_wait(kAsTuple);
+    this->isRenewing = false;
+    co_return 1;
+  }
 
   Task<Result<void>> RevokeLease(LeaseId aLease) override
   {
@@ -59,6 +71,8 @@
   }
 
   bool unreachable = false;
+  Duration renewDelay = Duration::zero();
+  bool isRenewing = false;
   std::string value;
   Revision revision = 0;
   Revision writes = 0;
@@ -143,3 +157,33 @@
   CHECK(readFailures == 0);
   CHECK(task.HasLease());
 }
+
+// Guards against a holder that gave up its lease while a renewal was in flight
+// and then regards it as its own again.
+TEST_CASE("LeaseTask does not hold a released lease after a renewal in flight")
+{
+  boost::asio::io_context context(1);
+  OneKeyStore store;
+  store.renewDelay = milliseconds(60);
+  LeaseTask holder(context.get_executor(),
+                   store,
+                   { .key = "k",
+                     .value = "first",
+                     .ttlSeconds = 60,
+                     .renewInterval = milliseconds(10) });
+  holder.Start();
+  while (!store.isRenewing) {
+    context.run_one_for(milliseconds(100));
+  }
+  REQUIRE(holder.HasLease());
+  if (GENERATE(true, false)) {
+    holder.Release();
+  } else {
+    holder.ClearLease();
+  }
+  while (store.isRenewing) {
+    context.run_one_for(milliseconds(100));
+  }
+  context.poll_one();
+  CHECK_FALSE(holder.HasLease());
+}
--- /dev/null
+++ b/tests/RequestFlowTest.cpp
@@ -0,0 +1,291 @@
+#include "ServingHarness.h"
+
+using namespace apricottrack;
+
+namespace {
+
+/// Limit for tests that end by themselves within a second or two.
+constexpr Duration kTestLimit = seconds(20);
+
+std::string
+StreamHead(const std::string& aAttempt)
+{
+  return fmt::format("HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n"
+                     "X-Signed: 1\r\nX-Attempt: {}\r\n"
+                     "Transfer-Encoding: chunked\r\n\r\n",
+                     aAttempt);
+}
+
+std::string
+Chunk(const std::string& aText)
+{
+  return fmt::format("{:x}\r\n{}\r\n", aText.size(), aText);
+}
+
+std::string
+Event(int aId)
+{
+  return Chunk(fmt::format("id: {}\ndata: x\n\n", aId));
+}
+
+std::string
+PlainResponse(int aStatus, const std::string& aHeaders, const std::string& aBody)
+{
+  return fmt::format("HTTP/1.1 {} X\r\n{}Content-Length: {}\r\n\r\n{}",
+                     aStatus,
+                     aHeaders,
+                     aBody.size(),
+                     aBody);
+}
+
+/// Answers the first connection of any target with events 1 to 3 and closes it,
+/// and the second with `aResumed`.
+ServingHarness::Script
+BreakThenAnswer(std::shared_ptr<int> aCalls, std::string aResumed)
+{
+  return [aCalls, aResumed](TargetConnection& aConnection, int) -> Task<void> {
+    co_await aConnection.ReadRequest();
+    if ((*aCalls)++ == 0) {
+      co_await aConnection.Write(StreamHead("a") + Event(1) + Event(2) +
+                                 Event(3));
+    } else {
+      co_await aConnection.Write(aResumed);
+    }
+  };
+}
+
+} // namespace
+
+TEST_CASE("RequestFlow resumes a broken stream at another target")
+{
+  ServingHarness harness;
+  const auto calls = std::make_shared<int>(0);
+  const auto script = BreakThenAnswer(
+    calls, StreamHead("a") + Event(4) + "0\r\n\r\n");
+  harness.AddTarget("t1", script);
+  harness.AddTarget("t2", script);
+  std::string response;
+  REQUIRE(harness.Run(
+    [&]() -> Task<void> {
+      response = co_await harness.Call("/stream/x", "a", seconds(3));
+    },
+    kTestLimit));
+  CHECK(response.find("id: 4") != std::string::npos);
+  CHECK(IsCompleteStream(response));
+}
+
+// Guards against a truncated response that looks complete to its caller.
+TEST_CASE("RequestFlow does not complete a stream whose continuation is no "
+          "event stream")
+{
+  const std::string headers = "X-Signed: 1\r\nX-Attempt: a\r\n";
+  const std::string resumed =
+    GENERATE_COPY(PlainResponse(200, headers, "{}"),
+                  PlainResponse(200, headers, ""),
+                  PlainResponse(404, headers, "gone"),
+                  PlainResponse(500, headers, "failed"));
+  ServingHarness harness;
+  const auto calls = std::make_shared<int>(0);
+  harness.AddTarget("t1", BreakThenAnswer(calls, resumed));
+  harness.AddTarget("t2", BreakThenAnswer(calls, resumed));
+  std::string response;
+  REQUIRE(harness.Run(
+    [&]() -> Task<void> {
+      response = co_await harness.Call("/stream/x", "a", seconds(2));
+    },
+    kTestLimit));
+  CHECK(*calls == 2);
+  CHECK(StatusOf(response) == 200);
+  CHECK(response.find("id: 3") != std::string::npos);
+  CHECK_FALSE(IsCompleteStream(response));
+}
+
+TEST_CASE("RequestFlow does not pass on a response that broke off as complete")
+{
+  // The declared length exceeds the bytes that are sent.
+  ServingHarness harness;
+  const auto script = [](TargetConnection& aConnection, int) -> Task<void> {
+    co_await aConnection.ReadRequest();
+    co_await aConnection.Write("HTTP/1.1 200 OK\r\nX-Signed: 1\r\nX-Attempt: a"
+                               "\r\nContent-Length: 1000\r\n\r\nonly this");
+  };
+  harness.AddTarget("t1", script);
+  harness.AddTarget("t2", script);
+  const std::string path = GENERATE("/idempotent/x", "/once/x");
+  std::string response;
+  REQUIRE(harness.Run(
+    [&]() -> Task<void> {
+      response = co_await harness.Call(path, "a", seconds(2));
+    },
+    kTestLimit));
+  CHECK(StatusOf(response) == 502);
+}
+
+// After a lost response, a request that may run once is neither sent again nor
+// reported as not run.
+TEST_CASE("RequestFlow reports a lost response as unknown and does not repeat "
+          "the request")
+{
+  ServingHarness harness;
+  int calls = 0;
+  const auto script = [&](TargetConnection& aConnection, int) -> Task<void> {
+    co_await aConnection.ReadRequest();
+    ++calls;
+  };
+  harness.AddTarget("t1", script);
+  harness.AddTarget("t2", script);
+  std::string response;
+  REQUIRE(harness.Run(
+    [&]() -> Task<void> {
+      response = co_await harness.Call("/once/x", "a", seconds(2));
+    },
+    kTestLimit));
+  CHECK(calls == 1);
+  CHECK(StatusOf(response) == 502);
+}
+
+// A target may send a second copy of a response when its connection is already
+// used for the next request.
+TEST_CASE("RequestFlow never returns a late second copy of another response")
+{
+  const bool copyNamesRequest = GENERATE(true, false);
+  const std::string named = copyNamesRequest ? "X-Attempt: first\r\n" : "";
+  ServingHarness harness;
+  harness.AddTarget(
+    "t1", [&](TargetConnection& aConnection, int) -> Task<void> {
+      if ((co_await aConnection.ReadRequest()).empty()) {
+        co_return;
+      }
+      co_await aConnection.Write(PlainResponse(
+        200, "X-Signed: 1\r\nX-Attempt: first\r\n", "for the first"));
+      if ((co_await aConnection.ReadRequest()).empty()) {
+        co_return;
+      }
+      co_await aConnection.Write(
+        PlainResponse(200, "X-Signed: 1\r\n" + named, "for the first"));
+      co_await aConnection.Write(PlainResponse(
+        200, "X-Signed: 1\r\nX-Attempt: second\r\n", "for the second"));
+    });
+  std::string first;
+  std::string second;
+  REQUIRE(harness.Run(
+    [&]() -> Task<void> {
+      first = co_await harness.Call("/idempotent/x", "first", seconds(2));
+      second = co_await harness.Call("/idempotent/x", "second", seconds(2));
+    },
+    kTestLimit));
+  CHECK(first.ends_with("for the first"));
+  CHECK_FALSE(second.ends_with("for the first"));
+}
+
+// A target in trouble may send bytes until its caller closes the connection.
+// The time is bounded by the request's deadline, the memory by the limits on a
+// response's parts.
+TEST_CASE("RequestFlow ends a response without end at the deadline at the "
+          "latest")
+{
+  struct Flood
+  {
+    const char* description;
+    const char* path;
+    std::string head;
+    std::string repeated;
+    /// Bytes after which the connection must have been closed.
+    std::size_t maxBytes;
+  };
+  constexpr std::size_t kMegabyte = std::size_t{ 1024 } * 1024;
+  const std::string filler(16 * 1024, 'x');
+  const std::string foreign =
+    "HTTP/1.1 200 OK\r\nX-Signed: 1\r\nX-Attempt: other\r\n"
+    "Transfer-Encoding: chunked\r\n\r\n";
+  const auto flood = GENERATE_COPY(
+    values<Flood>({ { "header line", "/once/x", "HTTP/1.1 200 OK\r\nX: ",
+                      filler, 4 * kMegabyte },
+                    { "bytes that are no response", "/once/x", "", filler,
+                      4 * kMegabyte },
+                    { "interim responses", "/once/x", "",
+                      "HTTP/1.1 103 Early Hints\r\n\r\n", 4 * kMegabyte },
+                    { "plain body", "/once/x",
+                      "HTTP/1.1 200 OK\r\nX-Signed: 1\r\nX-Attempt: a\r\n\r\n",
+                      filler, 24 * kMegabyte },
+                    { "event without end", "/stream/x", StreamHead("a"),
+                      Chunk(filler), 8 * kMegabyte },
+                    { "response to another request", "/once/x", foreign,
+                      Chunk(filler), 24 * kMegabyte } }));
+  CAPTURE(flood.description);
+  ServingHarness harness;
+  std::size_t written = 0;
+  const auto script = [&](TargetConnection& aConnection, int) -> Task<void> {
+    co_await aConnection.ReadRequest();
+    bool open = co_await aConnection.Write(flood.head);
+    while (open) {
+      open = co_await aConnection.Write(flood.repeated);
+    }
+    written = std::max(written, aConnection.written);
+  };
+  harness.AddTarget("t1", script);
+  harness.AddTarget("t2", script);
+  std::string response;
+  const Instant start = MonotonicNow();
+  REQUIRE(harness.Run(
+    [&]() -> Task<void> {
+      response = co_await harness.Call(flood.path, "a", milliseconds(1500));
+    },
+    kTestLimit));
+  CHECK(MonotonicNow() - start < seconds(2));
+  CHECK(StatusOf(response) != 503);
+  CHECK_FALSE((StatusOf(response) == 200 && IsCompleteStream(response)));
+  harness.io.restart();
+  harness.io.run_for(milliseconds(100));
+  CHECK(written > 0);
+  CHECK(written < flood.maxBytes);
+}
+
+// A byte now and then is no progress of a stream.
+TEST_CASE("RequestFlow ends a stream that drips bytes without an event")
+{
+  ServingHarness harness;
+  const auto script = [](TargetConnection& aConnection, int) -> Task<void> {
+    co_await aConnection.ReadRequest();
+    bool open = co_await aConnection.Write(StreamHead("a") + Event(1));
+    while (open) {
+      co_await aConnection.Wait(milliseconds(1));
+      open = co_await aConnection.Write(Chunk("x"));
+    }
+  };
+  harness.AddTarget("t1", script);
+  harness.AddTarget("t2", script);
+  std::string response;
+  const Instant start = MonotonicNow();
+  REQUIRE(harness.Run(
+    [&]() -> Task<void> {
+      response = co_await harness.Call("/stream/x", "a", seconds(1));
+    },
+    kTestLimit));
+  CHECK(MonotonicNow() - start < milliseconds(1500));
+  CHECK(response.find("id: 1") != std::string::npos);
+  CHECK_FALSE(IsCompleteStream(response));
+}
+
+TEST_CASE("RequestFlow keeps a slow stream whose events arrive in time")
+{
+  ServingHarness harness;
+  harness.AddTarget(
+    "t1", [](TargetConnection& aConnection, int) -> Task<void> {
+      co_await aConnection.ReadRequest();
+      co_await aConnection.Write(StreamHead("a"));
+      for (int id = 1; id <= 8; ++id) {
+        co_await aConnection.Wait(milliseconds(200));
+        co_await aConnection.Write(Event(id));
+      }
+      co_await aConnection.Write("0\r\n\r\n");
+    });
+  std::string response;
+  REQUIRE(harness.Run(
+    [&]() -> Task<void> {
+      response = co_await harness.Call("/stream/x", "a", seconds(4));
+    },
+    kTestLimit));
+  CHECK(response.find("id: 8") != std::string::npos);
+  CHECK(IsCompleteStream(response));
+}
--- a/tests/RetryPolicyTest.cpp
+++ b/tests/RetryPolicyTest.cpp
@@ -96,3 +96,18 @@
   budget.OnFirstAttempt();
   CHECK(policy.Decide(state, budget, kNow).action == RetryAction::kRetry);
 }
+
+// Nodes that all start at once and do not know of each other must not use the
+// whole reserve each.
+TEST_CASE("RetryBudget adds the rest of its reserve once the reserve is known")
+{
+  RetryBudget budget{ { .ratio = 0, .reserve = 1, .isProvisional = true } };
+  CHECK(budget.TryConsume());
+  CHECK_FALSE(budget.TryConsume());
+  budget.SetReserve(3);
+  CHECK(budget.TryConsume());
+  CHECK(budget.TryConsume());
+  CHECK_FALSE(budget.TryConsume());
+  budget.SetReserve(9);
+  CHECK_FALSE(budget.HasRetry());
+}
--- /dev/null
+++ b/tests/ServingHarness.h
@@ -0,0 +1,308 @@
+#ifndef APRICOTTRACK_TESTS_SERVINGHARNESS_H
+#define APRICOTTRACK_TESTS_SERVINGHARNESS_H
+
+#include "http/HttpServer.h"
+#include "serving/Refusals.h"
+#include "serving/RequestFlow.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/read.hpp>
+#include <boost/asio/read_until.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/write.hpp>
+#include <catch2/catch.hpp>
+#include <fmt/format.h>
+
+/// Runs RequestFlow on real sockets between a caller and targets whose bytes a
+/// test writes itself.
+namespace apricottrack {
+
+namespace asio = boost::asio;
+using asio::ip::tcp;
+
+/// Uses header names of its own; targets are plain ones, without replicas.
+class TestProtocol final : public PlatformProtocol
+{
+public:
+  std::string CatalogKey() const override { return "catalog"; }
+  std::string TargetPrefix() const override { return "targets/"; }
+  std::string TargetIdOf(const std::string& aKey) const override
+  {
+    return aKey;
+  }
+  Result<Catalog> ReadCatalog(std::string_view) const override
+  {
+    return Catalog{};
+  }
+  Result<TargetRecord> ReadTarget(const KeyValue&) const override
+  {
+    return TargetRecord{};
+  }
+  CallerHead ReadCaller(const HttpRequest& aRequest) const override
+  {
+    return { .attemptId = std::string(aRequest["X-Attempt"]),
+             .requestTimeout =
+               milliseconds(std::stoi(std::string(aRequest["X-Timeout"]))) };
+  }
+  HttpRequest MakeRequest(
+    const HttpRequest& aCallerRequest,
+    const TargetInstructions& aInstructions) const override
+  {
+    HttpRequest request = aCallerRequest;
+    if (aInstructions.resumeAfter) {
+      request.set("Last-Event-Id", std::to_string(*aInstructions.resumeAfter));
+    }
+    return request;
+  }
+  TargetHead ReadHead(const HttpResponse& aHead) const override
+  {
+    return { .attemptId = std::string(aHead["X-Attempt"]),
+             .notRun = aHead.count("X-Not-Run") > 0,
+             .isSigned = aHead.count("X-Signed") > 0,
+             .isEventStream = aHead["Content-Type"] == "text/event-stream" };
+  }
+  HttpHeaders ResponseHeaders(const HttpResponse& aHead) const override
+  {
+    HttpHeaders headers;
+    for (const auto& field : aHead) {
+      if (field.name_string().starts_with("X-")) {
+        headers.emplace_back(field.name_string(), field.value());
+      }
+    }
+    return headers;
+  }
+  HttpRequest MakeOrder(const ReplicaOrder&) const override { return {}; }
+  OrderReply ReadOrderReply(const HttpResponse&) const override
+  {
+    return OrderReply::kUnknown;
+  }
+  HttpRequest MakeReportRequest(const std::string&) const override
+  {
+    return {};
+  }
+  Result<TargetReport> ReadReport(const HttpResponse&,
+                                  std::string_view) const override
+  {
+    return TargetReport{};
+  }
+};
+
+/// A connection that a scripted target has accepted.
+class TargetConnection
+{
+public:
+  explicit TargetConnection(tcp::socket aSocket)
+    : socket(std::move(aSocket))
+  {
+  }
+
+  /// Returns the head of the next request; empty if the caller closed.
+  Task<std::string> ReadRequest()
+  {
+    auto [error, size] = co_await asio::async_read_until(
+      this->socket, asio::dynamic_buffer(this->received), "\r\n\r\n", kAsTuple);
+    if (error) {
+      co_return std::string{};
+    }
+    std::string head = this->received.substr(0, size);
+    this->received.erase(0, size);
+    co_return head;
+  }
+
+  /// Returns false if the caller closed the connection.
+  Task<bool> Write(std::string aBytes)
+  {
+    auto [error, size] =
+      co_await asio::async_write(this->socket, asio::buffer(aBytes), kAsTuple);
+    this->written += size;
+    co_return !error;
+  }
+
+  Task<void> Wait(Duration aDuration)
+  {
+    asio::steady_timer timer(this->socket.get_executor(), aDuration);
+    co_await timer.async_wait(kAsTuple);
+  }
+
+  /// Bytes written so far.
+  std::size_t written = 0;
+
+private:
+  tcp::socket socket;
+  std::string received;
+};
+
+class ServingHarness
+{
+public:
+  /// Serves one connection. `aNumber` counts the target's connections from 0.
+  using Script =
+    std::function<Task<void>(TargetConnection& aConnection, int aNumber)>;
+
+  ServingHarness()
+    : context{ .settings = this->settings,
+               .protocol = this->protocol,
+               .executor = this->io.get_executor(),
+               .counters = {},
+               .catalog = CatalogHolder(
+                 CatalogHolder::Options{ .maxVerificationAge = seconds(600) }),
+               .fleet = Fleet(Fleet::Options{}),
+               .candidates = {},
+               .loads = LoadTracker(LoadTracker::Options{}),
+               .stalls = StallDetector(StallDetector::Options{}),
+               .demand = DemandMeter(DemandMeter::Options{}),
+               .fleetDemands = {},
+               .targetPool = HttpConnectionPool(this->io.get_executor(), {}),
+               .startGate = StartGate(this->io.get_executor()),
+               .retryBudgets = {},
+               .running = {},
+               .random = std::mt19937_64(1) }
+  {
+    this->settings.serving.emplace();
+    this->context.nodeCount = 1;
+    const auto route = [](std::string aPrefix, RouteKind aKind) {
+      return CatalogRoute{ .name = aPrefix,
+                           .host = "h",
+                           .prefix = aPrefix,
+                           .kind = aKind,
+                           .resumable = aKind == RouteKind::kStream,
+                           .maxTargets =
+                             aKind == RouteKind::kNonIdempotent ? 1 : 2,
+                           .services = { { .service = "app" } } };
+    };
+    this->context.catalog.Apply(
+      Catalog{ .version = 1,
+               .routes = { route("/idempotent/", RouteKind::kIdempotent),
+                           route("/once/", RouteKind::kNonIdempotent),
+                           route("/stream/", RouteKind::kStream) },
+               .services = { { .name = "app" } } },
+      MonotonicNow());
+    this->context.startGate.Open();
+    const std::string address = FreeAddress(this->io);
+    this->callerEndpoint = *ParseEndpoint(address);
+    this->server = *HttpServer::Make(
+      this->io.get_executor(),
+      { .address = address,
+        .handler = [this](HttpExchange& aExchange) -> Task<void> {
+          RequestFlow flow(this->context, aExchange);
+          co_await flow.Serve();
+        },
+        .errorResponder =
+          [this](unsigned aStatus, std::string_view aReason) {
+            return MakeRefusal(aStatus, aReason, this->context.random);
+          } });
+  }
+
+  /// Adds a target that runs the script for each connection.
+  void AddTarget(std::string aId, Script aScript)
+  {
+    auto acceptor = std::make_shared<tcp::acceptor>(
+      this->io, tcp::endpoint(asio::ip::make_address("127.0.0.1"), 0));
+    this->context.fleet.Put(
+      { .id = std::move(aId),
+        .service = "app",
+        .address =
+          fmt::format("127.0.0.1:{}", acceptor->local_endpoint().port()),
+        .availabilityZone = "a",
+        .slots = 8 },
+      MonotonicNow());
+    this->context.candidates.Rebuild(
+      this->context.catalog.Current()->Contents(),
+      this->context.fleet,
+      {},
+      {});
+    asio::co_spawn(
+      this->io,
+      [acceptor, script = std::move(aScript), this]() -> Task<void> {
+        for (int number = 0;; ++number) {
+          auto [error, socket] = co_await acceptor->async_accept(kAsTuple);
+          if (error) {
+            co_return;
+          }
+          asio::co_spawn(this->io,
+                         Serve(std::move(socket), script, number),
+                         asio::detached);
+        }
+      },
+      asio::detached);
+  }
+
+  /// Sends a request and returns the bytes of the response up to the close of
+  /// the connection, which the request asks for.
+  Task<std::string> Call(std::string aPath,
+                         std::string aAttemptId,
+                         Duration aTimeout)
+  {
+    tcp::socket socket(this->io);
+    co_await socket.async_connect(this->callerEndpoint, kAsTuple);
+    const std::string request = fmt::format(
+      "GET {} HTTP/1.1\r\nHost: h\r\nConnection: close\r\nX-Attempt: "
+      "{}\r\nX-Timeout: {}\r\n\r\n",
+      aPath,
+      aAttemptId,
+      aTimeout / milliseconds(1));
+    co_await asio::async_write(socket, asio::buffer(request), kAsTuple);
+    std::string response;
+    co_await asio::async_read(
+      socket, asio::dynamic_buffer(response), kAsTuple);
+    co_return response;
+  }
+
+  /// Runs the test's coroutine to its end, within `aLimit`. Returns false if it
+  /// has not ended by then.
+  bool Run(std::function<Task<void>()> aTest, Duration aLimit)
+  {
+    bool ended = false;
+    asio::co_spawn(
+      this->io,
+      [&]() -> Task<void> {
+        co_await aTest();
+        ended = true;
+        this->io.stop();
+      },
+      asio::detached);
+    this->io.run_for(aLimit);
+    return ended;
+  }
+
+  static std::string FreeAddress(asio::io_context& aIo)
+  {
+    const tcp::acceptor acceptor(
+      aIo, tcp::endpoint(asio::ip::make_address("127.0.0.1"), 0));
+    return fmt::format("127.0.0.1:{}", acceptor.local_endpoint().port());
+  }
+
+  asio::io_context io{ 1 };
+  Settings settings;
+  TestProtocol protocol;
+  ServingContext context;
+  std::shared_ptr<HttpServer> server;
+  tcp::endpoint callerEndpoint;
+
+private:
+  static Task<void> Serve(tcp::socket aSocket, Script aScript, int aNumber)
+  {
+    TargetConnection connection(std::move(aSocket));
+    co_await aScript(connection, aNumber);
+  }
+};
+
+/// Returns the number after " HTTP/1.1 " of a response, or 0.
+inline int
+StatusOf(const std::string& aResponse)
+{
+  return aResponse.size() < 12 ? 0 : std::stoi(aResponse.substr(9, 3));
+}
+
+/// Returns true if a chunked response ended with its last chunk.
+inline bool
+IsCompleteStream(const std::string& aResponse)
+{
+  return aResponse.ends_with("0\r\n\r\n");
+}
+
+} // namespace apricottrack
+
+#endif
--- a/tests/SettingsTest.cpp
+++ b/tests/SettingsTest.cpp
@@ -42,3 +42,18 @@
     CHECK(text.find(part) != std::string::npos);
   }
 }
+
+// Platforms compute this limit from the size of a deployment.
+TEST_CASE("ParseSettings accepts a fractional retry reserve")
+{
+  const auto settings =
+    ParseSettings("node = \"n\"\navailability_zone = \"z\"\n"
+                  "listen = \"127.0.0.1:1\"\n"
+                  "admin_listen = \"127.0.0.1:2\"\n"
+                  "peer_listen = \"127.0.0.1:3\"\n"
+                  "platform = \"127.0.0.1:4\"\n"
+                  "[serving]\nready_listen = \"127.0.0.1:5\"\n"
+                  "retry_slack = 134.5\n");
+  REQUIRE(settings);
+  CHECK(settings->serving->retryReserve == 134.5);
+}
