Let restarted small VMs wait for a planner before they list the store

Change: a small VM that restarts asks for the lease holder at once, and reads the fleet from the store itself only after 1.5 s without a planner; large VMs list at once and may take the lease 0.4 s after the last planner.

--- a/src/serving/FollowTask.cpp
+++ b/src/serving/FollowTask.cpp
@@ -35,11 +35,12 @@
 {
   // At the first start of a deployment there is time to wait `plannerTimeout`
   // for a planner before the fleet is read from the store. A node that restarts
-  // has callers waiting and reads it without this delay.
+  // has callers waiting.
   const bool isFirstStart = this->context.settings.serving->firstStart;
+  const Duration storeDelay =
+    isFirstStart ? this->options.plannerTimeout : this->options.restartDelay;
   this->lastResponseAt =
-    MonotonicNow() -
-    (isFirstStart ? Duration::zero() : this->options.plannerTimeout);
+    MonotonicNow() - this->options.plannerTimeout + storeDelay;
   this->SetFollowsPlanner(false);
   asio::co_spawn(
     this->context.executor,
--- a/src/serving/PlannerTask.cpp
+++ b/src/serving/PlannerTask.cpp
@@ -32,10 +32,10 @@
 constexpr Duration kSmallVmTakeoverDelay = milliseconds(6000);
 /// Between two lease attempts of a small VM. Most nodes are small, and store
 /// calls are charged for.
-constexpr Duration kSmallVmTryInterval = milliseconds(800);
+constexpr Duration kSmallVmTryInterval = milliseconds(500);
 /// Time without a planner after which a node may take the lease although
 /// expired entries may still be missing from the fleet that it knows.
-constexpr Duration kUnsettledTakeoverDelay = milliseconds(700);
+constexpr Duration kUnsettledTakeoverDelay = milliseconds(400);
 /// A planning round that starts this late indicates that the process was not
 /// scheduled, so responses of targets may be waiting unread.
 constexpr Duration kLateRoundThreshold = milliseconds(40);
@@ -45,6 +45,10 @@
 /// Time without a planner after which a small VM asks the store for the lease
 /// holder; by then a large VM has probably taken the lease.
 constexpr Duration kSmallVmQueryDelay = milliseconds(1200);
+/// Time after a restart within which a small VM asks for the holder without
+/// that delay: mostly there is one, and following it is much cheaper than to
+/// list the store.
+constexpr Duration kRestartQueryTime = milliseconds(2000);
 
 Duration
 FirstDelay(ServingContext& aContext)
@@ -170,6 +174,12 @@
 {
 }
 
+bool
+PlannerTask::IsLargeVm() const
+{
+  return this->context.settings.serving->cpuShare >= kLargeCpuShare;
+}
+
 bool
 PlannerTask::MayQueryLease(Instant aNow)
 {
@@ -177,16 +187,17 @@
     this->noPlannerSince = aNow;
     return false;
   }
-  const bool isLargeVm =
-    this->context.settings.serving->cpuShare >= kLargeCpuShare;
-  return isLargeVm || aNow - this->noPlannerSince >= kSmallVmQueryDelay;
+  const bool isLargeVm = this->IsLargeVm();
+  const bool hasRestarted = !this->context.settings.serving->firstStart &&
+                            aNow - this->startedAt < kRestartQueryTime;
+  return isLargeVm || hasRestarted ||
+         aNow - this->noPlannerSince >= kSmallVmQueryDelay;
 }
 
 bool
 PlannerTask::MayAcquireLease(Instant aNow) const
 {
-  const bool isLargeVm =
-    this->context.settings.serving->cpuShare >= kLargeCpuShare;
+  const bool isLargeVm = this->IsLargeVm();
   // While the store is unavailable, no node can take the lease, so this time
   // does not count.
   const Duration noPlannerFor =
@@ -201,7 +212,8 @@
 void
 PlannerTask::Start()
 {
-  this->noPlannerSince = MonotonicNow();
+  this->startedAt = MonotonicNow();
+  this->noPlannerSince = this->startedAt;
   this->lease.Start();
   asio::co_spawn(
     this->context.executor,
--- a/src/serving/PlannerTask.h
+++ b/src/serving/PlannerTask.h
@@ -100,6 +100,10 @@
 
   bool IsPlanner() const { return this->isPlanner; }
 
+  /// True if this VM has the processor time to plan. Small ones become the
+  /// planner only if there is no large one.
+  bool IsLargeVm() const;
+
   /// True if this node is the planner and has read the fleet from the store
   /// since it became so. State received from the previous planner lacks most
   /// targets and may be older than its last orders.
@@ -231,6 +235,7 @@
   /// Until then a missing report is not counted, because this node itself was
   /// delayed.
   Instant localDelayUntil;
+  Instant startedAt;
   /// When this node last followed a planner, or was started.
   Instant noPlannerSince;
   /// When the store last failed to return the lease holder.
--- a/src/serving/ServingNode.cpp
+++ b/src/serving/ServingNode.cpp
@@ -26,6 +26,9 @@
 /// Longest time without a planner after which the store is assumed to have been
 /// available in between; targets' entries expire only after a longer outage.
 constexpr Duration kMaxFollowGap = milliseconds(2500);
+/// How long a small VM that restarts waits for a planner. A large one takes the
+/// lease and lists the fleet within this time.
+constexpr Duration kSmallVmRestartDelay = milliseconds(1500);
 /// Between two checks for stalled targets.
 constexpr Duration kStallCheckInterval = milliseconds(25);
 /// Time for which a stopping node still accepts connections: the platform sends
@@ -175,7 +178,10 @@
   , follower(this->context,
              this->catalogTask,
              this->fleetTask,
-             FollowTask::Options{ .plannerTimeout = PlannerTimeout(*this->settings.serving) },
+             FollowTask::Options{
+               .plannerTimeout = PlannerTimeout(*this->settings.serving),
+               .restartDelay = this->planner.IsLargeVm() ? Duration::zero()
+                                                         : kSmallVmRestartDelay },
              [this] { this->OnFleetChange(); })
   , relay(this->context, this->catalogTask, this->fleetTask, this->planner)
 {
