--- a/src/replicas/FleetRepair.cpp
+++ b/src/replicas/FleetRepair.cpp
@@ -24,11 +24,9 @@
     possibleMembers += this->CanBeMember(id) ? 1 : 0;
   }
   const int size = this->ModelOf(aReplica).size;
-  const int spares =
-    this->CountIdleTargetsIn(aReplica.domain, aReplica.model);
+  const int spares = this->CountIdleTargetsIn(aReplica.domain, aReplica.model);
   return this->IsUsable(aReplica.members.front()) &&
-         (possibleMembers == size ||
-          possibleMembers + spares < size);
+         (possibleMembers == size || possibleMembers + spares < size);
 }
 
 bool
@@ -84,18 +82,17 @@
     }
   }
   const auto size = aReplica.members.size();
-  const bool hasSlowMember = std::any_of(
-    aReplica.members.begin(), aReplica.members.end(), [&](const auto& aId) {
-      return this->FindTarget(aId)->slow;
-    });
+  const bool hasSlowMember =
+    std::any_of(aReplica.members.begin(),
+                aReplica.members.end(),
+                [&](const auto& aId) { return this->FindTarget(aId)->slow; });
   const int spares =
     hasSlowMember ? this->CountIdleTargetsIn(aReplica.domain, aReplica.model)
                   : 0;
   if (!hasSlowMember || members.size() + spares < size) {
     return false;
   }
-  for (std::string& id :
-       this->IdleTargetsIn(aReplica.domain, aReplica.model)) {
+  for (std::string& id : this->IdleTargetsIn(aReplica.domain, aReplica.model)) {
     if (members.size() < size) {
       members.push_back(std::move(id));
     }
--- a/src/replicas/FleetSpares.cpp
+++ b/src/replicas/FleetSpares.cpp
@@ -89,15 +89,15 @@
       continue;
     }
     const TargetRecord& record = member->record;
-    ranked.push_back(
-      { .warmth = this->WarmthOf(record, aModel),
-        .warmModels = std::count_if(
-          this->engine.models.begin(),
-          this->engine.models.end(),
-          [&](const ReplicaModel& aOther) {
-            return this->WarmthOf(record, aOther.name) != Warmth::kCold;
-          }),
-        .id = &record.id });
+    ranked.push_back({ .warmth = this->WarmthOf(record, aModel),
+                       .warmModels = std::count_if(
+                         this->engine.models.begin(),
+                         this->engine.models.end(),
+                         [&](const ReplicaModel& aOther) {
+                           return this->WarmthOf(record, aOther.name) !=
+                                  Warmth::kCold;
+                         }),
+                       .id = &record.id });
   }
   std::stable_sort(ranked.begin(),
                    ranked.end(),
--- a/src/serving/EventSplitter.cpp
+++ b/src/serving/EventSplitter.cpp
@@ -43,8 +43,8 @@
   std::string newEvents;
   std::size_t start = 0;
   for (;;) {
-    const auto end = this->pendingBytes.find(
-      kEventEnd, std::max(start, this->searchedBytes));
+    const auto end =
+      this->pendingBytes.find(kEventEnd, std::max(start, this->searchedBytes));
     if (end == std::string::npos) {
       break;
     }
--- a/src/serving/FleetRelay.cpp
+++ b/src/serving/FleetRelay.cpp
@@ -109,7 +109,8 @@
     return;
   }
   const Instant now = MonotonicNow();
-  const Duration minInterval = kWakeIntervalPerNode * this->context.nodeCount.value_or(1);
+  const Duration minInterval =
+    kWakeIntervalPerNode * this->context.nodeCount.value_or(1);
   if (now - this->lastWakeAt >= minInterval) {
     this->WakeWaitingQueries();
     return;
--- a/src/serving/FollowTask.h
+++ b/src/serving/FollowTask.h
@@ -39,8 +39,8 @@
     /// long enough for another node to become the planner.
     Duration plannerTimeout = milliseconds(600);
     /// How long a node that restarts waits for a planner before it reads the
-    /// store. If all nodes restart at once and list a large fleet, they saturate
-    /// the store's link, and the first planner cannot renew its lease.
+    /// store. If all nodes restart at once and list a large fleet, they
+    /// saturate the store's link, and the first planner cannot renew its lease.
     Duration restartDelay = Duration::zero();
     /// Largest age of the planner's own store reads for its answers to be used.
     Duration maxStoreReadAge = milliseconds(1300);
--- a/src/serving/PlannerCalls.cpp
+++ b/src/serving/PlannerCalls.cpp
@@ -89,9 +89,9 @@
                           const PlannerMembers& aMembers,
                           Instant aNow)
 {
-  const Duration reportInterval = std::max<Duration>(
-    this->options.reportInterval,
-    this->options.reportIntervalPerTarget * aMembers.size());
+  const Duration reportInterval =
+    std::max<Duration>(this->options.reportInterval,
+                       this->options.reportIntervalPerTarget * aMembers.size());
   int remainingProbes = this->options.maxProbesPerRound;
   const std::set<std::string> targetsInProgress =
     this->planners[aService.name]->TargetsChangingState();
--- a/src/serving/PlannerTask.cpp
+++ b/src/serving/PlannerTask.cpp
@@ -290,12 +290,12 @@
 int
 PlannerTask::NodeCount(Instant aNow) const
 {
-  const auto reporting = std::count_if(
-    this->demandsByNode.begin(),
-    this->demandsByNode.end(),
-    [&](const auto& aEntry) {
-      return aNow - aEntry.second.receivedAt <= kDemandLifetime;
-    });
+  const auto reporting =
+    std::count_if(this->demandsByNode.begin(),
+                  this->demandsByNode.end(),
+                  [&](const auto& aEntry) {
+                    return aNow - aEntry.second.receivedAt <= kDemandLifetime;
+                  });
   const int count = 1 + static_cast<int>(reporting);
   if (aNow - this->plannerSince > kDemandLifetime) {
     return count;
--- /dev/null
+++ b/src/serving/RequestFlowEnds.cpp
@@ -0,0 +1,129 @@
+#include "base/Log.h"
+#include "serving/RequestFlow.h"
+
+#include <cmath>
+
+// The part of RequestFlow that ends a request and logs its calls and its end.
+namespace apricottrack {
+
+Task<void>
+RequestFlow::Finish(NextStep aStep)
+{
+  switch (aStep) {
+    case NextStep::kDone:
+      if (this->streamStarted) {
+        co_await this->exchange.EndStream();
+        this->LogEnd("answered", 200);
+      } else {
+        const unsigned status = this->heldResponse->result_int();
+        this->LogEnd("answered", status);
+        co_await this->exchange.Reply(std::move(*this->heldResponse));
+      }
+      co_return;
+    case NextStep::kAbort:
+    case NextStep::kTryElsewhere:
+      this->LogEnd("caller_gone", 0);
+      this->exchange.CloseAfterHandler();
+      co_return;
+    case NextStep::kRefuse:
+      co_await this->Refuse(503, "not_run");
+      co_return;
+    case NextStep::kFail:
+      co_await this->Refuse(502, "outcome_unknown");
+      co_return;
+    case NextStep::kTimeOut:
+      co_await this->Refuse(504, "out_of_time");
+      co_return;
+  }
+}
+
+Task<void>
+RequestFlow::Refuse(unsigned aStatus, std::string_view aReason)
+{
+  if (this->streamStarted) {
+    // Only closing shows the caller that the started response is incomplete.
+    this->LogEnd("stream_cut", aStatus);
+    this->exchange.CloseAfterHandler();
+    co_return;
+  }
+  this->LogEnd(aReason, aStatus);
+  co_await this->exchange.Reply(
+    MakeRefusal(aStatus, aReason, this->context.random));
+}
+
+Task<void>
+RequestFlow::RefuseAtIntake(IntakeRefusal aRefusal)
+{
+  switch (aRefusal) {
+    case IntakeRefusal::kNoRoute:
+      co_await this->Refuse(404, "no_route");
+      co_return;
+    case IntakeRefusal::kUnknownKey:
+      co_await this->Refuse(401, "unknown_key");
+      co_return;
+    case IntakeRefusal::kNoCatalog:
+      co_await this->Refuse(503, "no_catalog");
+      co_return;
+    case IntakeRefusal::kKeyNotVerified:
+    case IntakeRefusal::kNone:
+      co_await this->Refuse(503, "key_not_proven");
+      co_return;
+  }
+}
+
+void
+RequestFlow::LogCall(const Candidate& aTarget, CallEnd aEnd) const
+{
+  if (aEnd == CallEnd::kAnswered) {
+    return;
+  }
+  LogLine line("target_call");
+  line.With("request", this->caller.attemptId)
+    .With("target", aTarget.id)
+    .With("end", CallEndName(aEnd))
+    .With("after_ms",
+          std::int64_t{ (MonotonicNow() - this->arrivedAt) / milliseconds(1) })
+    .With("left", std::int64_t{ this->targetAbandoned })
+    .With("step", this->lastError.step)
+    .With("detail", this->lastError.detail);
+  line.Info();
+}
+
+void
+RequestFlow::LogEnd(std::string_view aOutcome, unsigned aStatus)
+{
+  const Instant now = MonotonicNow();
+  const std::string_view service = this->admittedRequest.service == nullptr
+                                     ? std::string_view("none")
+                                     : this->admittedRequest.service->name;
+  this->context.counters.Add(
+    "requests", { { "service", service }, { "outcome", aOutcome } });
+  this->context.counters.Observe("request_seconds",
+                                 { { "service", service } },
+                                 ToSeconds(now - this->arrivedAt));
+  if (this->firstByteDelay > Duration::zero()) {
+    this->context.counters.Observe("first_byte_seconds",
+                                   { { "service", service } },
+                                   ToSeconds(this->firstByteDelay));
+  }
+  LogLine("request_end")
+    .With("request", this->caller.attemptId)
+    .With("outcome", aOutcome)
+    .With("status", std::int64_t{ aStatus })
+    .With("route",
+          this->admittedRequest.route == nullptr
+            ? ""
+            : this->admittedRequest.route->name)
+    .With("model", this->caller.model)
+    .With("prompt", std::int64_t{ this->caller.promptTokens })
+    .With("target", this->lastTargetId)
+    .With("load", static_cast<std::int64_t>(std::lround(this->estimatedLoad)))
+    .With("sends", std::int64_t{ this->history.sendCount })
+    .With("first_ms", std::int64_t{ this->firstByteDelay / milliseconds(1) })
+    .With("total_ms", std::int64_t{ (now - this->arrivedAt) / milliseconds(1) })
+    .With("events", this->eventSplitter.EventCount())
+    .With("detail", this->lastError.detail)
+    .Info();
+}
+
+} // namespace apricottrack
--- a/tests/HttpServerTest.cpp
+++ b/tests/HttpServerTest.cpp
@@ -25,8 +25,7 @@
 {
   asio::io_context io{ 1 };
   const std::string address = ServingHarness::FreeAddress(io);
-  const auto server =
-    *HttpServer::Make(io.get_executor(), OptionsFor(address));
+  const auto server = *HttpServer::Make(io.get_executor(), OptionsFor(address));
   const bool connectedBefore = GENERATE(true, false);
   constexpr int kCallers = 40;
   // Callers that block, so that the server's loop does not run meanwhile.
--- a/tests/RequestFlowTest.cpp
+++ b/tests/RequestFlowTest.cpp
@@ -29,7 +29,9 @@
 }
 
 std::string
-PlainResponse(int aStatus, const std::string& aHeaders, const std::string& aBody)
+PlainResponse(int aStatus,
+              const std::string& aHeaders,
+              const std::string& aBody)
 {
   return fmt::format("HTTP/1.1 {} X\r\n{}Content-Length: {}\r\n\r\n{}",
                      aStatus,
@@ -60,8 +62,8 @@
 {
   ServingHarness harness;
   const auto calls = std::make_shared<int>(0);
-  const auto script = BreakThenAnswer(
-    calls, StreamHead("a") + Event(4) + "0\r\n\r\n");
+  const auto script =
+    BreakThenAnswer(calls, StreamHead("a") + Event(4) + "0\r\n\r\n");
   harness.AddTarget("t1", script);
   harness.AddTarget("t2", script);
   std::string response;
@@ -198,20 +200,33 @@
   const std::string foreign =
     "HTTP/1.1 200 OK\r\nX-Signed: 1\r\nX-Attempt: other\r\n"
     "Transfer-Encoding: chunked\r\n\r\n";
-  const auto flood = GENERATE_COPY(
-    values<Flood>({ { "header line", "/once/x", "HTTP/1.1 200 OK\r\nX: ",
-                      filler, 4 * kMegabyte },
-                    { "bytes that are no response", "/once/x", "", filler,
-                      4 * kMegabyte },
-                    { "interim responses", "/once/x", "",
-                      "HTTP/1.1 103 Early Hints\r\n\r\n", 4 * kMegabyte },
-                    { "plain body", "/once/x",
-                      "HTTP/1.1 200 OK\r\nX-Signed: 1\r\nX-Attempt: a\r\n\r\n",
-                      filler, 24 * kMegabyte },
-                    { "event without end", "/stream/x", StreamHead("a"),
-                      Chunk(filler), 8 * kMegabyte },
-                    { "response to another request", "/once/x", foreign,
-                      Chunk(filler), 24 * kMegabyte } }));
+  const auto flood = GENERATE_COPY(values<Flood>(
+    { { "header line",
+        "/once/x",
+        "HTTP/1.1 200 OK\r\nX: ",
+        filler,
+        4 * kMegabyte },
+      { "bytes that are no response", "/once/x", "", filler, 4 * kMegabyte },
+      { "interim responses",
+        "/once/x",
+        "",
+        "HTTP/1.1 103 Early Hints\r\n\r\n",
+        4 * kMegabyte },
+      { "plain body",
+        "/once/x",
+        "HTTP/1.1 200 OK\r\nX-Signed: 1\r\nX-Attempt: a\r\n\r\n",
+        filler,
+        24 * kMegabyte },
+      { "event without end",
+        "/stream/x",
+        StreamHead("a"),
+        Chunk(filler),
+        8 * kMegabyte },
+      { "response to another request",
+        "/once/x",
+        foreign,
+        Chunk(filler),
+        24 * kMegabyte } }));
   CAPTURE(flood.description);
   ServingHarness harness;
   std::size_t written = 0;
@@ -270,16 +285,15 @@
 TEST_CASE("RequestFlow keeps a slow stream whose events arrive in time")
 {
   ServingHarness harness;
-  harness.AddTarget(
-    "t1", [](TargetConnection& aConnection, int) -> Task<void> {
-      co_await aConnection.ReadRequest();
-      co_await aConnection.Write(StreamHead("a"));
-      for (int id = 1; id <= 8; ++id) {
-        co_await aConnection.Wait(milliseconds(200));
-        co_await aConnection.Write(Event(id));
-      }
-      co_await aConnection.Write("0\r\n\r\n");
-    });
+  harness.AddTarget("t1", [](TargetConnection& aConnection, int) -> Task<void> {
+    co_await aConnection.ReadRequest();
+    co_await aConnection.Write(StreamHead("a"));
+    for (int id = 1; id <= 8; ++id) {
+      co_await aConnection.Wait(milliseconds(200));
+      co_await aConnection.Write(Event(id));
+    }
+    co_await aConnection.Write("0\r\n\r\n");
+  });
   std::string response;
   REQUIRE(harness.Run(
     [&]() -> Task<void> {
--- a/tests/ResponseRelayTest.cpp
+++ b/tests/ResponseRelayTest.cpp
@@ -1,5 +1,5 @@
-#include "ServingHarness.h"
 #include "node/ResponseRelay.h"
+#include "ServingHarness.h"
 
 using namespace apricottrack;
 
--- a/tests/RoundIndexTest.cpp
+++ b/tests/RoundIndexTest.cpp
@@ -1,5 +1,5 @@
-#include "FakeFleet.h"
 #include "replicas/RoundIndex.h"
+#include "FakeFleet.h"
 
 using namespace apricottrack;
 
--- a/tests/ServingHarness.h
+++ b/tests/ServingHarness.h
@@ -209,10 +209,7 @@
         .slots = 8 },
       MonotonicNow());
     this->context.candidates.Rebuild(
-      this->context.catalog.Current()->Contents(),
-      this->context.fleet,
-      {},
-      {});
+      this->context.catalog.Current()->Contents(), this->context.fleet, {}, {});
     asio::co_spawn(
       this->io,
       [acceptor, script = std::move(aScript), this]() -> Task<void> {
@@ -221,9 +218,8 @@
           if (error) {
             co_return;
           }
-          asio::co_spawn(this->io,
-                         Serve(std::move(socket), script, number),
-                         asio::detached);
+          asio::co_spawn(
+            this->io, Serve(std::move(socket), script, number), asio::detached);
         }
       },
       asio::detached);
@@ -245,8 +241,7 @@
       aTimeout / milliseconds(1));
     co_await asio::async_write(socket, asio::buffer(request), kAsTuple);
     std::string response;
-    co_await asio::async_read(
-      socket, asio::dynamic_buffer(response), kAsTuple);
+    co_await asio::async_read(socket, asio::dynamic_buffer(response), kAsTuple);
     co_return response;
   }
 
