Open the intake of a restarted node when it first follows a planner

A node applied the planner's first answer before it counted as following, so the gate at its intake stayed closed until the next change of the fleet, and each request waited 600 ms.

Change: the first answer of a planner reports a change again. Test: FollowTaskTest, fails without the change.

--- a/src/serving/FollowTask.cpp
+++ b/src/serving/FollowTask.cpp
@@ -76,6 +76,8 @@
     this->lastResponseAt = now;
     if (!this->firstFollowedAt) {
       this->firstFollowedAt = now;
+      // The answer was applied before, and there may be no change for long.
+      this->onChange();
     }
   }
   const bool mustReadStore =
--- a/src/serving/FollowTask.h
+++ b/src/serving/FollowTask.h
@@ -47,7 +47,7 @@
   };
 
   /// `aOnChange` is called after the planner sent a change of the fleet or of
-  /// its replicas.
+  /// its replicas, and when a planner is first followed.
   FollowTask(ServingContext& aContext,
              CatalogTask& aCatalog,
              FleetTask& aFleet,
--- a/tests/EventSplitterTest.cpp
+++ b/tests/EventSplitterTest.cpp
@@ -78,7 +78,7 @@
 TEST_CASE("EventSplitter reports an event without end")
 {
   EventSplitter splitter(std::nullopt);
-  const std::string filler(64 * 1024, 'x');
+  const std::string filler(std::size_t{ 64 } * 1024, 'x');
   for (int i = 0; i < 4; ++i) {
     CHECK(splitter.Append(filler).empty());
     CHECK_FALSE(splitter.IsEventTooLarge());
--- /dev/null
+++ b/tests/FollowTaskTest.cpp
@@ -0,0 +1,103 @@
+#include "serving/FollowTask.h"
+#include "ServingHarness.h"
+#include "membership/PeerLink.h"
+
+using namespace apricottrack;
+
+namespace {
+
+/// A store that cannot be reached.
+class UnreachableStore final : public KeyValueStore
+{
+public:
+  Task<Result<KeyValue>> Get(std::string) override { co_return Fail(); }
+  Task<Result<std::vector<KeyValue>>> List(std::string, Revision&) override
+  {
+    co_return Fail();
+  }
+  Task<Result<Revision>> CompareAndSwap(Swap) override { co_return Fail(); }
+  Task<Result<LeaseId>> GrantLease(std::int64_t) override { co_return Fail(); }
+  Task<Result<std::int64_t>> RenewLease(LeaseId) override { co_return Fail(); }
+  Task<Result<void>> RevokeLease(LeaseId) override { co_return Fail(); }
+  Task<Error> Watch(std::string, Revision, WatchCallback) override
+  {
+    co_return Fail().value();
+  }
+
+private:
+  static tl::unexpected<Error> Fail()
+  {
+    return Failure(ErrorCode::kUnreachable, "store", "store", "unreachable");
+  }
+};
+
+} // namespace
+
+// A node that restarts opens its intake once it follows a planner, even if the
+// fleet does not change afterwards.
+TEST_CASE("FollowTask reports a change when it first follows a planner")
+{
+  ServingHarness harness;
+  UnreachableStore store;
+  CatalogTask catalog(harness.context, store, CatalogTask::Options{}, [] {});
+  FleetTask fleet(harness.context, store, FleetTask::Options{}, [] {});
+  int changesWhileFollowing = 0;
+  FollowTask* follower = nullptr;
+  FollowTask task(harness.context, catalog, fleet, FollowTask::Options{}, [&] {
+    changesWhileFollowing += follower->FirstFollowedAt() ? 1 : 0;
+  });
+  follower = &task;
+  const std::string address = ServingHarness::FreeAddress(harness.io);
+  const auto planner =
+    *PeerServer::Make(harness.io.get_executor(),
+                      address,
+                      [&](PeerMessage) -> Task<std::optional<PeerMessage>> {
+                        asio::steady_timer timer(harness.io, milliseconds(20));
+                        co_await timer.async_wait(kAsTuple);
+                        co_return FleetAnswer{ .source = "p",
+                                               .leads = true,
+                                               .sequence = 1,
+                                               .complete = true };
+                      });
+  task.SetPlannerAddress(address);
+  task.Start();
+  harness.io.run_for(milliseconds(200));
+  CHECK(task.FollowsPlanner());
+  CHECK(changesWhileFollowing >= 1);
+}
+
+// The store lists more targets than a planner sends, so increments do not apply
+// to what a node has read from the store itself.
+TEST_CASE("FollowTask asks for the complete fleet after own reads of the store")
+{
+  ServingHarness harness;
+  UnreachableStore store;
+  CatalogTask catalog(harness.context, store, CatalogTask::Options{}, [] {});
+  FleetTask fleet(harness.context, store, FleetTask::Options{}, [] {});
+  FollowTask task(harness.context,
+                  catalog,
+                  fleet,
+                  FollowTask::Options{ .plannerTimeout = milliseconds(100) },
+                  [] {});
+  const std::string address = ServingHarness::FreeAddress(harness.io);
+  std::vector<std::uint64_t> askedSequences;
+  bool plannerAnswers = true;
+  const auto planner = *PeerServer::Make(
+    harness.io.get_executor(),
+    address,
+    [&](PeerMessage aQuestion) -> Task<std::optional<PeerMessage>> {
+      askedSequences.push_back(std::get<FleetQuestion>(aQuestion).sequence);
+      asio::steady_timer timer(harness.io, milliseconds(20));
+      co_await timer.async_wait(kAsTuple);
+      co_return FleetAnswer{ .source = "p",
+                             .leads = plannerAnswers,
+                             .sequence = 7 };
+    });
+  task.SetPlannerAddress(address);
+  task.Start();
+  harness.io.run_for(milliseconds(100));
+  CHECK(askedSequences.back() == 7);
+  plannerAnswers = false;
+  harness.io.run_for(milliseconds(400));
+  CHECK(askedSequences.back() == 0);
+}
--- a/tests/RequestFlowTest.cpp
+++ b/tests/RequestFlowTest.cpp
@@ -196,7 +196,7 @@
     std::size_t maxBytes;
   };
   constexpr std::size_t kMegabyte = std::size_t{ 1024 } * 1024;
-  const std::string filler(16 * 1024, 'x');
+  const std::string filler(std::size_t{ 16 } * 1024, 'x');
   const std::string foreign =
     "HTTP/1.1 200 OK\r\nX-Signed: 1\r\nX-Attempt: other\r\n"
     "Transfer-Encoding: chunked\r\n\r\n";
