--- a/tests/FollowTaskTest.cpp
+++ b/tests/FollowTaskTest.cpp
@@ -47,6 +47,7 @@
     changesWhileFollowing += follower->FirstFollowedAt() ? 1 : 0;
   });
   follower = &task;
+  int answers = 0;
   const std::string address = ServingHarness::FreeAddress(harness.io);
   const auto planner =
     *PeerServer::Make(harness.io.get_executor(),
@@ -57,7 +58,7 @@
                         co_return FleetAnswer{ .source = "p",
                                                .leads = true,
                                                .sequence = 1,
-                                               .complete = true };
+                                               .complete = answers++ == 0 };
                       });
   task.SetPlannerAddress(address);
   task.Start();
