Transfer the catalog only when it has changed

Cause: a node without a planner read the whole catalog every 0.9 s.

Change: KeyValueStore::GetIfChanged; PlatformStore asks the history of the key from the last checked revision and reads the value only if that is gone. The response states the revision up to which nothing has changed, which verifies the catalog in force.

Tests: PlatformStoreTest against a stand-in.

--- a/include/apricottrack/KeyValueStore.h
+++ b/include/apricottrack/KeyValueStore.h
@@ -7,6 +7,7 @@
 #include <chrono>
 #include <cstdint>
 #include <functional>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -44,6 +45,16 @@
   LeaseId lease = 0;
 };
 
+/// What the service reports about one key since a revision.
+struct KeyChange
+{
+  /// The key's newest value, with revision zero if it does not exist; none if
+  /// it has not changed.
+  std::optional<KeyValue> value;
+  /// Revision of the service up to which this holds.
+  Revision checkedRevision = 0;
+};
+
 /// Asynchronous access to the key-value service. After an error with kNoReply
 /// a write may or may not have taken effect; the caller must read back.
 class KeyValueStore
@@ -59,6 +70,13 @@
   /// Returns the key's value, with revision zero if the key does not exist.
   virtual Task<Result<KeyValue>> Get(std::string aKey) = 0;
 
+  /// Returns the key's value if it has changed after `aCheckedRevision`, the
+  /// one of an earlier result; with zero, returns the value in any case. For
+  /// large values that are checked often. Stores that cannot tell without
+  /// reading the value always return it.
+  virtual Task<Result<KeyChange>> GetIfChanged(std::string aKey,
+                                               Revision aCheckedRevision);
+
   /// Returns all keys with the prefix, and sets `aRevision` to the service's
   /// revision at the time of the read.
   virtual Task<Result<std::vector<KeyValue>>> List(std::string aPrefix,
--- a/src/serving/CatalogTask.cpp
+++ b/src/serving/CatalogTask.cpp
@@ -61,32 +61,38 @@
 CatalogTask::ReadOnce()
 {
   const Instant readSentAt = MonotonicNow();
-  const auto item =
-    co_await this->store.Get(this->context.protocol.CatalogKey());
-  if (!item) {
+  const auto change = co_await this->store.GetIfChanged(
+    this->context.protocol.CatalogKey(), this->checkedRevision);
+  if (!change) {
     if (this->isStoreReachable) {
-      LogLine("catalog_unreachable").With(item.error()).Warn();
+      LogLine("catalog_unreachable").With(change.error()).Warn();
     }
     this->isStoreReachable = false;
     co_return false;
   }
   if (!this->isStoreReachable) {
-    LogLine("catalog_reachable").With("revision", item->revision).Info();
+    LogLine("catalog_reachable")
+      .With("revision", change->checkedRevision)
+      .Info();
   }
   this->isStoreReachable = true;
-  if (item->revision == 0) {
+  // A document that is not known must not be skipped by later reads.
+  if (this->knownRevision > 0 || change->value) {
+    this->checkedRevision = change->checkedRevision;
+  }
+  if (change->value && change->value->revision == 0) {
     // The store holds no catalog; the one in force stays, but is not verified.
     co_return true;
   }
-  if (item->revision < this->knownRevision) {
-    // Another node relayed a newer document while this read was in flight.
+  if (!change->value || change->value->revision == this->knownRevision) {
+    this->context.catalog.ConfirmCurrent(readSentAt);
     co_return true;
   }
-  if (item->revision == this->knownRevision) {
-    this->context.catalog.ConfirmCurrent(readSentAt);
+  if (change->value->revision < this->knownRevision) {
+    // Another node relayed a newer document while this read was in flight.
     co_return true;
   }
-  this->Apply(item->revision, item->value, readSentAt);
+  this->Apply(change->value->revision, change->value->value, readSentAt);
   co_return true;
 }
 
@@ -115,6 +121,7 @@
       .With(catalog.error())
       .Warn();
     this->knownRevision = 0;
+    this->checkedRevision = 0;
     return;
   }
   this->document = std::move(aDocument);
--- a/src/serving/CatalogTask.h
+++ b/src/serving/CatalogTask.h
@@ -9,9 +9,11 @@
 namespace apricottrack {
 
 /// Keeps the catalog in force up to date and its last verification time recent.
-/// Reads the store at `readInterval`, randomly spread by 15 percent, because a
+/// Asks the store at `readInterval`, randomly spread by 15 percent, because a
 /// watch without events does not prove that the catalog is still the newest
-/// one.
+/// one. Only a changed document is transferred: while there is no planner all
+/// nodes ask, and a large document for each of them would saturate the store's
+/// link.
 class CatalogTask
 {
 public:
@@ -70,6 +72,9 @@
   /// Revision of the last decoded document; zero after a document that could
   /// not be decoded.
   Revision knownRevision = 0;
+  /// Revision of the store up to which the document is known to be the newest;
+  /// zero to read it again in any case.
+  Revision checkedRevision = 0;
   std::string document;
   bool active = false;
   /// The last read of the store succeeded.
--- /dev/null
+++ b/tests/PlatformStoreTest.cpp
@@ -0,0 +1,107 @@
+#include "platform/PlatformStore.h"
+#include "ServingHarness.h"
+
+using namespace apricottrack;
+
+namespace {
+
+/// Answers store calls with fixed bodies and records their paths.
+class StoreStandin
+{
+public:
+  StoreStandin()
+    : address(ServingHarness::FreeAddress(this->io))
+    , server(*HttpServer::Make(
+        this->io.get_executor(),
+        { .address = this->address,
+          .handler = [this](HttpExchange& aExchange) -> Task<void> {
+            const std::string target(aExchange.Request().target());
+            this->calls.push_back(target);
+            HttpResponse response;
+            const bool isWatch = target.starts_with("/kv-watch");
+            response.result(isWatch ? this->watchStatus : 200);
+            response.body() = isWatch ? this->watchBody : this->keyBody;
+            co_await aExchange.Reply(std::move(response));
+          },
+          .errorResponder = {} }))
+    , store(this->io.get_executor(),
+            this->counters,
+            { .address = this->address })
+  {
+  }
+
+  KeyChange Ask(Revision aCheckedRevision)
+  {
+    KeyChange change;
+    asio::co_spawn(
+      this->io,
+      [&]() -> Task<void> {
+        change =
+          (co_await this->store.GetIfChanged("op/c", aCheckedRevision)).value();
+        this->io.stop();
+      },
+      asio::detached);
+    this->io.restart();
+    this->io.run_for(seconds(5));
+    return change;
+  }
+
+  asio::io_context io{ 1 };
+  Counters counters;
+  std::string address;
+  std::shared_ptr<HttpServer> server;
+  platform::PlatformStore store;
+  std::vector<std::string> calls;
+  unsigned watchStatus = 200;
+  std::string watchBody = R"({"events":[],"store_revision":30})";
+  std::string keyBody =
+    R"({"key":"op/c","value":"bmV3","revision":7,"store_revision":20})";
+};
+
+} // namespace
+
+TEST_CASE(
+  "PlatformStore::GetIfChanged reads the value without a known revision")
+{
+  StoreStandin standin;
+  const KeyChange change = standin.Ask(0);
+  REQUIRE(change.value);
+  CHECK(change.value->value == "new");
+  CHECK(change.value->revision == 7);
+  CHECK(change.checkedRevision == 20);
+}
+
+TEST_CASE("PlatformStore::GetIfChanged transfers no unchanged value")
+{
+  StoreStandin standin;
+  const KeyChange change = standin.Ask(20);
+  CHECK_FALSE(change.value);
+  CHECK(change.checkedRevision == 30);
+  REQUIRE(standin.calls.size() == 1);
+  CHECK(standin.calls.front() == "/kv-watch?prefix=op/c&after=20&wait_ms=1");
+}
+
+TEST_CASE(
+  "PlatformStore::GetIfChanged returns the last change of its key alone")
+{
+  StoreStandin standin;
+  standin.watchBody =
+    R"({"events":[{"key":"op/c","value":"bmV3","revision":21},)"
+    R"({"key":"op/c","value":"bmV3ZXI=","revision":24},)"
+    R"({"key":"op/cc","value":"bmV3","revision":25}],"store_revision":31})";
+  const KeyChange change = standin.Ask(20);
+  REQUIRE(change.value);
+  CHECK(change.value->value == "newer");
+  CHECK(change.value->revision == 24);
+  CHECK(change.checkedRevision == 31);
+}
+
+TEST_CASE("PlatformStore::GetIfChanged reads the value if history is gone")
+{
+  StoreStandin standin;
+  standin.watchStatus = 410;
+  const KeyChange change = standin.Ask(3);
+  REQUIRE(change.value);
+  CHECK(change.value->revision == 7);
+  CHECK(standin.calls.size() == 2);
+}
