Wake waiting nodes after a change of the catalog

Cause: since only changes of the published targets wake waiting queries, a new catalog reached other nodes up to 250 ms later, at the end of their wait. Change: a catalog that comes into force wakes them, as before.

--- a/src/serving/FleetRelay.h
+++ b/src/serving/FleetRelay.h
@@ -33,7 +33,7 @@
   void OnFleetChange();
 
   /// Answers the waiting queries, at intervals that grow with the number of
-  /// nodes.
+  /// nodes; called after a change of the catalog or the planner.
   void NotifyWaitingNodes();
 
 private:
@@ -64,7 +64,7 @@
   const FleetTask& fleet;
   PlannerTask& planner;
   /// The targets that are sent to other nodes. Its sequence also counts changes
-  /// of the broken replicas and of the planner's node.
+  /// of the broken replicas.
   Fleet published{ Fleet::Options{} };
   std::set<std::string> publishedBroken;
   /// Fencing token under which the fleet was last published.
--- a/src/serving/ServingNode.cpp
+++ b/src/serving/ServingNode.cpp
@@ -269,6 +269,7 @@
     .receiveTimeout = limits.headerTimeout,
   });
   this->OnFleetChange();
+  this->relay.NotifyWaitingNodes();
 }
 
 void
@@ -291,16 +292,11 @@
 void
 ServingNode::Impl::AbandonBrokenReplicas()
 {
-  // AbandonTarget may end a request and so change `running`.
-  std::vector<RequestFlow*> flowsToAbandon;
   for (const auto& [target, flow] : this->context.running) {
     if (this->context.broken.contains(flow->Replica())) {
-      flowsToAbandon.push_back(flow);
+      flow->AbandonTarget();
     }
   }
-  for (RequestFlow* const flow : flowsToAbandon) {
-    flow->AbandonTarget();
-  }
 }
 
 void
