Drop unlisted targets at a takeover while the store was available

Change: that grace period starts only if no planner with recent store reads was followed in the 2.5 s before.

--- a/src/serving/FleetTask.cpp
+++ b/src/serving/FleetTask.cpp
@@ -54,10 +54,11 @@
 }
 
 void
-FleetTask::SetActive(bool aActive)
+FleetTask::SetActive(bool aActive, bool aStoreWasAvailable)
 {
   if (aActive && !this->active) {
     this->listedSince.reset();
+    this->isStoreReachable = this->isStoreReachable || aStoreWasAvailable;
   }
   this->active = aActive;
 }
--- a/src/serving/FleetTask.h
+++ b/src/serving/FleetTask.h
@@ -29,8 +29,10 @@
   void Start();
 
   /// Starts or stops store calls; an inactive task makes none, as the planner's
-  /// node then sends the changes.
-  void SetActive(bool aActive);
+  /// node then sends the changes. `aStoreWasAvailable` states that the store
+  /// was available until a short time ago: entries that the first listing lacks
+  /// have then not expired, and their targets are gone.
+  void SetActive(bool aActive, bool aStoreWasAvailable);
 
   /// Sets how often a watch polls: `aIsPlanner` is true on the planner's node,
   /// which has to see changes with little delay. Other nodes poll rarely to
--- a/src/serving/FollowTask.cpp
+++ b/src/serving/FollowTask.cpp
@@ -100,7 +100,14 @@
   // The catalog is read without waiting for `plannerTimeout`: a change must not
   // wait until another node is the planner, and a read is a single store call.
   this->catalog.SetActive(!aFollowsPlanner);
-  this->fleet.SetActive(mustReadStore);
+  this->fleet.SetActive(mustReadStore, this->HasFollowedRecently(now));
+}
+
+bool
+FollowTask::HasFollowedRecently(Instant aNow) const
+{
+  return this->firstFollowedAt &&
+         aNow - this->lastResponseAt < this->options.maxFollowGap;
 }
 
 Task<void>
--- a/src/serving/FollowTask.h
+++ b/src/serving/FollowTask.h
@@ -38,6 +38,9 @@
     /// node reads the store. Well within `ServingSettings::drainBound`, and
     /// long enough for another node to become the planner.
     Duration plannerTimeout = milliseconds(600);
+    /// Longest time without a planner after which the store is assumed to have
+    /// been available in between; entries expire only after a longer outage.
+    Duration maxFollowGap = milliseconds(2500);
     /// How long a node that restarts waits for a planner before it reads the
     /// store. If all nodes restart at once and list a large fleet, they
     /// saturate the store's link, and the first planner cannot renew its lease.
@@ -71,8 +74,9 @@
     return this->firstFollowedAt;
   }
 
-  /// When a planner's node with recent store reads last responded.
-  Instant LastFollowedAt() const { return this->lastResponseAt; }
+  /// True if a planner's node with recent store reads responded until a short
+  /// time ago. The store was available then, so entries have not expired.
+  bool HasFollowedRecently(Instant aNow) const;
 
   /// Reports targets that are suspected to be stalled to the planner's node,
   /// which probes them. Has no effect while the planner's address is unknown.
--- a/src/serving/ServingNode.cpp
+++ b/src/serving/ServingNode.cpp
@@ -23,9 +23,6 @@
 /// Time after this node first read the fleet, from the store or from a planner,
 /// within which entries that had expired before return to the store.
 constexpr Duration kEntryReturnTime = milliseconds(2300);
-/// Longest time without a planner after which the store is assumed to have been
-/// available in between; targets' entries expire only after a longer outage.
-constexpr Duration kMaxFollowGap = milliseconds(2500);
 /// How long a small VM that restarts waits for a planner. A large one takes the
 /// lease and lists the fleet within this time.
 constexpr Duration kSmallVmRestartDelay = milliseconds(1500);
@@ -86,9 +83,9 @@
   /// True if the entries that the store lists are complete: expired ones have
   /// had the time to return.
   bool EntriesSettled() const;
-  /// True if a planner with recent store reads was followed until a short time
-  /// ago. The store was available then, so entries have not expired.
-  bool HasFollowedRecently() const;
+  /// True if a planner was followed until a short time ago, and long enough for
+  /// entries that had expired before to have returned.
+  bool FollowedSettledPlanner() const;
   bool IsReady() const;
   Task<void> HandleAdminRequest(HttpExchange& aExchange);
   Task<void> DetectStalls();
@@ -158,7 +155,7 @@
                   // The entries of a node that has just started may be
                   // incomplete.
                   return this->settings.serving->firstStart ||
-                         this->EntriesSettled() || this->HasFollowedRecently();
+                         this->EntriesSettled() || this->FollowedSettledPlanner();
                 },
               .onOtherHolder =
                 [this](const std::string& aAddress) {
@@ -167,7 +164,7 @@
               .onPlannerChange =
                 [this](bool aIsPlanner) {
                   this->entriesTrustedAtTakeover =
-                    aIsPlanner && this->HasFollowedRecently();
+                    aIsPlanner && this->FollowedSettledPlanner();
                   this->follower.SetIsPlanner(aIsPlanner);
                   this->relay.NotifyWaitingNodes();
                 },
@@ -318,12 +315,12 @@
 }
 
 bool
-ServingNode::Impl::HasFollowedRecently() const
+ServingNode::Impl::FollowedSettledPlanner() const
 {
   const Instant now = MonotonicNow();
   const auto& firstFollowedAt = this->follower.FirstFollowedAt();
   return firstFollowedAt && now - *firstFollowedAt > kEntryReturnTime &&
-         now - this->follower.LastFollowedAt() < kMaxFollowGap;
+         this->follower.HasFollowedRecently(now);
 }
 
 bool
