Check in the lease test what the fault changed

It asked HasLease, which was right; the fault was in HoldsKey, by which the planner of the own interface decides whether it may act.

--- a/tests/LeaseTaskTest.cpp
+++ b/tests/LeaseTaskTest.cpp
@@ -176,6 +176,7 @@
     context.run_one_for(milliseconds(100));
   }
   REQUIRE(holder.HasLease());
+  REQUIRE(holder.HoldsKey(MonotonicNow()));
   if (GENERATE(true, false)) {
     holder.Release();
   } else {
@@ -186,4 +187,5 @@
   }
   context.poll_one();
   CHECK_FALSE(holder.HasLease());
+  CHECK_FALSE(holder.HoldsKey(MonotonicNow()));
 }
