--- /dev/null
+++ b/src/replicas/IssuedOrders.cpp
@@ -0,0 +1,29 @@
+#include "replicas/IssuedOrders.h"
+
+#include <algorithm>
+
+namespace apricottrack {
+
+void
+IssuedOrders::OnIssued(const ReplicaOrder& aOrder)
+{
+  if (aOrder.kind == OrderKind::kJoin) {
+    std::int64_t& newest = this->newestJoinEpochs[aOrder.target];
+    newest = std::max(newest, aOrder.epoch);
+  }
+}
+
+std::int64_t
+IssuedOrders::NewestJoinEpoch(std::string_view aTarget) const
+{
+  const auto found = this->newestJoinEpochs.find(aTarget);
+  return found == this->newestJoinEpochs.end() ? 0 : found->second;
+}
+
+bool
+IssuedOrders::ShowsNewerPlanner(const ReplicaOrder&) const
+{
+  return true;
+}
+
+} // namespace apricottrack
--- a/src/serving/PlannerCalls.cpp
+++ b/src/serving/PlannerCalls.cpp
@@ -196,6 +196,7 @@
 Task<void>
 PlannerTask::IssueOrder(ReplicaOrder aOrder)
 {
+  this->issuedOrders.OnIssued(aOrder);
   const auto reply = co_await Fetch(this->pool,
                                     aOrder.address,
                                     this->context.protocol.MakeOrder(aOrder),
@@ -217,16 +218,24 @@
     .With("status", reply ? std::int64_t{ reply->result_int() } : 0)
     .Info();
   if (orderReply == OrderReply::kFenced &&
-      aOrder.fencingToken == this->fencingToken) {
-    this->OnFenced();
+      aOrder.fencingToken == this->fencingToken &&
+      this->issuedOrders.ShowsNewerPlanner(aOrder)) {
+    this->OnFenced(aOrder);
   }
 }
 
 void
-PlannerTask::OnFenced()
+PlannerTask::OnFenced(const ReplicaOrder& aRefused)
 {
   if (this->isPlanner) {
-    LogLine("planner_fenced").With("fence", this->fencingToken).Warn();
+    LogLine("planner_fenced")
+      .With("fence", this->fencingToken)
+      .With("target", aRefused.target)
+      .With("kind", OrderKindName(aRefused.kind))
+      .With("epoch", aRefused.epoch)
+      .With("newest_epoch", this->issuedOrders.NewestJoinEpoch(aRefused.target))
+      .Warn();
+    this->context.counters.Add("planner_fenced");
     this->isPlanner = false;
     this->hooks.onPlannerChange(false);
     this->lease.ClearLease();
--- a/src/serving/PlannerTask.cpp
+++ b/src/serving/PlannerTask.cpp
@@ -329,6 +329,7 @@
 {
   this->fencingToken = this->lease.AcquiredRevision();
   this->issuedEpochs = 0;
+  this->issuedOrders.Clear();
   this->plannerSince = MonotonicNow();
   this->nodeCountAtTakeover = this->context.nodeCount.value_or(0);
   this->isPlanner = true;
--- a/src/serving/PlannerTask.h
+++ b/src/serving/PlannerTask.h
@@ -3,6 +3,7 @@
 
 #include "node/LeaseTask.h"
 #include "replicas/FleetPlanner.h"
+#include "replicas/IssuedOrders.h"
 #include "replicas/ReplicaCheckLimiter.h"
 #include "replicas/TakeoverGuard.h"
 #include "serving/ServingContext.h"
@@ -207,8 +208,9 @@
   /// Sends the order and logs the reply. Stops planning if the target refused
   /// it for a newer fencing token.
   Task<void> IssueOrder(ReplicaOrder aOrder);
-  /// Stops planning, because a target has seen a newer fencing token.
-  void OnFenced();
+  /// Stops planning, because a target refused an order for a newer fencing
+  /// token.
+  void OnFenced(const ReplicaOrder& aRefused);
   /// Returns a new epoch, unique under the current fencing token.
   std::int64_t NextEpoch();
 
@@ -244,6 +246,7 @@
   /// Number of nodes known when this node became the planner; zero if unknown.
   int nodeCountAtTakeover = 0;
   std::int64_t fencingToken = 0;
+  IssuedOrders issuedOrders;
   /// Epochs issued under that token.
   std::int64_t issuedEpochs = 0;
 };
