Keep planning after a target refuses a join that was superseded

Callers of a large deployment saw requests of the large model late or refused for ten seconds and more. A replica of 32 targets is struck by four times as many losses as one of 8 and waits for the planner to replace the member.

Cause: a target answers 412 to an order with an older fencing token and to a join with an older epoch. The planner took both as proof of a newer planner and gave its lease up. Orders may be carried out in any sequence, so its own older join was enough. While the store was down, no node could take the lease.

Target i-5c35db2114 was ordered to join under epochs 35 to 38 of fence 7025; it accepted 36 and refused 35 at 18.38 s (planner_fenced). The next planner took the lease at 27.2 s; of 15 large replicas 14 served at 17.6 s and 4 at 29.6 s.

A refused join now shows a newer planner only if this planner has not ordered the target to join under a higher epoch. A planner that is really superseded still finds out: its newest join, and every other order, is refused as well.

Looked for elsewhere: JournalWriter reads a segment again after a conflict, the platform's store never resends a swap, LeaseTask gives a lease up only for the store's statement that it has ended.

--- a/src/replicas/IssuedOrders.cpp
+++ b/src/replicas/IssuedOrders.cpp
@@ -21,9 +21,12 @@
 }
 
 bool
-IssuedOrders::ShowsNewerPlanner(const ReplicaOrder&) const
+IssuedOrders::ShowsNewerPlanner(const ReplicaOrder& aRefused) const
 {
-  return true;
+  // Targets also refuse a join whose epoch is older than one they have seen,
+  // and orders may arrive in any sequence.
+  return aRefused.kind != OrderKind::kJoin ||
+         aRefused.epoch >= this->NewestJoinEpoch(aRefused.target);
 }
 
 } // namespace apricottrack
