Log the shared prompt parts of requests whose call failed

Callers saw targets crash one after the other. The log showed which requests a crashed target had held, but not what they had in common. The platform's adapter now decodes the ids of all parts of a prompt but the last, which is the request's own, and target_call lists them.

--- a/src/serving/PlatformProtocol.h
+++ b/src/serving/PlatformProtocol.h
@@ -10,6 +10,7 @@
 
 #include <optional>
 #include <string>
+#include <vector>
 
 namespace apricottrack {
 
@@ -25,6 +26,9 @@
   int promptTokens = 0;
   /// The caller's estimate, or else the maximum that it allows.
   int outputTokens = 0;
+  /// Ids of the parts of the prompt that other requests may share, in order;
+  /// without the last part, which is the request's own.
+  std::vector<std::string> sharedPromptParts;
   /// How long the caller waits for a response; none if not stated.
   std::optional<Duration> requestTimeout;
   /// Id of the last event that the caller already has.
--- a/src/serving/RequestFlowEnds.cpp
+++ b/src/serving/RequestFlowEnds.cpp
@@ -2,6 +2,7 @@
 #include "serving/RequestFlow.h"
 
 #include <cmath>
+#include <fmt/format.h>
 
 // The part of RequestFlow that ends a request and logs its calls and its end.
 namespace apricottrack {
@@ -86,6 +87,11 @@
     .With("left", std::int64_t{ this->targetAbandoned })
     .With("step", this->lastError.step)
     .With("detail", this->lastError.detail);
+  if (!this->caller.sharedPromptParts.empty()) {
+    line.With(
+      "parts",
+      fmt::format("{}", fmt::join(this->caller.sharedPromptParts, ",")));
+  }
   line.Info();
 }
 
--- a/tests/PlatformProtocolTest.cpp
+++ b/tests/PlatformProtocolTest.cpp
@@ -61,6 +61,7 @@
   request.set("Model", "m0");
   request.set("Token-Count", "1460,80");
   request.set("Length-Hint", "60");
+  request.set("Prompt-Prefix", "5c1e07a2:800,91bd3f06:410,e4402b7d:250");
   request.set("Deadline-Ms", "8000");
   request.set("Last-Event-Id", "12");
   request.set(http::field::authorization, "Token k1");
@@ -154,6 +155,7 @@
                             .model = "m0",
                             .promptTokens = 1460,
                             .outputTokens = 60,
+                            .sharedPromptParts = { "5c1e07a2", "91bd3f06" },
                             .requestTimeout = seconds(8),
                             .resumeAfter = 12 });
 }
