--- a/tests/ServingHarness.h
+++ b/tests/ServingHarness.h
@@ -42,9 +42,16 @@
   }
   CallerHead ReadCaller(const HttpRequest& aRequest) const override
   {
-    return { .attemptId = std::string(aRequest["X-Attempt"]),
-             .requestTimeout =
-               milliseconds(std::stoi(std::string(aRequest["X-Timeout"]))) };
+    CallerHead head{ .attemptId = std::string(aRequest["X-Attempt"]),
+                     .requestTimeout = milliseconds(
+                       std::stoi(std::string(aRequest["X-Timeout"]))) };
+    std::string_view parts = aRequest["X-Parts"];
+    for (auto comma = parts.find(','); comma != std::string_view::npos;
+         comma = parts.find(',')) {
+      head.sharedPromptParts.emplace_back(parts.substr(0, comma));
+      parts.remove_prefix(comma + 1);
+    }
+    return head;
   }
   HttpRequest MakeRequest(
     const HttpRequest& aCallerRequest,
@@ -226,19 +233,22 @@
   }
 
   /// Sends a request and returns the bytes of the response up to the close of
-  /// the connection, which the request asks for.
+  /// the connection, which the request asks for. `aParts` are the parts of its
+  /// prompt, separated by commas.
   Task<std::string> Call(std::string aPath,
                          std::string aAttemptId,
-                         Duration aTimeout)
+                         Duration aTimeout,
+                         std::string aParts = "own")
   {
     tcp::socket socket(this->io);
     co_await socket.async_connect(this->callerEndpoint, kAsTuple);
     const std::string request = fmt::format(
       "GET {} HTTP/1.1\r\nHost: h\r\nConnection: close\r\nX-Attempt: "
-      "{}\r\nX-Timeout: {}\r\n\r\n",
+      "{}\r\nX-Timeout: {}\r\nX-Parts: {}\r\n\r\n",
       aPath,
       aAttemptId,
-      aTimeout / milliseconds(1));
+      aTimeout / milliseconds(1),
+      aParts);
     co_await asio::async_write(socket, asio::buffer(request), kAsTuple);
     std::string response;
     co_await asio::async_read(socket, asio::dynamic_buffer(response), kAsTuple);
