Quarantine prompt parts that crash targets

What callers saw: requests with one prompt part crash each target that begins to write a response to them.

Cause: a lost target was always taken as the fault of that target. Nothing remembered what its requests had in common, so the request at fault was sent to a second target and the next one of its kind to a third.

Change: each node records the shared prompt parts of the requests that it lost with a target, and counts complete responses by part (CrashRecorder). The planner's node combines the records of all nodes (CrashAttribution): a part is at fault if three separate crashes are not explained by another quarantined part and its requests are hardly ever answered. Parts that sound requests share are answered often, and targets that fail together count once. Requests with a quarantined part are refused at once with the remaining time as Retry-After, running ones are cancelled, and possibly started ones end as outcome unknown. The quarantine travels with the fleet's state, is kept in the store for the next planner and for restarted nodes, and a new planner collects the recent losses and quarantines of all nodes. After two minutes the part is tried again.

--- a/src/fleet/FleetMessages.h
+++ b/src/fleet/FleetMessages.h
@@ -5,6 +5,7 @@
 #include "engine/ReplicaBudget.h"
 #include "fleet/TargetRecord.h"
 #include "placement/LoadSample.h"
+#include "quarantine/CrashReports.h"
 
 #include <cstdint>
 #include <string>
@@ -33,6 +34,13 @@
   bool wantsCatalog = false;
   /// Loads that targets reported to the sender since its previous query.
   std::vector<LoadSample> loads;
+  /// Requests that the sender lost with their targets since the last answer of
+  /// this planner; all recent ones for a new planner.
+  std::vector<LostRequest> lostRequests;
+  /// Numbers of the sender's answers for the planner's suspected parts.
+  std::vector<PartAnswers> partAnswers;
+  /// The sender's quarantine, for a new planner.
+  std::vector<QuarantinedPart> quarantinedParts;
 
   friend bool operator==(const FleetQuestion&, const FleetQuestion&) = default;
 };
@@ -75,6 +83,9 @@
   std::vector<LoadSample> loads;
   /// Demand at all nodes together; empty while unknown.
   ModelDemands demands;
+  /// Prompt parts whose answers the planner needs to attribute crashes.
+  std::vector<std::string> suspectedParts;
+  std::vector<QuarantinedPart> quarantinedParts;
 
   friend bool operator==(const FleetAnswer&, const FleetAnswer&) = default;
 };
--- a/src/kv/PlatformKeys.h
+++ b/src/kv/PlatformKeys.h
@@ -19,6 +19,10 @@
 /// Exists while a node holds the planner lease.
 inline constexpr std::string_view kPlannerLeaseKey =
   "apricottrack/state/planner";
+/// The quarantined prompt parts with their ends, as QuarantineTask encodes
+/// them.
+inline constexpr std::string_view kQuarantineKey =
+  "apricottrack/state/quarantine";
 /// Prefix of the keys of NodeKey.
 inline constexpr std::string_view kNodePrefix = "apricottrack/state/nodes/";
 /// Prefix of the keys of PlanKey.
--- a/src/membership/FleetPacking.cpp
+++ b/src/membership/FleetPacking.cpp
@@ -158,11 +158,101 @@
   return loads;
 }
 
+std::vector<flatbuffers::Offset<wire::LostRequest>>
+PackLostRequests(Builder& aBuilder, const std::vector<LostRequest>& aRequests)
+{
+  std::vector<flatbuffers::Offset<wire::LostRequest>> requests;
+  requests.reserve(aRequests.size());
+  for (const LostRequest& request : aRequests) {
+    const TextOffsets parts = PackTexts(aBuilder, request.parts);
+    requests.push_back(wire::CreateLostRequestDirect(
+      aBuilder,
+      request.target.c_str(),
+      &parts,
+      static_cast<std::uint32_t>(ToMilliseconds(request.age))));
+  }
+  return requests;
+}
+
+std::vector<LostRequest>
+UnpackLostRequests(
+  const flatbuffers::Vector<flatbuffers::Offset<wire::LostRequest>>* aItems)
+{
+  std::vector<LostRequest> requests;
+  if (aItems != nullptr) {
+    for (const wire::LostRequest* const request : *aItems) {
+      requests.push_back({ .target = TextOf(request->target()),
+                           .parts = TextsOf(request->parts()),
+                           .age = milliseconds(request->age_ms()) });
+    }
+  }
+  return requests;
+}
+
+std::vector<flatbuffers::Offset<wire::PartAnswers>>
+PackPartAnswers(Builder& aBuilder, const std::vector<PartAnswers>& aAnswers)
+{
+  std::vector<flatbuffers::Offset<wire::PartAnswers>> answers;
+  answers.reserve(aAnswers.size());
+  for (const PartAnswers& item : aAnswers) {
+    answers.push_back(
+      wire::CreatePartAnswersDirect(aBuilder, item.part.c_str(), item.count));
+  }
+  return answers;
+}
+
+std::vector<PartAnswers>
+UnpackPartAnswers(
+  const flatbuffers::Vector<flatbuffers::Offset<wire::PartAnswers>>* aItems)
+{
+  std::vector<PartAnswers> answers;
+  if (aItems != nullptr) {
+    for (const wire::PartAnswers* const item : *aItems) {
+      answers.push_back(
+        { .part = TextOf(item->part()), .count = item->count() });
+    }
+  }
+  return answers;
+}
+
+std::vector<flatbuffers::Offset<wire::QuarantinedPart>>
+PackQuarantinedParts(Builder& aBuilder,
+                     const std::vector<QuarantinedPart>& aParts)
+{
+  std::vector<flatbuffers::Offset<wire::QuarantinedPart>> parts;
+  parts.reserve(aParts.size());
+  for (const QuarantinedPart& part : aParts) {
+    parts.push_back(wire::CreateQuarantinedPartDirect(
+      aBuilder,
+      part.part.c_str(),
+      static_cast<std::uint32_t>(ToMilliseconds(part.remaining))));
+  }
+  return parts;
+}
+
+std::vector<QuarantinedPart>
+UnpackQuarantinedParts(
+  const flatbuffers::Vector<flatbuffers::Offset<wire::QuarantinedPart>>* aItems)
+{
+  std::vector<QuarantinedPart> parts;
+  if (aItems != nullptr) {
+    for (const wire::QuarantinedPart* const part : *aItems) {
+      parts.push_back({ .part = TextOf(part->part()),
+                        .remaining = milliseconds(part->remaining_ms()) });
+    }
+  }
+  return parts;
+}
+
 } // namespace
 
 flatbuffers::Offset<void>
 Pack(Builder& aBuilder, const FleetQuestion& aMessage)
 {
+  const auto lostRequests = PackLostRequests(aBuilder, aMessage.lostRequests);
+  const auto partAnswers = PackPartAnswers(aBuilder, aMessage.partAnswers);
+  const auto quarantinedParts =
+    PackQuarantinedParts(aBuilder, aMessage.quarantinedParts);
   const auto demands = PackModelDemands(aBuilder, aMessage.demands);
   const auto loads = PackLoads(aBuilder, aMessage.loads);
   return wire::CreateFleetQuestionDirect(
@@ -174,7 +264,10 @@
            static_cast<std::uint32_t>(ToMilliseconds(aMessage.wait)),
            &demands,
            aMessage.wantsCatalog,
-           &loads)
+           &loads,
+           &lostRequests,
+           &partAnswers,
+           &quarantinedParts)
     .Union();
 }
 
@@ -190,6 +283,10 @@
   const TextOffsets vouched = PackTexts(aBuilder, aMessage.vouched);
   const auto loads = PackLoads(aBuilder, aMessage.loads);
   const auto demands = PackModelDemands(aBuilder, aMessage.demands);
+  const TextOffsets suspectedParts =
+    PackTexts(aBuilder, aMessage.suspectedParts);
+  const auto quarantinedParts =
+    PackQuarantinedParts(aBuilder, aMessage.quarantinedParts);
   return wire::CreateFleetAnswerDirect(
            aBuilder,
            aMessage.source.c_str(),
@@ -206,7 +303,9 @@
            static_cast<std::uint32_t>(std::max(0, aMessage.nodes)),
            aMessage.catalog.c_str(),
            &loads,
-           &demands)
+           &demands,
+           &suspectedParts,
+           &quarantinedParts)
     .Union();
 }
 
@@ -229,7 +328,12 @@
                         .wait = milliseconds(aBody.wait_ms()),
                         .demands = UnpackModelDemands(aBody.demands()),
                         .wantsCatalog = aBody.wants_catalog(),
-                        .loads = UnpackLoads(aBody.loads()) };
+                        .loads = UnpackLoads(aBody.loads()),
+                        .lostRequests =
+                          UnpackLostRequests(aBody.lost_requests()),
+                        .partAnswers = UnpackPartAnswers(aBody.part_answers()),
+                        .quarantinedParts =
+                          UnpackQuarantinedParts(aBody.quarantined_parts()) };
 }
 
 FleetAnswer
@@ -249,7 +353,10 @@
                       .nodes = static_cast<int>(aBody.nodes()),
                       .catalog = TextOf(aBody.catalog()),
                       .loads = UnpackLoads(aBody.loads()),
-                      .demands = UnpackModelDemands(aBody.demands()) };
+                      .demands = UnpackModelDemands(aBody.demands()),
+                      .suspectedParts = TextsOf(aBody.suspected_parts()),
+                      .quarantinedParts =
+                        UnpackQuarantinedParts(aBody.quarantined_parts()) };
   if (aBody.targets() != nullptr) {
     for (const wire::TargetState* const target : *aBody.targets()) {
       answer.targets.push_back(UnpackTarget(*target));
--- /dev/null
+++ b/src/quarantine/CrashAttribution.cpp
@@ -0,0 +1,250 @@
+#include "quarantine/CrashAttribution.h"
+
+#include <algorithm>
+#include <tuple>
+
+namespace apricottrack {
+
+namespace {
+
+/// Crashes from which on a part's answers are collected.
+constexpr int kMinSuspectCrashes = 2;
+
+} // namespace
+
+void
+CrashAttribution::RecordLosses(const std::vector<LostRequest>& aRequests,
+                               Instant aNow)
+{
+  for (const LostRequest& request : aRequests) {
+    this->RecordLoss(request, aNow);
+  }
+}
+
+void
+CrashAttribution::RecordLoss(const LostRequest& aRequest, Instant aNow)
+{
+  const Instant at = aNow - aRequest.age;
+  if (at < this->evidenceSince || aRequest.parts.empty()) {
+    return;
+  }
+  auto crash = std::find_if(
+    this->crashes.begin(), this->crashes.end(), [&](const Crash& aCrash) {
+      const Duration distance =
+        at > aCrash.at ? at - aCrash.at : aCrash.at - at;
+      return aCrash.target == aRequest.target &&
+             distance <= this->options.reportSpread;
+    });
+  if (crash == this->crashes.end()) {
+    const auto place = std::upper_bound(
+      this->crashes.begin(),
+      this->crashes.end(),
+      at,
+      [](Instant aTime, const Crash& aCrash) { return aTime < aCrash.at; });
+    crash = this->crashes.insert(
+      place, Crash{ .target = aRequest.target, .at = at, .positions = {} });
+  }
+  int position = 0;
+  for (const std::string& part : aRequest.parts) {
+    crash->positions[part] = std::max(crash->positions[part], ++position);
+  }
+}
+
+void
+CrashAttribution::RecordAnswers(const std::string& aNode,
+                                const std::vector<PartAnswers>& aAnswers)
+{
+  for (const PartAnswers& item : aAnswers) {
+    if (this->suspectedSince.contains(item.part)) {
+      this->answers[item.part][aNode] = item.count;
+    }
+  }
+}
+
+void
+CrashAttribution::Adopt(const std::vector<QuarantinedPart>& aParts,
+                        Instant aNow)
+{
+  bool isAnyNew = false;
+  for (const QuarantinedPart& part : aParts) {
+    const Instant end = aNow + part.remaining;
+    const auto [entry, isNew] = this->quarantines.try_emplace(
+      part.part,
+      Quarantine{ .end = end, .duration = this->options.quarantineTime });
+    entry->second.end = std::max(entry->second.end, end);
+    entry->second.duration = std::max(entry->second.duration, part.remaining);
+    isAnyNew = isAnyNew || isNew;
+  }
+  if (isAnyNew) {
+    this->evidenceSince = aNow;
+    std::erase_if(this->crashes,
+                  [&](const Crash& aCrash) { return aCrash.at < aNow; });
+  }
+}
+
+std::vector<QuarantinedPart>
+CrashAttribution::Update(Instant aNow)
+{
+  this->Prune(aNow);
+  std::vector<QuarantinedPart> started;
+  for (;;) {
+    const EvidenceByPart evidence = this->CollectEvidence();
+    this->UpdateSuspects(evidence, aNow);
+    const auto* const culprit = this->FindCulprit(evidence);
+    if (culprit == nullptr || !this->AreAnswersKnown(culprit->first, aNow)) {
+      return started;
+    }
+    started.push_back(this->StartQuarantine(culprit->first, aNow));
+  }
+}
+
+std::vector<std::string>
+CrashAttribution::Suspects() const
+{
+  std::vector<std::string> parts;
+  for (const auto& [part, since] : this->suspectedSince) {
+    parts.push_back(part);
+  }
+  return parts;
+}
+
+void
+CrashAttribution::Prune(Instant aNow)
+{
+  while (!this->crashes.empty() &&
+         (this->crashes.size() > this->options.maxCrashes ||
+          aNow - this->crashes.front().at > this->options.evidenceLifetime)) {
+    this->crashes.pop_front();
+  }
+  std::erase_if(this->quarantines, [&](const auto& aItem) {
+    return aNow > aItem.second.end + this->options.probationTime;
+  });
+}
+
+bool
+CrashAttribution::IsExplained(const Crash& aCrash) const
+{
+  return std::any_of(
+    aCrash.positions.begin(), aCrash.positions.end(), [&](const auto& aItem) {
+      const auto found = this->quarantines.find(aItem.first);
+      return found != this->quarantines.end() && aCrash.at <= found->second.end;
+    });
+}
+
+CrashAttribution::EvidenceByPart
+CrashAttribution::CollectEvidence() const
+{
+  EvidenceByPart evidence;
+  for (const Crash& crash : this->crashes) {
+    if (this->IsExplained(crash)) {
+      continue;
+    }
+    for (const auto& [part, position] : crash.positions) {
+      Evidence& item = evidence[part];
+      item.position = std::max(item.position, position);
+      if (item.crashes == 0 ||
+          crash.at - item.lastCountedAt >= this->options.minSeparation) {
+        ++item.crashes;
+        item.lastCountedAt = crash.at;
+      }
+    }
+  }
+  for (auto& [part, item] : evidence) {
+    const auto found = this->answers.find(part);
+    if (found != this->answers.end()) {
+      for (const auto& [node, count] : found->second) {
+        item.answers += count;
+      }
+    }
+  }
+  return evidence;
+}
+
+bool
+CrashAttribution::IsOnProbation(const std::string& aPart) const
+{
+  return this->quarantines.contains(aPart);
+}
+
+bool
+CrashAttribution::IsIncriminated(const std::string& aPart,
+                                 const Evidence& aEvidence) const
+{
+  return this->IsOnProbation(aPart) ||
+         (aEvidence.crashes >= this->options.minCrashes &&
+          aEvidence.answers <=
+            aEvidence.crashes * this->options.maxAnswersPerCrash);
+}
+
+bool
+CrashAttribution::AreAnswersKnown(const std::string& aPart, Instant aNow) const
+{
+  if (this->IsOnProbation(aPart)) {
+    return true;
+  }
+  const auto since = this->suspectedSince.find(aPart);
+  return since != this->suspectedSince.end() &&
+         aNow - since->second >= this->options.answerCollectionTime;
+}
+
+void
+CrashAttribution::UpdateSuspects(const EvidenceByPart& aEvidence, Instant aNow)
+{
+  for (const auto& [part, item] : aEvidence) {
+    if (item.crashes >= kMinSuspectCrashes) {
+      this->suspectedSince.try_emplace(part, aNow);
+    }
+  }
+  const auto isCleared = [&](const auto& aItem) {
+    const auto found = aEvidence.find(aItem.first);
+    return found == aEvidence.end() ||
+           found->second.crashes < kMinSuspectCrashes;
+  };
+  std::erase_if(this->suspectedSince, isCleared);
+  std::erase_if(this->answers, isCleared);
+}
+
+const CrashAttribution::EvidenceByPart::value_type*
+CrashAttribution::FindCulprit(const EvidenceByPart& aEvidence) const
+{
+  const EvidenceByPart::value_type* culprit = nullptr;
+  const auto rank = [](const Evidence& aItem) {
+    return std::tuple(aItem.crashes, -aItem.answers, aItem.position);
+  };
+  for (const auto& item : aEvidence) {
+    if (this->IsIncriminated(item.first, item.second) &&
+        (culprit == nullptr || rank(item.second) > rank(culprit->second))) {
+      culprit = &item;
+    }
+  }
+  if (culprit == nullptr) {
+    return nullptr;
+  }
+  // The parts before the one at fault have all of its crashes too, and a few
+  // more by chance. While none of them is answered, the later part is likelier.
+  const EvidenceByPart::value_type* later = culprit;
+  for (const auto& item : aEvidence) {
+    if (this->IsIncriminated(item.first, item.second) &&
+        item.second.position > later->second.position &&
+        item.second.answers <= culprit->second.answers &&
+        2 * item.second.crashes >= culprit->second.crashes) {
+      later = &item;
+    }
+  }
+  return later;
+}
+
+QuarantinedPart
+CrashAttribution::StartQuarantine(const std::string& aPart, Instant aNow)
+{
+  const auto [entry, isNew] = this->quarantines.try_emplace(
+    aPart, Quarantine{ .end = aNow, .duration = this->options.quarantineTime });
+  if (!isNew) {
+    entry->second.duration =
+      std::min(2 * entry->second.duration, this->options.maxQuarantineTime);
+  }
+  entry->second.end = aNow + entry->second.duration;
+  return { .part = aPart, .remaining = entry->second.duration };
+}
+
+} // namespace apricottrack
--- /dev/null
+++ b/src/quarantine/CrashAttribution.h
@@ -0,0 +1,123 @@
+#ifndef APRICOTTRACK_QUARANTINE_CRASHATTRIBUTION_H
+#define APRICOTTRACK_QUARANTINE_CRASHATTRIBUTION_H
+
+#include "quarantine/CrashReports.h"
+
+#include <compare>
+#include <deque>
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace apricottrack {
+
+/// Finds the prompt parts that crash targets, from the lost and the answered
+/// requests of all nodes. A part is at fault if several crashes cannot be
+/// explained without it and its requests are hardly ever answered; parts that
+/// sound requests share with the deadly ones are answered often. Used at the
+/// planner's node.
+class CrashAttribution
+{
+public:
+  struct Options
+  {
+    /// Crashes are considered for this long.
+    Duration evidenceLifetime = seconds(30);
+    /// Crashes before a part is quarantined.
+    int minCrashes = 3;
+    /// Crashes of a part within less time of each other count once: targets
+    /// that fail together, with their zone or replica, have one cause.
+    Duration minSeparation = milliseconds(100);
+    /// Time for all nodes to report the answers of a new suspect.
+    Duration answerCollectionTime = milliseconds(800);
+    /// A part with more answers than this for each crash is not at fault.
+    double maxAnswersPerCrash = 1.0 / 3;
+    /// First quarantine of a part; each further one is twice as long.
+    Duration quarantineTime = seconds(120);
+    Duration maxQuarantineTime = seconds(3600);
+    /// After its quarantine a part is quarantined again after one crash.
+    Duration probationTime = seconds(600);
+    std::size_t maxCrashes = 256;
+    /// Losses at one target within this time belong to one crash.
+    Duration reportSpread = milliseconds(1000);
+  };
+
+  explicit CrashAttribution(Options aOptions)
+    : options(aOptions)
+  {
+  }
+
+  void RecordLosses(const std::vector<LostRequest>& aRequests, Instant aNow);
+
+  /// Sets the number of answers that a node has counted for each suspect.
+  void RecordAnswers(const std::string& aNode,
+                     const std::vector<PartAnswers>& aAnswers);
+
+  /// Takes over parts that another node has quarantined. If any is new here,
+  /// earlier crashes are dropped, as that node has attributed them already.
+  void Adopt(const std::vector<QuarantinedPart>& aParts, Instant aNow);
+
+  /// Returns the parts that have to be quarantined from now on.
+  std::vector<QuarantinedPart> Update(Instant aNow);
+
+  /// Parts whose answers all nodes should report.
+  std::vector<std::string> Suspects() const;
+
+private:
+  struct Crash
+  {
+    std::string target;
+    Instant at;
+    /// Position in the prompt, by part; of all requests that were lost.
+    std::map<std::string, int> positions;
+  };
+
+  struct Quarantine
+  {
+    Instant end;
+    Duration duration;
+  };
+
+  /// What the crashes without another explanation say about one part.
+  struct Evidence
+  {
+    int crashes = 0;
+    Instant lastCountedAt;
+    int position = 0;
+    int answers = 0;
+  };
+  using EvidenceByPart = std::map<std::string, Evidence>;
+
+  void RecordLoss(const LostRequest& aRequest, Instant aNow);
+  void Prune(Instant aNow);
+  /// True if a part caused the crash that was in quarantine by its end.
+  bool IsExplained(const Crash& aCrash) const;
+  EvidenceByPart CollectEvidence() const;
+  bool IsOnProbation(const std::string& aPart) const;
+  bool IsIncriminated(const std::string& aPart,
+                      const Evidence& aEvidence) const;
+  /// True if all nodes have had the time to report the part's answers.
+  bool AreAnswersKnown(const std::string& aPart, Instant aNow) const;
+  void UpdateSuspects(const EvidenceByPart& aEvidence, Instant aNow);
+  /// Returns the part that most likely caused the crashes; null if none did.
+  const EvidenceByPart::value_type* FindCulprit(
+    const EvidenceByPart& aEvidence) const;
+  QuarantinedPart StartQuarantine(const std::string& aPart, Instant aNow);
+
+  Options options;
+  /// By time.
+  std::deque<Crash> crashes;
+  /// Earlier crashes are not considered.
+  Instant evidenceSince;
+  /// When each suspect became one.
+  std::map<std::string, Instant> suspectedSince;
+  /// Number of answers, by suspect and node.
+  std::map<std::string, std::map<std::string, int>> answers;
+  /// Present and former quarantines, by part, until the end of the probation.
+  std::map<std::string, Quarantine> quarantines;
+};
+
+} // namespace apricottrack
+
+#endif
--- /dev/null
+++ b/src/quarantine/CrashRecorder.cpp
@@ -0,0 +1,85 @@
+#include "quarantine/CrashRecorder.h"
+
+#include <utility>
+
+namespace apricottrack {
+
+void
+CrashRecorder::OnLost(const std::string& aTarget,
+                      const std::vector<std::string>& aParts,
+                      Instant aNow)
+{
+  if (aParts.empty()) {
+    return;
+  }
+  this->losses.push_back({ .target = aTarget, .parts = aParts, .at = aNow });
+  while (this->losses.size() > this->options.maxLostRequests ||
+         aNow - this->losses.front().at > this->options.lifetime) {
+    this->losses.pop_front();
+  }
+}
+
+void
+CrashRecorder::OnAnswered(const std::vector<std::string>& aParts, Instant aNow)
+{
+  this->RotateCounts(aNow);
+  for (const std::string& part : aParts) {
+    ++this->currentCounts[part];
+  }
+}
+
+std::vector<LostRequest>
+CrashRecorder::LostSince(Instant aSince, Instant aNow) const
+{
+  std::vector<LostRequest> requests;
+  for (const Loss& loss : this->losses) {
+    if (loss.at > aSince && aNow - loss.at <= this->options.lifetime) {
+      requests.push_back(
+        { .target = loss.target, .parts = loss.parts, .age = aNow - loss.at });
+    }
+  }
+  return requests;
+}
+
+void
+CrashRecorder::SetSuspects(std::vector<std::string> aParts)
+{
+  this->suspects = std::move(aParts);
+}
+
+std::vector<PartAnswers>
+CrashRecorder::SuspectAnswers(Instant aNow)
+{
+  this->RotateCounts(aNow);
+  std::vector<PartAnswers> answers;
+  for (const std::string& part : this->suspects) {
+    int count = 0;
+    for (const Counts* const counts :
+         { &this->currentCounts, &this->previousCounts }) {
+      const auto found = counts->find(part);
+      count += found == counts->end() ? 0 : found->second;
+    }
+    if (count > 0) {
+      answers.push_back({ .part = part, .count = count });
+    }
+  }
+  return answers;
+}
+
+void
+CrashRecorder::RotateCounts(Instant aNow)
+{
+  const Duration period = this->options.lifetime / 2;
+  const Duration elapsed = aNow - this->periodStartedAt;
+  if (elapsed < period &&
+      this->currentCounts.size() < this->options.maxCountedParts) {
+    return;
+  }
+  if (elapsed >= 2 * period) {
+    this->currentCounts.clear();
+  }
+  this->previousCounts = std::exchange(this->currentCounts, {});
+  this->periodStartedAt = aNow;
+}
+
+} // namespace apricottrack
--- a/src/serving/FleetRelay.cpp
+++ b/src/serving/FleetRelay.cpp
@@ -35,11 +35,13 @@
 FleetRelay::FleetRelay(ServingContext& aContext,
                        const CatalogTask& aCatalog,
                        const FleetTask& aFleet,
-                       PlannerTask& aPlanner)
+                       PlannerTask& aPlanner,
+                       QuarantineTask& aQuarantine)
   : context(aContext)
   , catalog(aCatalog)
   , fleet(aFleet)
   , planner(aPlanner)
+  , quarantine(aQuarantine)
   , source(RandomId())
 {
 }
@@ -174,6 +176,7 @@
   const Instant now = MonotonicNow();
   this->planner.RecordDemands(
     aQuestion.node, std::move(aQuestion.demands), now);
+  this->quarantine.RecordReports(aQuestion, now);
   for (const LoadSample& sample : aQuestion.loads) {
     this->context.loads.OnForwardedReport(sample, now);
   }
@@ -219,6 +222,8 @@
   answer.loads =
     this->context.loads.SamplesSince(aNow - kMaxLoadReportAge, true, aNow);
   answer.demands = this->context.fleetDemands;
+  answer.suspectedParts = this->context.crashRecorder.Suspects();
+  answer.quarantinedParts = this->context.quarantine.Parts(aNow);
   if (aQuestion.catalogRevision < answer.catalogRevision &&
       this->TryReserveCatalogSend(aQuestion, aNow)) {
     answer.catalog = this->catalog.DocumentText();
--- a/src/serving/FleetRelay.h
+++ b/src/serving/FleetRelay.h
@@ -5,6 +5,7 @@
 #include "serving/CatalogTask.h"
 #include "serving/FleetTask.h"
 #include "serving/PlannerTask.h"
+#include "serving/QuarantineTask.h"
 #include "serving/ServingContext.h"
 
 #include <boost/asio/steady_timer.hpp>
@@ -24,7 +25,8 @@
   FleetRelay(ServingContext& aContext,
              const CatalogTask& aCatalog,
              const FleetTask& aFleet,
-             PlannerTask& aPlanner);
+             PlannerTask& aPlanner,
+             QuarantineTask& aQuarantine);
 
   /// Listens on the peer address; fails if it cannot be bound.
   Result<void> Start();
@@ -33,7 +35,8 @@
   void OnFleetChange();
 
   /// Answers the waiting queries, at intervals that grow with the number of
-  /// nodes; called after a change of the catalog or the planner.
+  /// nodes; called after a change of the catalog, the planner or the
+  /// quarantine.
   void NotifyWaitingNodes();
 
 private:
@@ -48,8 +51,9 @@
   /// Returns the reply to a FleetQuestion or a StallNotice, or none for a
   /// message of another type.
   Task<std::optional<PeerMessage>> HandleMessage(PeerMessage aQuestion);
-  /// Records the demand and target loads of the querying node, then waits for a
-  /// change or the end of the query's wait, and returns the answer.
+  /// Records the demand, target loads and crashes that the querying node
+  /// reports, then waits for a change or the end of the query's wait, and
+  /// returns the answer.
   Task<FleetAnswer> HandleFleetQuestion(FleetQuestion aQuestion);
   FleetAnswer BuildAnswer(const FleetQuestion& aQuestion, Instant aNow);
   /// Returns true if this answer may include the catalog document. For a large
@@ -63,6 +67,7 @@
   const CatalogTask& catalog;
   const FleetTask& fleet;
   PlannerTask& planner;
+  QuarantineTask& quarantine;
   /// The targets that are sent to other nodes. Its sequence also counts changes
   /// of the broken replicas.
   Fleet published{ Fleet::Options{} };
--- a/src/serving/FollowTask.cpp
+++ b/src/serving/FollowTask.cpp
@@ -145,6 +145,7 @@
                           .wantsCatalog = this->wantsCatalog,
                           .loads = this->context.loads.SamplesSince(
                             this->querySentAt, false, now) };
+  this->AddCrashReports(question, now);
   this->querySentAt = now;
   const auto reply = co_await this->queryLink->SendRequest(
     PeerMessage(std::move(question)),
@@ -156,6 +157,10 @@
   if (answer == nullptr || !answer->leads) {
     co_return false;
   }
+  // A new planner gets all recent losses with the next query.
+  this->lossesReportedUpTo =
+    answer->source == this->crashReportsSource ? now : Instant{};
+  this->crashReportsSource = answer->source;
   this->ApplyAnswer(*answer, MonotonicNow());
   // The planner built the answer after the query was sent, so the age that it
   // states is counted back from the sending time. The verification then never
@@ -178,6 +183,17 @@
     answer->fleetAge < this->options.maxStoreReadAge;
 }
 
+void
+FollowTask::AddCrashReports(FleetQuestion& aQuestion, Instant aNow) const
+{
+  aQuestion.lostRequests =
+    this->context.crashRecorder.LostSince(this->lossesReportedUpTo, aNow);
+  aQuestion.partAnswers = this->context.crashRecorder.SuspectAnswers(aNow);
+  if (this->lossesReportedUpTo == Instant{}) {
+    aQuestion.quarantinedParts = this->context.quarantine.Parts(aNow);
+  }
+}
+
 Task<bool>
 FollowTask::ReadCatalogFromStore()
 {
@@ -219,9 +235,13 @@
   // planner confirms as intact.
   std::set<std::string> broken(aAnswer.broken.begin(), aAnswer.broken.end());
   std::set<std::string> vouched(aAnswer.vouched.begin(), aAnswer.vouched.end());
-  const bool changed =
-    aAnswer.complete || !aAnswer.targets.empty() || !aAnswer.gone.empty() ||
-    broken != this->context.broken || vouched != this->context.vouched;
+  this->context.crashRecorder.SetSuspects(aAnswer.suspectedParts);
+  const bool quarantineGrew =
+    this->context.quarantine.Add(aAnswer.quarantinedParts, aNow);
+  const bool changed = quarantineGrew || aAnswer.complete ||
+                       !aAnswer.targets.empty() || !aAnswer.gone.empty() ||
+                       broken != this->context.broken ||
+                       vouched != this->context.vouched;
   this->context.broken = std::move(broken);
   this->context.vouched = std::move(vouched);
   if (changed) {
--- a/src/serving/FollowTask.h
+++ b/src/serving/FollowTask.h
@@ -49,8 +49,8 @@
     Duration maxStoreReadAge = milliseconds(1300);
   };
 
-  /// `aOnChange` is called after the planner sent a change of the fleet or of
-  /// its replicas, and when a planner is first followed.
+  /// `aOnChange` is called after the planner sent a change of the fleet, of its
+  /// replicas or of the quarantine, and when a planner is first followed.
   FollowTask(ServingContext& aContext,
              CatalogTask& aCatalog,
              FleetTask& aFleet,
@@ -91,6 +91,8 @@
   /// skipped because `catalogRetryInterval` has not passed since a failed one.
   Task<bool> ReadCatalogFromStore();
   void ApplyAnswer(const FleetAnswer& aAnswer, Instant aNow);
+  /// Adds what the planner needs to attribute crashes to prompt parts.
+  void AddCrashReports(FleetQuestion& aQuestion, Instant aNow) const;
   /// Reports the suspected targets in `unreportedStalls` to the planner's node,
   /// until none remain.
   Task<void> SendStallNotices();
@@ -129,6 +131,10 @@
   /// answer; the next query repeats them to get only later changes.
   std::string source;
   std::uint64_t sequence = 0;
+  /// Id of the planner's process that has the crash reports, which include all
+  /// losses up to the given time.
+  std::string crashReportsSource;
+  Instant lossesReportedUpTo;
   /// The store did not return a catalog that the planner reports; the planner
   /// is asked to send the document.
   bool wantsCatalog = false;
--- a/src/serving/Refusals.cpp
+++ b/src/serving/Refusals.cpp
@@ -1,5 +1,6 @@
 #include "serving/Refusals.h"
 
+#include <cmath>
 #include <fmt/format.h>
 
 namespace apricottrack {
@@ -37,4 +38,14 @@
   return response;
 }
 
+HttpResponse
+MakeRefusalUntil(std::string_view aReason, Duration aRetryAfter)
+{
+  HttpResponse response =
+    JsonResponse(kUnavailable, fmt::format(R"({{"error":"{}"}})", aReason));
+  response.set(http::field::retry_after,
+               fmt::format("{:.0f}", std::ceil(ToSeconds(aRetryAfter))));
+  return response;
+}
+
 } // namespace apricottrack
--- a/src/serving/Refusals.h
+++ b/src/serving/Refusals.h
@@ -1,6 +1,7 @@
 #ifndef APRICOTTRACK_SERVING_REFUSALS_H
 #define APRICOTTRACK_SERVING_REFUSALS_H
 
+#include "apricottrack/Time.h"
 #include "http/HttpTypes.h"
 
 #include <random>
@@ -16,6 +17,11 @@
             std::string_view aReason,
             std::mt19937_64& aRandom);
 
+/// Makes the 503 of a request that will be refused until `aRetryAfter` has
+/// passed; sent as Retry-After, rounded up to whole seconds.
+HttpResponse
+MakeRefusalUntil(std::string_view aReason, Duration aRetryAfter);
+
 } // namespace apricottrack
 
 #endif
--- a/src/serving/RequestFlow.cpp
+++ b/src/serving/RequestFlow.cpp
@@ -100,6 +100,11 @@
       co_await this->Finish(this->DecideNextStep(CallEnd::kOutOfTime));
       co_return;
     }
+    if (const auto remaining = this->context.quarantine.RemainingFor(
+          this->caller.sharedPromptParts, now)) {
+      co_await this->EndQuarantined(*remaining);
+      co_return;
+    }
     const PlacementChoice choice = this->ChooseTarget(now);
     if (choice.refusal != PlacementRefusal::kNone) {
       this->lastError.detail =
@@ -175,6 +180,7 @@
   this->lastTargetId = id;
   this->replica = aTarget.replica;
   this->targetAbandoned = false;
+  this->connectionLost = false;
   this->responseStarted = false;
   this->call = &call;
   const auto running = this->context.running.emplace(id, this);
@@ -196,6 +202,7 @@
       end == CallEnd::kTruncated) {
     this->context.stalls.OnFailure(id, MonotonicNow());
   }
+  this->RecordForAttribution(end);
   this->history.sendCount += call.WasSent() ? 1 : 0;
   this->history.possibleRunCount +=
     call.WasSent() && end != CallEnd::kNotRun && end != CallEnd::kNotSent ? 1
@@ -313,7 +320,7 @@
 }
 
 CallEnd
-RequestFlow::ClassifyFailure(const TargetCall& aCall, const Error& aError) const
+RequestFlow::ClassifyFailure(const TargetCall& aCall, const Error& aError)
 {
   if (this->callerDisconnected) {
     return CallEnd::kCallerGone;
@@ -324,10 +331,24 @@
   if (MonotonicNow() + milliseconds(1) >= this->admittedRequest.deadline) {
     return CallEnd::kOutOfTime;
   }
+  this->connectionLost =
+    !this->targetAbandoned && aError.code != ErrorCode::kTimeout;
   return aError.code == ErrorCode::kBadReply ? CallEnd::kTruncated
                                              : CallEnd::kNoAnswer;
 }
 
+void
+RequestFlow::RecordForAttribution(CallEnd aEnd)
+{
+  const Instant now = MonotonicNow();
+  const auto& parts = this->caller.sharedPromptParts;
+  if (aEnd == CallEnd::kAnswered) {
+    this->context.crashRecorder.OnAnswered(parts, now);
+  } else if (this->connectionLost) {
+    this->context.crashRecorder.OnLost(this->lastTargetId, parts, now);
+  }
+}
+
 NextStep
 RequestFlow::DecideNextStep(CallEnd aEnd)
 {
@@ -365,6 +386,17 @@
   }
 }
 
+void
+RequestFlow::CancelIfQuarantined()
+{
+  if (this->call != nullptr &&
+      this->context.quarantine.RemainingFor(this->caller.sharedPromptParts,
+                                            MonotonicNow())) {
+    this->targetAbandoned = true;
+    this->call->Cancel();
+  }
+}
+
 bool
 RequestFlow::IsStream() const
 {
--- a/src/serving/RequestFlow.h
+++ b/src/serving/RequestFlow.h
@@ -32,6 +32,9 @@
   /// it or has capacity.
   void AbandonTarget();
 
+  /// Cancels the call if a part of the prompt is in quarantine.
+  void CancelIfQuarantined();
+
   /// ReplicaKey of the replica that runs the request; empty for a target of a
   /// service without replicas, and between two calls.
   const std::string& Replica() const { return this->replica; }
@@ -51,10 +54,14 @@
                                const HttpResponse& aHead,
                                const TargetHead& aTargetHead);
   /// Classifies a failed call by how far it got.
-  CallEnd ClassifyFailure(const TargetCall& aCall, const Error& aError) const;
+  CallEnd ClassifyFailure(const TargetCall& aCall, const Error& aError);
+  /// Records whether the call was answered or lost with its target.
+  void RecordForAttribution(CallEnd aEnd);
   NextStep DecideNextStep(CallEnd aEnd);
   /// Sends the final response, or closes the connection if the caller is gone.
   Task<void> Finish(NextStep aStep);
+  /// Ends a request that has a prompt part in quarantine for `aRemaining`.
+  Task<void> EndQuarantined(Duration aRemaining);
   /// Sends an error response; if a stream has started, closes the connection
   /// instead.
   Task<void> Refuse(unsigned aStatus, std::string_view aReason);
@@ -88,8 +95,11 @@
   /// From arrival to the first response head of a target.
   Duration firstByteDelay = Duration::zero();
   bool callerDisconnected = false;
-  /// The current call was cancelled by AbandonTarget.
+  /// The current call was cancelled by AbandonTarget or CancelIfQuarantined.
   bool targetAbandoned = false;
+  /// The target closed the connection of the current call before the end of the
+  /// response.
+  bool connectionLost = false;
   /// Part of the current target's response has arrived.
   bool responseStarted = false;
   /// The head of an event stream has been sent to the caller.
--- a/src/serving/RequestFlowEnds.cpp
+++ b/src/serving/RequestFlowEnds.cpp
@@ -38,6 +38,19 @@
   }
 }
 
+Task<void>
+RequestFlow::EndQuarantined(Duration aRemaining)
+{
+  this->lastError.detail = "prompt part in quarantine";
+  if (this->history.possibleRunCount > 0) {
+    co_await this->Finish(NextStep::kFail);
+    co_return;
+  }
+  this->LogEnd("prompt_quarantined", 503);
+  co_await this->exchange.Reply(
+    MakeRefusalUntil("prompt_quarantined", aRemaining));
+}
+
 Task<void>
 RequestFlow::Refuse(unsigned aStatus, std::string_view aReason)
 {
--- a/src/serving/ServingContext.h
+++ b/src/serving/ServingContext.h
@@ -11,6 +11,8 @@
 #include "placement/LoadTracker.h"
 #include "placement/Placement.h"
 #include "placement/StallDetector.h"
+#include "quarantine/CrashRecorder.h"
+#include "quarantine/PromptQuarantine.h"
 #include "retry/RetryBudget.h"
 #include "serving/PlatformProtocol.h"
 #include "serving/StartGate.h"
@@ -63,6 +65,8 @@
   /// Number of nodes that share budgets, as last counted by a planner; none
   /// before the first count.
   std::optional<int> nodeCount;
+  CrashRecorder crashRecorder{ CrashRecorder::Options{} };
+  PromptQuarantine quarantine;
 };
 
 } // namespace apricottrack
--- a/src/serving/ServingNode.cpp
+++ b/src/serving/ServingNode.cpp
@@ -7,6 +7,7 @@
 #include "serving/FleetTask.h"
 #include "serving/FollowTask.h"
 #include "serving/PlannerTask.h"
+#include "serving/QuarantineTask.h"
 #include "serving/Refusals.h"
 #include "serving/RequestFlow.h"
 
@@ -78,6 +79,8 @@
   void OnFleetChange();
   /// Moves running requests away from replicas that lost a member.
   void AbandonBrokenReplicas();
+  /// Cancels the running requests that have a prompt part in quarantine.
+  void CancelQuarantinedRequests();
   /// Moves this node's running requests away from a target.
   void AbandonTarget(const std::string& aTarget);
   /// True if the entries that the store lists are complete: expired ones have
@@ -99,6 +102,7 @@
   FleetTask fleetTask;
   PlannerTask planner;
   FollowTask follower;
+  QuarantineTask quarantineTask;
   FleetRelay relay;
   /// This node is the planner and had followed the previous one until then.
   bool entriesTrustedAtTakeover = false;
@@ -180,7 +184,25 @@
                .restartDelay = this->planner.IsLargeVm() ? Duration::zero()
                                                          : kSmallVmRestartDelay },
              [this] { this->OnFleetChange(); })
-  , relay(this->context, this->catalogTask, this->fleetTask, this->planner)
+  , quarantineTask(
+      this->context,
+      *this->store,
+      QuarantineTask::Options{},
+      QuarantineTask::Hooks{
+        .isPlanner = [this] { return this->planner.IsPlanner(); },
+        .readsStore =
+          [this] { return this->fleetTask.ListedSince().has_value(); },
+        .onChange =
+          [this] {
+            this->CancelQuarantinedRequests();
+            this->relay.NotifyWaitingNodes();
+          },
+      })
+  , relay(this->context,
+          this->catalogTask,
+          this->fleetTask,
+          this->planner,
+          this->quarantineTask)
 {
 }
 
@@ -241,6 +263,7 @@
   this->fleetTask.Start();
   this->planner.Start();
   this->follower.Start();
+  this->quarantineTask.Start();
   asio::co_spawn(
     this->context.executor,
     [this]() -> Task<void> { co_await this->DetectStalls(); },
@@ -283,9 +306,18 @@
     }
   }
   this->AbandonBrokenReplicas();
+  this->CancelQuarantinedRequests();
   this->relay.OnFleetChange();
 }
 
+void
+ServingNode::Impl::CancelQuarantinedRequests()
+{
+  for (const auto& [target, flow] : this->context.running) {
+    flow->CancelIfQuarantined();
+  }
+}
+
 void
 ServingNode::Impl::AbandonBrokenReplicas()
 {
