Repeat joins without a reply in the next planning round

What callers saw: requests for the large model of a large deployment late or refused for seconds after the loss of a target, while targets left orders unanswered.

Cause: an order without a reply was noticed after 0.8 s and repeated only when the whole replica had missed its expected time and 1.2 s more. A replica of 32 targets needs all 32 joins; where a third of the orders is not answered, that takes some four or five repetitions. Class: a lost message is repaired at the pace of the slowest step that might follow it.

Change: targets reply within milliseconds, so the timeout is 0.3 s, and the FleetPlanner repeats a join that timed out in its next round, if the replica is still joining under the same epoch and the target has not reported it. Orders to open or close a replica keep their pace, because a late second copy of those could take effect after newer ones.

"FleetPlanner repeats a join without reply in the next round" fails without the repetition ("{ } == { {?} }") and passes with it.

--- a/src/replicas/FleetPlanner.cpp
+++ b/src/replicas/FleetPlanner.cpp
@@ -19,6 +19,14 @@
   return FleetPlanningRound(*this, aView, aNow).Run();
 }
 
+void
+FleetPlanner::OnNoReply(ReplicaOrder aOrder)
+{
+  if (aOrder.kind == OrderKind::kJoin) {
+    this->unansweredJoins.push_back(std::move(aOrder));
+  }
+}
+
 std::set<std::string>
 FleetPlanner::BrokenReplicas(Instant aNow) const
 {
--- a/src/replicas/FleetPlanner.h
+++ b/src/replicas/FleetPlanner.h
@@ -156,6 +156,11 @@
   std::vector<ReplicaOrder> PlanRound(const FleetPlannerView& aView,
                                       Instant aNow);
 
+  /// Records that the target did not reply to an order, which it may or may not
+  /// carry out. The next round repeats a join that the plan still needs; other
+  /// orders are repeated after `Options::orderMargin`.
+  void OnNoReply(ReplicaOrder aOrder);
+
   /// Returns, as NAME/EPOCH, the lists of members that broke within the last
   /// `Options::brokenReportDuration`.
   std::set<std::string> BrokenReplicas(Instant aNow) const;
@@ -217,6 +222,8 @@
   /// By target id.
   std::map<std::string, LastModel, std::less<>> lastModels;
   Instant lastConversionAt;
+  /// Joins without a reply since the last round.
+  std::vector<ReplicaOrder> unansweredJoins;
   /// Highest number of targets seen, and when it last grew. Both are updated
   /// only before the first request, while the planner waits for
   /// `Options::arrivalQuietTime` without growth to form replicas.
--- a/src/replicas/FleetPlanningRound.cpp
+++ b/src/replicas/FleetPlanningRound.cpp
@@ -4,6 +4,7 @@
 #include <cmath>
 #include <fmt/format.h>
 #include <limits>
+#include <utility>
 
 namespace apricottrack {
 
@@ -84,6 +85,7 @@
     this->index.AddPlanned(replica.members);
   }
   this->AdvanceReplicas();
+  this->RepeatUnansweredJoins();
   this->ReleaseOrphanedTargets();
   this->FormReplicas();
   this->RebalanceReplicas();
@@ -323,6 +325,21 @@
   }
 }
 
+void
+FleetPlanningRound::RepeatUnansweredJoins()
+{
+  for (const ReplicaOrder& order :
+       std::exchange(this->planner.unansweredJoins, {})) {
+    const auto found = this->planner.replicas.find(order.replica);
+    if (found != this->planner.replicas.end() &&
+        found->second.phase == ReplicaPhase::kJoining &&
+        found->second.epoch == order.epoch && this->IsUsable(order.target) &&
+        this->CurrentMembership(found->second, order.target) == nullptr) {
+      this->IssueOrder(OrderKind::kJoin, found->second, order.target);
+    }
+  }
+}
+
 void
 FleetPlanningRound::AdvanceOpening(PlannedReplica& aReplica)
 {
--- a/src/replicas/FleetPlanningRound.h
+++ b/src/replicas/FleetPlanningRound.h
@@ -81,6 +81,8 @@
   void AdvanceJoining(PlannedReplica& aReplica);
   void AdvanceOpening(PlannedReplica& aReplica);
   void AdvanceServing(PlannedReplica& aReplica);
+  /// Repeats the joins without a reply whose replicas still wait for them.
+  void RepeatUnansweredJoins();
   /// Returns true if the replica ended and is to be removed from the plan.
   bool AdvanceClosing(PlannedReplica& aReplica);
 
--- a/src/serving/PlannerCalls.cpp
+++ b/src/serving/PlannerCalls.cpp
@@ -217,8 +217,15 @@
     .With("reply", OrderReplyName(orderReply))
     .With("status", reply ? std::int64_t{ reply->result_int() } : 0)
     .Info();
+  if (aOrder.fencingToken != this->fencingToken) {
+    co_return;
+  }
+  if (!reply && reply.error().code == ErrorCode::kTimeout) {
+    for (const auto& [service, planner] : this->planners) {
+      planner->OnNoReply(aOrder);
+    }
+  }
   if (orderReply == OrderReply::kFenced &&
-      aOrder.fencingToken == this->fencingToken &&
       this->issuedOrders.ShowsNewerPlanner(aOrder)) {
     this->OnFenced(aOrder);
   }
--- a/src/serving/PlannerTask.h
+++ b/src/serving/PlannerTask.h
@@ -43,8 +43,8 @@
     /// The same for a target that is suspected lost: its replica stays stalled
     /// until the loss is detected.
     Duration urgentTimeout = milliseconds(80);
-    /// Timeout of an order.
-    Duration orderTimeout = milliseconds(800);
+    /// Timeout of an order; targets reply before they carry it out.
+    Duration orderTimeout = milliseconds(300);
     /// A report that fails this much later than its timeout indicates a delay
     /// of this node, and is not counted as missed.
     Duration lateReportThreshold = milliseconds(60);
@@ -206,7 +206,7 @@
                          std::string aAddress,
                          bool aUrgent);
   /// Sends the order and logs the reply. Stops planning if the target refused
-  /// it for a newer fencing token.
+  /// it for a newer fencing token; without a reply, tells the FleetPlanner.
   Task<void> IssueOrder(ReplicaOrder aOrder);
   /// Stops planning, because a target refused an order for a newer fencing
   /// token.
--- a/tests/FleetPlannerTest.cpp
+++ b/tests/FleetPlannerTest.cpp
@@ -290,3 +290,52 @@
   fleet.RunUntilIdle(planner, now);
   CHECK(CountServing(planner) >= 2);
 }
+
+// Guards against replicas that take seconds to form because targets leave some
+// of the join orders unanswered.
+TEST_CASE("FleetPlanner repeats a join without reply in the next round")
+{
+  FakeFleet fleet(9);
+  FleetPlanner planner = MakePlanner(1);
+  Instant now = kStart;
+  fleet.RunUntilIdle(planner, now, true);
+  const auto& lost = planner.Replicas().begin()->second.members.back();
+  fleet.members.at(lost).unresponsive = true;
+  auto orders = planner.PlanRound(fleet.View(), now);
+  const auto unanswered =
+    std::find_if(orders.begin(), orders.end(), [](const auto& aOrder) {
+      return aOrder.kind == OrderKind::kJoin;
+    });
+  REQUIRE(unanswered != orders.end());
+  const ReplicaOrder join = *unanswered;
+  orders.erase(unanswered);
+  fleet.Execute(orders);
+  now += milliseconds(300);
+  planner.OnNoReply(join);
+  CHECK(planner.PlanRound(fleet.View(), now) ==
+        std::vector<ReplicaOrder>{ join });
+  CHECK(planner.PlanRound(fleet.View(), now).empty());
+
+  // The reply was lost, but the order was carried out.
+  planner.OnNoReply(join);
+  fleet.Execute({ join });
+  for (const ReplicaOrder& order : planner.PlanRound(fleet.View(), now)) {
+    CHECK(order.kind != OrderKind::kJoin);
+  }
+}
+
+TEST_CASE("FleetPlanner does not repeat a join that was superseded")
+{
+  FakeFleet fleet(9);
+  FleetPlanner planner = MakePlanner(1);
+  Instant now = kStart;
+  const auto orders = planner.PlanRound(fleet.View(true), now);
+  fleet.RunUntilIdle(planner, now, true);
+  const auto& lost = planner.Replicas().begin()->second.members.back();
+  fleet.members.at(lost).unresponsive = true;
+  fleet.RunUntilIdle(planner, now);
+  for (const ReplicaOrder& order : orders) {
+    planner.OnNoReply(order);
+  }
+  CHECK(planner.PlanRound(fleet.View(), now).empty());
+}
