Let a planner that outlived a store outage keep its plan

What callers saw: requests for the large model late or refused for ten seconds after an outage of the store.

Cause: the planner plans on through an outage, but its lease runs out. When the store is back, any large VM may take the lease, usually within 0.4 s, while the planner notices its loss at its next renewal. The new planner knows only the published targets. It waits until it has listed the others, until expired entries have had the time to return, and for the reports of all targets; it orders nothing for some four seconds, and then releases the members of replicas that its predecessor was forming. Class: recovery replaces what has survived.

Change: PlannerSuccession, taken out of PlannerTask and testable without a network, decides who takes the lease. For 2 s after a failed store call a node leaves it to a planner that still responds. LeaseTask replaces an expired lease at once. A planner whose lease expired a moment ago, and that knows of no other holder since, keeps its plan and its fleet. It still waits for TakeoverGuard and new reports of all targets; if one shows an epoch of another planner, it starts afresh.

--- a/src/node/LeaseTask.cpp
+++ b/src/node/LeaseTask.cpp
@@ -41,9 +41,19 @@
     // clock the lease never expires later than at the service.
     const Instant callStart = MonotonicNow();
     bool held = false;
+    bool mayAcquire = this->lease == 0;
     if (this->lease != 0) {
-      held = co_await this->Renew();
-    } else if (this->MayQuery()) {
+      const auto renewed = co_await this->store.RenewLease(this->lease);
+      held = renewed.has_value();
+      // An expired lease is replaced without delay; one that was given up
+      // during the call is not.
+      mayAcquire = this->lease != 0 && !renewed &&
+                   renewed.error().code == ErrorCode::kRefused;
+      if (mayAcquire) {
+        this->ClearLease();
+      }
+    }
+    if (mayAcquire && this->MayQuery()) {
       held = co_await this->Acquire();
     }
     // The lease may have been given up during the call.
@@ -69,17 +79,6 @@
   return !this->options.mayQuery || this->options.mayQuery();
 }
 
-Task<bool>
-LeaseTask::Renew()
-{
-  const auto renewed = co_await this->store.RenewLease(this->lease);
-  if (!renewed && renewed.error().code == ErrorCode::kRefused) {
-    this->lease = 0;
-    this->leaseExpiresAt = Instant{};
-  }
-  co_return renewed.has_value();
-}
-
 Task<bool>
 LeaseTask::Acquire()
 {
--- a/src/node/LeaseTask.h
+++ b/src/node/LeaseTask.h
@@ -81,8 +81,6 @@
   bool MayQuery() const;
   /// Returns true if the key was acquired under a new lease.
   Task<bool> Acquire();
-  /// Returns true if the service renewed the lease.
-  Task<bool> Renew();
   Task<void> Revoke(LeaseId aLease);
 
   boost::asio::any_io_executor executor;
--- a/src/replicas/TargetReport.h
+++ b/src/replicas/TargetReport.h
@@ -34,6 +34,14 @@
   friend bool operator==(const TargetReport&, const TargetReport&) = default;
 };
 
+/// Returns the target's entry, read at `aEntryAt`, updated from the report if
+/// that describes a later state. `aReportAt` is the time of that state.
+TargetRecord
+MergeReport(const TargetRecord& aEntry,
+            Instant aEntryAt,
+            const std::optional<TargetReport>& aReport,
+            Instant aReportAt);
+
 } // namespace apricottrack
 
 #endif
--- a/src/serving/FollowTask.cpp
+++ b/src/serving/FollowTask.cpp
@@ -110,6 +110,13 @@
          aNow - this->lastResponseAt < this->options.maxFollowGap;
 }
 
+bool
+FollowTask::PlannerResponds() const
+{
+  return MonotonicNow() - this->lastLeadingAnswerAt <
+         2 * (this->options.wait + this->options.replyMargin);
+}
+
 Task<void>
 FollowTask::Run()
 {
@@ -157,6 +164,7 @@
   if (answer == nullptr || !answer->leads) {
     co_return false;
   }
+  this->lastLeadingAnswerAt = MonotonicNow();
   // A new planner gets all recent losses with the next query.
   this->lossesReportedUpTo =
     answer->source == this->crashReportsSource ? now : Instant{};
--- a/src/serving/FollowTask.h
+++ b/src/serving/FollowTask.h
@@ -68,6 +68,10 @@
   /// True while the planner's node responds and has recent store reads.
   bool FollowsPlanner() const { return this->followsPlanner; }
 
+  /// True if the planner's node responded as the planner a short time ago, with
+  /// recent store reads or not.
+  bool PlannerResponds() const;
+
   /// When a planner's node with recent store reads first responded.
   const std::optional<Instant>& FirstFollowedAt() const
   {
@@ -123,8 +127,10 @@
   /// This node is the planner.
   bool leads = false;
   std::optional<Instant> firstFollowedAt;
-  /// When the planner's node last responded.
+  /// When the planner's node last responded with recent store reads.
   Instant lastResponseAt;
+  /// The same, whether or not its store reads were recent.
+  Instant lastLeadingAnswerAt;
   /// When the last query was sent.
   Instant querySentAt;
   /// Id of the planner's process and sequence number, from the last applied
--- a/src/serving/PlannerTask.cpp
+++ b/src/serving/PlannerTask.cpp
@@ -27,29 +27,15 @@
 /// Smallest share of a CPU core that makes a VM a large one.
 constexpr double kLargeCpuShare = 0.2;
 
-/// Time without a planner after which a small VM may take the lease; long
-/// enough for large VMs, also ones that have just started.
-constexpr Duration kSmallVmTakeoverDelay = milliseconds(6000);
 /// Between two lease attempts of a small VM. Most nodes are small, and store
 /// calls are charged for.
 constexpr Duration kSmallVmTryInterval = milliseconds(500);
-/// Time without a planner after which a node may take the lease although
-/// expired entries may still be missing from the fleet that it knows.
-constexpr Duration kUnsettledTakeoverDelay = milliseconds(400);
 /// A planning round that starts this late indicates that the process was not
 /// scheduled, so responses of targets may be waiting unread.
 constexpr Duration kLateRoundThreshold = milliseconds(40);
 /// Probes that were in flight while the process was not scheduled end within
 /// this time after a late round.
 constexpr Duration kLocalDelayRecovery = milliseconds(300);
-/// Time without a planner after which a small VM asks the store for the lease
-/// holder; by then a large VM has probably taken the lease.
-constexpr Duration kSmallVmQueryDelay = milliseconds(1200);
-/// Time after a restart within which a small VM asks for the holder without
-/// that delay: mostly there is one, and following it is much cheaper than to
-/// list the store.
-constexpr Duration kRestartQueryTime = milliseconds(2000);
-
 Duration
 FirstDelay(ServingContext& aContext)
 {
@@ -72,45 +58,6 @@
 /// Mean time between two renewals, and between two attempts of a large VM.
 constexpr Duration kLeaseRenewInterval = milliseconds(300);
 
-/// True if the report describes a later state of the target than the entry.
-/// `aReportAt` is the time of the reported state, which is before the probe was
-/// sent. It decides only between states of the same epoch, because entries may
-/// be read late.
-bool
-IsReportNewer(const TargetRecord& aEntry,
-              Instant aEntryAt,
-              const TargetReport& aReport,
-              Instant aReportAt)
-{
-  if (aReport.startedAt != aEntry.startedAt) {
-    return aReport.startedAt > aEntry.startedAt;
-  }
-  if (aReport.membership && aEntry.membership &&
-      aReport.membership->epoch != aEntry.membership->epoch) {
-    return aReport.membership->epoch > aEntry.membership->epoch;
-  }
-  return aReportAt > aEntryAt;
-}
-
-/// Returns the entry, updated from the report if that is newer.
-TargetRecord
-MergeReport(const TargetRecord& aEntry,
-            Instant aEntryAt,
-            const std::optional<TargetReport>& aReport,
-            Instant aReportAt)
-{
-  TargetRecord record = aEntry;
-  if (!aReport || !IsReportNewer(aEntry, aEntryAt, *aReport, aReportAt)) {
-    return record;
-  }
-  record.model = aReport->model;
-  record.stagedModels = aReport->stagedModels;
-  record.membership = aReport->membership;
-  record.startedAt = aReport->startedAt;
-  record.busy = aReport->busy;
-  return record;
-}
-
 /// Marks the older of two targets whose entries name the same address as
 /// unresponsive: the target that started last holds the address, and reports
 /// from there are its own.
@@ -146,6 +93,7 @@
   : context(aContext)
   , options(aOptions)
   , hooks(std::move(aHooks))
+  , succession(PlannerSuccession::Options{ .isLargeVm = this->IsLargeVm() })
   , lease(
       aContext.executor,
       aStore,
@@ -159,12 +107,20 @@
                              ? kLeaseRenewInterval
                              : kSmallVmTryInterval,
         .mayQuery = [this] { return this->MayQueryLease(MonotonicNow()); },
-        .mayAcquire = [this] { return this->MayAcquireLease(MonotonicNow()); },
+        .mayAcquire =
+          [this] {
+            return this->succession.MayAcquire(
+              { .entriesUsable = this->hooks.mayAcquire(),
+                .plannerResponds = this->hooks.plannerResponds() },
+              MonotonicNow());
+          },
         .onOtherHolder =
           [this](const std::string& aValue) {
+            this->succession.OnOtherHolder();
             this->hooks.onOtherHolder(aValue.substr(0, aValue.find(' ')));
           },
-        .onReadFailure = [this] { this->storeFailedAt = MonotonicNow(); },
+        .onReadFailure =
+          [this] { this->succession.OnStoreFailure(MonotonicNow()); },
         .firstDelay = FirstDelay(aContext) })
   , pool(aContext.executor,
          HttpConnectionPool::Options{ .idlePerAddress = 2,
@@ -184,36 +140,17 @@
 PlannerTask::MayQueryLease(Instant aNow)
 {
   if (!this->hooks.mayQuery()) {
-    this->noPlannerSince = aNow;
+    this->succession.OnPlannerFollowed(aNow);
     return false;
   }
-  const bool isLargeVm = this->IsLargeVm();
-  const bool hasRestarted = !this->context.settings.serving->firstStart &&
-                            aNow - this->startedAt < kRestartQueryTime;
-  return isLargeVm || hasRestarted ||
-         aNow - this->noPlannerSince >= kSmallVmQueryDelay;
-}
-
-bool
-PlannerTask::MayAcquireLease(Instant aNow) const
-{
-  const bool isLargeVm = this->IsLargeVm();
-  // While the store is unavailable, no node can take the lease, so this time
-  // does not count.
-  const Duration noPlannerFor =
-    aNow - std::max(this->noPlannerSince, this->storeFailedAt);
-  // A node that takes the lease before its entries have settled relays what the
-  // store lists, and issues no orders until they have.
-  const bool entriesUsable =
-    this->hooks.mayAcquire() || noPlannerFor >= kUnsettledTakeoverDelay;
-  return entriesUsable && (isLargeVm || noPlannerFor >= kSmallVmTakeoverDelay);
+  return this->succession.MayQuery(aNow);
 }
 
 void
 PlannerTask::Start()
 {
-  this->startedAt = MonotonicNow();
-  this->noPlannerSince = this->startedAt;
+  this->succession.OnStart(!this->context.settings.serving->firstStart,
+                           MonotonicNow());
   this->lease.Start();
   asio::co_spawn(
     this->context.executor,
@@ -249,15 +186,17 @@
 {
   const bool holdsLease = this->lease.HasLease() && !this->context.draining;
   if (holdsLease && this->fencingToken != this->lease.AcquiredRevision()) {
-    this->BecomePlanner();
+    this->BecomePlanner(aNow);
   }
   if (!holdsLease && this->isPlanner) {
     this->isPlanner = false;
+    this->succession.OnTermEnded(aNow);
     this->hooks.onPlannerChange(false);
     LogLine("planner_lost").With("fence", this->fencingToken).Info();
   }
   const CatalogPointer& catalog = this->context.catalog.Current();
-  if (catalog == nullptr || !this->HasCurrentFleet()) {
+  const bool knowsFleet = this->continuesTerm || this->HasCurrentFleet();
+  if (catalog == nullptr || !this->isPlanner || !knowsFleet) {
     return;
   }
   if (const int nodeCount = this->NodeCount(aNow); nodeCount > 0) {
@@ -325,19 +264,51 @@
 }
 
 void
-PlannerTask::BecomePlanner()
+PlannerTask::BecomePlanner(Instant aNow)
 {
+  this->continuesTerm = this->isPlanner || this->succession.ContinuesTerm(aNow);
   this->fencingToken = this->lease.AcquiredRevision();
   this->issuedEpochs = 0;
-  this->issuedOrders.Clear();
-  this->plannerSince = MonotonicNow();
+  this->plannerSince = aNow;
+  this->termTokens.insert(this->fencingToken);
   this->nodeCountAtTakeover = this->context.nodeCount.value_or(0);
   this->isPlanner = true;
+  this->succession.OnTermStarted();
+  // Another planner may have held the lease in between unnoticed; reports from
+  // now on show its orders.
+  this->probes.clear();
+  if (!this->continuesTerm) {
+    this->StartAfresh(aNow);
+  }
+  LogLine("planner_leads")
+    .With("fence", this->fencingToken)
+    .With("continues", std::int64_t{ this->continuesTerm })
+    .Info();
+  this->hooks.onPlannerChange(true);
+}
+
+void
+PlannerTask::StartAfresh(Instant aNow)
+{
+  this->continuesTerm = false;
+  this->plannerSince = aNow;
+  this->termTokens = { this->fencingToken };
+  this->issuedOrders.Clear();
   this->planners.clear();
   this->probes.clear();
   this->lastEntries.clear();
-  LogLine("planner_leads").With("fence", this->fencingToken).Info();
-  this->hooks.onPlannerChange(true);
+}
+
+bool
+PlannerTask::ShowsOtherPlanner(const PlannerMembers& aMembers) const
+{
+  return std::any_of(aMembers.begin(), aMembers.end(), [&](const auto& aEntry) {
+    const auto& membership = aEntry.second.record.membership;
+    const std::int64_t token =
+      membership ? membership->epoch / kEpochsPerFencingToken : 0;
+    return token > *this->termTokens.begin() &&
+           !this->termTokens.contains(token);
+  });
 }
 
 std::int64_t
@@ -462,13 +433,18 @@
     .demands = this->context.fleetDemands,
     .beforeTraffic =
       this->context.settings.serving->firstStart && !this->context.requestsSeen,
-    .entriesSettled = this->hooks.entriesSettled(),
+    .entriesSettled = this->continuesTerm || this->hooks.entriesSettled(),
   };
   auto& planner = this->planners[aService.name];
   if (planner == nullptr) {
     planner = std::make_unique<FleetPlanner>(
       FleetPlanner::Options{}, [this] { return this->NextEpoch(); });
   }
+  if (this->continuesTerm && this->ShowsOtherPlanner(members)) {
+    LogLine("planner_term_interrupted").With("service", aService.name).Warn();
+    this->StartAfresh(aNow);
+    return;
+  }
   this->ProbeTargets(aService, members, aNow);
   // If most targets are unresponsive, the fault is probably at this node.
   if (this->AreMostUnresponsive(members)) {
--- a/src/serving/PlannerTask.h
+++ b/src/serving/PlannerTask.h
@@ -4,6 +4,7 @@
 #include "node/LeaseTask.h"
 #include "replicas/FleetPlanner.h"
 #include "replicas/IssuedOrders.h"
+#include "replicas/PlannerSuccession.h"
 #include "replicas/ReplicaCheckLimiter.h"
 #include "replicas/TakeoverGuard.h"
 #include "serving/ServingContext.h"
@@ -64,6 +65,9 @@
     /// settled. If false, this node takes the lease only after a longer time
     /// without a planner.
     std::function<bool()> mayAcquire;
+    /// True if the last planner's node still responds as the planner, although
+    /// it may be unable to read the store.
+    std::function<bool()> plannerResponds;
     /// Called with the address of the node that holds the planner's lease.
     std::function<void(const std::string& aAddress)> onOtherHolder;
     /// Called when this node becomes the planner or stops being it.
@@ -141,15 +145,19 @@
   /// Demand of all nodes together.
   ModelDemands TotalDemands(Instant aNow) const;
   /// Returns true if this node should ask the store for the lease holder. While
-  /// it follows another node as the planner, also restarts `noPlannerSince`.
+  /// it follows another node as the planner, also records that.
   bool MayQueryLease(Instant aNow);
-  /// True if this node may take a lease that nobody holds.
-  bool MayAcquireLease(Instant aNow) const;
   Task<void> Run();
   /// Becomes or stops being the planner if the lease was taken or lost. If this
   /// node is the planner, plans all services that have an engine.
   void RunRound(Instant aNow);
-  void BecomePlanner();
+  void BecomePlanner(Instant aNow);
+  /// Forgets the plan and what is known of targets, for a term that does not
+  /// continue the previous one.
+  void StartAfresh(Instant aNow);
+  /// True if a target has joined a replica of another planner since the start
+  /// of this term.
+  bool ShowsOtherPlanner(const PlannerMembers& aMembers) const;
   /// Logs the planner's view of a service, once a second at most.
   void LogView(const CatalogService& aService,
                const PlannerMembers& aMembers,
@@ -217,6 +225,7 @@
   ServingContext& context;
   Options options;
   Hooks hooks;
+  PlannerSuccession succession;
   LeaseTask lease;
   /// Connections for probes and orders.
   HttpConnectionPool pool;
@@ -237,15 +246,15 @@
   /// Until then a missing report is not counted, because this node itself was
   /// delayed.
   Instant localDelayUntil;
-  Instant startedAt;
-  /// When this node last followed a planner, or was started.
-  Instant noPlannerSince;
-  /// When the store last failed to return the lease holder.
-  Instant storeFailedAt;
   bool isPlanner = false;
+  /// This node held the lease before, lost it a short time ago and has kept its
+  /// plan and its fleet.
+  bool continuesTerm = false;
   /// Number of nodes known when this node became the planner; zero if unknown.
   int nodeCountAtTakeover = 0;
   std::int64_t fencingToken = 0;
+  /// The tokens of this term, which is longer than a lease if it was continued.
+  std::set<std::int64_t> termTokens;
   IssuedOrders issuedOrders;
   /// Epochs issued under that token.
   std::int64_t issuedEpochs = 0;
--- a/src/serving/ServingNode.cpp
+++ b/src/serving/ServingNode.cpp
@@ -161,6 +161,7 @@
                   return this->settings.serving->firstStart ||
                          this->EntriesSettled() || this->FollowedSettledPlanner();
                 },
+              .plannerResponds = [this] { return this->follower.PlannerResponds(); },
               .onOtherHolder =
                 [this](const std::string& aAddress) {
                   this->follower.SetPlannerAddress(aAddress);
--- a/tests/LeaseTaskTest.cpp
+++ b/tests/LeaseTaskTest.cpp
@@ -55,6 +55,12 @@
                                     this->renewDelay);
     co_await timer.async_wait(kAsTuple);
     this->isRenewing = false;
+    if (this->expiresLease) {
+      this->expiresLease = false;
+      this->revision = 0;
+      this->value.clear();
+      co_return Failure(ErrorCode::kRefused, "renew", "store", "no such lease");
+    }
     co_return 1;
   }
 
@@ -73,6 +79,8 @@
   bool unreachable = false;
   Duration renewDelay = Duration::zero();
   bool isRenewing = false;
+  /// The next renewal finds that the lease has expired.
+  bool expiresLease = false;
   std::string value;
   Revision revision = 0;
   Revision writes = 0;
@@ -116,6 +124,27 @@
   CHECK(store.leases.size() == 1);
 }
 
+// Guards against a change of planners after each outage of the store.
+TEST_CASE("LeaseTask replaces an expired lease before other nodes try")
+{
+  boost::asio::io_context context(1);
+  OneKeyStore store;
+  LeaseTask holder(context.get_executor(),
+                   store,
+                   { .key = "k",
+                     .value = "v",
+                     .ttlSeconds = 60,
+                     .renewInterval = milliseconds(40),
+                     .acquireInterval = seconds(60) });
+  holder.Start();
+  context.run_for(milliseconds(20));
+  REQUIRE(holder.AcquiredRevision() == 1);
+  store.expiresLease = true;
+  context.run_for(milliseconds(120));
+  CHECK(holder.HoldsKey(MonotonicNow()));
+  CHECK(holder.AcquiredRevision() == 2);
+}
+
 TEST_CASE("LeaseTask writes nothing when it may not acquire the key")
 {
   boost::asio::io_context context(1);
