Leave the first listing after a store outage to the planner

What callers saw: requests for the large model refused for seconds after an outage of the store, although the planner had kept its lease.

Cause: while the store is down, no node follows the planner, as its reads are old, and each node tries to list the targets. When the store is back they all list them at once, and the store's link is saturated, so the planner's own listing fails. Without it nobody follows the planner, and the listings go on; the planner does not learn of the targets that came in the meantime. Class: all nodes recover on their own what one of them could recover for all.

Change: a node whose own store reads failed too leaves the listing to a planner that responds, until 1.5 s after its reads succeed again. A node that could read the store all the time, as when the planner alone is cut off, lists the targets as before.

--- a/src/serving/CatalogTask.cpp
+++ b/src/serving/CatalogTask.cpp
@@ -68,6 +68,7 @@
       LogLine("catalog_unreachable").With(change.error()).Warn();
     }
     this->isStoreReachable = false;
+    this->hasReadFailed = true;
     co_return false;
   }
   if (!this->isStoreReachable) {
@@ -76,6 +77,9 @@
       .Info();
   }
   this->isStoreReachable = true;
+  if (std::exchange(this->hasReadFailed, false)) {
+    this->recoveredAt = MonotonicNow();
+  }
   // A document that is not known must not be skipped by later reads.
   if (this->knownRevision > 0 || change->value) {
     this->checkedRevision = change->checkedRevision;
--- a/src/serving/CatalogTask.h
+++ b/src/serving/CatalogTask.h
@@ -51,6 +51,12 @@
                     const std::string& aDocument,
                     Instant aVerifiedAt);
 
+  /// True if the store did not respond to the last read.
+  bool HasReadFailed() const { return this->hasReadFailed; }
+
+  /// When the store last responded again after a failed read.
+  Instant RecoveredAt() const { return this->recoveredAt; }
+
   /// Text of the last catalog that could be decoded, to send to other nodes.
   const std::string& DocumentText() const { return this->document; }
 
@@ -79,6 +85,8 @@
   bool active = false;
   /// The last read of the store succeeded.
   bool isStoreReachable = false;
+  bool hasReadFailed = false;
+  Instant recoveredAt;
 };
 
 } // namespace apricottrack
--- a/src/serving/FollowTask.cpp
+++ b/src/serving/FollowTask.cpp
@@ -81,7 +81,7 @@
     }
   }
   const bool mustReadStore =
-    this->leads || (!aFollowsPlanner &&
+    this->leads || (!aFollowsPlanner && !this->AwaitsPlannerListing(now) &&
                     now - this->lastResponseAt > this->options.plannerTimeout);
   if (mustReadStore != this->readsStore) {
     LogLine(mustReadStore ? "asking_store" : "following")
@@ -103,6 +103,14 @@
   this->fleet.SetActive(mustReadStore, this->HasFollowedRecently(now));
 }
 
+bool
+FollowTask::AwaitsPlannerListing(Instant aNow) const
+{
+  return this->firstFollowedAt && this->PlannerResponds() &&
+         (this->catalog.HasReadFailed() ||
+          aNow - this->catalog.RecoveredAt() < this->options.plannerListTime);
+}
+
 bool
 FollowTask::HasFollowedRecently(Instant aNow) const
 {
--- a/src/serving/FollowTask.h
+++ b/src/serving/FollowTask.h
@@ -45,6 +45,10 @@
     /// store. If all nodes restart at once and list a large fleet, they
     /// saturate the store's link, and the first planner cannot renew its lease.
     Duration restartDelay = Duration::zero();
+    /// After an outage of the store, time for a planner that has outlived it to
+    /// list the targets. If all nodes list them at once, they saturate the
+    /// store's link, and the planner's listing fails.
+    Duration plannerListTime = milliseconds(1500);
     /// Largest age of the planner's own store reads for its answers to be used.
     Duration maxStoreReadAge = milliseconds(1300);
   };
@@ -102,9 +106,12 @@
   Task<void> SendStallNotices();
   /// Stops store reads while the planner's node is followed. Otherwise catalog
   /// reads start without delay. Fleet reads start once the planner's node has
-  /// not responded for `plannerTimeout`, or without delay if this node is the
-  /// planner.
+  /// not responded for `plannerTimeout`, except as AwaitsPlannerListing states,
+  /// or without delay if this node is the planner.
   void SetFollowsPlanner(bool aFollowsPlanner);
+  /// True if the planner responds and the store is unreachable for this node
+  /// too, or was until less than `plannerListTime` ago.
+  bool AwaitsPlannerListing(Instant aNow) const;
 
   ServingContext& context;
   CatalogTask& catalog;
--- a/tests/FollowTaskTest.cpp
+++ b/tests/FollowTaskTest.cpp
@@ -6,13 +6,20 @@
 
 namespace {
 
-/// A store that cannot be reached.
+/// A store without keys that cannot be reached until `isUp` is set.
 class UnreachableStore final : public KeyValueStore
 {
 public:
-  Task<Result<KeyValue>> Get(std::string) override { co_return Fail(); }
+  Task<Result<KeyValue>> Get(std::string) override
+  {
+    if (this->isUp) {
+      co_return KeyValue{};
+    }
+    co_return Fail();
+  }
   Task<Result<std::vector<KeyValue>>> List(std::string, Revision&) override
   {
+    ++this->listCalls;
     co_return Fail();
   }
   Task<Result<Revision>> CompareAndSwap(Swap) override { co_return Fail(); }
@@ -24,6 +31,9 @@
     co_return Fail().value();
   }
 
+  bool isUp = false;
+  int listCalls = 0;
+
 private:
   static tl::unexpected<Error> Fail()
   {
@@ -102,3 +112,72 @@
   harness.io.run_for(milliseconds(400));
   CHECK(askedSequences.back() == 0);
 }
+
+// Guards against all nodes listing the targets at once after an outage of the
+// store, so that the planner's own listing fails for seconds.
+TEST_CASE("FollowTask leaves the first listing after an outage to the planner")
+{
+  ServingHarness harness;
+  UnreachableStore store;
+  CatalogTask catalog(harness.context,
+                      store,
+                      CatalogTask::Options{ .retryInterval = milliseconds(20) },
+                      [] {});
+  FleetTask fleet(harness.context,
+                  store,
+                  FleetTask::Options{ .minRetryDelay = milliseconds(20),
+                                      .maxRetryDelay = milliseconds(20) },
+                  [] {});
+  FollowTask task(harness.context,
+                  catalog,
+                  fleet,
+                  FollowTask::Options{ .plannerTimeout = milliseconds(100),
+                                       .plannerListTime = milliseconds(400) },
+                  [] {});
+  const std::string address = ServingHarness::FreeAddress(harness.io);
+  Duration fleetAge = Duration::zero();
+  bool plannerAnswers = true;
+  const auto planner =
+    *PeerServer::Make(harness.io.get_executor(),
+                      address,
+                      [&](PeerMessage) -> Task<std::optional<PeerMessage>> {
+                        asio::steady_timer timer(harness.io, milliseconds(20));
+                        co_await timer.async_wait(kAsTuple);
+                        co_return FleetAnswer{ .source = "p",
+                                               .leads = plannerAnswers,
+                                               .fleetAge = fleetAge };
+                      });
+  task.SetPlannerAddress(address);
+  catalog.Start();
+  fleet.Start();
+  task.Start();
+  harness.io.run_for(milliseconds(200));
+  REQUIRE(task.FollowsPlanner());
+  // The outage begins.
+  fleetAge = seconds(5);
+  harness.io.run_for(milliseconds(500));
+  CHECK_FALSE(task.FollowsPlanner());
+  store.listCalls = 0;
+  store.isUp = true;
+  harness.io.run_for(milliseconds(300));
+  CHECK(store.listCalls == 0);
+
+  SECTION("follows the planner once that has listed the targets")
+  {
+    fleetAge = Duration::zero();
+    harness.io.run_for(milliseconds(600));
+    CHECK(task.FollowsPlanner());
+    CHECK(store.listCalls == 0);
+  }
+  SECTION("lists them itself if the planner does not")
+  {
+    harness.io.run_for(milliseconds(600));
+    CHECK(store.listCalls > 0);
+  }
+  SECTION("lists them itself if the planner stops responding")
+  {
+    plannerAnswers = false;
+    harness.io.run_for(milliseconds(1600));
+    CHECK(store.listCalls > 0);
+  }
+}
