Space planning rounds by how late they start

Cause: a round began every 50 ms whatever its cost. On a VM with half a core the rounds took all processor time, replies and reports waited, lease renewals came late. Class: no share of a resource is kept for what keeps the node in charge.

Change: RoundPacer doubles the interval, up to 0.4 s, after a round that starts more than 40 ms late, and shortens it by a tenth after any other.

--- a/src/serving/PlannerTask.cpp
+++ b/src/serving/PlannerTask.cpp
@@ -30,9 +30,6 @@
 /// Between two lease attempts of a small VM. Most nodes are small, and store
 /// calls are charged for.
 constexpr Duration kSmallVmTryInterval = milliseconds(500);
-/// A planning round that starts this late indicates that the process was not
-/// scheduled, so responses of targets may be waiting unread.
-constexpr Duration kLateRoundThreshold = milliseconds(40);
 /// Probes that were in flight while the process was not scheduled end within
 /// this time after a late round.
 constexpr Duration kLocalDelayRecovery = milliseconds(300);
@@ -169,12 +166,14 @@
 PlannerTask::Run()
 {
   for (;;) {
-    asio::steady_timer timer(this->context.executor,
-                             this->options.roundInterval);
-    const Instant dueAt = MonotonicNow() + this->options.roundInterval;
+    const Duration interval = this->pacer.Interval();
+    asio::steady_timer timer(this->context.executor, interval);
+    const Instant dueAt = MonotonicNow() + interval;
     co_await timer.async_wait(kAsTuple);
     const Instant now = MonotonicNow();
-    if (now - dueAt > kLateRoundThreshold) {
+    // The process was not scheduled, so responses of targets may be waiting
+    // unread.
+    if (this->pacer.OnRound(now - dueAt)) {
       this->localDelayUntil = now + kLocalDelayRecovery;
     }
     this->RunRound(now);
--- a/src/serving/PlannerTask.h
+++ b/src/serving/PlannerTask.h
@@ -6,6 +6,7 @@
 #include "replicas/IssuedOrders.h"
 #include "replicas/PlannerSuccession.h"
 #include "replicas/ReplicaCheckLimiter.h"
+#include "replicas/RoundPacer.h"
 #include "replicas/TakeoverGuard.h"
 #include "serving/ServingContext.h"
 
@@ -24,8 +25,6 @@
 public:
   struct Options
   {
-    /// Between two planning rounds.
-    Duration roundInterval = milliseconds(50);
     /// Shortest time between two reports of a target without pending orders; a
     /// target that is suspected of a stall is probed without this delay.
     Duration reportInterval = milliseconds(1000);
@@ -231,6 +230,7 @@
   HttpConnectionPool pool;
   ReplicaCheckLimiter checkLimiter{ ReplicaCheckLimiter::Options{} };
   TakeoverGuard takeoverGuard{ TakeoverGuard::Options{} };
+  RoundPacer pacer{ RoundPacer::Options{} };
   /// By service name.
   std::map<std::string, std::unique_ptr<FleetPlanner>, std::less<>> planners;
   /// By target id.
