Count a small VM's delay from the last holder of the lease

Cause: a small VM may take the lease after 6 s without a planner.

Change: seeing that another node holds the lease starts the delay again.

"PlannerSuccession counts the delay of small VMs from the last holder" fails without it (!true) and passes with it.

--- a/src/replicas/PlannerSuccession.cpp
+++ b/src/replicas/PlannerSuccession.cpp
@@ -19,6 +19,13 @@
   this->isLastHolder = false;
 }
 
+void
+PlannerSuccession::OnOtherHolder(Instant aNow)
+{
+  this->noPlannerSince = aNow;
+  this->isLastHolder = false;
+}
+
 bool
 PlannerSuccession::MayQuery(Instant aNow) const
 {
--- a/src/replicas/PlannerSuccession.h
+++ b/src/replicas/PlannerSuccession.h
@@ -55,7 +55,7 @@
   /// Records that this node follows another node as the planner.
   void OnPlannerFollowed(Instant aNow);
   /// Records that another node holds the lease.
-  void OnOtherHolder() { this->isLastHolder = false; }
+  void OnOtherHolder(Instant aNow);
   /// Records that the store did not return the lease holder.
   void OnStoreFailure(Instant aNow) { this->storeFailedAt = aNow; }
   /// Records that this node has taken the lease.
@@ -75,7 +75,8 @@
   Options options;
   bool isRestart = false;
   Instant startedAt;
-  /// When this node last followed a planner, or was started.
+  /// When this node last followed a planner, saw that another node holds the
+  /// lease, or was started.
   Instant noPlannerSince;
   /// When the store last failed to return the lease holder.
   Instant storeFailedAt;
--- a/src/serving/PlannerCalls.cpp
+++ b/src/serving/PlannerCalls.cpp
@@ -243,7 +243,7 @@
       .With("newest_epoch", this->issuedOrders.NewestJoinEpoch(aRefused.target))
       .Warn();
     this->context.counters.Add("planner_fenced");
-    this->succession.OnOtherHolder();
+    this->succession.OnOtherHolder(MonotonicNow());
     this->isPlanner = false;
     this->hooks.onPlannerChange(false);
     this->lease.ClearLease();
--- a/src/serving/PlannerTask.cpp
+++ b/src/serving/PlannerTask.cpp
@@ -113,7 +113,7 @@
           },
         .onOtherHolder =
           [this](const std::string& aValue) {
-            this->succession.OnOtherHolder();
+            this->succession.OnOtherHolder(MonotonicNow());
             this->hooks.onOtherHolder(aValue.substr(0, aValue.find(' ')));
           },
         .onReadFailure =
--- a/tests/PlannerSuccessionTest.cpp
+++ b/tests/PlannerSuccessionTest.cpp
@@ -35,6 +35,18 @@
   CHECK(small.MayAcquire(kUsable, kStart + milliseconds(6000)));
 }
 
+// Guards against a small VM that takes the lease from large ones, because it
+// could not follow a busy planner before that failed.
+TEST_CASE(
+  "PlannerSuccession counts the delay of small VMs from the last holder")
+{
+  PlannerSuccession small = MakeSuccession(false);
+  const Instant seen = kStart + seconds(10);
+  small.OnOtherHolder(seen);
+  CHECK_FALSE(small.MayAcquire(kUsable, seen + milliseconds(1000)));
+  CHECK(small.MayAcquire(kUsable, seen + milliseconds(6000)));
+}
+
 TEST_CASE("PlannerSuccession lets restarted small VMs ask for the holder")
 {
   PlannerSuccession small({ .isLargeVm = false });
@@ -87,7 +99,7 @@
   PlannerSuccession planner = MakeSuccession();
   planner.OnTermStarted();
   // The holder was seen before the loss was noticed.
-  planner.OnOtherHolder();
+  planner.OnOtherHolder(end);
   planner.OnTermEnded(end);
   CHECK_FALSE(planner.ContinuesTerm(end));
   planner.OnTermStarted();
