Record reported crashes only at the planner's node

Only the planner's node removes old crashes from CrashAttribution. A node that still receives queries after it has lost the lease would keep their reports, and as a later planner take crashes for new evidence that its predecessor had attributed. Found when reading the change; no play showed it.

"QuarantineTask records crashes only at the planner's node" fails without the check (!true) and passes with it.

--- a/src/serving/QuarantineTask.cpp
+++ b/src/serving/QuarantineTask.cpp
@@ -101,8 +101,10 @@
 void
 QuarantineTask::RecordReports(const FleetQuestion& aQuestion, Instant aNow)
 {
-  this->attribution.RecordLosses(aQuestion.lostRequests, aNow);
-  this->attribution.RecordAnswers(aQuestion.node, aQuestion.partAnswers);
+  if (this->hooks.isPlanner()) {
+    this->attribution.RecordLosses(aQuestion.lostRequests, aNow);
+    this->attribution.RecordAnswers(aQuestion.node, aQuestion.partAnswers);
+  }
   if (this->context.quarantine.Add(aQuestion.quarantinedParts, aNow)) {
     this->hooks.onChange();
   }
--- a/src/serving/QuarantineTask.h
+++ b/src/serving/QuarantineTask.h
@@ -46,7 +46,8 @@
 
   void Start();
 
-  /// Records what another node reports to this one as the planner.
+  /// Adds the quarantine of another node, and records the crashes that it
+  /// reports if this node is the planner.
   void RecordReports(const FleetQuestion& aQuestion, Instant aNow);
 
 private:
--- a/tests/QuarantineTaskTest.cpp
+++ b/tests/QuarantineTaskTest.cpp
@@ -135,3 +135,14 @@
   planner.harness.io.run_for(milliseconds(50));
   CHECK(store.revision == 5);
 }
+
+// Without updates, nothing would ever remove the crashes again.
+TEST_CASE("QuarantineTask records crashes only at the planner's node")
+{
+  QuarantineStore store;
+  QuarantineNode node(store);
+  node.task.RecordReports(CrashReport(), MonotonicNow());
+  node.isPlanner = true;
+  node.harness.io.run_for(milliseconds(1200));
+  CHECK_FALSE(node.Refuses("deadly"));
+}
