--- a/src/quarantine/CrashAttribution.h
+++ b/src/quarantine/CrashAttribution.h
@@ -3,10 +3,8 @@
 
 #include "quarantine/CrashReports.h"
 
-#include <compare>
 #include <deque>
 #include <map>
-#include <optional>
 #include <string>
 #include <vector>
 
