Log why a stalled target's calls end and what follows

target_stalled gets streams, silent_ms and check_interval_ms (a long interval shows a late node); target_call gets next and budget_left. No logic changes.

--- a/src/placement/StallDetector.cpp
+++ b/src/placement/StallDetector.cpp
@@ -85,10 +85,10 @@
 StallDetector::Findings
 StallDetector::Check(Instant aNow)
 {
+  Findings findings{ .checkInterval = aNow - this->checkedAt };
   const bool nodeWasStalled =
-    aNow - this->checkedAt > this->options.maxCheckInterval;
+    findings.checkInterval > this->options.maxCheckInterval;
   this->checkedAt = aNow;
-  Findings findings;
   for (auto it = this->entries.begin(); it != this->entries.end();) {
     auto& [target, entry] = *it;
     if (nodeWasStalled) {
@@ -109,7 +109,10 @@
         sinceProgress > this->StallTimeout(entry, aNow)) {
       entry.stalled = true;
       entry.avoidUntil = aNow + this->options.avoidDuration;
-      findings.stalled.push_back(target);
+      findings.stalled.push_back(
+        { .target = target,
+          .silence = sinceProgress,
+          .startedResponses = entry.startedResponses });
     }
     ++it;
   }
--- a/src/placement/StallDetector.h
+++ b/src/placement/StallDetector.h
@@ -65,15 +65,29 @@
   /// a response; it is avoided for `avoidDuration`.
   void OnFailure(const std::string& aTarget, Instant aNow);
 
+  /// A target found stalled.
+  struct Stall
+  {
+    std::string target;
+    /// Time without progress.
+    Duration silence = Duration::zero();
+    /// Requests in flight whose response has begun.
+    int startedResponses = 0;
+
+    friend bool operator==(const Stall&, const Stall&) = default;
+  };
+
   /// The result of one check.
   struct Findings
   {
+    /// Time since the previous check.
+    Duration checkInterval = Duration::zero();
     /// Suspected targets, which the planner should probe; the same one at most
     /// once per `suspectInterval`.
     std::vector<std::string> suspected;
     /// Targets that this check is the first to find stalled; their streams
     /// should be moved.
-    std::vector<std::string> stalled;
+    std::vector<Stall> stalled;
   };
 
   /// Checks all targets; called periodically, at intervals shorter than
--- a/src/serving/RequestFlow.cpp
+++ b/src/serving/RequestFlow.cpp
@@ -116,8 +116,8 @@
     }
     this->estimatedLoad = choice.load;
     const CallEnd end = co_await this->CallTarget(choice.target);
-    this->LogCall(choice.target, end);
     const NextStep step = this->DecideNextStep(end);
+    this->LogCall(choice.target, end, step);
     if (step != NextStep::kTryElsewhere) {
       co_await this->Finish(step);
       co_return;
--- a/src/serving/RequestFlow.h
+++ b/src/serving/RequestFlow.h
@@ -66,8 +66,8 @@
   /// instead.
   Task<void> Refuse(unsigned aStatus, std::string_view aReason);
   Task<void> RefuseAtIntake(IntakeRefusal aRefusal);
-  /// Logs the end of a call, unless that is kAnswered.
-  void LogCall(const Candidate& aTarget, CallEnd aEnd) const;
+  /// Logs the end of a call, unless that is kAnswered, and what follows it.
+  void LogCall(const Candidate& aTarget, CallEnd aEnd, NextStep aNext) const;
   /// Logs and counts the end of the request.
   void LogEnd(std::string_view aOutcome, unsigned aStatus);
   /// This node's share of the retry budget of the request's service.
--- a/src/serving/RequestFlowEnds.cpp
+++ b/src/serving/RequestFlowEnds.cpp
@@ -86,7 +86,9 @@
 }
 
 void
-RequestFlow::LogCall(const Candidate& aTarget, CallEnd aEnd) const
+RequestFlow::LogCall(const Candidate& aTarget,
+                     CallEnd aEnd,
+                     NextStep aNext) const
 {
   if (aEnd == CallEnd::kAnswered) {
     return;
@@ -98,6 +100,8 @@
     .With("after_ms",
           std::int64_t{ (MonotonicNow() - this->arrivedAt) / milliseconds(1) })
     .With("left", std::int64_t{ this->targetAbandoned })
+    .With("next", NextStepName(aNext))
+    .With("budget_left", std::int64_t{ this->history.budgetLeft })
     .With("step", this->lastError.step)
     .With("detail", this->lastError.detail);
   if (!this->caller.sharedPromptParts.empty()) {
--- a/src/serving/RetryRules.cpp
+++ b/src/serving/RetryRules.cpp
@@ -57,6 +57,26 @@
   return "out_of_time";
 }
 
+std::string_view
+NextStepName(NextStep aStep)
+{
+  switch (aStep) {
+    case NextStep::kDone:
+      return "done";
+    case NextStep::kTryElsewhere:
+      return "try_elsewhere";
+    case NextStep::kRefuse:
+      return "refuse";
+    case NextStep::kFail:
+      return "fail";
+    case NextStep::kTimeOut:
+      return "time_out";
+    case NextStep::kAbort:
+      break;
+  }
+  return "abort";
+}
+
 NextStep
 DecideNext(const CatalogRoute& aRoute,
            CallEnd aEnd,
--- a/src/serving/RetryRules.h
+++ b/src/serving/RetryRules.h
@@ -48,6 +48,9 @@
   kAbort,
 };
 
+std::string_view
+NextStepName(NextStep aStep);
+
 /// State of a request that decides whether it may be retried.
 struct CallHistory
 {
--- a/src/serving/ServingNode.cpp
+++ b/src/serving/ServingNode.cpp
@@ -393,14 +393,18 @@
     if (!findings.suspected.empty()) {
       this->follower.ReportStalls(findings.suspected);
     }
-    for (const std::string& target : findings.stalled) {
+    for (const StallDetector::Stall& stall : findings.stalled) {
       LogLine("target_stalled")
-        .With("target", target)
+        .With("target", stall.target)
         .With("own_requests",
-              std::int64_t{ this->context.loads.OwnRequests(target) })
+              std::int64_t{ this->context.loads.OwnRequests(stall.target) })
+        .With("streams", std::int64_t{ stall.startedResponses })
+        .With("silent_ms", std::int64_t{ stall.silence / milliseconds(1) })
+        .With("check_interval_ms",
+              std::int64_t{ findings.checkInterval / milliseconds(1) })
         .Info();
       this->context.counters.Add("targets_stalled");
-      this->AbandonTarget(target);
+      this->AbandonTarget(stall.target);
     }
   }
 }
