--- a/tests/RequestFlowTest.cpp
+++ b/tests/RequestFlowTest.cpp
@@ -303,3 +303,156 @@
   CHECK(response.find("id: 8") != std::string::npos);
   CHECK(IsCompleteStream(response));
 }
+
+namespace {
+
+/// What the other targets do while the first one is silent.
+enum class OtherTargets
+{
+  kAnswer,
+  kRefuse,
+  kCloseConnection,
+  kStaySilent,
+};
+
+/// Serves requests at a target that falls silent after its first event and at
+/// one that was added afterwards.
+class SilentTargetHarness : public ServingHarness
+{
+public:
+  explicit SilentTargetHarness(OtherTargets aOthers)
+    : others(aOthers)
+  {
+    this->AddTarget("t1",
+                    [this](TargetConnection& aConnection, int) -> Task<void> {
+                      co_await this->AnswerAfterSilence(aConnection);
+                    });
+  }
+
+  /// Sends `aCount` requests, reports the target of all of them as stalled and
+  /// lets it go on after `aSilence`.
+  void RunRequests(int aCount, std::string aPath, Duration aSilence)
+  {
+    this->responses.assign(static_cast<std::size_t>(aCount), {});
+    int ended = 0;
+    REQUIRE(this->Run(
+      [&, aCount]() -> Task<void> {
+        for (int i = 0; i < aCount; ++i) {
+          asio::co_spawn(
+            this->io,
+            [&, i]() -> Task<void> {
+              this->responses[static_cast<std::size_t>(i)] =
+                co_await this->Call(aPath, fmt::format("a{}", i), seconds(3));
+              ++ended;
+              this->endedDuringSilence += this->isSilent ? 1 : 0;
+            },
+            asio::detached);
+        }
+        asio::steady_timer timer(this->io, milliseconds(100));
+        co_await timer.async_wait(kAsTuple);
+        this->AddTarget(
+          "t2", [this](TargetConnection& aConnection, int) -> Task<void> {
+            co_await this->AnswerAsOther(aConnection);
+          });
+        for (const auto& [target, flow] : this->context.running) {
+          flow->AbandonTarget();
+        }
+        timer.expires_after(aSilence);
+        co_await timer.async_wait(kAsTuple);
+        this->isSilent = false;
+        while (ended < aCount) {
+          timer.expires_after(milliseconds(10));
+          co_await timer.async_wait(kAsTuple);
+        }
+      },
+      kTestLimit));
+  }
+
+  std::vector<std::string> responses;
+  int endedDuringSilence = 0;
+
+private:
+  static std::string StreamHeadOf(const std::string& aRequest)
+  {
+    const auto start = aRequest.find("X-Attempt: ") + 11;
+    return StreamHead(
+      aRequest.substr(start, aRequest.find('\r', start) - start));
+  }
+
+  Task<void> AnswerAfterSilence(TargetConnection& aConnection)
+  {
+    const std::string request = co_await aConnection.ReadRequest();
+    co_await aConnection.Write(StreamHeadOf(request) + Event(1));
+    while (this->isSilent) {
+      co_await aConnection.Wait(milliseconds(5));
+    }
+    co_await aConnection.Write(Event(2) + "0\r\n\r\n");
+  }
+
+  Task<void> AnswerAsOther(TargetConnection& aConnection)
+  {
+    const std::string request = co_await aConnection.ReadRequest();
+    switch (this->others) {
+      case OtherTargets::kAnswer:
+        co_await aConnection.Write(StreamHeadOf(request) + Event(2) +
+                                   "0\r\n\r\n");
+        break;
+      case OtherTargets::kRefuse:
+        co_await aConnection.Write(PlainResponse(503, "X-Not-Run: 1\r\n", ""));
+        break;
+      case OtherTargets::kCloseConnection:
+        break;
+      case OtherTargets::kStaySilent:
+        co_await aConnection.Wait(seconds(5));
+        break;
+    }
+  }
+
+  OtherTargets others;
+  bool isSilent = true;
+};
+
+} // namespace
+
+// Guards against a response that is cut because other requests took the retry
+// that it counted on.
+TEST_CASE("RequestFlow cuts no stream of a silent target if the retries do not "
+          "suffice for all of them")
+{
+  SilentTargetHarness harness(OtherTargets::kAnswer);
+  // The budget has a single retry while the number of nodes is unknown.
+  harness.context.nodeCount.reset();
+  harness.RunRequests(4, "/stream/x", milliseconds(300));
+  for (const std::string& response : harness.responses) {
+    CHECK(response.find("id: 2") != std::string::npos);
+    CHECK(IsCompleteStream(response));
+  }
+}
+
+// Guards against a response that is cut because its target fell silent for a
+// moment and the next one could not take the request over.
+TEST_CASE("RequestFlow cuts no stream of a silent target before another one "
+          "has responded")
+{
+  const auto others = GENERATE(OtherTargets::kRefuse,
+                               OtherTargets::kCloseConnection,
+                               OtherTargets::kStaySilent);
+  SilentTargetHarness harness(others);
+  harness.RunRequests(2, "/stream/x", seconds(1));
+  for (const std::string& response : harness.responses) {
+    CHECK(response.find("id: 2") != std::string::npos);
+    CHECK(IsCompleteStream(response));
+  }
+}
+
+TEST_CASE("RequestFlow continues streams of a stalled target at another one")
+{
+  SilentTargetHarness harness(OtherTargets::kAnswer);
+  harness.RunRequests(3, "/stream/x", milliseconds(700));
+  CHECK(harness.endedDuringSilence == 3);
+  for (const std::string& response : harness.responses) {
+    CHECK(response.find("id: 2") != std::string::npos);
+    CHECK(response.find("id: 2") == response.rfind("id: 2"));
+    CHECK(IsCompleteStream(response));
+  }
+}
