Keep a stalled target's call until another target has responded

Cause: AbandonTarget closed a call as soon as the retry budget had a retry left and some target had a place. Neither was reserved, so calls that were cancelled together counted on the same retry, and a node that has just started has a single one. Nor was it known that the next target would accept the request. A check was taken for a reservation, and a call that could still complete was given up before its replacement was certain.

Change: a stalled call is hedged. The retry is consumed and the place counted when the second call is made; the first one stays open until the second has a usable response. If the first makes progress before, the second is cancelled; if the second is refused or fails, the first simply goes on. A call to a replica that the planner has found broken gives way to its hedge at its next progress, because the replica is about to end.

--- a/src/placement/StallDetector.h
+++ b/src/placement/StallDetector.h
@@ -13,7 +13,7 @@
 /// working target sends bytes of some response in every pass over its batch, so
 /// a gap between them that is much longer than its recent passes indicates a
 /// stall. A target is suspected first, so that the planner probes it, and
-/// stalled later, when its streams are moved to other targets. Each serving
+/// stalled later, when its requests are hedged at other targets. Each serving
 /// node has one.
 class StallDetector
 {
@@ -26,8 +26,8 @@
     Duration minSuspectTimeout = milliseconds(90);
     Duration maxSuspectTimeout = milliseconds(250);
     /// A target is stalled after this many times its longest recent pass
-    /// without progress, within the two bounds below. Its streams are then
-    /// moved without waiting for a probe: the pause that callers tolerate in a
+    /// without progress, within the two bounds below. Its requests are then
+    /// hedged without waiting for a probe: the pause that callers tolerate in a
     /// stream is about as long.
     double stallFactor = 2.5;
     Duration minStallTimeout = milliseconds(150);
@@ -85,8 +85,8 @@
     /// Suspected targets, which the planner should probe; the same one at most
     /// once per `suspectInterval`.
     std::vector<std::string> suspected;
-    /// Targets that this check is the first to find stalled; their streams
-    /// should be moved.
+    /// Targets that this check is the first to find stalled; their requests
+    /// should be hedged.
     std::vector<Stall> stalled;
   };
 
--- a/src/serving/RequestFlow.cpp
+++ b/src/serving/RequestFlow.cpp
@@ -10,8 +10,6 @@
 
 /// Subtracted from a target's time, for its response to reach the caller.
 constexpr Duration kResponseMargin = milliseconds(8);
-/// No call is made with less time left before the request's deadline.
-constexpr Duration kMinCallTime = milliseconds(20);
 /// Reading catalog and targets takes less; callers give up after a second.
 constexpr Duration kMaxStartWait = milliseconds(600);
 /// Larger responses other than streams fail; small VMs have 160 MB.
@@ -52,6 +50,9 @@
 
 RequestFlow::~RequestFlow()
 {
+  if (this->hedge != nullptr) {
+    this->hedge->Cancel();
+  }
   --this->context.inFlight;
 }
 
@@ -84,6 +85,7 @@
                                  this->arrivedAt);
   this->exchange.NotifyOnDisconnect([this] {
     this->callerDisconnected = true;
+    this->CancelHedge();
     if (this->call != nullptr) {
       this->call->Cancel();
     }
@@ -115,9 +117,12 @@
       co_return;
     }
     this->estimatedLoad = choice.load;
-    const CallEnd end = co_await this->CallTarget(choice.target);
+    CallEnd end = co_await this->CallTarget(choice.target);
+    while (this->hedge != nullptr) {
+      end = co_await this->ContinueWithHedge(end);
+    }
     const NextStep step = this->DecideNextStep(end);
-    this->LogCall(choice.target, end, step);
+    this->LogCall(this->lastTargetId, end, NextStepName(step));
     if (step != NextStep::kTryElsewhere) {
       co_await this->Finish(step);
       co_return;
@@ -153,48 +158,67 @@
                                     : this->caller.model;
 }
 
-Task<CallEnd>
-RequestFlow::CallTarget(const Candidate& aTarget)
+TargetCall::Options
+RequestFlow::MakeCallOptions(const Candidate& aTarget,
+                             bool aIsRetry,
+                             Instant aNow) const
 {
-  const Instant now = MonotonicNow();
-  const std::string& id = aTarget.id;
-  TargetInstructions instructions{
-    .targetId = id,
+  const TargetInstructions instructions{
+    .targetId = aTarget.id,
     .account = this->admittedRequest.account,
-    .timeLeft = this->admittedRequest.deadline - now - kResponseMargin,
+    .timeLeft = this->admittedRequest.deadline - aNow - kResponseMargin,
     .resumeAfter = this->eventSplitter.LastId(),
-    .isRetry = this->history.sendCount > 0,
+    .isRetry = aIsRetry,
   };
-  TargetCall call(this->context.targetPool,
-                  this->context.protocol,
-                  TargetCall::Options{
-                    .address = aTarget.address,
-                    .message = this->context.protocol.MakeRequest(
-                      this->exchange.Request(), instructions),
-                    .attemptId = this->caller.attemptId,
-                    // A closed kept connection hides whether the request ran.
-                    .mayReuse = this->admittedRequest.route->IsRepeatable(),
-                    .deadline = this->admittedRequest.deadline,
-                  });
-  this->calledTargets.insert(id);
-  this->lastTargetId = id;
+  return { .address = aTarget.address,
+           .message = this->context.protocol.MakeRequest(
+             this->exchange.Request(), instructions),
+           .attemptId = this->caller.attemptId,
+           // A closed kept connection hides whether the request ran.
+           .mayReuse = this->admittedRequest.route->IsRepeatable(),
+           .deadline = this->admittedRequest.deadline };
+}
+
+Task<CallEnd>
+RequestFlow::CallTarget(const Candidate& aTarget)
+{
+  const Instant now = MonotonicNow();
+  TargetCall newCall(
+    this->context.targetPool,
+    this->context.protocol,
+    this->MakeCallOptions(aTarget, this->history.sendCount > 0, now));
+  this->calledTargets.insert(aTarget.id);
+  this->context.loads.OnSent(aTarget.id);
+  this->context.stalls.OnSent(aTarget.id, now);
+  this->BeginCall(newCall, aTarget);
+  auto head = co_await newCall.Start();
+  co_return co_await this->CompleteCall(std::move(head));
+}
+
+void
+RequestFlow::BeginCall(TargetCall& aCall, const Candidate& aTarget)
+{
+  this->call = &aCall;
+  this->lastTargetId = aTarget.id;
   this->replica = aTarget.replica;
   this->targetAbandoned = false;
   this->connectionLost = false;
   this->responseStarted = false;
-  this->call = &call;
-  const auto running = this->context.running.emplace(id, this);
-  this->context.loads.OnSent(id);
-  this->context.stalls.OnSent(id, now);
-  auto head = co_await call.Start();
+  this->runningEntry = this->context.running.emplace(aTarget.id, this);
+}
+
+Task<CallEnd>
+RequestFlow::CompleteCall(Result<HttpResponse> aHead)
+{
+  TargetCall& current = *this->call;
+  const std::string id = this->lastTargetId;
   CallEnd end = CallEnd::kNotSent;
-  if (head) {
-    end = co_await this->HandleResponse(call, *head);
+  if (aHead) {
+    end = co_await this->HandleResponse(current, *aHead);
   } else {
-    end = this->ClassifyFailure(call, head.error());
-    this->lastError = head.error();
+    end = this->RecordFailure(current, aHead.error());
   }
-  this->context.running.erase(running);
+  this->context.running.erase(this->runningEntry);
   this->context.loads.OnEnded(id);
   this->context.stalls.OnEnded(id, this->responseStarted);
   this->call = nullptr;
@@ -203,18 +227,31 @@
     this->context.stalls.OnFailure(id, MonotonicNow());
   }
   this->RecordForAttribution(end);
-  this->history.sendCount += call.WasSent() ? 1 : 0;
-  this->history.possibleRunCount +=
-    call.WasSent() && end != CallEnd::kNotRun && end != CallEnd::kNotSent ? 1
-                                                                          : 0;
+  this->CountCall(current, end);
+  if (end == CallEnd::kAnswered || end == CallEnd::kCallerGone ||
+      end == CallEnd::kOutOfTime) {
+    this->CancelHedge();
+  }
   co_return end;
 }
 
+void
+RequestFlow::CountCall(const TargetCall& aCall, CallEnd aEnd)
+{
+  const bool mayHaveRun =
+    aCall.WasSent() && aEnd != CallEnd::kNotRun && aEnd != CallEnd::kNotSent;
+  this->history.sendCount += aCall.WasSent() ? 1 : 0;
+  this->history.possibleRunCount += mayHaveRun ? 1 : 0;
+}
+
 Task<CallEnd>
 RequestFlow::HandleResponse(TargetCall& aCall, const HttpResponse& aHead)
 {
   const Instant now = MonotonicNow();
   const TargetHead targetHead = this->context.protocol.ReadHead(aHead);
+  if (IsSuccess(aHead.result_int()) && !this->ResolveHedgeOnProgress()) {
+    co_return CallEnd::kNoAnswer;
+  }
   this->context.stalls.OnProgress(this->lastTargetId, true, now);
   this->responseStarted = true;
   if (this->firstByteDelay == Duration::zero()) {
@@ -266,12 +303,14 @@
   for (;;) {
     auto chunk = co_await aCall.ReadChunk();
     if (!chunk) {
-      this->lastError = chunk.error();
-      co_return this->ClassifyFailure(aCall, chunk.error());
+      co_return this->RecordFailure(aCall, chunk.error());
     }
     if (chunk->empty()) {
       break;
     }
+    if (!this->ResolveHedgeOnProgress()) {
+      co_return CallEnd::kNoAnswer;
+    }
     this->context.stalls.OnProgress(this->lastTargetId, false, MonotonicNow());
     std::string events = this->eventSplitter.Append(*chunk);
     if (this->eventSplitter.IsEventTooLarge()) {
@@ -299,8 +338,7 @@
 {
   auto body = co_await aCall.ReadBody(kMaxBufferedBodyBytes);
   if (!body) {
-    this->lastError = body.error();
-    co_return this->ClassifyFailure(aCall, body.error());
+    co_return this->RecordFailure(aCall, body.error());
   }
   aCall.Finish();
   if (!aTargetHead.isSigned && aTargetHead.attemptId.empty()) {
@@ -320,7 +358,17 @@
 }
 
 CallEnd
-RequestFlow::ClassifyFailure(const TargetCall& aCall, const Error& aError)
+RequestFlow::RecordFailure(const TargetCall& aCall, const Error& aError)
+{
+  const CallEnd end = this->ClassifyFailure(aCall, aError);
+  this->lastError = aError;
+  this->connectionLost =
+    !this->targetAbandoned && IsConnectionLost(end, aError);
+  return end;
+}
+
+CallEnd
+RequestFlow::ClassifyFailure(const TargetCall& aCall, const Error& aError) const
 {
   if (this->callerDisconnected) {
     return CallEnd::kCallerGone;
@@ -331,12 +379,17 @@
   if (MonotonicNow() + milliseconds(1) >= this->admittedRequest.deadline) {
     return CallEnd::kOutOfTime;
   }
-  this->connectionLost =
-    !this->targetAbandoned && aError.code != ErrorCode::kTimeout;
   return aError.code == ErrorCode::kBadReply ? CallEnd::kTruncated
                                              : CallEnd::kNoAnswer;
 }
 
+bool
+RequestFlow::IsConnectionLost(CallEnd aEnd, const Error& aError)
+{
+  return (aEnd == CallEnd::kNoAnswer || aEnd == CallEnd::kTruncated) &&
+         aError.code != ErrorCode::kTimeout;
+}
+
 void
 RequestFlow::RecordForAttribution(CallEnd aEnd)
 {
@@ -368,35 +421,6 @@
   return DecideNext(*this->admittedRequest.route, aEnd, this->history);
 }
 
-void
-RequestFlow::AbandonTarget()
-{
-  // If no other target may run the request, or none has capacity, only this one
-  // can still complete it.
-  if (this->history.possibleRunCount + 1 >=
-        this->admittedRequest.route->maxTargets ||
-      !this->admittedRequest.route->IsRepeatable() ||
-      !this->Budget().HasRetry() ||
-      this->ChooseTarget(MonotonicNow()).refusal != PlacementRefusal::kNone) {
-    return;
-  }
-  this->targetAbandoned = true;
-  if (this->call != nullptr) {
-    this->call->Cancel();
-  }
-}
-
-void
-RequestFlow::CancelIfQuarantined()
-{
-  if (this->call != nullptr &&
-      this->context.quarantine.RemainingFor(this->caller.sharedPromptParts,
-                                            MonotonicNow())) {
-    this->targetAbandoned = true;
-    this->call->Cancel();
-  }
-}
-
 bool
 RequestFlow::IsStream() const
 {
--- a/src/serving/RequestFlow.h
+++ b/src/serving/RequestFlow.h
@@ -3,12 +3,14 @@
 
 #include "http/HttpServer.h"
 #include "serving/EventSplitter.h"
+#include "serving/HedgeCall.h"
 #include "serving/Intake.h"
 #include "serving/Refusals.h"
 #include "serving/RetryRules.h"
 #include "serving/ServingContext.h"
 #include "serving/TargetCall.h"
 
+#include <map>
 #include <memory>
 #include <set>
 #include <string>
@@ -27,10 +29,18 @@
 
   Task<void> Serve();
 
-  /// Cancels the call to a stalled target, or one in a broken replica, so that
-  /// the request is retried elsewhere. Has no effect if no other target may run
-  /// it or has capacity.
-  void AbandonTarget();
+  /// Why another target is called although the current call has not ended.
+  enum class HedgeReason
+  {
+    /// The target is silent; it may go on.
+    kTargetStalled,
+    /// The target's replica is about to end.
+    kReplicaBroken,
+  };
+
+  /// Calls another target as well. Has no effect if no other target may run the
+  /// request or has capacity, or if the retry budget is used up.
+  void HedgeCurrentCall(HedgeReason aReason);
 
   /// Cancels the call if a part of the prompt is in quarantine.
   void CancelIfQuarantined();
@@ -40,12 +50,42 @@
   const std::string& Replica() const { return this->replica; }
 
 private:
+  /// No call is made with less time left before the request's deadline.
+  static constexpr Duration kMinCallTime = milliseconds(20);
+  /// Bounds the search for a target that accepts a hedge.
+  static constexpr int kMaxRefusedHedges = 2;
+
   /// Calls one target after another until the request has ended.
   Task<void> Run();
   /// Key that demand is counted under: the model or, without one, the service.
   const std::string& DemandKey() const;
   PlacementChoice ChooseTarget(Instant aNow) const;
   Task<CallEnd> CallTarget(const Candidate& aTarget);
+  TargetCall::Options MakeCallOptions(const Candidate& aTarget,
+                                      bool aIsRetry,
+                                      Instant aNow) const;
+  /// Makes this the current call.
+  void BeginCall(TargetCall& aCall, const Candidate& aTarget);
+  /// Handles the response of the current call and records its end.
+  Task<CallEnd> CompleteCall(Result<HttpResponse> aHead);
+  /// Counts a call that has ended among those of the request.
+  void CountCall(const TargetCall& aCall, CallEnd aEnd);
+  /// Returns whether another target may run the request besides the current
+  /// one.
+  bool MayHedge(Instant aNow) const;
+  /// Ends the current call in favour of a hedge that has a usable response.
+  /// Replaces one that has failed.
+  void OnHedgeHead();
+  /// Makes the hedge the current call after that has failed with `aEnd`.
+  Task<CallEnd> ContinueWithHedge(CallEnd aEnd);
+  /// Records the end of a hedge that has failed while the current call goes on.
+  void EndFailedHedge();
+  /// Decides between the current call, which has made progress, and its hedge:
+  /// cancels one of them. Returns false if the current call was cancelled; its
+  /// bytes must then not be passed on, as the hedge resumes before them.
+  bool ResolveHedgeOnProgress();
+  /// Cancels the hedge, if there is one.
+  void CancelHedge();
   Task<CallEnd> HandleResponse(TargetCall& aCall, const HttpResponse& aHead);
   Task<CallEnd> RelayEvents(TargetCall& aCall, const HttpResponse& aHead);
   /// Buffers a response that is not a stream, so that a failure can still be
@@ -54,7 +94,12 @@
                                const HttpResponse& aHead,
                                const TargetHead& aTargetHead);
   /// Classifies a failed call by how far it got.
-  CallEnd ClassifyFailure(const TargetCall& aCall, const Error& aError);
+  CallEnd ClassifyFailure(const TargetCall& aCall, const Error& aError) const;
+  /// Classifies a failure of the current call and keeps it for the log.
+  CallEnd RecordFailure(const TargetCall& aCall, const Error& aError);
+  /// Returns whether the target closed the connection before the end of the
+  /// response.
+  static bool IsConnectionLost(CallEnd aEnd, const Error& aError);
   /// Records whether the call was answered or lost with its target.
   void RecordForAttribution(CallEnd aEnd);
   NextStep DecideNextStep(CallEnd aEnd);
@@ -67,7 +112,9 @@
   Task<void> Refuse(unsigned aStatus, std::string_view aReason);
   Task<void> RefuseAtIntake(IntakeRefusal aRefusal);
   /// Logs the end of a call, unless that is kAnswered, and what follows it.
-  void LogCall(const Candidate& aTarget, CallEnd aEnd, NextStep aNext) const;
+  void LogCall(std::string_view aTargetId,
+               CallEnd aEnd,
+               std::string_view aNext) const;
   /// Logs and counts the end of the request.
   void LogEnd(std::string_view aOutcome, unsigned aStatus);
   /// This node's share of the retry budget of the request's service.
@@ -85,6 +132,11 @@
   std::set<std::string> calledTargets;
   /// The call in progress, or null.
   TargetCall* call = nullptr;
+  /// The entry of that call in ServingContext::running.
+  std::multimap<std::string, RequestFlow*>::iterator runningEntry;
+  /// A second call, made because that call is stalled; or null.
+  std::shared_ptr<HedgeCall> hedge;
+  HedgeReason hedgeReason = HedgeReason::kTargetStalled;
   /// A complete response that is not a stream, held until no retry follows.
   std::unique_ptr<HttpResponse> heldResponse;
   Error lastError;
@@ -95,9 +147,10 @@
   /// From arrival to the first response head of a target.
   Duration firstByteDelay = Duration::zero();
   bool callerDisconnected = false;
-  /// The current call was cancelled by AbandonTarget or CancelIfQuarantined.
+  /// The current call was cancelled in favour of a hedge, or by
+  /// CancelIfQuarantined.
   bool targetAbandoned = false;
-  /// The target closed the connection of the current call before the end of the
+  /// The target closed the connection of the last call before the end of the
   /// response.
   bool connectionLost = false;
   /// Part of the current target's response has arrived.
--- a/src/serving/RequestFlowEnds.cpp
+++ b/src/serving/RequestFlowEnds.cpp
@@ -86,21 +86,21 @@
 }
 
 void
-RequestFlow::LogCall(const Candidate& aTarget,
+RequestFlow::LogCall(std::string_view aTargetId,
                      CallEnd aEnd,
-                     NextStep aNext) const
+                     std::string_view aNext) const
 {
   if (aEnd == CallEnd::kAnswered) {
     return;
   }
   LogLine line("target_call");
   line.With("request", this->caller.attemptId)
-    .With("target", aTarget.id)
+    .With("target", aTargetId)
     .With("end", CallEndName(aEnd))
     .With("after_ms",
           std::int64_t{ (MonotonicNow() - this->arrivedAt) / milliseconds(1) })
     .With("left", std::int64_t{ this->targetAbandoned })
-    .With("next", NextStepName(aNext))
+    .With("next", aNext)
     .With("budget_left", std::int64_t{ this->history.budgetLeft })
     .With("step", this->lastError.step)
     .With("detail", this->lastError.detail);
--- a/src/serving/ServingNode.cpp
+++ b/src/serving/ServingNode.cpp
@@ -77,12 +77,12 @@
                                              HttpHandler aHandler);
   void OnCatalogChange();
   void OnFleetChange();
-  /// Moves running requests away from replicas that lost a member.
-  void AbandonBrokenReplicas();
+  /// Hedges the running requests of replicas that lost a member.
+  void HedgeCallsToBrokenReplicas();
   /// Cancels the running requests that have a prompt part in quarantine.
   void CancelQuarantinedRequests();
-  /// Moves this node's running requests away from a target.
-  void AbandonTarget(const std::string& aTarget);
+  /// Hedges this node's running requests of a target.
+  void HedgeCallsTo(const std::string& aTarget);
   /// True if the entries that the store lists are complete: expired ones have
   /// had the time to return.
   bool EntriesSettled() const;
@@ -306,7 +306,7 @@
       this->context.startGate.Open();
     }
   }
-  this->AbandonBrokenReplicas();
+  this->HedgeCallsToBrokenReplicas();
   this->CancelQuarantinedRequests();
   this->relay.OnFleetChange();
 }
@@ -320,21 +320,21 @@
 }
 
 void
-ServingNode::Impl::AbandonBrokenReplicas()
+ServingNode::Impl::HedgeCallsToBrokenReplicas()
 {
   for (const auto& [target, flow] : this->context.running) {
     if (this->context.broken.contains(flow->Replica())) {
-      flow->AbandonTarget();
+      flow->HedgeCurrentCall(RequestFlow::HedgeReason::kReplicaBroken);
     }
   }
 }
 
 void
-ServingNode::Impl::AbandonTarget(const std::string& aTarget)
+ServingNode::Impl::HedgeCallsTo(const std::string& aTarget)
 {
   const auto [first, last] = this->context.running.equal_range(aTarget);
   for (auto it = first; it != last; ++it) {
-    it->second->AbandonTarget();
+    it->second->HedgeCurrentCall(RequestFlow::HedgeReason::kTargetStalled);
   }
 }
 
@@ -404,7 +404,7 @@
               std::int64_t{ findings.checkInterval / milliseconds(1) })
         .Info();
       this->context.counters.Add("targets_stalled");
-      this->AbandonTarget(stall.target);
+      this->HedgeCallsTo(stall.target);
     }
   }
 }
