Avoid no target whose call this node cancelled itself

A call that was cancelled for a quarantine, or because its hedge had a response, counted as a failure of its target, which then got no new requests for 1.5 s. When a quarantine begins, that can be every target of a model, and callers are refused with places free. A cancelled call no longer counts; a stalled target is avoided by StallDetector as before.

The test fails without it.

--- a/src/serving/RequestFlow.cpp
+++ b/src/serving/RequestFlow.cpp
@@ -222,8 +222,9 @@
   this->context.loads.OnEnded(id);
   this->context.stalls.OnEnded(id, this->responseStarted);
   this->call = nullptr;
-  if (end == CallEnd::kNotSent || end == CallEnd::kNoAnswer ||
-      end == CallEnd::kTruncated) {
+  if (!this->targetAbandoned &&
+      (end == CallEnd::kNotSent || end == CallEnd::kNoAnswer ||
+       end == CallEnd::kTruncated)) {
     this->context.stalls.OnFailure(id, MonotonicNow());
   }
   this->RecordForAttribution(end);
--- a/tests/HedgeCallTest.cpp
+++ b/tests/HedgeCallTest.cpp
@@ -128,6 +128,8 @@
   RequestFlow::HedgeReason reason = RequestFlow::HedgeReason::kTargetStalled;
   /// What the first target writes after its silence.
   std::string afterSilence = Event(2) + "0\r\n\r\n";
+  /// The first target then leaves the connection to the node to close.
+  bool staysOpen = false;
   /// The prompt's shared part is quarantined just after the silence.
   bool quarantines = false;
 
@@ -156,6 +158,9 @@
       co_await aConnection.Wait(milliseconds(5));
     }
     co_await aConnection.Write(this->afterSilence);
+    if (this->staysOpen) {
+      co_await aConnection.ReadRequest();
+    }
   }
 
   Task<void> AnswerAsOther(TargetConnection& aConnection)
@@ -282,3 +287,16 @@
     CHECK(StatusOf(response) == 200);
   }
 }
+
+// Guards against refusals for lack of a target, because this node itself
+// cancelled a call of each one.
+TEST_CASE("RequestFlow does not avoid a target whose call it cancelled for a "
+          "quarantine")
+{
+  SilentTargetHarness harness(OtherTargets::kStaySilent);
+  harness.quarantines = true;
+  harness.afterSilence.clear();
+  harness.staysOpen = true;
+  harness.RunRequests(1, "/once/x", milliseconds(50));
+  CHECK_FALSE(harness.context.stalls.IsAvoided("t1", MonotonicNow()));
+}
