Report a stall again while the target stays silent

A stall was reported once. Requests that could not be hedged at that moment, for lack of a retry or of a place, stayed with the silent target until their deadline, although the budget earns retries with each request and learns its size when the number of nodes is known. New requests went to the target again after 1.5 s.

The stall is reported every 250 ms until the target makes progress. Found in the review of the hedged calls. The test fails without the change.

--- a/src/placement/StallDetector.cpp
+++ b/src/placement/StallDetector.cpp
@@ -105,9 +105,12 @@
       entry.suspectedAt = aNow;
       findings.suspected.push_back(target);
     }
-    if (entry.inFlight > 0 && !entry.stalled &&
+    const bool isDue = !entry.stalled || aNow - entry.stallReportedAt >=
+                                           this->options.stallInterval;
+    if (entry.inFlight > 0 && isDue &&
         sinceProgress > this->StallTimeout(entry, aNow)) {
       entry.stalled = true;
+      entry.stallReportedAt = aNow;
       entry.avoidUntil = aNow + this->options.avoidDuration;
       findings.stalled.push_back(
         { .target = target,
--- a/src/placement/StallDetector.h
+++ b/src/placement/StallDetector.h
@@ -40,6 +40,9 @@
     Duration passDecayTime = seconds(3);
     /// Minimum time between two suspicions of the same target.
     Duration suspectInterval = milliseconds(400);
+    /// Time between two reports of the same stall. Requests that could not be
+    /// hedged at the first one may find a retry or a place by then.
+    Duration stallInterval = milliseconds(250);
     /// A stalled or failed target gets no new requests for this long. After a
     /// stall this ends earlier when the target makes progress.
     Duration avoidDuration = milliseconds(1500);
@@ -85,8 +88,8 @@
     /// Suspected targets, which the planner should probe; the same one at most
     /// once per `suspectInterval`.
     std::vector<std::string> suspected;
-    /// Targets that this check is the first to find stalled; their requests
-    /// should be hedged.
+    /// Stalled targets, whose requests should be hedged; the same one at most
+    /// once per `stallInterval`.
     std::vector<Stall> stalled;
   };
 
@@ -119,6 +122,8 @@
     Instant avoidUntil;
     /// Time of the last suspicion that Check returned.
     Instant suspectedAt;
+    /// Time of the last stall that Check returned.
+    Instant stallReportedAt;
     /// True from the stall until the next progress, or the next send while no
     /// request is in flight.
     bool stalled = false;
--- a/tests/StallDetectorTest.cpp
+++ b/tests/StallDetectorTest.cpp
@@ -115,3 +115,23 @@
   detector.Check(kStart + kTick);
   CHECK(detector.Check(kStart + seconds(5)).stalled.empty());
 }
+
+// Guards against requests that stay with a stalled target because there was no
+// retry at the moment of its stall.
+TEST_CASE("StallDetector reports a stall again until the target makes progress")
+{
+  StallDetector detector(StallDetector::Options{});
+  StartStreams(detector);
+  const Instant since = SimulatePasses(detector, milliseconds(40), seconds(1));
+  int reports = 0;
+  Instant now = since;
+  for (; now < since + seconds(1); now += kTick) {
+    reports += static_cast<int>(detector.Check(now).stalled.size());
+  }
+  CHECK(reports >= 3);
+  CHECK(reports <= 4);
+  CHECK(detector.IsAvoided("t", now + milliseconds(1000)));
+  detector.OnProgress("t", false, now);
+  CHECK(detector.Check(now + kTick).stalled.empty());
+  CHECK_FALSE(detector.IsAvoided("t", now + kTick));
+}
