--- a/include/apricottrack/KeyValueStore.h
+++ b/include/apricottrack/KeyValueStore.h
@@ -17,8 +17,8 @@
 template<typename T>
 using Task = boost::asio::awaitable<T>;
 
-/// Version number that every write to the service increases; zero means "no
-/// such key".
+/// Version number that every write to the service increases, also a write after
+/// the service was restored from an older copy; zero means "no such key".
 using Revision = std::int64_t;
 
 /// Zero means "no lease".
@@ -95,6 +95,12 @@
   /// Revokes a lease and deletes the keys attached to it.
   virtual Task<Result<void>> RevokeLease(LeaseId aLease) = 0;
 
+  /// Number of times that the service was restored from an older copy of its
+  /// contents since the first call, as far as known. Writes that it
+  /// acknowledged before may be lost and leases have ended. Swaps that expect a
+  /// revision from before fail with kConflict, and watches from one end.
+  virtual std::int64_t RestoreCount() const { return 0; }
+
   /// Sets the time between two polls, for stores whose watch is a series of
   /// calls. Stores with a streaming watch ignore it.
   virtual void SetWatchInterval(std::chrono::milliseconds) {}
--- a/tests/RestoredStoreTasksTest.cpp
+++ b/tests/RestoredStoreTasksTest.cpp
@@ -1,4 +1,5 @@
 #include "RestoredStoreHarness.h"
+#include "node/LeaseTask.h"
 #include "serving/CatalogTask.h"
 
 using namespace apricottrack;
@@ -67,3 +68,79 @@
   node.Read();
   CHECK(node.Version() == 4);
 }
+
+TEST_CASE("LeaseTask acquires anew after a restore with a larger fencing token")
+{
+  RestoredStoreHarness harness;
+  harness.standin.TakeCopy();
+  harness.AdvanceTo(50);
+  LeaseTask task(harness.io.get_executor(),
+                 harness.store,
+                 { .key = "k",
+                   .value = "own",
+                   .ttlSeconds = 60,
+                   .renewInterval = milliseconds(20) });
+  task.Start();
+  REQUIRE(harness.RunUntil([&] { return task.HasLease(); }));
+  const Revision before = task.AcquiredRevision();
+  harness.standin.Restore();
+  REQUIRE(harness.RunUntil([&] { return task.AcquiredRevision() != before; }));
+  CHECK(task.AcquiredRevision() > before);
+  CHECK(task.HoldsKey(MonotonicNow()));
+  CHECK(harness.standin.LastRevision() < 50);
+  CHECK(harness.standin.ValueOf("k") == "own");
+}
+
+TEST_CASE("LeaseTask gives up a key that another node acquired after a restore "
+          "under the same lease")
+{
+  RestoredStoreHarness harness;
+  harness.standin.TakeCopy();
+  LeaseTask task(harness.io.get_executor(),
+                 harness.store,
+                 { .key = "k",
+                   .value = "own",
+                   .ttlSeconds = 60,
+                   .renewInterval = milliseconds(600) });
+  task.Start();
+  REQUIRE(harness.RunUntil([&] { return task.HasLease(); }));
+  harness.standin.Restore();
+  auto other = harness.MakeStore();
+  const auto granted = harness.Await(other.GrantLease(60));
+  REQUIRE(granted);
+  REQUIRE(harness.Await(other.CompareAndSwap(
+    { .key = "k", .value = "theirs", .lease = *granted })));
+  REQUIRE(harness.standin.LeaseCount() == 1);
+  CHECK(harness.RunUntil([&] { return !task.HasLease(); }));
+  CHECK_FALSE(task.HoldsKey(MonotonicNow()));
+  CHECK(harness.standin.ValueOf("k") == "theirs");
+}
+
+// Both tasks share a client; the second one is granted the first one's id.
+TEST_CASE("LeaseTask writes its key again after a restore that gave its lease "
+          "to another task")
+{
+  RestoredStoreHarness harness;
+  harness.standin.TakeCopy();
+  LeaseTask first(harness.io.get_executor(),
+                  harness.store,
+                  { .key = "first",
+                    .value = "own",
+                    .ttlSeconds = 60,
+                    .renewInterval = milliseconds(600) });
+  first.Start();
+  REQUIRE(harness.RunUntil([&] { return first.HasLease(); }));
+  LeaseTask second(harness.io.get_executor(),
+                   harness.store,
+                   { .key = "second",
+                     .value = "own",
+                     .ttlSeconds = 60,
+                     .renewInterval = milliseconds(20) });
+  second.Start();
+  REQUIRE(harness.RunUntil([&] { return second.HasLease(); }));
+  harness.standin.Restore();
+  CHECK(harness.RunUntil(
+    [&] { return harness.standin.ValueOf("second") == "own"; }, seconds(5)));
+  CHECK(harness.RunUntil(
+    [&] { return harness.standin.ValueOf("first") == "own"; }, seconds(5)));
+}
