Keep the catalog in force over an older one of a restored store

A store that was restored from an older copy may hold an older catalog than the one in force, and a read of it proves nothing about keys that were revoked in the lost seconds. CatalogTask ignored the older version but took its revision for that of the catalog in force, so the next read without a change counted as verification, and other nodes were asked to read it.

An older document is now noted as outdated: it is neither in force nor relayed nor a verification. After a restore, a read verifies the catalog only once the operator has had half a second to write again what was lost; the next read comes right after that. Nodes no longer query the planner without a pause when they know a newer document than it does.

The tests fail without the version check and without the settle time.

--- a/src/serving/CatalogTask.cpp
+++ b/src/serving/CatalogTask.cpp
@@ -49,14 +49,25 @@
     if (this->active) {
       succeeded = co_await this->ReadOnce();
     }
-    const Duration pause =
-      succeeded ? this->options.readInterval : this->options.retryInterval;
+    const Duration pause = this->ReadInterval(succeeded, MonotonicNow());
     this->readTimer.expires_after(FromSeconds(
       ToSeconds(pause) * pauseFactorDistribution(this->context.random)));
     co_await this->readTimer.async_wait(kAsTuple);
   }
 }
 
+Duration
+CatalogTask::ReadInterval(bool aSucceeded, Instant aNow) const
+{
+  if (!aSucceeded) {
+    return this->options.retryInterval;
+  }
+  const bool isSettling = this->restoredAt && aNow - *this->restoredAt <
+                                                this->options.restoreSettleTime;
+  return isSettling ? this->options.restoreSettleTime
+                    : this->options.readInterval;
+}
+
 Task<bool>
 CatalogTask::ReadOnce()
 {
@@ -77,35 +88,53 @@
       .Info();
   }
   this->isStoreReachable = true;
+  const Instant now = MonotonicNow();
   if (std::exchange(this->hasReadFailed, false)) {
-    this->recoveredAt = MonotonicNow();
+    this->recoveredAt = now;
   }
+  const std::int64_t restores = this->store.RestoreCount();
+  if (this->restoreCount && *this->restoreCount != restores) {
+    this->restoredAt = now;
+  }
+  this->restoreCount = restores;
   // A document that is not known must not be skipped by later reads.
   if (this->knownRevision > 0 || change->value) {
     this->checkedRevision = change->checkedRevision;
   }
   if (change->value && change->value->revision == 0) {
     // The store holds no catalog; the one in force stays, but is not verified.
+    this->outdatedRevision = change->checkedRevision;
     co_return true;
   }
   if (!change->value || change->value->revision == this->knownRevision) {
-    this->context.catalog.ConfirmCurrent(readSentAt);
+    if (this->outdatedRevision == 0) {
+      this->context.catalog.ConfirmCurrent(this->ProvenAt(readSentAt));
+    }
     co_return true;
   }
   if (change->value->revision < this->knownRevision) {
     // Another node relayed a newer document while this read was in flight.
     co_return true;
   }
-  this->Apply(change->value->revision, change->value->value, readSentAt);
+  this->Apply(
+    change->value->revision, change->value->value, this->ProvenAt(readSentAt));
   co_return true;
 }
 
+Instant
+CatalogTask::ProvenAt(Instant aReadSentAt) const
+{
+  const bool isSettled = !this->restoredAt || aReadSentAt - *this->restoredAt >=
+                                                this->options.restoreSettleTime;
+  return isSettled ? aReadSentAt : Instant{};
+}
+
 void
 CatalogTask::ApplyRelayed(Revision aRevision,
                           const std::string& aDocument,
                           Instant aVerifiedAt)
 {
-  if (aRevision > this->knownRevision) {
+  if (aRevision > this->SeenRevision()) {
     this->Apply(aRevision, aDocument, aVerifiedAt);
   }
 }
@@ -116,6 +145,19 @@
                    Instant aVerifiedAt)
 {
   auto catalog = this->context.protocol.ReadCatalog(aDocument);
+  const CatalogPointer& inForce = this->context.catalog.Current();
+  if (catalog && inForce != nullptr &&
+      catalog->version < inForce->Contents().version) {
+    LogLine("catalog_outdated")
+      .With("version", catalog->version)
+      .With("revision", aRevision)
+      .With("in_force", inForce->Contents().version)
+      .Warn();
+    this->context.counters.Add("catalogs_outdated");
+    this->outdatedRevision = aRevision;
+    return;
+  }
+  this->outdatedRevision = 0;
   this->knownRevision = aRevision;
   if (!catalog) {
     // The catalog in force stays and is no longer verified; the next read
--- a/src/serving/CatalogTask.h
+++ b/src/serving/CatalogTask.h
@@ -3,8 +3,10 @@
 
 #include "serving/ServingContext.h"
 
+#include <algorithm>
 #include <boost/asio/steady_timer.hpp>
 #include <functional>
+#include <optional>
 
 namespace apricottrack {
 
@@ -26,6 +28,10 @@
     /// it has become active. Not shorter, because store calls are charged for
     /// and a verification stays valid for several retries.
     Duration retryInterval = milliseconds(800);
+    /// After a restore of the store, time for the operator to write again what
+    /// was lost. Until then a read does not prove that the catalog is still the
+    /// newest one: a revocation of a key may be missing.
+    Duration restoreSettleTime = milliseconds(500);
   };
 
   /// `aOnChange` is called after a newer catalog has come into force.
@@ -64,9 +70,20 @@
   /// that could not be decoded.
   Revision KnownRevision() const { return this->knownRevision; }
 
+  /// Revision of the newest document that was read, in force or not.
+  Revision SeenRevision() const
+  {
+    return std::max(this->knownRevision, this->outdatedRevision);
+  }
+
 private:
   Task<void> Run();
   void Apply(Revision aRevision, std::string aDocument, Instant aVerifiedAt);
+  /// Returns the mean time from a read to the next one.
+  Duration ReadInterval(bool aSucceeded, Instant aNow) const;
+  /// Returns up to when a read, sent at `aReadSentAt`, proves that what it
+  /// returned is the newest document.
+  Instant ProvenAt(Instant aReadSentAt) const;
 
   ServingContext& context;
   KeyValueStore& store;
@@ -81,6 +98,13 @@
   /// Revision of the store up to which the document is known to be the newest;
   /// zero to read it again in any case.
   Revision checkedRevision = 0;
+  /// Revision of a document that is older than the one in force, which the
+  /// store holds since it was restored; zero if it holds none.
+  Revision outdatedRevision = 0;
+  /// RestoreCount at the last read; none before the first.
+  std::optional<std::int64_t> restoreCount;
+  /// When a read first showed the last restore.
+  std::optional<Instant> restoredAt;
   std::string document;
   bool active = false;
   /// The last read of the store succeeded.
--- a/src/serving/FleetRelay.cpp
+++ b/src/serving/FleetRelay.cpp
@@ -167,7 +167,7 @@
 {
   return !this->MayAnswer(aNow) || aQuestion.source != this->source ||
          aQuestion.sequence != this->published.Sequence() ||
-         aQuestion.catalogRevision != this->catalog.KnownRevision();
+         aQuestion.catalogRevision < this->catalog.KnownRevision();
 }
 
 Task<FleetAnswer>
--- a/src/serving/FollowTask.cpp
+++ b/src/serving/FollowTask.cpp
@@ -154,7 +154,7 @@
   FleetQuestion question{ .node = this->context.settings.node,
                           .source = this->source,
                           .sequence = this->sequence,
-                          .catalogRevision = this->catalog.KnownRevision(),
+                          .catalogRevision = this->catalog.SeenRevision(),
                           .wait = this->options.wait,
                           .demands = this->context.demand.Demands(now),
                           .wantsCatalog = this->wantsCatalog,
@@ -189,7 +189,7 @@
   if (answer->catalogRevision == this->catalog.KnownRevision()) {
     this->context.catalog.ConfirmCurrent(this->querySentAt -
                                          answer->catalogAge);
-  } else if (answer->catalogRevision > this->catalog.KnownRevision()) {
+  } else if (answer->catalogRevision > this->catalog.SeenRevision()) {
     const bool succeeded = co_await this->ReadCatalogFromStore();
     if (!succeeded) {
       co_return false;
--- a/tests/RestoredStoreTasksTest.cpp
+++ b/tests/RestoredStoreTasksTest.cpp
@@ -32,11 +32,39 @@
     return Instant{} - this->context.catalog.VerificationAge(Instant{});
   }
 
-  CatalogTask task{ this->context, this->store, CatalogTask::Options{}, [] {} };
+  CatalogTask task{ this->context,
+                    this->store,
+                    CatalogTask::Options{ .restoreSettleTime =
+                                            milliseconds(50) },
+                    [] {} };
 };
 
 } // namespace
 
+TEST_CASE("CatalogTask keeps a catalog that a restored store has lost and does "
+          "not verify it")
+{
+  CatalogNode node;
+  const bool hasOlder = GENERATE(true, false);
+  if (hasOlder) {
+    node.Put(1);
+  }
+  node.standin.TakeCopy();
+  node.Put(2);
+  node.Read();
+  const Instant verifiedAt = node.VerifiedAt();
+  node.standin.Restore();
+  node.Read();
+  node.RunFor(milliseconds(60));
+  node.Read();
+  CHECK(node.Version() == 2);
+  CHECK(node.VerifiedAt() == verifiedAt);
+
+  node.Put(2);
+  node.Read();
+  CHECK(node.VerifiedAt() > verifiedAt);
+}
+
 // Guards against a configuration that a node never applies.
 TEST_CASE("CatalogTask follows changes after a restore that reuse revisions")
 {
@@ -69,6 +97,23 @@
   CHECK(node.Version() == 4);
 }
 
+// A revocation of a key may be among what the operator has to write again.
+TEST_CASE("CatalogTask verifies an unchanged catalog only some time after a "
+          "restore")
+{
+  CatalogNode node;
+  node.Put(1);
+  node.standin.TakeCopy();
+  node.Read();
+  const Instant verifiedAt = node.VerifiedAt();
+  node.standin.Restore();
+  node.Read();
+  CHECK(node.VerifiedAt() == verifiedAt);
+  node.RunFor(milliseconds(60));
+  node.Read();
+  CHECK(node.VerifiedAt() > verifiedAt);
+}
+
 TEST_CASE("LeaseTask acquires anew after a restore with a larger fencing token")
 {
   RestoredStoreHarness harness;
