Keep what is known of targets over a restored store's entries

The older copy may list targets that have left since, call leaving ones ready, and lack those that registered since. Taken as the newest state it would send requests to a target whose leaving this node had acknowledged (DRAIN), and undo memberships that the planner knows to be newer.

The first listing after a restore is merged with what is known: leaving stays, the newer membership stays, targets that were removed stay away until they write their entry again or it has outlived its expiry, and absent entries have the grace period of an outage. Entries of the copy are ignored until they change.

The tests fail without the merge.

--- a/src/serving/FleetTask.cpp
+++ b/src/serving/FleetTask.cpp
@@ -63,6 +63,12 @@
   this->active = aActive;
 }
 
+void
+FleetTask::OnPlannerFollowed()
+{
+  this->restoreCount = this->store.RestoreCount();
+}
+
 void
 FleetTask::SetIsPlanner(bool aIsPlanner)
 {
@@ -131,13 +137,17 @@
     this->isStoreReachable = false;
     co_return 0;
   }
+  const std::int64_t restores = this->store.RestoreCount();
+  const bool wasRestored =
+    this->restoreCount && *this->restoreCount != restores;
+  this->restoreCount = restores;
   if (!this->isStoreReachable && !this->context.fleet.All().empty()) {
     // Entries of live targets, known from an earlier listing or from the
     // planner, may have expired while the store was unreachable.
     this->context.fleet.OnStoreRecovered(now);
   }
   this->lastContactAt = now;
-  if (!this->isStoreReachable || !this->listedSince) {
+  if (!this->isStoreReachable || !this->listedSince || wasRestored) {
     this->listedSince = now;
   }
   this->isStoreReachable = true;
@@ -153,9 +163,14 @@
   LogLine("fleet_listed")
     .With("targets", static_cast<std::int64_t>(records.size()))
     .With("revision", revision)
+    .With("restored", std::int64_t{ wasRestored })
     .Info();
-  this->context.fleet.ReplaceAll(
-    std::move(records), Fleet::Removal::kWithGrace, now);
+  if (wasRestored) {
+    this->context.fleet.ReplaceAllRestored(std::move(records), now);
+  } else {
+    this->context.fleet.ReplaceAll(
+      std::move(records), Fleet::Removal::kWithGrace, now);
+  }
   this->onChange();
   co_return revision;
 }
--- a/src/serving/FleetTask.h
+++ b/src/serving/FleetTask.h
@@ -34,6 +34,9 @@
   /// have then not expired, and their targets are gone.
   void SetActive(bool aActive, bool aStoreWasAvailable);
 
+  /// Records that the fleet is the one that the planner's node has sent.
+  void OnPlannerFollowed();
+
   /// Sets how often a watch polls: `aIsPlanner` is true on the planner's node,
   /// which has to see changes with little delay. Other nodes poll rarely to
   /// save store calls while there is no planner.
@@ -67,6 +70,9 @@
   /// The last listing of the store succeeded.
   bool isStoreReachable = false;
   std::optional<Instant> listedSince;
+  /// RestoreCount at the last listing, of this or the planner's node; none
+  /// before the first.
+  std::optional<std::int64_t> restoreCount;
 };
 
 } // namespace apricottrack
--- a/src/serving/FollowTask.cpp
+++ b/src/serving/FollowTask.cpp
@@ -73,6 +73,7 @@
   const Instant now = MonotonicNow();
   this->followsPlanner = aFollowsPlanner;
   if (aFollowsPlanner) {
+    this->fleet.OnPlannerFollowed();
     this->lastResponseAt = now;
     if (!this->firstFollowedAt) {
       this->firstFollowedAt = now;
@@ -235,7 +236,7 @@
       this->context.fleet.Put(record, aNow);
     }
     for (const std::string& id : aAnswer.gone) {
-      this->context.fleet.RemoveNow(id);
+      this->context.fleet.RemoveNow(id, aNow);
     }
   }
   if (aAnswer.nodes > 0) {
--- a/tests/RestoredStoreTasksTest.cpp
+++ b/tests/RestoredStoreTasksTest.cpp
@@ -1,6 +1,7 @@
 #include "RestoredStoreHarness.h"
 #include "node/LeaseTask.h"
 #include "serving/CatalogTask.h"
+#include "serving/FleetTask.h"
 
 using namespace apricottrack;
 
@@ -14,6 +15,16 @@
   return fmt::format(R"({{"version":{}}})", aVersion);
 }
 
+std::string
+Entry(std::string_view aState, int aBorn = 1)
+{
+  return fmt::format(
+    R"({{"service":"s","address":"10.0.0.1:80","zone":"a","batch_slots":2,)"
+    R"("state":"{}","sequence":1,"born":{}}})",
+    aState,
+    aBorn);
+}
+
 /// A node that reads the catalog.
 struct CatalogNode : RestoredStoreHarness
 {
@@ -39,6 +50,70 @@
                     [] {} };
 };
 
+/// A node that lists and watches the targets.
+struct FleetNode : RestoredStoreHarness
+{
+  /// Writes the targets' entries, takes a copy, and lists them.
+  explicit FleetNode(const std::map<std::string, std::string>& aEntries)
+  {
+    for (const auto& [id, entry] : aEntries) {
+      this->standin.Put("servers/" + id, entry);
+    }
+    this->standin.TakeCopy();
+    this->task.Start();
+    this->task.SetIsPlanner(true);
+    this->task.SetActive(true, true);
+    REQUIRE(
+      this->RunUntil([&] { return this->task.ListedSince().has_value(); }));
+  }
+
+  /// Runs until the fleet has been listed once more.
+  void RunUntilListed()
+  {
+    const int before = this->listings;
+    REQUIRE(this->RunUntil([&] { return this->listings > before; }));
+  }
+
+  void Restore()
+  {
+    this->standin.Restore();
+    this->RunUntilListed();
+  }
+
+  /// Cuts the watch, so that the fleet is listed again.
+  void CutWatch()
+  {
+    this->standin.SetUp(false);
+    const int before = this->standin.Calls("/kv-range");
+    REQUIRE(this->RunUntil(
+      [&] { return this->standin.Calls("/kv-range") > before; }));
+    this->standin.SetUp(true);
+    this->RunUntilListed();
+  }
+
+  bool Has(const std::string& aId) const
+  {
+    return this->context.fleet.Find(aId) != nullptr;
+  }
+  bool IsLeaving(const std::string& aId) const
+  {
+    return this->Has(aId) && this->context.fleet.Find(aId)->leaving;
+  }
+
+  std::function<void()> onChange;
+  int listings = 0;
+  FleetTask task{ this->context,
+                  this->store,
+                  FleetTask::Options{ .minRetryDelay = milliseconds(20),
+                                      .maxRetryDelay = milliseconds(20) },
+                  [this] {
+                    this->listings += 1;
+                    if (this->onChange) {
+                      this->onChange();
+                    }
+                  } };
+};
+
 } // namespace
 
 TEST_CASE("CatalogTask keeps a catalog that a restored store has lost and does "
@@ -114,6 +189,83 @@
   CHECK(node.VerifiedAt() > verifiedAt);
 }
 
+TEST_CASE("FleetTask does not bring back a target that had left before the "
+          "restore")
+{
+  FleetNode node({ { "a", Entry("ready") }, { "b", Entry("ready") } });
+  REQUIRE(node.Has("b"));
+  node.standin.Remove("servers/b");
+  REQUIRE(node.RunUntil([&] { return !node.Has("b"); }));
+  bool wasBack = false;
+  node.onChange = [&] { wasBack = wasBack || node.Has("b"); };
+  node.Restore();
+  CHECK_FALSE(wasBack);
+  CHECK(node.Has("a"));
+
+  SECTION("even if the store is listed once more")
+  {
+    node.CutWatch();
+    CHECK_FALSE(wasBack);
+  }
+  SECTION("until it registers again")
+  {
+    node.standin.Put("servers/b", Entry("ready"));
+    CHECK(node.RunUntil([&] { return node.Has("b"); }));
+  }
+  SECTION("when its entry expires")
+  {
+    node.standin.Remove("servers/b");
+    node.RunUntilListed();
+    CHECK_FALSE(wasBack);
+  }
+}
+
+TEST_CASE("FleetTask keeps a target leaving whose restored entry says ready")
+{
+  FleetNode node({ { "a", Entry("ready") } });
+  node.standin.Put("servers/a", Entry("draining"));
+  REQUIRE(node.RunUntil([&] { return node.IsLeaving("a"); }));
+  bool wasReady = false;
+  node.onChange = [&] { wasReady = wasReady || !node.IsLeaving("a"); };
+  node.Restore();
+  CHECK_FALSE(wasReady);
+
+  SECTION("until it restarts")
+  {
+    node.standin.Put("servers/a", Entry("ready", 2));
+    CHECK(node.RunUntil([&] { return !node.IsLeaving("a"); }));
+  }
+  SECTION("and reports it again")
+  {
+    node.standin.Put("servers/a", Entry("draining"));
+    node.RunUntilListed();
+    CHECK_FALSE(wasReady);
+  }
+}
+
+TEST_CASE("FleetTask keeps live targets that the restored copy lacks for the "
+          "grace period")
+{
+  FleetNode node({ { "a", Entry("ready") } });
+  node.standin.Put("servers/b", Entry("ready"));
+  REQUIRE(node.RunUntil([&] { return node.Has("b"); }));
+  const Instant restoredAt = MonotonicNow();
+  node.Restore();
+  CHECK(node.Has("b"));
+
+  SECTION("and longer if they register again")
+  {
+    node.standin.Put("servers/b", Entry("ready"));
+    node.RunFor(milliseconds(900));
+    CHECK(node.Has("b"));
+  }
+  SECTION("and no longer if they do not")
+  {
+    CHECK(node.RunUntil([&] { return !node.Has("b"); }));
+    CHECK(MonotonicNow() - restoredAt >= milliseconds(500));
+  }
+}
+
 TEST_CASE("LeaseTask acquires anew after a restore with a larger fencing token")
 {
   RestoredStoreHarness harness;
@@ -161,6 +313,21 @@
   CHECK(harness.standin.ValueOf("k") == "theirs");
 }
 
+// The node learns of the restore from the catalog's read, while its watch is
+// between two polls.
+TEST_CASE("FleetTask lists the targets anew if another call showed the restore")
+{
+  FleetNode node({ { "a", Entry("ready") }, { "b", Entry("ready") } });
+  node.standin.Remove("servers/b");
+  REQUIRE(node.RunUntil([&] { return !node.Has("b"); }));
+  bool wasBack = false;
+  node.onChange = [&] { wasBack = wasBack || node.Has("b"); };
+  const auto since = node.task.ListedSince();
+  node.RestoreAndTell(node.store);
+  CHECK(node.RunUntil([&] { return node.task.ListedSince() != since; }));
+  CHECK_FALSE(wasBack);
+}
+
 // Both tasks share a client; the second one is granted the first one's id.
 TEST_CASE("LeaseTask writes its key again after a restore that gave its lease "
           "to another task")
@@ -189,3 +356,43 @@
   CHECK(harness.RunUntil(
     [&] { return harness.standin.ValueOf("first") == "own"; }, seconds(5)));
 }
+
+TEST_CASE("FleetTask does not bring back an earlier start of a target that had "
+          "left before the restore")
+{
+  FleetNode node({ { "a", Entry("ready") }, { "b", Entry("ready") } });
+  node.standin.Put("servers/b", Entry("ready", 2));
+  REQUIRE(node.RunUntil(
+    [&] { return node.context.fleet.Find("b")->startedAt == 2; }));
+  node.standin.Remove("servers/b");
+  REQUIRE(node.RunUntil([&] { return !node.Has("b"); }));
+  bool wasBack = false;
+  node.onChange = [&] { wasBack = wasBack || node.Has("b"); };
+  node.Restore();
+  CHECK_FALSE(wasBack);
+}
+
+TEST_CASE("FleetTask keeps a target leaving when a restored store is listed "
+          "once more")
+{
+  FleetNode node({ { "a", Entry("ready") } });
+  node.standin.Put("servers/a", Entry("draining"));
+  REQUIRE(node.RunUntil([&] { return node.IsLeaving("a"); }));
+  node.Restore();
+  REQUIRE(node.IsLeaving("a"));
+  node.CutWatch();
+  CHECK(node.IsLeaving("a"));
+}
+
+// The planner's node was followed before this node's first store call.
+TEST_CASE("FleetTask takes a restore from before its first store call for none")
+{
+  RestoredStoreHarness harness;
+  harness.context.fleet.Put({ .id = "t", .service = "s" }, MonotonicNow());
+  FleetTask task(harness.context, harness.store, FleetTask::Options{}, [] {});
+  task.OnPlannerFollowed();
+  task.Start();
+  task.SetActive(true, true);
+  REQUIRE(harness.RunUntil([&] { return task.ListedSince().has_value(); }));
+  CHECK(harness.context.fleet.Find("t") == nullptr);
+}
