Write the quarantine again after the store was restored

The planner's node compared the quarantine with what it had saved and never wrote again what a restored store had lost; the next planner would have started without these prompt parts. After a restore it reads the stored quarantine once more and saves the parts that it lacks.

The test fails without the change.

--- a/src/serving/QuarantineTask.cpp
+++ b/src/serving/QuarantineTask.cpp
@@ -141,6 +141,10 @@
     co_return;
   }
   const bool isPlanner = this->hooks.isPlanner();
+  if (this->restoreCount != this->store.RestoreCount()) {
+    // The restored copy may lack parts.
+    this->isLoadedAsPlanner = false;
+  }
   const bool mustLoad = (isPlanner && !this->isLoadedAsPlanner) ||
                         (!this->isLoaded && this->hooks.readsStore());
   if (mustLoad) {
@@ -206,6 +210,7 @@
                           Instant aNow)
 {
   this->storedRevision = aRevision;
+  this->restoreCount = this->store.RestoreCount();
   this->storedEnds.clear();
   for (const QuarantinedPart& part : aParts) {
     this->storedEnds[part.part] = aNow + part.remaining;
--- a/src/serving/QuarantineTask.h
+++ b/src/serving/QuarantineTask.h
@@ -80,6 +80,8 @@
   bool isLoadedAsPlanner = false;
   Instant nextStoreCallAt;
   Revision storedRevision = 0;
+  /// RestoreCount when the stored parts were last read or written.
+  std::int64_t restoreCount = 0;
   /// End of the quarantine as stored, by part.
   std::map<std::string, Instant> storedEnds;
 };
--- a/tests/RestoredStoreTasksTest.cpp
+++ b/tests/RestoredStoreTasksTest.cpp
@@ -1,7 +1,9 @@
 #include "RestoredStoreHarness.h"
+#include "kv/PlatformKeys.h"
 #include "node/LeaseTask.h"
 #include "serving/CatalogTask.h"
 #include "serving/FleetTask.h"
+#include "serving/QuarantineTask.h"
 
 using namespace apricottrack;
 
@@ -50,6 +52,33 @@
                     [] {} };
 };
 
+/// A node that is the planner and has a quarantine.
+struct QuarantineNode : RestoredStoreHarness
+{
+  void Add(std::string aPart)
+  {
+    this->context.quarantine.Add(
+      { { .part = std::move(aPart), .remaining = seconds(100) } },
+      MonotonicNow());
+  }
+  bool HasStored(std::string_view aPart) const
+  {
+    return this->standin.ValueOf(std::string(keys::kQuarantineKey))
+             .value_or("")
+             .find(aPart) != std::string::npos;
+  }
+
+  QuarantineTask task{
+    this->context,
+    this->store,
+    QuarantineTask::Options{ .interval = milliseconds(5),
+                             .retryDelay = milliseconds(20) },
+    QuarantineTask::Hooks{ .isPlanner = [] { return true; },
+                           .readsStore = [] { return false; },
+                           .onChange = [] {} }
+  };
+};
+
 /// A node that lists and watches the targets.
 struct FleetNode : RestoredStoreHarness
 {
@@ -266,6 +295,22 @@
   }
 }
 
+TEST_CASE("QuarantineTask writes again what a restored store has lost")
+{
+  QuarantineNode node;
+  node.task.Start();
+  if (GENERATE(true, false)) {
+    node.Add("first");
+    REQUIRE(node.RunUntil([&] { return node.HasStored("first"); }));
+  }
+  node.standin.TakeCopy();
+  node.Add("second");
+  REQUIRE(node.RunUntil([&] { return node.HasStored("second"); }));
+  node.RunFor(milliseconds(30));
+  node.RestoreAndTell(node.store);
+  CHECK(node.RunUntil([&] { return node.HasStored("second"); }));
+}
+
 TEST_CASE("LeaseTask acquires anew after a restore with a larger fencing token")
 {
   RestoredStoreHarness harness;
