Reject base64 text without its padding

Cause: Beast's decoded_size rounds down for such a text, its decode does not. Evidence: "DecodeBase64 rejects a text without its padding" failed at sizes 1, 2, 3 ("true == false") and ended with an AddressSanitizer overflow, ABORTING. Change: a text whose length is no multiple of four is not base64. Result: the test passes at all sizes from 1 to 199.

--- a/src/kv/EtcdMessages.cpp
+++ b/src/kv/EtcdMessages.cpp
@@ -22,6 +22,10 @@
 std::optional<std::string>
 DecodeBase64(std::string_view aText)
 {
+  // The decoder would write past the size that it states for such a text.
+  if (aText.size() % 4 != 0) {
+    return std::nullopt;
+  }
   std::string bytes(base64::decoded_size(aText.size()), '\0');
   const auto [written, read] =
     base64::decode(bytes.data(), aText.data(), aText.size());
--- a/tests/EtcdMessagesTest.cpp
+++ b/tests/EtcdMessagesTest.cpp
@@ -55,3 +55,13 @@
   CHECK(changes[0] == KeyValue{ .key = "k", .value = "v", .revision = 5 });
   CHECK(changes[1].revision == 0);
 }
+
+// Guards against a write past the end of the buffer.
+TEST_CASE("DecodeBase64 rejects a text without its padding")
+{
+  for (std::size_t size = 1; size < 200; ++size) {
+    CAPTURE(size);
+    CHECK(detail::DecodeBase64(std::string(size, 'A')).has_value() ==
+          (size % 4 == 0));
+  }
+}
