--- a/tests/PlatformStoreTest.cpp
+++ b/tests/PlatformStoreTest.cpp
@@ -21,6 +21,9 @@
             const bool isWatch = target.starts_with("/kv-watch");
             response.result(isWatch ? this->watchStatus : 200);
             response.body() = isWatch ? this->watchBody : this->keyBody;
+            if (target.starts_with("/kv-range")) {
+              response.body() = this->rangeBody;
+            }
             co_await aExchange.Reply(std::move(response));
           },
           .errorResponder = {} }))
@@ -52,6 +55,7 @@
   std::shared_ptr<HttpServer> server;
   platform::PlatformStore store;
   std::vector<std::string> calls;
+  std::string rangeBody;
   unsigned watchStatus = 200;
   std::string watchBody = R"({"events":[],"store_revision":30})";
   std::string keyBody =
@@ -105,3 +109,27 @@
   CHECK(change.value->revision == 7);
   CHECK(standin.calls.size() == 2);
 }
+
+// Guards against a listing without end, whose next page begins after no key.
+TEST_CASE("PlatformStore::List skips items without a key")
+{
+  StoreStandin standin;
+  standin.rangeBody =
+    R"({"items":[{"key":"a/1","value":"bmV3","revision":7},{"key":5},7],)"
+    R"("has_more":true,"store_revision":20})";
+  std::vector<KeyValue> items;
+  asio::co_spawn(
+    standin.io,
+    [&]() -> Task<void> {
+      Revision revision = 0;
+      items = (co_await standin.store.List("a/", revision)).value();
+      standin.io.stop();
+    },
+    asio::detached);
+  standin.io.run_for(milliseconds(300));
+  REQUIRE(standin.calls.size() >= 2);
+  CHECK(standin.calls[1] == "/kv-range?prefix=a/&after=a/1");
+  for (const KeyValue& item : items) {
+    CHECK(item.key == "a/1");
+  }
+}
