Take no odd entry of the store for a target

Cause: ReadTarget cut the key's prefix without a check, checked only that the address is not empty, and cast 64-bit numbers to int, so that batch_slots became 26 and rank became 0, the head. Evidence: failing before: "... whose key names no target id" 7 of 7 ("basic_string_view::substr: __pos (which is 8) > __size (which is 0)"), "... with an address that no connection can use" 10 of 10, "... with a number out of range" 12 of 18. "... nested 10,000 deep or not in UTF-8" passed before: that cannot happen here. Result: the tests pass.

--- a/src/http/HttpTypes.cpp
+++ b/src/http/HttpTypes.cpp
@@ -19,7 +19,8 @@
   boost::system::error_code error;
   const auto ip = boost::asio::ip::make_address(
     aAddress.substr(0, colon == std::string::npos ? 0 : colon), error);
-  if (error || port == 0) {
+  // make_address reads up to a zero byte.
+  if (error || port == 0 || aAddress.find('\0') != std::string::npos) {
     return Failure(ErrorCode::kInvalidInput,
                    "address.parse",
                    aAddress,
--- a/tests/PlatformProtocolTest.cpp
+++ b/tests/PlatformProtocolTest.cpp
@@ -102,6 +102,77 @@
   CHECK_FALSE(ReadEntry(Replaced(kEntry, "\"ready\"", "\"odd\"")));
 }
 
+// Guards against an exception that ends the process.
+TEST_CASE("WireProtocol rejects an entry whose key names no target id")
+{
+  const std::string key =
+    GENERATE("",
+             "serv",
+             "servers/",
+             "servers/a b",
+             "servers/a\r\nX-Other: 1",
+             "servers/\xff",
+             std::string("servers/") + std::string(70'000, 'a'));
+  CAPTURE(key.substr(0, 20));
+  CHECK_FALSE(
+    ReadTarget({ .key = key, .value = std::string(kEntry), .revision = 9 }));
+}
+
+// Guards against an odd entry of another writer that is taken for a target.
+TEST_CASE("WireProtocol rejects an entry with an address that no connection "
+          "can use")
+{
+  const std::string address = GENERATE("10.0.0.1",
+                                       "10.0.0.1:",
+                                       "10.0.0.1:0",
+                                       "10.0.0.1:-1",
+                                       "10.0.0.1:65536",
+                                       "10.0.0.1:99999999999",
+                                       "10.0.0.1:80x",
+                                       "host.example:80",
+                                       ":80",
+                                       "10.0.0.1\\u0000:80");
+  CAPTURE(address);
+  CHECK_FALSE(ReadEntry(Replaced(kEntry, "10.0.0.1:80", address)));
+}
+
+// Guards against an odd entry of another writer that is taken for a target.
+TEST_CASE("WireProtocol rejects an entry with a number out of range")
+{
+  const auto [from, to] = GENERATE(table<std::string, std::string>({
+    { "26", "0" },
+    { "26", "-1" },
+    { "26", "26.5" },
+    { "26", "1e400" },
+    { "26", "NaN" },
+    { "26", "4294967322" },
+    { "26", "99999999999999999999" },
+    { "17", "17.5" },
+    { "17", "-1" },
+    { "17", "1e400" },
+    { "17", "99999999999999999999" },
+    { "17", "\"17\"" },
+    { "\"rank\":1", "\"rank\":4294967296" },
+    { "\"rank\":1", "\"rank\":-1" },
+    { "\"rank\":1", "\"rank\":0.5" },
+    { "\"rank\":1", "\"other\":1" },
+    { "\"epoch\":12", "\"epoch\":99999999999999999999" },
+    { "\"epoch\":12", "\"epoch\":-1" },
+  }));
+  CAPTURE(from, to);
+  CHECK_FALSE(ReadEntry(Replaced(kEntry, from, to)));
+}
+
+TEST_CASE("WireProtocol rejects an entry nested 10,000 deep or not in UTF-8")
+{
+  const std::string deep = std::string(10'000, '[') + std::string(10'000, ']');
+  CHECK_FALSE(ReadEntry(Replaced(kEntry, "[\"m1\"]", deep)));
+  CHECK_FALSE(ReadEntry(deep));
+  CHECK_FALSE(ReadEntry(std::string(10'000, '[')));
+  CHECK_FALSE(ReadEntry(Replaced(kEntry, "\"d1\"", "\"\xff\xfe\"")));
+  CHECK_FALSE(ReadEntry(std::string("\x80\0\xff", 3)));
+}
+
 TEST_CASE("WireProtocol decodes the operator's document into a catalog")
 {
   const auto catalog = ReadCatalog(kDocument);
