--- a/tests/PlatformProtocolTest.cpp
+++ b/tests/PlatformProtocolTest.cpp
@@ -281,6 +281,31 @@
   CHECK(head.load == TargetLoad{ .running = 3, .waiting = 1, .slots = 8 });
 }
 
+// Guards against an integer overflow, after which a full target looks empty.
+TEST_CASE("WireProtocol limits the counts and times in headers")
+{
+  HttpRequest request = MakeCallerRequest();
+  request.set("Deadline-Ms", "9223372036854775807");
+  request.set("Token-Count", "4294967297,-5");
+  request.set("Length-Hint", "4294967297");
+  const CallerHead caller = WireProtocol().ReadCaller(request);
+  CHECK(caller.requestTimeout > seconds(3600));
+  CHECK(caller.promptTokens > 1'000'000);
+  CHECK(caller.outputTokens > 1'000'000);
+  request.set("Deadline-Ms", "-9223372036854775808");
+  CHECK(WireProtocol().ReadCaller(request).requestTimeout == seconds(0));
+  HttpResponse response(http::status::ok, 11);
+  response.set("Server-Load", "2147483647,2147483647,4294967304");
+  const auto load = WireProtocol().ReadHead(response).load;
+  REQUIRE(load);
+  CHECK(load->running > 1'000'000);
+  CHECK(std::int64_t{ load->running } + load->waiting <
+        std::numeric_limits<int>::max());
+  CHECK(load->slots > 1'000'000);
+  response.set("Server-Load", "-3,1,8");
+  CHECK(WireProtocol().ReadHead(response).load->running == 0);
+}
+
 TEST_CASE("WireProtocol encodes a join order as JSON")
 {
   const HttpRequest request =
