--- a/tests/PlatformProtocolTest.cpp
+++ b/tests/PlatformProtocolTest.cpp
@@ -163,6 +163,31 @@
   CHECK_FALSE(ReadEntry(Replaced(kEntry, from, to)));
 }
 
+// Guards against an order's reply, or an odd text, that is taken for the report
+// of a target without a model.
+TEST_CASE("WireProtocol rejects a report that lacks a required field or has "
+          "numbers out of range")
+{
+  const auto read = [](std::string_view aText) {
+    return ReadReport(aText, "10.0.0.1:80").has_value();
+  };
+  constexpr std::string_view kReport =
+    R"({"stage":"both","models":[],"busy":false,"sequence":2,"queued":1,
+        "active":12,"pace":1.5,"born":17,
+        "group":{"name":"g","epoch":12,"rank":1,"state":"ready"}})";
+  CHECK(read(kReport));
+  CHECK_FALSE(read("{}"));
+  CHECK_FALSE(read(R"({"sequence":3})"));
+  CHECK_FALSE(read(Replaced(kReport, "\"models\":[]", "\"models\":4")));
+  CHECK_FALSE(read(Replaced(kReport, "\"busy\":false", "\"busy\":0")));
+  CHECK_FALSE(read(Replaced(kReport, "12,\"pace", "4294967296,\"pace")));
+  CHECK_FALSE(read(Replaced(kReport, "\"queued\":1", "\"queued\":-1")));
+  CHECK_FALSE(read(Replaced(kReport, "1.5", "-1")));
+  CHECK_FALSE(read(Replaced(kReport, "1.5", "1e400")));
+  CHECK_FALSE(read(Replaced(kReport, "17", "17.5")));
+  CHECK_FALSE(read(Replaced(kReport, "\"rank\":1", "\"rank\":4294967296")));
+}
+
 TEST_CASE("WireProtocol rejects an entry nested 10,000 deep or not in UTF-8")
 {
   const std::string deep = std::string(10'000, '[') + std::string(10'000, ']');
