Continue a stream only with a response of status 200

Cause: any signed success with the type of an event stream counted as one; a 204 has no body, so it looked like a stream that had ended. Evidence: "RequestFlow passes no byte of an error on within a stream" failed for 204 alone ("CHECK( response.ends_with(Event(3)) ) false"); with only RequestFlow changed, "RequestFlow cuts no stream of a silent target before another one has responded" failed for 204 (id: 2 missing, stream cut). The other 15 continuations, the partial events and the other second calls passed before: they cannot happen here. Change: RequestFlow and HedgeCall take only status 200 for an event stream. The tests' response texts move to a header. Result: the tests pass.

--- a/src/serving/HedgeCall.cpp
+++ b/src/serving/HedgeCall.cpp
@@ -58,10 +58,13 @@
   }
   const HttpResponse& response = *this->Head();
   const TargetHead targetHead = this->context.protocol.ReadHead(response);
-  return to_status_class(response.result()) ==
-           boost::beast::http::status_class::successful &&
-         !targetHead.notRun && targetHead.isSigned && !targetHead.isEncoded &&
-         targetHead.isEventStream == aIsStream;
+  namespace http = boost::beast::http;
+  // Other statuses of success, such as 204, have no events.
+  const bool isSuccess = aIsStream ? response.result() == http::status::ok
+                                   : to_status_class(response.result()) ==
+                                       http::status_class::successful;
+  return isSuccess && !targetHead.notRun && targetHead.isSigned &&
+         !targetHead.isEncoded && targetHead.isEventStream == aIsStream;
 }
 
 } // namespace apricottrack
--- a/src/serving/RequestFlow.cpp
+++ b/src/serving/RequestFlow.cpp
@@ -278,7 +278,9 @@
     this->lastError.detail = "response is unsigned or has a content encoding";
     co_return CallEnd::kTruncated;
   }
-  if (success && targetHead.isEventStream && this->IsStream()) {
+  // Other statuses of success, such as 204, have no events.
+  if (aHead.result() == http::status::ok && targetHead.isEventStream &&
+      this->IsStream()) {
     co_return co_await this->RelayEvents(aCall, aHead);
   }
   if (this->streamStarted) {
--- a/tests/HedgeCallTest.cpp
+++ b/tests/HedgeCallTest.cpp
@@ -1,5 +1,6 @@
 #include "serving/HedgeCall.h"
 #include "ServingHarness.h"
+#include "TargetResponses.h"
 
 using namespace apricottrack;
 
@@ -8,22 +9,6 @@
 /// Limit for tests that end by themselves within a second or two.
 constexpr Duration kTestLimit = seconds(20);
 
-std::string
-StreamHead(const std::string& aAttempt)
-{
-  return fmt::format("HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n"
-                     "X-Signed: 1\r\nX-Attempt: {}\r\n"
-                     "Transfer-Encoding: chunked\r\n\r\n",
-                     aAttempt);
-}
-
-std::string
-Event(int aId)
-{
-  const std::string text = fmt::format("id: {}\ndata: x\n\n", aId);
-  return fmt::format("{:x}\r\n{}\r\n", text.size(), text);
-}
-
 std::size_t
 Count(const std::string& aText, const std::string& aPart)
 {
@@ -48,6 +33,9 @@
 {
   kAnswer,
   kRefuse,
+  kFail,
+  kSendUnsignedStream,
+  kSendNoContent,
   kCloseConnection,
   kStaySilent,
   kAnswerLate,
@@ -176,6 +164,22 @@
         co_await aConnection.Write("HTTP/1.1 503 X\r\nX-Not-Run: 1\r\n"
                                    "Content-Length: 0\r\n\r\n");
         break;
+      case OtherTargets::kFail:
+        co_await aConnection.Write(
+          PlainResponse(500,
+                        "X-Signed: 1\r\nContent-Type: text/event-stream\r\n",
+                        "id: 2\ndata: failed\n\n"));
+        break;
+      case OtherTargets::kSendUnsignedStream:
+        co_await aConnection.Write(
+          PlainResponse(200,
+                        "Content-Type: text/event-stream\r\n",
+                        "id: 2\ndata: failed\n\n"));
+        break;
+      case OtherTargets::kSendNoContent:
+        co_await aConnection.Write("HTTP/1.1 204 No Content\r\nX-Signed: 1\r\n"
+                                   "Content-Type: text/event-stream\r\n\r\n");
+        break;
       case OtherTargets::kCloseConnection:
         break;
       case OtherTargets::kStaySilent:
@@ -216,6 +220,9 @@
           "has responded")
 {
   const auto others = GENERATE(OtherTargets::kRefuse,
+                               OtherTargets::kFail,
+                               OtherTargets::kSendUnsignedStream,
+                               OtherTargets::kSendNoContent,
                                OtherTargets::kCloseConnection,
                                OtherTargets::kStaySilent);
   SilentTargetHarness harness(others);
--- a/tests/RequestFlowTest.cpp
+++ b/tests/RequestFlowTest.cpp
@@ -1,4 +1,4 @@
-#include "ServingHarness.h"
+#include "TargetResponses.h"
 
 using namespace apricottrack;
 
@@ -7,55 +7,6 @@
 /// Limit for tests that end by themselves within a second or two.
 constexpr Duration kTestLimit = seconds(20);
 
-std::string
-StreamHead(const std::string& aAttempt)
-{
-  return fmt::format("HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n"
-                     "X-Signed: 1\r\nX-Attempt: {}\r\n"
-                     "Transfer-Encoding: chunked\r\n\r\n",
-                     aAttempt);
-}
-
-std::string
-Chunk(const std::string& aText)
-{
-  return fmt::format("{:x}\r\n{}\r\n", aText.size(), aText);
-}
-
-std::string
-Event(int aId)
-{
-  return Chunk(fmt::format("id: {}\ndata: x\n\n", aId));
-}
-
-std::string
-PlainResponse(int aStatus,
-              const std::string& aHeaders,
-              const std::string& aBody)
-{
-  return fmt::format("HTTP/1.1 {} X\r\n{}Content-Length: {}\r\n\r\n{}",
-                     aStatus,
-                     aHeaders,
-                     aBody.size(),
-                     aBody);
-}
-
-/// Answers the first connection of any target with events 1 to 3 and closes it,
-/// and the second with `aResumed`.
-ServingHarness::Script
-BreakThenAnswer(std::shared_ptr<int> aCalls, std::string aResumed)
-{
-  return [aCalls, aResumed](TargetConnection& aConnection, int) -> Task<void> {
-    co_await aConnection.ReadRequest();
-    if ((*aCalls)++ == 0) {
-      co_await aConnection.Write(StreamHead("a") + Event(1) + Event(2) +
-                                 Event(3));
-    } else {
-      co_await aConnection.Write(aResumed);
-    }
-  };
-}
-
 } // namespace
 
 TEST_CASE("RequestFlow resumes a broken stream at another target")
