Send a request without an id on a new connection

Cause: on a kept connection only the id tells responses apart; an empty one equals the missing one of the copy. Evidence: "RequestFlow returns no second copy of a response to a request without an id" failed without the change: "CHECK_FALSE( second.ends_with("first") )". The other tests of the file passed before: a second copy of a refusal, with the earlier id or none, is dropped; requests that may run once use a new connection. Change: a request without an id takes no connection from the pool. Result: the tests pass.

--- a/src/serving/RequestFlow.cpp
+++ b/src/serving/RequestFlow.cpp
@@ -174,8 +174,10 @@
            .message = this->context.protocol.MakeRequest(
              this->exchange.Request(), instructions),
            .attemptId = this->caller.attemptId,
-           // A closed kept connection hides whether the request ran.
-           .mayReuse = this->admittedRequest.route->IsRepeatable(),
+           // A closed kept connection hides whether the request ran. On one,
+           // only the id tells the response from a copy of an earlier one.
+           .mayReuse = this->admittedRequest.route->IsRepeatable() &&
+                       !this->caller.attemptId.empty(),
            .deadline = this->admittedRequest.deadline };
 }
 
