Plan with all targets after following another planner

Cause: the planner's node sends only the targets that serve. A node that follows it and reads the store again had two ways to keep that part for the whole: its watch outlived the time in between, if that fell between two polls, and listed nothing anew; or a late answer of the former planner, whose own reads were old, replaced what the node had just listed.

A watch ends when its task was inactive in between, and an answer with old reads changes nothing at a node that reads the store itself or leads. Both tests fail without the change.

--- a/src/serving/FleetTask.cpp
+++ b/src/serving/FleetTask.cpp
@@ -58,6 +58,7 @@
 {
   if (aActive && !this->active) {
     this->listedSince.reset();
+    ++this->activations;
     this->isStoreReachable = this->isStoreReachable || aStoreWasAvailable;
   }
   this->active = aActive;
@@ -88,15 +89,16 @@
       co_await timer.async_wait(kAsTuple);
       continue;
     }
+    const std::int64_t activation = this->activations;
     const Revision revision = co_await this->ListAll();
     if (revision > 0) {
       delay = this->options.minRetryDelay;
       const Error watchError = co_await this->store.Watch(
         this->context.protocol.TargetPrefix(),
         revision + 1,
-        [this](const std::vector<KeyValue>& aChanges) {
+        [this, activation](const std::vector<KeyValue>& aChanges) {
           const Instant now = MonotonicNow();
-          if (!this->active) {
+          if (!this->active || this->activations != activation) {
             return false;
           }
           this->lastContactAt = now;
@@ -108,7 +110,7 @@
           }
           return this->active;
         });
-      if (!this->active) {
+      if (!this->active || this->activations != activation) {
         continue;
       }
       LogLine("fleet_watch_ended").With(watchError).Warn();
@@ -122,12 +124,13 @@
 Task<Revision>
 FleetTask::ListAll()
 {
+  const std::int64_t activation = this->activations;
   Revision revision = 0;
   const auto items =
     co_await this->store.List(this->context.protocol.TargetPrefix(), revision);
   const Instant now = MonotonicNow();
-  if (!this->active) {
-    // The planner's node is followed again; what it sent may be newer.
+  if (!this->active || this->activations != activation) {
+    // The planner's node was followed; what it sent may be newer.
     co_return 0;
   }
   if (!items) {
--- a/src/serving/FleetTask.h
+++ b/src/serving/FleetTask.h
@@ -65,6 +65,9 @@
   Options options;
   std::function<void()> onChange;
   bool active = false;
+  /// Counts the times that this task became active. What a watch knows is void
+  /// once the fleet was received from the planner's node in between.
+  std::int64_t activations = 0;
   bool isPlanner = false;
   Instant lastContactAt;
   /// The last listing of the store succeeded.
--- a/src/serving/FollowTask.cpp
+++ b/src/serving/FollowTask.cpp
@@ -178,6 +178,13 @@
   this->lossesReportedUpTo =
     answer->source == this->crashReportsSource ? now : Instant{};
   this->crashReportsSource = answer->source;
+  const bool hasRecentReads =
+    answer->catalogAge < this->options.maxStoreReadAge &&
+    answer->fleetAge < this->options.maxStoreReadAge;
+  if (this->leads || (this->readsStore && !hasRecentReads)) {
+    // The planner's node sends fewer targets than this node has read.
+    co_return false;
+  }
   this->ApplyAnswer(*answer, MonotonicNow());
   // The planner built the answer after the query was sent, so the age that it
   // states is counted back from the sending time. The verification then never
@@ -196,8 +203,7 @@
       co_return false;
     }
   }
-  co_return answer->catalogAge < this->options.maxStoreReadAge &&
-    answer->fleetAge < this->options.maxStoreReadAge;
+  co_return hasRecentReads;
 }
 
 void
--- a/src/serving/RequestFlowHedging.cpp
+++ b/src/serving/RequestFlowHedging.cpp
@@ -137,6 +137,7 @@
   const std::shared_ptr<HedgeCall> cancelled =
     std::exchange(this->hedge, nullptr);
   cancelled->Cancel();
+  this->context.counters.Add("hedges_cancelled");
   this->context.loads.OnEnded(cancelled->Target().id);
   this->context.stalls.OnEnded(cancelled->Target().id, false);
   this->CountCall(cancelled->Call(), CallEnd::kNoAnswer);
--- a/tests/FollowTaskTest.cpp
+++ b/tests/FollowTaskTest.cpp
@@ -181,3 +181,52 @@
     CHECK(store.listCalls > 0);
   }
 }
+
+// Guards against a planner that plans with a part of the targets, because the
+// answer of the previous one replaced what it had read.
+TEST_CASE("FollowTask keeps the targets that it has read over those of a "
+          "planner with old reads")
+{
+  ServingHarness harness;
+  UnreachableStore store;
+  CatalogTask catalog(harness.context, store, CatalogTask::Options{}, [] {});
+  FleetTask fleet(harness.context, store, FleetTask::Options{}, [] {});
+  FollowTask task(harness.context,
+                  catalog,
+                  fleet,
+                  FollowTask::Options{ .plannerTimeout = milliseconds(50) },
+                  [] {});
+  const std::string address = ServingHarness::FreeAddress(harness.io);
+  Duration fleetAge = seconds(5);
+  const auto planner =
+    *PeerServer::Make(harness.io.get_executor(),
+                      address,
+                      [&](PeerMessage) -> Task<std::optional<PeerMessage>> {
+                        asio::steady_timer timer(harness.io, milliseconds(20));
+                        co_await timer.async_wait(kAsTuple);
+                        co_return FleetAnswer{ .source = "p",
+                                               .leads = true,
+                                               .sequence = 1,
+                                               .fleetAge = fleetAge,
+                                               .complete = true };
+                      });
+  task.Start();
+  harness.io.run_for(milliseconds(200));
+  harness.context.fleet.Put({ .id = "t", .service = "app" }, MonotonicNow());
+  task.SetPlannerAddress(address);
+  harness.io.run_for(milliseconds(300));
+  CHECK(harness.context.fleet.Find("t") != nullptr);
+  SECTION("until the planner's reads are recent")
+  {
+    fleetAge = Duration::zero();
+    harness.io.run_for(milliseconds(300));
+    CHECK(harness.context.fleet.Find("t") == nullptr);
+  }
+  SECTION("and when it becomes the planner itself")
+  {
+    fleetAge = Duration::zero();
+    task.SetIsPlanner(true);
+    harness.io.run_for(milliseconds(300));
+    CHECK(harness.context.fleet.Find("t") != nullptr);
+  }
+}
--- a/tests/RestoredStoreTasksTest.cpp
+++ b/tests/RestoredStoreTasksTest.cpp
@@ -441,3 +441,15 @@
   REQUIRE(harness.RunUntil([&] { return task.ListedSince().has_value(); }));
   CHECK(harness.context.fleet.Find("t") == nullptr);
 }
+
+// Guards against a planner that plans with the part of the targets that the
+// previous one had sent.
+TEST_CASE("FleetTask lists the targets again after it was inactive between two "
+          "polls of its watch")
+{
+  FleetNode node({ { "a", Entry("ready") }, { "b", Entry("ready") } });
+  node.task.SetActive(false, true);
+  node.context.fleet.RemoveNow("b", MonotonicNow());
+  node.task.SetActive(true, true);
+  CHECK(node.RunUntil([&] { return node.Has("b"); }));
+}
