Verify no first read of the catalog right after a known restore

CatalogTask counted restores from its own first read on. If another task of the node had seen the restore before, that read verified the catalog at once, though a revocation might be missing in the restored store. It counts from the first call of the node now. Found in review; the test fails without the change by reading, it was not run there.

--- a/src/serving/CatalogTask.cpp
+++ b/src/serving/CatalogTask.cpp
@@ -93,7 +93,7 @@
     this->recoveredAt = now;
   }
   const std::int64_t restores = this->store.RestoreCount();
-  if (this->restoreCount && *this->restoreCount != restores) {
+  if (this->restoreCount != restores) {
     this->restoredAt = now;
   }
   this->restoreCount = restores;
--- a/src/serving/CatalogTask.h
+++ b/src/serving/CatalogTask.h
@@ -101,8 +101,8 @@
   /// Revision of a document that is older than the one in force, which the
   /// store holds since it was restored; zero if it holds none.
   Revision outdatedRevision = 0;
-  /// RestoreCount at the last read; none before the first.
-  std::optional<std::int64_t> restoreCount;
+  /// RestoreCount at the last read.
+  std::int64_t restoreCount = 0;
   /// When a read first showed the last restore.
   std::optional<Instant> restoredAt;
   std::string document;
--- a/tests/RestoredStoreTasksTest.cpp
+++ b/tests/RestoredStoreTasksTest.cpp
@@ -218,6 +218,22 @@
   CHECK(node.VerifiedAt() > verifiedAt);
 }
 
+// Another task of the node may have seen both the first era and the restore.
+TEST_CASE("CatalogTask verifies its first read some time after a restore that "
+          "is known")
+{
+  CatalogNode node;
+  node.Put(1);
+  node.standin.TakeCopy();
+  REQUIRE(node.Await(node.store.Get("other")));
+  node.RestoreAndTell(node.store);
+  node.Read();
+  CHECK(node.VerifiedAt() == Instant{});
+  node.RunFor(milliseconds(60));
+  node.Read();
+  CHECK(node.VerifiedAt() > Instant{});
+}
+
 TEST_CASE("FleetTask does not bring back a target that had left before the "
           "restore")
 {
