Hold entries of a restored store back only where they are older

After a restore, Fleet ignored the entry of each known target until it changed, and remembered targets that only the planner's node had left out as removed. A node that followed a planner for a while and then read the store again would have missed every target whose entry had not changed, without end, and could have planned with the rest.

RestoredEntries holds back an entry only if it is older than what is known, for six seconds at most, and then applies it; it remembers only targets that the store had removed. An entry of the same epoch wins over the known membership, as it may have been written after the restore. A second restore extends the grace period of absent entries.

--- a/src/fleet/Fleet.cpp
+++ b/src/fleet/Fleet.cpp
@@ -4,30 +4,6 @@
 
 namespace apricottrack {
 
-namespace {
-
-/// Joins what is known of a target with its entry in a store that was restored
-/// from an older copy. The entry may be older than the known record or have
-/// been written after the restore.
-TargetRecord
-MergeRestored(const TargetRecord& aKnown, TargetRecord aEntry)
-{
-  if (aKnown.startedAt != aEntry.startedAt) {
-    return aKnown.startedAt > aEntry.startedAt ? aKnown : aEntry;
-  }
-  aEntry.leaving = aEntry.leaving || aKnown.leaving;
-  if (aKnown.membership && (!aEntry.membership || aEntry.membership->epoch <=
-                                                    aKnown.membership->epoch)) {
-    aEntry.membership = aKnown.membership;
-    aEntry.model = aKnown.model;
-    aEntry.stagedModels = aKnown.stagedModels;
-    aEntry.busy = aKnown.busy;
-  }
-  return aEntry;
-}
-
-} // namespace
-
 void
 Fleet::Put(TargetRecord aRecord, Instant aNow)
 {
@@ -36,12 +12,12 @@
       aRecord.revision < known->second.revision) {
     return;
   }
-  if (this->IsRestoredEntry(aRecord, aNow)) {
+  if (this->restoredEntries.IsHeld(aRecord, aNow)) {
     return;
   }
-  this->restoredEntries.erase(aRecord.id);
-  this->removed.erase(aRecord.id);
   const std::string id = aRecord.id;
+  this->restoredEntries.Release(id);
+  this->restoredEntries.OnListed(id);
   this->graceEnds.erase(id);
   if (known == this->records.end() || known->second != aRecord) {
     this->changeSequences[id] = ++this->sequence;
@@ -51,20 +27,25 @@
 }
 
 void
-Fleet::RemoveNow(const std::string& aId, Instant aNow)
+Fleet::RemoveNow(const std::string& aId)
 {
   this->graceEnds.erase(aId);
-  const auto known = this->records.find(aId);
-  if (known != this->records.end()) {
-    this->removed[aId] = { .startedAt = known->second.startedAt,
-                           .removedAt = aNow };
-    this->records.erase(known);
+  if (this->records.erase(aId) > 0) {
     this->changeSequences[aId] = ++this->sequence;
     this->changedAt.erase(aId);
     this->PruneHistory();
   }
 }
 
+void
+Fleet::RemoveGone(const std::string& aId, Instant aNow)
+{
+  if (const TargetRecord* const known = this->Find(aId)) {
+    this->restoredEntries.OnRemoved(*known, aNow);
+  }
+  this->RemoveNow(aId);
+}
+
 void
 Fleet::PruneHistory()
 {
@@ -103,11 +84,12 @@
 void
 Fleet::Remove(const std::string& aId, Instant aNow)
 {
+  this->restoredEntries.Release(aId);
   if (this->storeRecoveredAt == Instant::min() ||
       aNow - this->storeRecoveredAt >= this->options.absenceGrace) {
-    this->RemoveNow(aId, aNow);
+    this->RemoveGone(aId, aNow);
   } else if (this->records.contains(aId)) {
-    this->graceEnds.emplace(
+    this->graceEnds.insert_or_assign(
       aId, this->storeRecoveredAt + this->options.absenceGrace);
   }
 }
@@ -121,13 +103,20 @@
   for (const auto& [id, record] : this->records) {
     absent.insert(id);
   }
+  std::set<std::string> listed;
   for (TargetRecord& record : aRecords) {
+    listed.insert(record.id);
     absent.erase(record.id);
     this->Put(std::move(record), aNow);
   }
+  if (aRemoval == Removal::kImmediate) {
+    this->restoredEntries.Clear();
+  } else {
+    this->restoredEntries.RetainOnly(listed);
+  }
   for (const std::string& id : absent) {
     if (aRemoval == Removal::kImmediate) {
-      this->RemoveNow(id, aNow);
+      this->RemoveNow(id);
     } else {
       this->Remove(id, aNow);
     }
@@ -137,55 +126,25 @@
 void
 Fleet::ReplaceAllRestored(std::vector<TargetRecord> aRecords, Instant aNow)
 {
-  this->ForgetRemoved(aNow);
-  this->restoredEntries.clear();
-  std::map<std::string, RestoredEntry, std::less<>> entries;
-  for (TargetRecord& record : aRecords) {
-    if (const TargetRecord* const known = this->Find(record.id)) {
-      const std::int64_t revision = record.revision;
-      record = MergeRestored(*known, std::move(record));
-      record.revision = revision;
-      entries[record.id] = { .revision = revision,
-                             .ignoredUntil = Instant::max() };
-      continue;
-    }
-    const auto gone = this->removed.find(record.id);
-    if (gone != this->removed.end() &&
-        record.startedAt <= gone->second.startedAt) {
-      this->restoredEntries[record.id] = {
-        .revision = record.revision,
-        .ignoredUntil = aNow + this->options.restoredEntryDelay
-      };
+  RestoredEntries resolved = this->restoredEntries;
+  resolved.Clear();
+  std::vector<TargetRecord> records;
+  for (const TargetRecord& entry : aRecords) {
+    if (auto record = resolved.Resolve(entry, this->Find(entry.id), aNow)) {
+      records.push_back(std::move(*record));
     }
   }
+  // The merged records have the revisions of the entries that are held back.
+  this->restoredEntries.Clear();
   this->OnStoreRecovered(aNow);
-  this->ReplaceAll(std::move(aRecords), Removal::kWithGrace, aNow);
-  // Only now, so that the merged records were applied.
-  this->restoredEntries.merge(entries);
-}
-
-bool
-Fleet::IsRestoredEntry(const TargetRecord& aRecord, Instant aNow) const
-{
-  const auto entry = this->restoredEntries.find(aRecord.id);
-  return entry != this->restoredEntries.end() &&
-         entry->second.revision == aRecord.revision &&
-         aNow < entry->second.ignoredUntil;
-}
-
-void
-Fleet::ForgetRemoved(Instant aNow)
-{
-  std::erase_if(this->removed, [&](const auto& aEntry) {
-    return aNow - aEntry.second.removedAt > this->options.removedMemory;
-  });
+  this->ReplaceAll(std::move(records), Removal::kWithGrace, aNow);
+  this->restoredEntries = std::move(resolved);
 }
 
 bool
 Fleet::RemoveExpired(Instant aNow)
 {
-  this->ForgetRemoved(aNow);
-  bool removed = false;
+  bool changed = false;
   for (auto it = this->graceEnds.begin(); it != this->graceEnds.end();) {
     if (aNow < it->second) {
       ++it;
@@ -193,10 +152,14 @@
     }
     const std::string id = it->first;
     ++it;
-    this->RemoveNow(id, aNow);
-    removed = true;
+    this->RemoveGone(id, aNow);
+    changed = true;
+  }
+  for (TargetRecord& entry : this->restoredEntries.TakeDue(aNow)) {
+    this->Put(std::move(entry), aNow);
+    changed = true;
   }
-  return removed;
+  return changed;
 }
 
 Instant
--- a/src/fleet/Fleet.h
+++ b/src/fleet/Fleet.h
@@ -1,6 +1,7 @@
 #ifndef APRICOTTRACK_FLEET_FLEET_H
 #define APRICOTTRACK_FLEET_FLEET_H
 
+#include "fleet/RestoredEntries.h"
 #include "fleet/TargetRecord.h"
 
 #include <functional>
@@ -26,13 +27,6 @@
     Duration absenceGrace = milliseconds(2200);
     /// Maximum number of removed targets that `ChangesSince` still reports.
     std::size_t maxRemovedKept = 200;
-    /// How long removed targets are remembered, so that an older copy of the
-    /// store cannot bring them back.
-    Duration removedMemory = seconds(60);
-    /// After a restore of the store, the entry of a removed target is ignored
-    /// for this long unless it changes. Entries of targets that are gone expire
-    /// within it.
-    Duration restoredEntryDelay = seconds(6);
   };
 
   using Records = std::map<std::string, TargetRecord, std::less<>>;
@@ -56,7 +50,7 @@
 
   /// Removes a target without a grace period, as another node has found it to
   /// be unusable.
-  void RemoveNow(const std::string& aId, Instant aNow);
+  void RemoveNow(const std::string& aId);
 
   /// How `ReplaceAll` removes the targets that are not listed.
   enum class Removal
@@ -81,8 +75,8 @@
   /// Starts the grace period: the store responds again after an outage.
   void OnStoreRecovered(Instant aNow) { this->storeRecoveredAt = aNow; }
 
-  /// Removes absent entries whose grace period has ended; true if there were
-  /// any.
+  /// Removes absent entries whose grace period has ended and applies entries of
+  /// a restored store that were held back; true if there were any.
   bool RemoveExpired(Instant aNow);
 
   /// Sequence number of the last change; increases with each change.
@@ -111,25 +105,8 @@
   std::map<std::string, Instant, std::less<>> graceEnds;
   /// Instant::min() until the store has recovered from an outage.
   Instant storeRecoveredAt = Instant::min();
-  /// A target that was removed.
-  struct RemovedTarget
-  {
-    UnixMillis startedAt = 0;
-    Instant removedAt;
-  };
-
-  /// The entry of a target in a restored store, which may be older than what is
-  /// known of the target.
-  struct RestoredEntry
-  {
-    std::int64_t revision = 0;
-    /// The entry is ignored until then, unless it changes.
-    Instant ignoredUntil;
-  };
-
-  /// Returns true if the record is an unchanged entry of a restored store.
-  bool IsRestoredEntry(const TargetRecord& aRecord, Instant aNow) const;
-  void ForgetRemoved(Instant aNow);
+  /// Removes a target that the store no longer lists.
+  void RemoveGone(const std::string& aId, Instant aNow);
   /// Deletes all removed targets from the history once there are more than
   /// `maxRemovedKept`.
   void PruneHistory();
@@ -139,8 +116,7 @@
   std::uint64_t prunedUpTo = 0;
   /// Sequence number of each target's last change, removed targets included.
   std::map<std::string, std::uint64_t, std::less<>> changeSequences;
-  std::map<std::string, RemovedTarget, std::less<>> removed;
-  std::map<std::string, RestoredEntry, std::less<>> restoredEntries;
+  RestoredEntries restoredEntries{ RestoredEntries::Options{} };
   /// Time of each known target's last change.
   std::map<std::string, Instant, std::less<>> changedAt;
 };
--- a/src/serving/FollowTask.cpp
+++ b/src/serving/FollowTask.cpp
@@ -242,7 +242,7 @@
       this->context.fleet.Put(record, aNow);
     }
     for (const std::string& id : aAnswer.gone) {
-      this->context.fleet.RemoveNow(id, aNow);
+      this->context.fleet.RemoveNow(id);
     }
   }
   if (aAnswer.nodes > 0) {
--- a/tests/FleetTest.cpp
+++ b/tests/FleetTest.cpp
@@ -186,7 +186,7 @@
   }
   fleet.OnStoreRecovered(kStart);
   fleet.Remove("a", kStart);
-  fleet.RemoveNow("a", kStart);
+  fleet.RemoveNow("a");
   CHECK(fleet.Find("a") == nullptr);
   fleet.ReplaceAll({ MakeTarget("c", 1) }, Fleet::Removal::kImmediate, kStart);
   CHECK(fleet.Find("b") == nullptr);
--- a/tests/RestoredStoreTasksTest.cpp
+++ b/tests/RestoredStoreTasksTest.cpp
@@ -465,7 +465,7 @@
 {
   FleetNode node({ { "a", Entry("ready") }, { "b", Entry("ready") } });
   node.task.SetActive(false, true);
-  node.context.fleet.RemoveNow("b", MonotonicNow());
+  node.context.fleet.RemoveNow("b");
   node.task.SetActive(true, true);
   CHECK(node.RunUntil([&] { return node.Has("b"); }));
 }
