List the targets again after an answer that was not followed

A planner's answer replaces the fleet before the catalog is read from the store. If that read failed, the node went on reading the store itself, with a watch over the part of the targets that the planner sends. The targets are then listed again. An answer with old reads leaves only the targets as they are; what else it says is applied. Found in review; the test of FleetTask fails without OnFleetReplaced, which it calls.

--- a/src/serving/FleetTask.cpp
+++ b/src/serving/FleetTask.cpp
@@ -70,6 +70,15 @@
   this->restoreCount = this->store.RestoreCount();
 }
 
+void
+FleetTask::OnFleetReplaced()
+{
+  if (this->active) {
+    this->listedSince.reset();
+    ++this->activations;
+  }
+}
+
 void
 FleetTask::SetIsPlanner(bool aIsPlanner)
 {
--- a/src/serving/FleetTask.h
+++ b/src/serving/FleetTask.h
@@ -34,9 +34,13 @@
   /// have then not expired, and their targets are gone.
   void SetActive(bool aActive, bool aStoreWasAvailable);
 
-  /// Records that the fleet is the one that the planner's node has sent.
+  /// Records that this node follows the planner's node, whose fleet it has.
   void OnPlannerFollowed();
 
+  /// The planner's node has sent its fleet, but is not followed: lists the
+  /// targets again, of which that fleet is a part.
+  void OnFleetReplaced();
+
   /// Sets how often a watch polls: `aIsPlanner` is true on the planner's node,
   /// which has to see changes with little delay. Other nodes poll rarely to
   /// save store calls while there is no planner.
@@ -73,8 +77,8 @@
   /// The last listing of the store succeeded.
   bool isStoreReachable = false;
   std::optional<Instant> listedSince;
-  /// RestoreCount at the last listing, of this or the planner's node; none
-  /// before the first.
+  /// RestoreCount at the last listing or when the planner's node was last
+  /// followed; none before the first.
   std::optional<std::int64_t> restoreCount;
 };
 
--- a/src/serving/FollowTask.cpp
+++ b/src/serving/FollowTask.cpp
@@ -181,10 +181,13 @@
   const bool hasRecentReads =
     answer->catalogAge < this->options.maxStoreReadAge &&
     answer->fleetAge < this->options.maxStoreReadAge;
-  if (this->leads || (this->readsStore && !hasRecentReads)) {
-    // The planner's node sends fewer targets than this node has read.
+  if (this->leads) {
     co_return false;
   }
+  // The planner's node sends fewer targets than this node has read.
+  if (!this->readsStore || hasRecentReads) {
+    this->ApplyTargets(*answer, MonotonicNow());
+  }
   this->ApplyAnswer(*answer, MonotonicNow());
   // The planner built the answer after the query was sent, so the age that it
   // states is counted back from the sending time. The verification then never
@@ -200,10 +203,11 @@
   } else if (answer->catalogRevision > this->catalog.SeenRevision()) {
     const bool succeeded = co_await this->ReadCatalogFromStore();
     if (!succeeded) {
+      this->fleet.OnFleetReplaced();
       co_return false;
     }
   }
-  co_return hasRecentReads;
+  co_return hasRecentReads && !this->leads;
 }
 
 void
@@ -232,7 +236,7 @@
 }
 
 void
-FollowTask::ApplyAnswer(const FleetAnswer& aAnswer, Instant aNow)
+FollowTask::ApplyTargets(const FleetAnswer& aAnswer, Instant aNow)
 {
   if (aAnswer.complete) {
     this->context.fleet.ReplaceAll(
@@ -245,6 +249,13 @@
       this->context.fleet.RemoveNow(id);
     }
   }
+  this->source = aAnswer.source;
+  this->sequence = aAnswer.sequence;
+}
+
+void
+FollowTask::ApplyAnswer(const FleetAnswer& aAnswer, Instant aNow)
+{
   if (aAnswer.nodes > 0) {
     this->context.nodeCount = aAnswer.nodes;
   }
@@ -252,8 +263,6 @@
   for (const LoadSample& sample : aAnswer.loads) {
     this->context.loads.OnForwardedReport(sample, aNow);
   }
-  this->source = aAnswer.source;
-  this->sequence = aAnswer.sequence;
   // The ReplicaKey of each replica that lost a member, and of each one that the
   // planner confirms as intact.
   std::set<std::string> broken(aAnswer.broken.begin(), aAnswer.broken.end());
--- a/src/serving/FollowTask.h
+++ b/src/serving/FollowTask.h
@@ -98,6 +98,9 @@
   /// Reads the catalog from the store. Returns false if the read failed, or was
   /// skipped because `catalogRetryInterval` has not passed since a failed one.
   Task<bool> ReadCatalogFromStore();
+  /// Applies the targets of an answer to the fleet.
+  void ApplyTargets(const FleetAnswer& aAnswer, Instant aNow);
+  /// Applies everything else but the catalog.
   void ApplyAnswer(const FleetAnswer& aAnswer, Instant aNow);
   /// Adds what the planner needs to attribute crashes to prompt parts.
   void AddCrashReports(FleetQuestion& aQuestion, Instant aNow) const;
--- a/tests/RestoredStoreTasksTest.cpp
+++ b/tests/RestoredStoreTasksTest.cpp
@@ -460,6 +460,16 @@
 
 // Guards against a planner that plans with the part of the targets that the
 // previous one had sent.
+TEST_CASE(
+  "FleetTask lists the targets again after the planner's fleet replaced "
+  "them")
+{
+  FleetNode node({ { "a", Entry("ready") }, { "b", Entry("ready") } });
+  node.context.fleet.RemoveNow("b");
+  node.task.OnFleetReplaced();
+  CHECK(node.RunUntil([&] { return node.Has("b"); }));
+}
+
 TEST_CASE("FleetTask lists the targets again after it was inactive between two "
           "polls of its watch")
 {
