--- a/src/serving/ServingNode.cpp
+++ b/src/serving/ServingNode.cpp
@@ -341,10 +341,9 @@
 bool
 ServingNode::Impl::EntriesSettled() const
 {
-  const Instant now = MonotonicNow();
   const auto& listedSince = this->fleetTask.ListedSince();
   return this->entriesTrustedAtTakeover ||
-         (listedSince && now - *listedSince > kEntryReturnTime);
+         (listedSince && MonotonicNow() - *listedSince > kEntryReturnTime);
 }
 
 bool
@@ -393,15 +392,14 @@
     if (!findings.suspected.empty()) {
       this->follower.ReportStalls(findings.suspected);
     }
-    for (const StallDetector::Stall& stall : findings.stalled) {
+    for (const auto& stall : findings.stalled) {
       LogLine("target_stalled")
         .With("target", stall.target)
         .With("own_requests",
               std::int64_t{ this->context.loads.OwnRequests(stall.target) })
         .With("streams", std::int64_t{ stall.startedResponses })
-        .With("silent_ms", std::int64_t{ stall.silence / milliseconds(1) })
-        .With("check_interval_ms",
-              std::int64_t{ findings.checkInterval / milliseconds(1) })
+        .With("silent_ms", stall.silence / milliseconds(1))
+        .With("check_interval_ms", findings.checkInterval / milliseconds(1))
         .Info();
       this->context.counters.Add("targets_stalled");
       this->HedgeCallsTo(stall.target);
--- a/tests/PlatformStoreTest.cpp
+++ b/tests/PlatformStoreTest.cpp
@@ -21,6 +21,9 @@
             const bool isWatch = target.starts_with("/kv-watch");
             response.result(isWatch ? this->watchStatus : 200);
             response.body() = isWatch ? this->watchBody : this->keyBody;
+            if (!this->era.empty()) {
+              response.set("Store-Era", this->era);
+            }
             if (target.starts_with("/kv-range")) {
               response.body() = this->rangeBody;
             }
@@ -56,6 +59,8 @@
   platform::PlatformStore store;
   std::vector<std::string> calls;
   std::string rangeBody;
+  /// Stated in responses, unless it is empty.
+  std::string era;
   unsigned watchStatus = 200;
   std::string watchBody = R"({"events":[],"store_revision":30})";
   std::string keyBody =
@@ -133,3 +138,20 @@
     CHECK(item.key == "a/1");
   }
 }
+
+// Guards against a refusal by something in between that looks like a restore.
+TEST_CASE("PlatformStore takes a response without a valid era for no restore")
+{
+  StoreStandin standin;
+  const std::string invalid = GENERATE("", "x", "-1", "99999999999999999999");
+  standin.era = invalid;
+  CHECK(standin.Ask(0).value);
+  standin.era = "3";
+  const Revision revision = standin.Ask(0).checkedRevision;
+  CHECK(standin.store.RestoreCount() == 0);
+  standin.era = invalid;
+  CHECK_FALSE(standin.Ask(revision).value);
+  standin.era = "4";
+  CHECK(standin.Ask(revision).value);
+  CHECK(standin.store.RestoreCount() == 1);
+}
