--- /dev/null
+++ b/review/lib/standins.py
@@ -0,0 +1,567 @@
+"""Small stand-ins of the platform, its runners and its clients on loopback.
+
+They follow the protocol page of the platform. All of them run in the event loop
+of the script that uses them; the nodes are processes of their own.
+"""
+
+import asyncio
+import base64
+import itertools
+import json
+import os
+import signal
+import socket
+import subprocess
+import sys
+import tempfile
+import time
+import urllib.parse
+
+ROOT = os.path.abspath(os.path.join(os.path.dirname(__file__), "../.."))
+DAEMON = os.path.join(ROOT, "target", "apricottrackd")
+TROUBLE = os.environ.get("TROUBLE", "1") != "0"
+HOST = "shop.example"
+KEY = "n2ctnfzs989anu6wsjnb"
+
+
+def now():
+    return time.monotonic()
+
+
+def free_port(ip="127.0.0.1"):
+    with socket.socket() as probe:
+        probe.bind((ip, 0))
+        return probe.getsockname()[1]
+
+
+class Record:
+    """What was sent, answered and run, one JSON object a line."""
+
+    def __init__(self, folder):
+        self.file = open(os.path.join(folder, "record.txt"), "w")
+        self.start = now()
+        self.lines = []
+
+    def add(self, what, **fields):
+        line = {"t": round(now() - self.start, 3), "what": what, **fields}
+        self.lines.append(line)
+        self.file.write(json.dumps(line) + "\n")
+        self.file.flush()
+
+
+class Http:
+    """Reads one message of HTTP/1.1."""
+
+    @staticmethod
+    async def head(reader):
+        raw = await reader.readuntil(b"\r\n\r\n")
+        lines = raw.decode("latin-1").split("\r\n")
+        headers = {}
+        for line in lines[1:]:
+            if ":" in line:
+                name, value = line.split(":", 1)
+                headers[name.strip().lower()] = value.strip()
+        return lines[0], headers
+
+    @staticmethod
+    async def body(reader, headers):
+        if "chunked" in headers.get("transfer-encoding", ""):
+            body = b""
+            while True:
+                size = int((await reader.readline()).split(b";")[0], 16)
+                part = await reader.readexactly(size + 2)
+                if size == 0:
+                    return body
+                body += part[:-2]
+        return await reader.readexactly(int(headers.get("content-length", 0)))
+
+    @staticmethod
+    def message(status, headers, body=b""):
+        lines = [f"HTTP/1.1 {status}"]
+        lines += [f"{name}: {value}" for name, value in headers.items()]
+        lines.append(f"Content-Length: {len(body)}")
+        return ("\r\n".join(lines) + "\r\n\r\n").encode() + body
+
+
+class Listener:
+    """Serves connections; close() resets nothing, it only ends them."""
+
+    def __init__(self):
+        self.server = None
+        self.tasks = set()
+
+    async def listen(self, ip, port=0):
+        self.server = await asyncio.start_server(self.connection, ip, port, limit=2**20)
+        self.address = "%s:%d" % self.server.sockets[0].getsockname()[:2]
+        return self.address
+
+    async def connection(self, reader, writer):
+        task = asyncio.current_task()
+        self.tasks.add(task)
+        try:
+            while True:
+                line, headers = await Http.head(reader)
+                body = await Http.body(reader, headers)
+                method, target, _ = line.split(" ", 2)
+                if not await self.handle(method, target, headers, body, writer):
+                    break
+        except (OSError, asyncio.IncompleteReadError, asyncio.CancelledError, ValueError):
+            pass
+        finally:
+            self.tasks.discard(task)
+            writer.close()
+
+    def close(self):
+        if self.server:
+            self.server.close()
+        for task in list(self.tasks):
+            task.cancel()
+
+
+class Store(Listener):
+    """The platform's metadata store. Loses what it has acknowledged only in
+    restore(), as in a drill, and then raises its era."""
+
+    def __init__(self, history=100000):
+        super().__init__()
+        self.items = {}
+        self.revision = 10
+        self.leases = {}
+        self.next_lease = itertools.count(77000)
+        self.events = []
+        self.era = 1
+        self.oldest = 0
+        self.changed = asyncio.Event()
+        self.up = True
+        self.refused = set()
+
+    def write(self, key, value, lease=0, revision=None):
+        if revision is None:
+            self.revision += 1
+            revision = self.revision
+        created = self.items[key]["created"] if key in self.items else revision
+        item = {"key": key, "value": base64.b64encode(value).decode(),
+                "revision": revision, "created": created, "lease": lease}
+        self.items[key] = item
+        self.events.append(item)
+        self.wake()
+
+    def put(self, key, document):
+        self.write(key, json.dumps(document).encode())
+
+    def remove(self, key, revision=None):
+        if key in self.items:
+            if revision is None:
+                self.revision += 1
+                revision = self.revision
+            del self.items[key]
+            self.events.append({"key": key, "revision": revision, "removed": True})
+            self.wake()
+
+    def wake(self):
+        event, self.changed = self.changed, asyncio.Event()
+        event.set()
+
+    def copy(self):
+        return json.loads(json.dumps([self.items, self.revision]))
+
+    def restore(self, copy):
+        self.items, self.revision = json.loads(json.dumps(copy))
+        for key in [k for k, i in self.items.items() if i["lease"]]:
+            del self.items[key]
+        self.leases, self.events = {}, []
+        self.oldest = self.revision
+        self.era += 1
+        self.wake()
+
+    def expire(self):
+        for lease, (_, ends) in list(self.leases.items()):
+            if now() >= ends:
+                self.end_lease(lease)
+
+    def end_lease(self, lease):
+        if self.leases.pop(lease, None):
+            for key in [k for k, i in self.items.items() if i["lease"] == lease]:
+                self.remove(key)
+
+    async def expire_always(self):
+        while True:
+            await asyncio.sleep(0.02)
+            if self.up:
+                self.expire()
+
+    async def handle(self, method, target, headers, body, writer):
+        if not self.up:
+            return False
+        status, answer = await self.answer(method, target, body)
+        if not self.up:
+            return False
+        text = json.dumps(answer).encode()
+        writer.write(Http.message(status, {"Content-Type": "application/json",
+                                           "Store-Era": self.era}, text))
+        await writer.drain()
+        return True
+
+    async def answer(self, method, target, body):
+        path, _, query = target.partition("?")
+        query = dict(urllib.parse.parse_qsl(query))
+        call = json.loads(body) if body else {}
+        if path == "/kv-key":
+            item = self.items.get(query["key"])
+            if item is None:
+                return "404 Not Found", {}
+            return "200 OK", {**item, "store_revision": self.revision}
+        if path == "/kv-range":
+            keys = sorted(k for k in self.items if k.startswith(query["prefix"])
+                          and k > query.get("after", ""))
+            return "200 OK", {"items": [self.items[k] for k in keys[:500]],
+                              "has_more": len(keys) > 500, "store_revision": self.revision}
+        if path == "/kv-watch":
+            return await self.watch(query["prefix"], int(query["after"]), int(query["wait_ms"]))
+        if path == "/kv-txn":
+            return self.txn(call)
+        if path == "/kv-lease":
+            ttl = max(1000, int(call["ttl_ms"]))
+            lease = next(self.next_lease)
+            self.leases[lease] = (ttl / 1000, now() + ttl / 1000)
+            return "200 OK", {"lease": lease, "ttl_ms": ttl}
+        lease = int(path.rsplit("/", 1)[1])
+        self.expire()
+        if lease not in self.leases:
+            return "404 Not Found", {}
+        ttl = self.leases[lease][0]
+        if path.startswith("/kv-keep/"):
+            self.leases[lease] = (ttl, now() + ttl)
+            return "200 OK", {"ttl_ms": int(ttl * 1000)}
+        self.end_lease(lease)
+        return "200 OK", {}
+
+    async def watch(self, prefix, after, wait_ms):
+        ends, era = now() + wait_ms / 1000, self.era
+        while True:
+            if era != self.era or after < self.oldest or after > self.revision:
+                return "410 Gone", {}
+            events = [e for e in self.events if e["revision"] > after
+                      and e["key"].startswith(prefix)]
+            left = ends - now()
+            if events or left <= 0:
+                return "200 OK", {"events": events, "store_revision": self.revision}
+            try:
+                await asyncio.wait_for(self.changed.wait(), left)
+            except asyncio.TimeoutError:
+                pass
+
+    def txn(self, call):
+        self.expire()
+        rows = call.get("precondition", [])
+        if any(self.items.get(r["key"], {"revision": 0})["revision"] != r["revision"]
+               for r in rows):
+            return "412 Precondition Failed", {
+                "items": [self.items[r["key"]] for r in rows if r["key"] in self.items]}
+        for put in call.get("puts", []):
+            if put.get("lease") and put["lease"] not in self.leases:
+                return "404 Not Found", {}
+        self.revision += 1
+        for put in call.get("puts", []):
+            self.write(put["key"], base64.b64decode(put["value"]), put.get("lease", 0),
+                       self.revision)
+        for key in call.get("remove", []):
+            self.remove(key, self.revision)
+        return "200 OK", {"revision": self.revision}
+
+
+class Runner(Listener):
+    """A runner of a plain service: `slots` requests at once, `work_s` each. A
+    request of a path with /stream/ gets events for `stream_s`."""
+
+    def __init__(self, store, record, name, service, zone, slots=26, work_s=0.03,
+                 stream_s=1.0):
+        super().__init__()
+        self.store, self.record = store, record
+        self.id, self.service, self.zone = name, service, zone
+        self.slots, self.work_s, self.stream_s = slots, work_s, stream_s
+        self.born = int(time.time() * 1000)
+        self.state = "ready"
+        self.active = 0
+        self.sequence = 0
+        self.listed = True
+        # Called with the request; returns True if it has answered by itself.
+        self.misbehave = None
+
+    def entry(self):
+        return {"service": self.service, "address": self.address, "zone": self.zone,
+                "version": "v1", "batch_slots": self.slots, "state": self.state,
+                "cold_remaining_ms": 0, "sequence": self.sequence, "born": self.born}
+
+    def beat(self):
+        if self.listed:
+            self.store.put("servers/" + self.id, self.entry())
+
+    async def beat_always(self):
+        while True:
+            if self.store.up:
+                self.beat()
+            await asyncio.sleep(1.2)
+
+    def headers(self, headers):
+        return {"Request-Attempt-Id": headers.get("request-attempt-id", ""),
+                "Response-Signature": "sig." + self.id,
+                "Server-Load": f"{self.active},0,{self.slots}"}
+
+    async def handle(self, method, target, headers, body, writer):
+        expected = headers.get("expect-instance")
+        if expected and expected != self.id:
+            writer.write(Http.message("421 Misdirected Request", {"Instance-Id": self.id}))
+            await writer.drain()
+            return True
+        return await self.serve(method, target, headers, body, writer)
+
+    async def serve(self, method, target, headers, body, writer):
+        attempt = headers.get("request-attempt-id", "")
+        if target == "/healthz":
+            writer.write(Http.message("200 OK", {"Instance-Id": self.id}))
+            await writer.drain()
+            return True
+        if self.active >= self.slots:
+            writer.write(Http.message("503 Service Unavailable", {
+                "Not-Executed": 1, "Request-Attempt-Id": attempt}))
+            await writer.drain()
+            return True
+        self.active += 1
+        self.record.add("run", runner=self.id, attempt=attempt, target=target)
+        try:
+            if self.misbehave and await self.misbehave(self, attempt, headers, writer):
+                return False
+            if "/stream/" in target:
+                await self.stream(headers, writer)
+                return True
+            await asyncio.sleep(self.work_s)
+            writer.write(Http.message("200 OK", self.headers(headers),
+                                      f"{attempt} by {self.id}\n".encode()))
+            await writer.drain()
+            return True
+        finally:
+            self.active -= 1
+
+    async def stream(self, headers, writer):
+        head = {**self.headers(headers), "Content-Type": "text/event-stream",
+                "Transfer-Encoding": "chunked"}
+        writer.write(("HTTP/1.1 200 OK\r\n" + "".join(
+            f"{n}: {v}\r\n" for n, v in head.items()) + "\r\n").encode())
+        count = max(1, int(self.stream_s / 0.05))
+        for number in range(int(headers.get("last-event-id", 0)) + 1, count + 1):
+            await asyncio.sleep(0.05)
+            event = f"id: {number}\ndata: piece {number}\n\n".encode()
+            writer.write(b"%x\r\n%s\r\n" % (len(event), event))
+            await writer.drain()
+        writer.write(b"0\r\n\r\n")
+        await writer.drain()
+
+
+class Node:
+    """One process of the daemon on an address of its own, started as the deploy
+    file says. The platform ends a process that needs more than memory_mb, and
+    starts a process that has ended again."""
+
+    def __init__(self, world, index, first_start=True, memory_mb=260, store=None):
+        self.world, self.memory_mb = world, memory_mb
+        self.name = f"edge-{index}"
+        self.ip = f"127.{10 + os.getpid() % 200}.{os.getpid() // 200 % 250}.{index + 1}"
+        self.zone = ["ie-south-a", "ie-south-b", "ie-south-c"][index % 3]
+        self.client = f"{self.ip}:{free_port(self.ip)}"
+        self.ready = f"{self.ip}:{free_port(self.ip)}"
+        self.peer = free_port(self.ip)
+        self.first_start = first_start
+        self.store = store or world.store.address
+        self.process = None
+        self.deaths = []
+        self.keep_running = True
+
+    def settings(self):
+        with open(os.path.join(ROOT, "deploy", "settings.toml.in")) as file:
+            text = file.read()
+        values = {
+            "{{node_name|json}}": json.dumps(self.name), "{{zone|json}}": json.dumps(self.zone),
+            "{{bind.client_addr|json}}": json.dumps(self.client), "{{ip}}": self.ip,
+            "{{internal_ports.0}}": str(self.peer),
+            "{{provider.address|json}}": json.dumps(self.store),
+            "{{bind.readiness|json}}": json.dumps(self.ready),
+            "{{contract_bounds.revoke_ms}}": "5000",
+            "{{contract_bounds.retry_budget_ratio}}": "0.2",
+            "{{contract_bounds.budget_slack}}": "130", "{{contract_bounds.grace_s}}": "8",
+            "{{contract_bounds.drain_ms}}": "2000",
+            "{{bootstrap}}": "true" if self.first_start else "false",
+            "{{limits.cpu_share}}": "0.25"}
+        for name, value in values.items():
+            text = text.replace(name, value)
+        if "{{" in text:
+            raise RuntimeError("the template of the settings has an unknown placeholder")
+        return text
+
+    def start(self):
+        path = os.path.join(self.world.folder, self.name + ".toml")
+        with open(path, "w") as file:
+            file.write(self.settings())
+        self.first_start = False
+        with open(os.path.join(self.world.folder, self.name + ".log"), "ab") as log:
+            self.process = subprocess.Popen(
+                [DAEMON], cwd=ROOT, stdout=log, stderr=log,
+                env={"PATH": os.environ["PATH"], "APRICOTTRACK_NODE_FILE": path})
+
+    def memory(self):
+        try:
+            with open(f"/proc/{self.process.pid}/status") as file:
+                for line in file:
+                    if line.startswith("VmRSS"):
+                        return int(line.split()[1]) / 1024
+        except OSError:
+            pass
+        return 0.0
+
+    async def supervise(self):
+        peak = 0
+        while self.keep_running:
+            await asyncio.sleep(0.01)
+            memory = self.memory()
+            peak = max(peak, memory)
+            if memory > self.memory_mb:
+                self.process.kill()
+            if self.process.poll() is None:
+                continue
+            self.process.wait()
+            why = "memory" if peak > self.memory_mb else "by itself"
+            self.deaths.append((now(), why))
+            self.world.record.add("node_ended", node=self.name, why=why,
+                                  code=self.process.returncode, peak_mb=round(peak))
+            await asyncio.sleep(1.0)
+            if self.keep_running:
+                self.start()
+                peak = 0
+
+    async def is_ready(self):
+        try:
+            status, _, _ = await asyncio.wait_for(call(self.ready, "GET", "/ready", {}), 1)
+            return status == 200
+        except (OSError, asyncio.TimeoutError, asyncio.IncompleteReadError):
+            return False
+
+
+async def call(address, method, path, headers, body=b""):
+    """One request on a new connection; returns status, headers and body."""
+    ip, port = address.split(":")
+    reader, writer = await asyncio.open_connection(ip, int(port), limit=2**20)
+    try:
+        lines = [f"{method} {path} HTTP/1.1"] + [f"{n}: {v}" for n, v in headers.items()]
+        if body or method == "POST":
+            lines.append(f"Content-Length: {len(body)}")
+        writer.write(("\r\n".join(lines) + "\r\n\r\n").encode() + body)
+        line, answer = await Http.head(reader)
+        return int(line.split()[1]), answer, await Http.body(reader, answer)
+    finally:
+        writer.close()
+
+
+class World:
+    """A small deployment and the record of one run."""
+
+    def __init__(self, folder):
+        self.folder = tempfile.mkdtemp(prefix="review-")
+        self.record = Record(folder)
+        self.nodes, self.runners, self.tasks = [], [], []
+        self.store = Store()
+        self.attempts = itertools.count(1)
+
+    def task(self, work):
+        self.tasks.append(asyncio.ensure_future(work))
+        return self.tasks[-1]
+
+    async def start(self, config, nodes, runners):
+        await self.store.listen("127.0.0.1")
+        self.task(self.store.expire_always())
+        self.store.put("op/config", config)
+        for runner in runners:
+            await runner.listen("127.0.0.1")
+            self.runners.append(runner)
+            self.task(runner.beat_always())
+        for index in range(nodes):
+            node = Node(self, index)
+            self.nodes.append(node)
+            node.start()
+            self.task(node.supervise())
+        ends = now() + 30
+        while now() < ends:
+            if all([await node.is_ready() for node in self.nodes]):
+                return
+            await asyncio.sleep(0.1)
+        raise RuntimeError("the nodes were not ready within 30 s")
+
+    def attempt(self):
+        return f"{next(self.attempts):016x}"
+
+    async def stop(self):
+        for node in self.nodes:
+            node.keep_running = False
+        for task in self.tasks:
+            task.cancel()
+        await asyncio.gather(*self.tasks, return_exceptions=True)
+        for node in self.nodes:
+            if node.process and node.process.poll() is None:
+                node.process.send_signal(signal.SIGCONT)
+                node.process.kill()
+            if node.process:
+                node.process.wait()
+        ended = []
+        for listener in [self.store, *self.runners]:
+            ended += listener.tasks
+            listener.close()
+        await asyncio.gather(*ended, return_exceptions=True)
+        await asyncio.sleep(0.1)
+
+
+def route(name, prefix, kind, service, **more):
+    return {"name": name, "host": HOST, "prefix": prefix, "kind": kind, "service": service,
+            "timeout_ms": 2500, "target_latency_ms": 150, "priority": 1, "attempts": 2,
+            "public": False, "sticky": False, "resumable": False, **more}
+
+
+def configuration(routes, services, version=1, keys=(KEY,)):
+    return {"version": version, "routes": routes, "services": services,
+            "limits": {"max_header_bytes": 16384, "max_body_bytes": 4194304,
+                       "header_timeout_ms": 3000, "idle_timeout_ms": 15000},
+            "tenants": [{"name": "hule930", "api_keys": list(keys), "priority": 1}]}
+
+
+def plain_service(name):
+    return {"name": name, "health_path": "/healthz", "max_connections": 96,
+            "protocol": "h1", "tls": False}
+
+
+def run(case):
+    """Runs a case: `case(world)` returns None if the rule held, else a text."""
+    folder = os.path.dirname(os.path.abspath(sys.argv[0]))
+    if not os.access(DAEMON, os.X_OK):
+        print("target/apricottrackd is missing: run the build of the deploy file")
+        sys.exit(2)
+
+    async def whole():
+        world = World(folder)
+        try:
+            return await asyncio.wait_for(case(world), 112), world
+        finally:
+            await world.stop()
+            if os.environ.get("SHOW_LOGS"):
+                print(world.folder)
+
+    loop = asyncio.new_event_loop()
+    asyncio.set_event_loop(loop)
+    try:
+        broken, world = loop.run_until_complete(whole())
+        world.record.add("result", broken=broken)
+        print(f"TROUBLE={int(TROUBLE)}:", broken or "the rule held")
+        code = 1 if broken else 0
+    except Exception as error:
+        print("the case could not run:", repr(error))
+        code = 2
+    sys.stdout.flush()
+    # Connections that are still open need no orderly end.
+    os._exit(code)
