--- a/review/lib/standins.py
+++ b/review/lib/standins.py
@@ -358,6 +358,240 @@
         await writer.drain()
 
 
+class Engine(Runner):
+    """A model runner: one member of a group of `size` runners, which the head
+    serves for. Weights load in load_s, or in warm_s from the host."""
+
+    STALL_S = 5.0
+    all = {}
+
+    def __init__(self, *args, domain="d0", load_s=1.0, warm_s=0.3, model_size=2, **kwargs):
+        super().__init__(*args, **kwargs)
+        self.domain, self.load_s, self.warm_s, self.size = domain, load_s, warm_s, model_size
+        self.group = None
+        self.list = []
+        self.model = self.last_model = ""
+        self.staged = []
+        self.seen_epoch = self.fence = 0
+        self.still_since = None
+        self.busy = False
+        self.life = 0
+        self.awake = asyncio.Event()
+        self.awake.set()
+        self.ended = asyncio.Event()
+        Engine.all[self.id] = self
+
+    def models(self):
+        return [{"name": self.model, "version": 1, "adapters": []}] if self.model else []
+
+    def entry(self):
+        entry = {**super().entry(), "stage": "both", "models": self.models(),
+                 "domain": self.domain, "staged": self.staged, "busy": self.busy}
+        return {**entry, "group": self.group} if self.group else entry
+
+    def members_intact(self):
+        if len(self.list) < self.size:
+            return False
+        for member in self.list:
+            other = Engine.all[member]
+            if not other.group or (other.group["name"], other.group["epoch"]) != (
+                    self.group["name"], self.group["epoch"]) or not other.awake.is_set():
+                return False
+        return True
+
+    async def silence(self, seconds):
+        """A sound runner says nothing for a while and then goes on."""
+        self.record.add("silent", runner=self.id, seconds=seconds)
+        self.awake.clear()
+        await asyncio.sleep(seconds)
+        self.record.add("goes_on", runner=self.id)
+        self.awake.set()
+
+    async def beat_always(self):
+        while True:
+            await self.awake.wait()
+            if self.store.up:
+                self.beat()
+            await asyncio.sleep(1.2)
+
+    async def handle(self, method, target, headers, body, writer):
+        await self.awake.wait()
+        return await super().handle(method, target, headers, body, writer)
+
+    async def serve(self, method, target, headers, body, writer):
+        if target == "/report":
+            answer = {"stage": "both", "models": self.models(), "busy": self.busy,
+                      "sequence": self.sequence, "queued": 0, "active": self.active,
+                      "kv_used": 0, "kv_total": 1590000, "handles": 0, "pace": 1.0,
+                      "born": self.born, "domain": self.domain, "staged": self.staged}
+            if self.group:
+                answer["group"] = self.group
+            writer.write(Http.message("200 OK", {"Content-Type": "application/json"},
+                                      json.dumps(answer).encode()))
+            await writer.drain()
+            return True
+        if target == "/order":
+            order = json.loads(body)
+            status = self.order(order)
+            self.record.add("order", runner=self.id, status=status, **order)
+            writer.write(Http.message(status, {}))
+            await writer.drain()
+            self.beat()
+            return True
+        if not self.group or self.group["rank"] != 0:
+            writer.write(Http.message("421 Misdirected Request", {"Not-Executed": 1}))
+            await writer.drain()
+            return True
+        if self.group["state"] != "open":
+            writer.write(Http.message("503 Service Unavailable", {"Not-Executed": 1}))
+            await writer.drain()
+            return True
+        return await super().serve(method, target, headers, body, writer)
+
+    def order(self, order):
+        if order.get("fence", 0) < self.fence:
+            return "412 Precondition Failed"
+        self.fence = order.get("fence", 0)
+        if order["op"] == "join":
+            if order["epoch"] < self.seen_epoch or (
+                    self.group and order["epoch"] == self.group["epoch"]
+                    and order["members"] != self.list):
+                return "412 Precondition Failed"
+            if self.group and self.group["epoch"] == order["epoch"]:
+                return "200 OK"
+            if self.group:
+                head = Engine.all[self.list[0]]
+                self.record.add("join_taken", runner=self.id, group=order["group"],
+                                left=self.group["name"], head=head.id,
+                                head_state=head.group["state"] if head.group and (
+                                    head.group["name"] == self.group["name"]) else None,
+                                head_epoch=head.group["epoch"] if head.group else None,
+                                left_epoch=self.group["epoch"])
+            self.seen_epoch = order["epoch"]
+            self.cut("its head joined again")
+            self.list = order["members"]
+            self.group = {"name": order["group"], "epoch": order["epoch"],
+                          "rank": self.list.index(self.id), "state": "joining"}
+            delay = (0.2 if order["model"] == self.last_model else
+                     self.warm_s if order["model"] in self.staged else self.load_s)
+            self.model = order["model"]
+            self.start(self.finish_join(order["epoch"], order["model"], delay))
+            return "202 Accepted"
+        if order["op"] == "stage":
+            if order["model"] in self.staged:
+                return "200 OK"
+            self.start(self.finish_stage(order["model"]))
+            return "202 Accepted"
+        if not self.group or (order["group"], order["epoch"]) != (
+                self.group["name"], self.group["epoch"]):
+            return "409 Conflict"
+        if order["op"] == "open":
+            if self.group["state"] == "open":
+                return "200 OK"
+            if self.group["state"] != "ready" or self.group["rank"] != 0:
+                return "409 Conflict"
+            self.start(self.finish_open(order["epoch"]))
+            return "202 Accepted"
+        if order["op"] == "close":
+            if self.group["state"] == "ready":
+                return "200 OK"
+            if order["mode"] == "truncate":
+                self.cut("its group was closed")
+                self.group = {**self.group, "state": "ready"}
+            else:
+                self.group = {**self.group, "state": "closing"}
+                self.start(self.finish_close(order["epoch"]))
+            return "202 Accepted"
+        self.cut("it was told to leave")
+        self.group, self.list = None, []
+        return "200 OK"
+
+    def start(self, work):
+        self.sequence += 1
+        asyncio.ensure_future(work)
+
+    def cut(self, why):
+        """Breaks off all work, as a leave or a closing does."""
+        if self.active:
+            self.record.add("work_cut", runner=self.id, why=why, active=self.active)
+        event, self.ended = self.ended, asyncio.Event()
+        event.set()
+
+    async def finish_join(self, epoch, model, delay):
+        await asyncio.sleep(delay)
+        if self.group and self.group["epoch"] == epoch:
+            self.last_model = model
+            self.staged = [model]
+            self.group = {**self.group, "state": "ready"}
+            self.beat()
+
+    async def finish_stage(self, model):
+        await asyncio.sleep(self.load_s)
+        self.staged = [model]
+        self.beat()
+
+    async def finish_open(self, epoch):
+        await asyncio.sleep(0.3)
+        if self.group and self.group["epoch"] == epoch and self.group["state"] == "ready":
+            self.group = {**self.group, "state": "open"}
+            self.beat()
+
+    async def finish_close(self, epoch):
+        while self.active:
+            await asyncio.sleep(0.02)
+        if self.group and self.group["epoch"] == epoch:
+            self.group = {**self.group, "state": "ready"}
+            self.beat()
+
+    async def stream(self, headers, writer):
+        head = {**self.headers(headers), "Content-Type": "text/event-stream",
+                "Transfer-Encoding": "chunked"}
+        ended, attempt = self.ended, headers.get("request-attempt-id", "")
+        writer.write(("HTTP/1.1 200 OK\r\n" + "".join(
+            f"{n}: {v}\r\n" for n, v in head.items()) + "\r\n").encode())
+        count = max(1, int(self.stream_s / 0.05))
+        still_s = 0.0
+        number = int(headers.get("last-event-id", 0)) + 1
+        while number <= count:
+            await asyncio.sleep(0.05)
+            await self.awake.wait()
+            if ended.is_set():
+                raise OSError("cut")
+            if not self.members_intact():
+                still_s += 0.05
+                if still_s >= self.STALL_S:
+                    self.record.add("stalled_out", runner=self.id, attempt=attempt)
+                    if self.group:
+                        self.group = {**self.group, "state": "broken"}
+                        self.beat()
+                    raise OSError("stalled")
+                continue
+            still_s = 0.0
+            event = f"id: {number}\ndata: piece {number}\n\n".encode()
+            writer.write(b"%x\r\n%s\r\n" % (len(event), event))
+            await writer.drain()
+            number += 1
+        writer.write(b"0\r\n\r\n")
+        await writer.drain()
+        self.record.add("streamed", runner=self.id, attempt=attempt)
+
+
+def engine_service(name, models, max_connections=464):
+    """`models`: rows of name, size, load_s, warm_s and share."""
+    return {"name": name, "health_path": "/healthz", "max_connections": max_connections,
+            "protocol": "h1", "tls": False,
+            "engine": {"batch_slots": 26, "kv_capacity_tokens": 1590000,
+                       "kv_token_bytes": 327680, "bandwidth_mbps": 400000.0, "stride": 7,
+                       "models": [{"name": n, "size": size, "share": share, "pace": 1.0,
+                                   "load_s": load_s, "warm_s": warm_s}
+                                  for n, size, load_s, warm_s, share in models],
+                       "step_ms": 5.95, "per_seq_ms": 0.0445, "context_per_k": 0.00813,
+                       "read_per_s": 50700.0, "pairs_per_m": 0.368, "chunk": 2048,
+                       "report_lag_ms": 200.0, "loads_per_s": 4.5, "loads_at_once": 6,
+                       "delays": [], "usual": {"prompt": 1115, "answer": 178}, "keeps": 1,
+                       "far_x": 3.0, "form_ms": 300.0}}
+
+
 class Node:
     """One process of the daemon on an address of its own, started as the deploy
     file says. The platform ends a process that needs more than memory_mb, and
