--- a/review/lib/standins.py
+++ b/review/lib/standins.py
@@ -9,6 +9,7 @@
 import itertools
 import json
 import os
+import random
 import signal
 import socket
 import subprocess
@@ -375,7 +376,7 @@
         self.seen_epoch = self.fence = 0
         self.still_since = None
         self.busy = False
-        self.life = 0
+        self.pace = 1.0
         self.awake = asyncio.Event()
         self.awake.set()
         self.ended = asyncio.Event()
@@ -399,6 +400,30 @@
                 return False
         return True
 
+    async def drain(self):
+        """A planned shutdown of a member: it remains while its head has work, for
+        at most 10 s, and then exits."""
+        self.record.add("draining", runner=self.id)
+        self.state = "draining"
+        self.beat()
+        start = now()
+        while now() < start + 10:
+            await asyncio.sleep(0.05)
+            head = Engine.all[self.list[0]] if self.group else None
+            if now() > start + 3 and not (head and head.active):
+                break
+        self.record.add("exits", runner=self.id, after_s=round(now() - start, 2))
+        self.listed = False
+        self.store.remove("servers/" + self.id)
+        self.group, self.list = None, []
+        self.close()
+
+    async def slow(self, times, seconds):
+        self.record.add("slow", runner=self.id, times=times, seconds=seconds)
+        self.pace = times
+        await asyncio.sleep(seconds)
+        self.pace = 1.0
+
     async def silence(self, seconds):
         """A sound runner says nothing for a while and then goes on."""
         self.record.add("silent", runner=self.id, seconds=seconds)
@@ -422,7 +447,7 @@
         if target == "/report":
             answer = {"stage": "both", "models": self.models(), "busy": self.busy,
                       "sequence": self.sequence, "queued": 0, "active": self.active,
-                      "kv_used": 0, "kv_total": 1590000, "handles": 0, "pace": 1.0,
+                      "kv_used": 0, "kv_total": 1590000, "handles": 0, "pace": self.pace,
                       "born": self.born, "domain": self.domain, "staged": self.staged}
             if self.group:
                 answer["group"] = self.group
@@ -553,7 +578,7 @@
         still_s = 0.0
         number = int(headers.get("last-event-id", 0)) + 1
         while number <= count:
-            await asyncio.sleep(0.05)
+            await asyncio.sleep(0.05 * max(Engine.all[m].pace for m in self.list or [self.id]))
             await self.awake.wait()
             if ended.is_set():
                 raise OSError("cut")
@@ -695,6 +720,79 @@
         writer.close()
 
 
+async def stream_client(world, results, ends, path="/stream/sheet", model="m0"):
+    """Asks for streams on a kept connection; waits for 8 s between two events.
+    Appends a row for each: attempt, status, end, whether the connection had
+    carried a request before, and whether the answer was complete."""
+    await asyncio.sleep(random.random() * 2)
+    connection, kept = None, False
+    while now() < ends:
+        attempt = world.attempt()
+        if connection is None:
+            node = random.choice(world.nodes)
+        status, events, complete, headers = 0, 0, False, {}
+        try:
+            if connection is None:
+                ip, port = node.client.split(":")
+                connection, kept = await asyncio.open_connection(ip, int(port)), False
+            reader, writer = connection
+            writer.write((f"POST {path} HTTP/1.1\r\nHost: {HOST}\r\n"
+                          f"Request-Attempt-Id: {attempt}\r\nDeadline-Ms: 12000\r\n"
+                          f"Model: {model}\r\nToken-Count: 700,200\r\nContent-Length: 2\r\n"
+                          f"Prompt-Prefix: {random.getrandbits(32):08x}:700\r\n"
+                          f"Authorization: Token {KEY}\r\n\r\nhi").encode())
+            line, headers = await asyncio.wait_for(Http.head(reader), 12)
+            status = int(line.split()[1])
+            if "chunked" in headers.get("transfer-encoding", ""):
+                while not complete:
+                    size = int((await asyncio.wait_for(reader.readline(), 8)) or b"x", 16)
+                    part = await reader.readexactly(size + 2)
+                    events += part.count(b"id: ")
+                    complete = size == 0
+            else:
+                await Http.body(reader, headers)
+            end = "answered"
+        except asyncio.TimeoutError:
+            end = "client left"
+        except (OSError, ValueError, asyncio.IncompleteReadError):
+            end = "closed"
+        results.append((attempt, status, end, kept, complete))
+        world.record.add("answer", attempt=attempt, node=node.name, status=status, kept=kept,
+                         events=events, complete=complete, end=end)
+        kept = True
+        if end != "answered" or headers.get("connection", "").lower() == "close":
+            if connection:
+                connection[1].close()
+            connection = None
+        await asyncio.sleep(random.uniform(0.1, 0.4))
+
+
+def open_heads(runners):
+    return [r for r in runners if r.group and r.group["state"] == "open"]
+
+
+async def wait_for_groups(runners, count):
+    ends = now() + 25
+    while len(open_heads(runners)) < count:
+        if now() > ends:
+            raise RuntimeError("no groups were formed")
+        await asyncio.sleep(0.1)
+
+
+def lost_streams(world, results):
+    """The attempts of kept connections that a runner ran and whose connection
+    ended before their answer, with that runner."""
+    ran = {line["attempt"]: line["runner"] for line in world.record.lines
+           if line["what"] == "run"}
+    lost = {r[0]: ran[r[0]] for r in results if r[2] == "closed" and r[3] and r[0] in ran}
+    counts = {"streams": len(results), "complete": sum(1 for r in results if r[4]),
+              "lost": len(lost), "left": sum(1 for r in results if r[2] == "client left"),
+              "refused": sum(1 for r in results if r[1] >= 400)}
+    world.record.add("counts", **counts)
+    print(counts)
+    return lost
+
+
 class World:
     """A small deployment and the record of one run."""
 
