Review case 2: a node that outlives its runners runs out of descriptors

Cause: the pool of kept connections drops idle ones only when their address is used again. Each runner that leaves keeps up to 32 descriptors for good.

--- a/review/lib/standins.py
+++ b/review/lib/standins.py
@@ -10,6 +10,7 @@
 import json
 import os
 import random
+import resource
 import signal
 import socket
 import subprocess
@@ -35,6 +36,12 @@
         return probe.getsockname()[1]
 
 
+def raise_own_fd_limit():
+    """For the stand-ins' own sockets; the nodes have limits of their own."""
+    _, hard = resource.getrlimit(resource.RLIMIT_NOFILE)
+    resource.setrlimit(resource.RLIMIT_NOFILE, (hard, hard))
+
+
 class Record:
     """What was sent, answered and run, one JSON object a line."""
 
@@ -662,11 +669,19 @@
         with open(path, "w") as file:
             file.write(self.settings())
         self.first_start = False
+        limit = (self.world.max_fds, self.world.max_fds)
         with open(os.path.join(self.world.folder, self.name + ".log"), "ab") as log:
             self.process = subprocess.Popen(
                 [DAEMON], cwd=ROOT, stdout=log, stderr=log,
+                preexec_fn=lambda: resource.setrlimit(resource.RLIMIT_NOFILE, limit),
                 env={"PATH": os.environ["PATH"], "APRICOTTRACK_NODE_FILE": path})
 
+    def fds(self):
+        try:
+            return len(os.listdir(f"/proc/{self.process.pid}/fd"))
+        except OSError:
+            return 0
+
     def memory(self):
         try:
             with open(f"/proc/{self.process.pid}/status") as file:
@@ -802,6 +817,8 @@
         self.nodes, self.runners, self.tasks = [], [], []
         self.store = Store()
         self.attempts = itertools.count(1)
+        # Descriptors of a process on a machine of the site.
+        self.max_fds = 4200
 
     def task(self, work):
         self.tasks.append(asyncio.ensure_future(work))
