--- a/review/5/case.py
+++ b/review/5/case.py
@@ -1,4 +1,4 @@
-"""Members of groups that aren't their heads turn slow, one after the other."""
+"""Members of groups drain, one after the other, as in a planned scale-in."""
 
 import asyncio
 import os
@@ -13,7 +13,7 @@
 async def case(world):
     runners = [Engine(world.store, world.record, f"i-{n:08x}", "advisor",
                       ["ie-south-a", "ie-south-b", "ie-south-c"][n // 5],
-                      domain=f"d{n // 5}", stream_s=2.0) for n in range(15)]
+                      domain=f"d{n // 5}", stream_s=5.0) for n in range(15)]
     config = configuration(
         [route("sheet", "/stream/", "streaming", "advisor", timeout_ms=12000,
                target_latency_ms=2000, gap_aim_ms=1000)],
@@ -24,19 +24,19 @@
     ends, results = now() + 40, []
     clients = [world.task(stream_client(world, results, ends)) for _ in range(60)]
     await asyncio.sleep(8)
-    slowed = set()
+    drained = set()
     for _ in range(2):
         head = random.choice([r for r in open_heads(runners) if r.active >= 6
-                              and r.domain not in slowed])
+                              and r.domain not in drained])
         if TROUBLE:
-            slowed.add(head.domain)
-            world.task(Engine.all[head.list[1]].slow(4.0, 6.5))
+            drained.add(head.domain)
+            world.task(Engine.all[head.list[1]].drain())
         await asyncio.sleep(12)
     await asyncio.gather(*clients)
     lost = lost_streams(world, results)
     if len(lost) > 3:
         return (f"LOST: {len(lost)} streams from kept connections, passed on to sound runners, "
-                f"were closed before their end while other members of their groups were slow")
+                f"were closed before their end while other members of their groups drained")
     return None
 
 
--- a/review/lib/standins.py
+++ b/review/lib/standins.py
@@ -97,6 +97,7 @@
     def __init__(self):
         self.server = None
         self.tasks = set()
+        self.down = False
 
     async def listen(self, ip, port=0):
         self.server = await asyncio.start_server(self.connection, ip, port, limit=2**20)
@@ -104,6 +105,9 @@
         return self.address
 
     async def connection(self, reader, writer):
+        if self.down:
+            writer.transport.abort()
+            return
         task = asyncio.current_task()
         self.tasks.add(task)
         try:
@@ -425,6 +429,20 @@
         self.group, self.list = None, []
         self.close()
 
+    async def crash(self, seconds):
+        """Ends without a word, resets its connections, and is back empty."""
+        self.record.add("crash", runner=self.id)
+        self.down, self.listed = True, False
+        self.cut("it crashed")
+        for task in list(self.tasks):
+            task.cancel()
+        self.group, self.list, self.model, self.last_model = None, [], "", ""
+        self.seen_epoch = self.fence = self.sequence = 0
+        await asyncio.sleep(seconds)
+        self.born = int(time.time() * 1000)
+        self.down, self.listed = False, True
+        self.beat()
+
     async def slow(self, times, seconds):
         self.record.add("slow", runner=self.id, times=times, seconds=seconds)
         self.pace = times
