--- a/review/lib/standins.py
+++ b/review/lib/standins.py
@@ -11,6 +11,7 @@
 import os
 import random
 import resource
+import shutil
 import signal
 import socket
 import subprocess
@@ -39,6 +40,8 @@
 def raise_own_fd_limit():
     """For the stand-ins' own sockets; the nodes have limits of their own."""
     _, hard = resource.getrlimit(resource.RLIMIT_NOFILE)
+    if 0 <= hard < 4200:
+        raise RuntimeError("this machine allows too few descriptors")
     resource.setrlimit(resource.RLIMIT_NOFILE, (hard, hard))
 
 
@@ -97,7 +100,6 @@
     def __init__(self):
         self.server = None
         self.tasks = set()
-        self.down = False
 
     async def listen(self, ip, port=0):
         self.server = await asyncio.start_server(self.connection, ip, port, limit=2**20)
@@ -105,9 +107,6 @@
         return self.address
 
     async def connection(self, reader, writer):
-        if self.down:
-            writer.transport.abort()
-            return
         task = asyncio.current_task()
         self.tasks.add(task)
         try:
@@ -432,15 +431,17 @@
     async def crash(self, seconds):
         """Ends without a word, resets its connections, and is back empty."""
         self.record.add("crash", runner=self.id)
-        self.down, self.listed = True, False
+        self.listed = False
         self.cut("it crashed")
-        for task in list(self.tasks):
-            task.cancel()
+        # Its port refuses connections until it is back.
+        self.close()
         self.group, self.list, self.model, self.last_model = None, [], "", ""
         self.seen_epoch = self.fence = self.sequence = 0
         await asyncio.sleep(seconds)
         self.born = int(time.time() * 1000)
-        self.down, self.listed = False, True
+        ip, port = self.address.split(":")
+        await self.listen(ip, int(port))
+        self.listed = True
         self.beat()
 
     async def slow(self, times, seconds):
@@ -918,6 +919,8 @@
             await world.stop()
             if os.environ.get("SHOW_LOGS"):
                 print(world.folder)
+            else:
+                shutil.rmtree(world.folder, ignore_errors=True)
 
     loop = asyncio.new_event_loop()
     asyncio.set_event_loop(loop)
