Bound the bytes that are kept of messages without end

Cause: the connection's buffer had no maximum size, and the parser's limits do not cover the framing of a chunked body. The same buffer served the server's connections. Control responses were accepted up to 64 MiB each.

The buffers of both have a maximum size now, Fetch takes a body limit for each call, and ByteBudget limits all buffered response bodies of a node together. Watch messages and events on the product's own interface have limits too.

Tests first, on the code before: the receiver took all of 48 MiB in four of nine kinds of response (HttpClientTest, Fetch and RequestFlow) and in four of five kinds of request (HttpServerTest).

--- a/src/http/HttpClient.cpp
+++ b/src/http/HttpClient.cpp
@@ -16,6 +16,10 @@
 /// Maximum size of a part that ReceiveBodyChunk returns.
 constexpr std::size_t kChunkBytes = std::size_t{ 16 } * 1024;
 
+/// Maximum number of received bytes that are kept unparsed: the header of a
+/// response, of a chunk, or the trailers.
+constexpr std::size_t kMaxUnparsedBytes = std::size_t{ 64 } * 1024;
+
 /// The kernel closes a connection with unacknowledged data older than this.
 constexpr Duration kUnackedTimeout = seconds(5);
 /// Idle time before the kernel's first keep-alive probe, and between probes.
@@ -67,7 +71,7 @@
   }
 
   beast::tcp_stream stream;
-  beast::flat_buffer buffer;
+  beast::flat_buffer buffer{ kMaxUnparsedBytes };
   std::optional<http::response_parser<http::buffer_body>> parser;
 };
 
@@ -262,16 +266,16 @@
 Task<Result<HttpResponse>>
 FetchOnConnection(HttpConnection& aConnection,
                   HttpRequest aRequest,
-                  Duration aTimeout)
+                  FetchLimits aLimits)
 {
-  static constexpr std::uint64_t kBodyLimit = std::uint64_t{ 64 } * 1024 * 1024;
-  auto sent = co_await aConnection.Send(std::move(aRequest), aTimeout);
+  auto sent = co_await aConnection.Send(std::move(aRequest), aLimits.timeout);
   if (!sent) {
     co_return tl::unexpected(sent.error());
   }
-  auto response = co_await aConnection.ReceiveHead(aTimeout, kBodyLimit);
+  auto response =
+    co_await aConnection.ReceiveHead(aLimits.timeout, aLimits.bodyBytes);
   while (response) {
-    auto chunk = co_await aConnection.ReceiveBodyChunk(aTimeout);
+    auto chunk = co_await aConnection.ReceiveBodyChunk(aLimits.timeout);
     if (!chunk) {
       co_return tl::unexpected(chunk.error());
     }
@@ -289,12 +293,12 @@
 Fetch(HttpConnectionPool& aPool,
       std::string aAddress,
       HttpRequest aRequest,
-      Duration aTimeout)
+      FetchLimits aLimits)
 {
   aRequest.version(11);
   aRequest.set(http::field::host, aAddress);
   if (auto connection = aPool.TakeIdleConnection(aAddress, MonotonicNow())) {
-    auto response = co_await FetchOnConnection(*connection, aRequest, aTimeout);
+    auto response = co_await FetchOnConnection(*connection, aRequest, aLimits);
     if (response) {
       aPool.ReturnConnection(std::move(connection), MonotonicNow());
       co_return response;
@@ -306,14 +310,14 @@
     }
   }
   co_return co_await FetchOnNewConnection(
-    aPool, std::move(aAddress), std::move(aRequest), aTimeout);
+    aPool, std::move(aAddress), std::move(aRequest), aLimits);
 }
 
 Task<Result<HttpResponse>>
 FetchOnNewConnection(HttpConnectionPool& aPool,
                      std::string aAddress,
                      HttpRequest aRequest,
-                     Duration aTimeout)
+                     FetchLimits aLimits)
 {
   aRequest.version(11);
   aRequest.set(http::field::host, aAddress);
@@ -322,7 +326,7 @@
     co_return tl::unexpected(newConnection.error());
   }
   auto response =
-    co_await FetchOnConnection(**newConnection, std::move(aRequest), aTimeout);
+    co_await FetchOnConnection(**newConnection, std::move(aRequest), aLimits);
   if (response) {
     aPool.ReturnConnection(std::move(*newConnection), MonotonicNow());
   }
--- a/src/http/HttpClient.h
+++ b/src/http/HttpClient.h
@@ -34,7 +34,8 @@
   void AcceptCloseDelimited() { this->acceptsCloseDelimited = true; }
 
   /// Receives the header of the response to the last request sent. `aBodyLimit`
-  /// is the maximum body size in bytes.
+  /// is the maximum body size in bytes. Fails with kBadReply if the header, or
+  /// later the framing of the body, exceeds a fixed size.
   Task<Result<HttpResponse>> ReceiveHead(Duration aTimeout,
                                          std::uint64_t aBodyLimit);
 
@@ -109,16 +110,25 @@
   std::map<std::string, std::deque<IdleConnection>> idleConnections;
 };
 
+/// Limits of one call of Fetch.
+struct FetchLimits
+{
+  /// Limits the sending, the header and each part of the body separately.
+  Duration timeout;
+  /// Maximum size of the response's body, in bytes. Calls run concurrently, so
+  /// each call states what its response needs.
+  std::uint64_t bodyBytes = std::uint64_t{ 64 } * 1024;
+};
+
 /// Sends a request and receives the complete response over a pooled or new
 /// connection. Only for idempotent calls: after a failure on a pooled
-/// connection the request is sent again on a new one. The timeout limits the
-/// sending, the header and each part of the body separately. Fails with
-/// kBadReply if the body exceeds 64 MiB.
+/// connection the request is sent again on a new one. Fails with kBadReply if
+/// the response is malformed or its body exceeds the limit.
 Task<Result<HttpResponse>>
 Fetch(HttpConnectionPool& aPool,
       std::string aAddress,
       HttpRequest aRequest,
-      Duration aTimeout);
+      FetchLimits aLimits);
 
 /// Sends a request once, over a new connection, and receives the complete
 /// response, with the same limits as Fetch. The connection then joins the pool.
@@ -126,7 +136,7 @@
 FetchOnNewConnection(HttpConnectionPool& aPool,
                      std::string aAddress,
                      HttpRequest aRequest,
-                     Duration aTimeout);
+                     FetchLimits aLimits);
 
 } // namespace apricottrack
 
--- a/src/http/HttpServer.cpp
+++ b/src/http/HttpServer.cpp
@@ -19,6 +19,10 @@
 /// just accepted.
 constexpr Duration kLastRequestWait = milliseconds(300);
 
+/// Maximum number of bytes that are kept unparsed beyond a header: the framing
+/// of a chunked body and parts of the body itself.
+constexpr std::size_t kMaxUnparsedBodyBytes = std::size_t{ 64 } * 1024;
+
 } // namespace
 
 HttpExchange::HttpExchange(beast::tcp_stream& aStream,
@@ -257,6 +261,7 @@
   http::request_parser<http::string_body> parser;
   parser.header_limit(limits.headerBytes);
   parser.body_limit(limits.bodyBytes);
+  aSession.buffer.max_size(limits.headerBytes + kMaxUnparsedBodyBytes);
   aSession.stream.expires_after(
     this->stopping ? std::min(limits.idleTimeout, kLastRequestWait)
                    : limits.idleTimeout);
--- a/src/kv/EtcdStore.cpp
+++ b/src/kv/EtcdStore.cpp
@@ -17,6 +17,10 @@
 const std::string kKeepAlivePath = "/v3/lease/keepalive";
 const std::string kRevokePath = "/v3/lease/revoke";
 const std::string kWatchPath = "/v3/watch";
+/// Maximum size of the response to a call, in bytes.
+constexpr std::uint64_t kCallBodyLimit = std::uint64_t{ 64 } * 1024 * 1024;
+/// Maximum size of one message of a watch, in bytes.
+constexpr std::size_t kMaxWatchMessageBytes = std::size_t{ 16 } * 1024 * 1024;
 /// Maximum size of the response to a watch, in bytes. All replies of a watch
 /// form one response body, so the limit is higher than a watch can reach.
 constexpr std::uint64_t kWatchBodyLimit = std::uint64_t{ 1 } << 40;
@@ -47,10 +51,11 @@
   // took effect, the second one fails because the revision has changed. If a
   // repeated call grants two leases, the first one is never renewed and
   // expires.
-  auto response = co_await Fetch(this->pool,
-                                 this->options.address,
-                                 PostRequest(aPath, std::move(aBody)),
-                                 this->options.callTimeout);
+  auto response = co_await Fetch(
+    this->pool,
+    this->options.address,
+    PostRequest(aPath, std::move(aBody)),
+    { .timeout = this->options.callTimeout, .bodyBytes = kCallBodyLimit });
   if (!response) {
     Error error = response.error();
     error.step = "kv" + aPath;
@@ -250,6 +255,12 @@
                        .peer = this->options.address,
                        .detail = "the watch was ended by its callback" };
     }
+    if (pending.size() > kMaxWatchMessageBytes) {
+      co_return Error{ .code = ErrorCode::kBadReply,
+                       .step = "kv.watch",
+                       .peer = this->options.address,
+                       .detail = "a message exceeds the size limit" };
+    }
   }
 }
 
--- a/src/node/GroupPlannerTask.cpp
+++ b/src/node/GroupPlannerTask.cpp
@@ -167,8 +167,10 @@
   HttpRequest request(boost::beast::http::verb::post, "/v1/order", 11);
   request.set(boost::beast::http::field::content_type, "application/json");
   request.body() = EncodeOrder(aOrder);
-  const auto response = co_await Fetch(
-    this->pool, aOrder.address, std::move(request), kOrderTimeout);
+  const auto response = co_await Fetch(this->pool,
+                                       aOrder.address,
+                                       std::move(request),
+                                       { .timeout = kOrderTimeout });
   LogLine line("order_sent");
   line.With("vm", aOrder.vm)
     .With("group", aOrder.group)
--- a/src/node/ProbeTask.cpp
+++ b/src/node/ProbeTask.cpp
@@ -47,8 +47,8 @@
   while (this->requiredProbes.contains({ aVm, aAddress })) {
     const Instant sentAt = MonotonicNow();
     HttpRequest request(boost::beast::http::verb::get, "/v1/status", 11);
-    auto response =
-      co_await Fetch(this->pool, aAddress, std::move(request), this->interval);
+    auto response = co_await Fetch(
+      this->pool, aAddress, std::move(request), { .timeout = this->interval });
     if (response) {
       auto report = ParseMemberReport(response->body(), aAddress, sentAt);
       if (report) {
--- a/src/node/ResponseRelay.cpp
+++ b/src/node/ResponseRelay.cpp
@@ -10,6 +10,7 @@
 
 constexpr std::string_view kEventStream = "text/event-stream";
 constexpr std::string_view kDoneEvent = "data: [DONE]\n\n";
+constexpr std::size_t kMaxEventBytes = std::size_t{ 256 } * 1024;
 
 } // namespace
 
@@ -80,6 +81,12 @@
   return this->isEventStream ? this->doneReceived : !this->streamStarted;
 }
 
+bool
+ResponseRelay::IsEventTooLarge() const
+{
+  return this->partialEvent.size() > kMaxEventBytes;
+}
+
 void
 ResponseRelay::DiscardIncomplete()
 {
--- a/src/node/ResponseRelay.h
+++ b/src/node/ResponseRelay.h
@@ -27,6 +27,10 @@
   /// True unless a stream ended without its `data: [DONE]` event.
   bool IsComplete() const;
 
+  /// Returns true if the current event exceeds the size limit; the target then
+  /// sends no event stream.
+  bool IsEventTooLarge() const;
+
   /// Discards the body and the partial event of an incomplete response.
   void DiscardIncomplete();
 
--- a/src/node/TargetAttempt.cpp
+++ b/src/node/TargetAttempt.cpp
@@ -134,6 +134,13 @@
       break;
     }
     callerConnected = co_await this->relay.OnBodyChunk(std::move(*chunk));
+    if (this->relay.IsEventTooLarge()) {
+      this->failure = Error{ .code = ErrorCode::kBadReply,
+                             .step = "target.body",
+                             .peer = this->options.address,
+                             .detail = "an event exceeds the size limit" };
+      co_return AttemptEnd::kTruncated;
+    }
   }
   if (!callerConnected) {
     co_return AttemptEnd::kCallerGone;
--- a/src/node/VmListTask.cpp
+++ b/src/node/VmListTask.cpp
@@ -16,6 +16,8 @@
 constexpr Duration kReadInterval = milliseconds(1000);
 /// Timeout of a read; see Fetch for what it limits.
 constexpr Duration kReadTimeout = milliseconds(1000);
+/// Maximum size of the list, in bytes.
+constexpr std::uint64_t kMaxListBytes = std::uint64_t{ 16 } * 1024 * 1024;
 
 } // namespace
 
@@ -43,8 +45,11 @@
 {
   for (;;) {
     HttpRequest request(boost::beast::http::verb::get, "/v1/vms", 11);
-    auto response = co_await Fetch(
-      this->pool, this->address, std::move(request), kReadTimeout);
+    auto response =
+      co_await Fetch(this->pool,
+                     this->address,
+                     std::move(request),
+                     { .timeout = kReadTimeout, .bodyBytes = kMaxListBytes });
     const auto vms = response
                        ? ParseVmList(response->body(), this->address)
                        : Result<VmList>(tl::unexpected(response.error()));
--- a/src/operators/Operators.cpp
+++ b/src/operators/Operators.cpp
@@ -20,6 +20,9 @@
 /// Timeout of a request to the admin endpoint of a node; see Fetch for what it
 /// limits.
 constexpr Duration kAdminRequestTimeout = milliseconds(1500);
+/// Maximum size of a node's response, in bytes; audit records are the largest.
+constexpr std::uint64_t kMaxAdminResponseBytes =
+  std::uint64_t{ 64 } * 1024 * 1024;
 
 /// Returns version zero for a key without a value or with an invalid one.
 StoredConfiguration
@@ -133,7 +136,10 @@
     }
     HttpRequest request(boost::beast::http::verb::get, aPath, 11);
     const auto response = co_await Fetch(
-      pool, node->admin, std::move(request), kAdminRequestTimeout);
+      pool,
+      node->admin,
+      std::move(request),
+      { .timeout = kAdminRequestTimeout, .bodyBytes = kMaxAdminResponseBytes });
     responses.emplace_back(*node, response ? response->body() : std::string{});
   }
   co_return responses;
--- a/src/serving/PlannerCalls.cpp
+++ b/src/serving/PlannerCalls.cpp
@@ -140,11 +140,16 @@
   this->context.counters.Add("report_calls");
   if (aUrgent) {
     // A kept connection may have failed although the target has not.
-    reply = co_await FetchOnNewConnection(
-      this->pool, aAddress, std::move(request), this->options.urgentTimeout);
+    reply =
+      co_await FetchOnNewConnection(this->pool,
+                                    aAddress,
+                                    std::move(request),
+                                    { .timeout = this->options.urgentTimeout });
   } else {
-    reply = co_await Fetch(
-      this->pool, aAddress, std::move(request), this->options.reportTimeout);
+    reply = co_await Fetch(this->pool,
+                           aAddress,
+                           std::move(request),
+                           { .timeout = this->options.reportTimeout });
   }
   if (!reply) {
     co_return tl::unexpected(reply.error());
@@ -200,7 +205,7 @@
   const auto reply = co_await Fetch(this->pool,
                                     aOrder.address,
                                     this->context.protocol.MakeOrder(aOrder),
-                                    this->options.orderTimeout);
+                                    { .timeout = this->options.orderTimeout });
   const OrderReply orderReply =
     reply ? this->context.protocol.ReadOrderReply(*reply)
           : OrderReply::kUnknown;
--- a/src/serving/RequestFlow.cpp
+++ b/src/serving/RequestFlow.cpp
@@ -44,6 +44,7 @@
   , arrivedAt(MonotonicNow())
   , caller(aContext.protocol.ReadCaller(aExchange.Request()))
   , eventSplitter(this->caller.resumeAfter)
+  , heldMemory(aContext.bodyMemory)
 {
   ++this->context.inFlight;
 }
@@ -267,7 +268,8 @@
                                        now);
   }
   if (targetHead.notRun) {
-    const auto body = co_await aCall.ReadBody(kMaxBufferedBodyBytes);
+    const auto body =
+      co_await aCall.ReadBody(kMaxBufferedBodyBytes, this->heldMemory);
     if (body) {
       aCall.Finish();
     }
@@ -341,8 +343,9 @@
                             const HttpResponse& aHead,
                             const TargetHead& aTargetHead)
 {
-  auto body = co_await aCall.ReadBody(kMaxBufferedBodyBytes);
+  auto body = co_await aCall.ReadBody(kMaxBufferedBodyBytes, this->heldMemory);
   if (!body) {
+    this->heldMemory.Release();
     co_return this->RecordFailure(aCall, body.error());
   }
   aCall.Finish();
--- a/src/serving/RequestFlow.h
+++ b/src/serving/RequestFlow.h
@@ -137,6 +137,8 @@
   /// A second call, made because that call is stalled; or null.
   std::shared_ptr<HedgeCall> hedge;
   HedgeReason hedgeReason = HedgeReason::kTargetStalled;
+  /// Memory of a response body that is buffered.
+  ByteBudget::Reservation heldMemory;
   /// A complete response that is not a stream, held until no retry follows.
   std::unique_ptr<HttpResponse> heldResponse;
   Error lastError;
--- a/src/serving/ServingContext.h
+++ b/src/serving/ServingContext.h
@@ -5,6 +5,7 @@
 #include "base/Counters.h"
 #include "catalog/CatalogHolder.h"
 #include "fleet/Fleet.h"
+#include "http/ByteBudget.h"
 #include "http/HttpClient.h"
 #include "placement/CandidateDirectory.h"
 #include "placement/DemandMeter.h"
@@ -51,6 +52,8 @@
   /// Demand at all nodes together; empty while unknown.
   ModelDemands fleetDemands;
   HttpConnectionPool targetPool;
+  /// Memory of the response bodies that are buffered.
+  ByteBudget bodyMemory{ ByteBudget::Options{} };
   StartGate startGate;
   std::map<std::string, RetryBudget> retryBudgets;
   /// Requests in progress, by the target that runs them.
--- a/src/serving/TargetCall.cpp
+++ b/src/serving/TargetCall.cpp
@@ -171,7 +171,7 @@
 }
 
 Task<Result<std::string>>
-TargetCall::ReadBody(std::size_t aLimit)
+TargetCall::ReadBody(std::size_t aLimit, ByteBudget::Reservation& aMemory)
 {
   std::string body;
   for (;;) {
@@ -182,7 +182,8 @@
     if (chunk->empty()) {
       co_return body;
     }
-    if (body.size() + chunk->size() > aLimit) {
+    const std::size_t size = body.size() + chunk->size();
+    if (size > aLimit || !aMemory.TryGrowTo(size)) {
       co_return Failure(ErrorCode::kBadReply,
                         "target.body",
                         this->options.address,
--- a/src/serving/TargetCall.h
+++ b/src/serving/TargetCall.h
@@ -1,6 +1,7 @@
 #ifndef APRICOTTRACK_SERVING_TARGETCALL_H
 #define APRICOTTRACK_SERVING_TARGETCALL_H
 
+#include "http/ByteBudget.h"
 #include "http/HttpClient.h"
 #include "serving/PlatformProtocol.h"
 
@@ -36,8 +37,10 @@
   /// Returns the next bytes of the body; empty at its end.
   Task<Result<std::string>> ReadChunk();
 
-  /// Receives the rest of the body; fails if it exceeds `aLimit` bytes.
-  Task<Result<std::string>> ReadBody(std::size_t aLimit);
+  /// Receives the rest of the body; fails if it exceeds `aLimit` bytes or the
+  /// memory that the reservation grants.
+  Task<Result<std::string>> ReadBody(std::size_t aLimit,
+                                     ByteBudget::Reservation& aMemory);
 
   /// Returns the connection to the pool, if the response was complete.
   void Finish();
--- /dev/null
+++ b/tests/HttpClientTest.cpp
@@ -0,0 +1,156 @@
+#include "ServingHarness.h"
+
+using namespace apricottrack;
+
+namespace {
+
+/// Bytes that an endless sender writes at most, so that a receiver without a
+/// limit fails the test instead of exhausting memory.
+constexpr std::size_t kEndlessBytes = std::size_t{ 48 } * 1024 * 1024;
+/// Socket buffers and those of a receiver that stops reading.
+constexpr std::size_t kMaxBufferedBytes = std::size_t{ 12 } * 1024 * 1024;
+constexpr Duration kTestLimit = seconds(20);
+
+const std::string kChunkedHead =
+  "HTTP/1.1 200 OK\r\nX-Signed: 1\r\nX-Attempt: a\r\n"
+  "Transfer-Encoding: chunked\r\n\r\n";
+
+/// Starts of responses that endless bytes 'a' follow.
+const std::vector<std::string> kEndlessResponses = {
+  "",
+  "HTTP/1.1 200 ",
+  "HTTP/1.1 200 OK\r\nX-",
+  "HTTP/1.1 200 OK\r\nX-Own: ",
+  kChunkedHead,
+  kChunkedHead + "4;x=",
+  kChunkedHead + "4\r\nbody\r\n",
+  kChunkedHead + "4\r\nbody",
+  kChunkedHead + "0\r\nX-Own: ",
+};
+
+/// Keeps the number of written bytes up to date in `aWritten`.
+Task<void>
+WriteEndless(TargetConnection& aConnection,
+             std::string aStart,
+             std::size_t& aWritten)
+{
+  co_await aConnection.ReadRequest();
+  const std::string bytes(std::size_t{ 64 } * 1024, 'a');
+  bool connected = co_await aConnection.Write(std::move(aStart));
+  while (connected && aConnection.written < kEndlessBytes) {
+    connected = co_await aConnection.Write(bytes);
+    aWritten = aConnection.written;
+  }
+  if (connected) {
+    co_await aConnection.Wait(seconds(5));
+  }
+}
+
+/// A server that sends `aStart` and endless bytes on each connection.
+class EndlessServer
+{
+public:
+  EndlessServer(asio::io_context& aIo, const std::string& aStart)
+    : acceptor(aIo, tcp::endpoint(asio::ip::make_address("127.0.0.1"), 0))
+  {
+    asio::co_spawn(
+      aIo,
+      [this, aStart]() -> Task<void> { co_await this->Serve(aStart); },
+      asio::detached);
+  }
+
+  std::string Address() const
+  {
+    return fmt::format("127.0.0.1:{}", this->acceptor.local_endpoint().port());
+  }
+
+  /// Bytes written on the last connection.
+  std::size_t written = 0;
+
+private:
+  Task<void> Serve(std::string aStart)
+  {
+    for (;;) {
+      auto [error, socket] = co_await this->acceptor.async_accept(kAsTuple);
+      if (error) {
+        co_return;
+      }
+      TargetConnection connection(std::move(socket));
+      co_await WriteEndless(connection, aStart, this->written);
+    }
+  }
+
+  tcp::acceptor acceptor;
+};
+
+} // namespace
+
+// Guards against a response without end that exhausts the process's memory.
+TEST_CASE("Fetch fails on a response without end")
+{
+  asio::io_context io{ 1 };
+  const std::string start = GENERATE(from_range(kEndlessResponses));
+  CAPTURE(start);
+  EndlessServer server(io, start);
+  HttpConnectionPool pool(io.get_executor(), {});
+  Result<HttpResponse> response;
+  asio::co_spawn(
+    io,
+    [&]() -> Task<void> {
+      response = co_await FetchOnNewConnection(
+        pool, server.Address(), HttpRequest{}, { .timeout = seconds(5) });
+      asio::steady_timer timer(io, milliseconds(50));
+      co_await timer.async_wait(kAsTuple);
+      io.stop();
+    },
+    asio::detached);
+  io.run_for(kTestLimit);
+  REQUIRE_FALSE(response);
+  CHECK(response.error().code == ErrorCode::kBadReply);
+  CHECK(server.written < kMaxBufferedBytes);
+}
+
+// Guards against well-formed control responses that exhaust memory together.
+TEST_CASE("Fetch fails on a body above the limit of the call")
+{
+  asio::io_context io{ 1 };
+  EndlessServer server(io,
+                       "HTTP/1.1 200 OK\r\nContent-Length: 30000000\r\n\r\n");
+  HttpConnectionPool pool(io.get_executor(), {});
+  Result<HttpResponse> response;
+  asio::co_spawn(
+    io,
+    [&]() -> Task<void> {
+      response = co_await FetchOnNewConnection(
+        pool, server.Address(), HttpRequest{}, { .timeout = seconds(5) });
+      io.stop();
+    },
+    asio::detached);
+  io.run_for(kTestLimit);
+  REQUIRE_FALSE(response);
+  CHECK(response.error().code == ErrorCode::kBadReply);
+}
+
+// Guards against a target whose endless response ends the requests of others.
+TEST_CASE("RequestFlow fails only the request whose response has no end")
+{
+  const std::string start = GENERATE(from_range(kEndlessResponses));
+  CAPTURE(start);
+  ServingHarness harness;
+  std::size_t written = 0;
+  harness.AddTarget("t1",
+                    [&](TargetConnection& aConnection, int) -> Task<void> {
+                      co_await WriteEndless(aConnection, start, written);
+                    });
+  std::string response;
+  REQUIRE(harness.Run(
+    [&]() -> Task<void> {
+      response = co_await harness.Call("/once/x", "a", seconds(10));
+      asio::steady_timer timer(harness.io, milliseconds(50));
+      co_await timer.async_wait(kAsTuple);
+    },
+    kTestLimit));
+  CHECK(StatusOf(response) == 502);
+  CHECK(written > 0);
+  CHECK(written < kMaxBufferedBytes);
+}
--- a/tests/HttpServerTest.cpp
+++ b/tests/HttpServerTest.cpp
@@ -56,3 +56,41 @@
   CHECK(answered == kCallers);
   CHECK(server->ConnectionCount() == 0);
 }
+
+// Guards against a caller whose request without end exhausts the memory.
+TEST_CASE("HttpServer rejects a request without end")
+{
+  static constexpr std::size_t kEndlessBytes = std::size_t{ 48 } * 1024 * 1024;
+  static constexpr std::size_t kMaxBufferedBytes =
+    std::size_t{ 12 } * 1024 * 1024;
+  const std::string chunkedHead =
+    "POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n";
+  const std::string start = GENERATE_COPY(std::string("POST /"),
+                                          chunkedHead,
+                                          chunkedHead + "4;x=",
+                                          chunkedHead + "4\r\nbody\r\n",
+                                          chunkedHead + "0\r\nX-Own: ");
+  CAPTURE(start);
+  asio::io_context io{ 1 };
+  const std::string address = ServingHarness::FreeAddress(io);
+  const auto server = *HttpServer::Make(io.get_executor(), OptionsFor(address));
+  std::size_t written = 0;
+  asio::co_spawn(
+    io,
+    [&]() -> Task<void> {
+      tcp::socket socket(io);
+      co_await socket.async_connect(*ParseEndpoint(address), kAsTuple);
+      TargetConnection connection(std::move(socket));
+      const std::string bytes(std::size_t{ 64 } * 1024, 'a');
+      bool connected = co_await connection.Write(start);
+      while (connected && connection.written < kEndlessBytes) {
+        connected = co_await connection.Write(bytes);
+      }
+      written = connection.written;
+      io.stop();
+    },
+    asio::detached);
+  io.run_for(seconds(20));
+  CHECK(written > 0);
+  CHECK(written < kMaxBufferedBytes);
+}
--- a/tests/standins/TargetStandin.cpp
+++ b/tests/standins/TargetStandin.cpp
@@ -250,8 +250,10 @@
   const CurrentOrder expectedOrder = this->order;
   for (std::size_t i = 1; i < expectedOrder.members.size(); ++i) {
     HttpRequest request(boost::beast::http::verb::get, "/v1/status", 11);
-    const auto response = co_await Fetch(
-      this->pool, expectedOrder.members[i], std::move(request), kMemberTimeout);
+    const auto response = co_await Fetch(this->pool,
+                                         expectedOrder.members[i],
+                                         std::move(request),
+                                         { .timeout = kMemberTimeout });
     const auto status =
       response
         ? ParseJsonObject(response->body(), "member", expectedOrder.members[i])
