Quarantine prompt parts that cannot be told apart only together

Cause: only a complete response counted as an answer, so a part in new use had none; and of parts with the same crashes and no answers the last one was blamed, a guess.

A stream that has gone on for 300 ms now proves its prompt sound: it counts as an answer, its later loss is no evidence, and it is not cancelled. Parts that occurred together in a request of each crash are quarantined as a combination, which refuses only requests with all of them. The format of the previous release is still read, from the store and from other nodes.

--- a/src/fleet/FleetMessages.h
+++ b/src/fleet/FleetMessages.h
@@ -40,7 +40,7 @@
   /// Numbers of the sender's answers for the planner's suspected parts.
   std::vector<PartAnswers> partAnswers;
   /// The sender's quarantine, for a new planner.
-  std::vector<QuarantinedPart> quarantinedParts;
+  std::vector<QuarantinedParts> quarantinedParts;
 
   friend bool operator==(const FleetQuestion&, const FleetQuestion&) = default;
 };
@@ -85,7 +85,7 @@
   ModelDemands demands;
   /// Prompt parts whose answers the planner needs to attribute crashes.
   std::vector<std::string> suspectedParts;
-  std::vector<QuarantinedPart> quarantinedParts;
+  std::vector<QuarantinedParts> quarantinedParts;
 
   friend bool operator==(const FleetAnswer&, const FleetAnswer&) = default;
 };
--- a/src/membership/FleetPacking.cpp
+++ b/src/membership/FleetPacking.cpp
@@ -217,31 +217,38 @@
 
 std::vector<flatbuffers::Offset<wire::QuarantinedPart>>
 PackQuarantinedParts(Builder& aBuilder,
-                     const std::vector<QuarantinedPart>& aParts)
+                     const std::vector<QuarantinedParts>& aCombinations)
 {
   std::vector<flatbuffers::Offset<wire::QuarantinedPart>> parts;
-  parts.reserve(aParts.size());
-  for (const QuarantinedPart& part : aParts) {
+  parts.reserve(aCombinations.size());
+  for (const QuarantinedParts& item : aCombinations) {
+    const TextOffsets names = PackTexts(aBuilder, item.parts);
     parts.push_back(wire::CreateQuarantinedPartDirect(
       aBuilder,
-      part.part.c_str(),
-      static_cast<std::uint32_t>(ToMilliseconds(part.remaining))));
+      item.parts.size() == 1 ? item.parts.front().c_str() : nullptr,
+      static_cast<std::uint32_t>(ToMilliseconds(item.remaining)),
+      &names));
   }
   return parts;
 }
 
-std::vector<QuarantinedPart>
+std::vector<QuarantinedParts>
 UnpackQuarantinedParts(
   const flatbuffers::Vector<flatbuffers::Offset<wire::QuarantinedPart>>* aItems)
 {
-  std::vector<QuarantinedPart> parts;
+  std::vector<QuarantinedParts> combinations;
   if (aItems != nullptr) {
-    for (const wire::QuarantinedPart* const part : *aItems) {
-      parts.push_back({ .part = TextOf(part->part()),
-                        .remaining = milliseconds(part->remaining_ms()) });
+    for (const wire::QuarantinedPart* const item : *aItems) {
+      QuarantinedParts combination{ .parts = TextsOf(item->parts()),
+                                    .remaining =
+                                      milliseconds(item->remaining_ms()) };
+      if (combination.parts.empty()) {
+        combination.parts = { TextOf(item->part()) };
+      }
+      combinations.push_back(std::move(combination));
     }
   }
-  return parts;
+  return combinations;
 }
 
 } // namespace
--- a/src/quarantine/CrashAttribution.cpp
+++ b/src/quarantine/CrashAttribution.cpp
@@ -42,11 +42,13 @@
       at,
       [](Instant aTime, const Crash& aCrash) { return aTime < aCrash.at; });
     crash = this->crashes.insert(
-      place, Crash{ .target = aRequest.target, .at = at, .positions = {} });
+      place, Crash{ .target = aRequest.target, .at = at, .requests = {} });
   }
-  int position = 0;
-  for (const std::string& part : aRequest.parts) {
-    crash->positions[part] = std::max(crash->positions[part], ++position);
+  auto& requests = crash->requests;
+  if (requests.size() < this->options.maxRequestsPerCrash &&
+      std::find(requests.begin(), requests.end(), aRequest.parts) ==
+        requests.end()) {
+    requests.push_back(aRequest.parts);
   }
 }
 
@@ -62,17 +64,17 @@
 }
 
 void
-CrashAttribution::Adopt(const std::vector<QuarantinedPart>& aParts,
+CrashAttribution::Adopt(const std::vector<QuarantinedParts>& aCombinations,
                         Instant aNow)
 {
   bool isAnyNew = false;
-  for (const QuarantinedPart& part : aParts) {
-    const Instant end = aNow + part.remaining;
+  for (const QuarantinedParts& item : aCombinations) {
+    const Instant end = aNow + item.remaining;
     const auto [entry, isNew] = this->quarantines.try_emplace(
-      part.part,
+      item.parts,
       Quarantine{ .end = end, .duration = this->options.quarantineTime });
     entry->second.end = std::max(entry->second.end, end);
-    entry->second.duration = std::max(entry->second.duration, part.remaining);
+    entry->second.duration = std::max(entry->second.duration, item.remaining);
     isAnyNew = isAnyNew || isNew;
   }
   if (isAnyNew) {
@@ -82,11 +84,14 @@
   }
 }
 
-std::vector<QuarantinedPart>
+std::vector<QuarantinedParts>
 CrashAttribution::Update(Instant aNow)
 {
   this->Prune(aNow);
-  std::vector<QuarantinedPart> started;
+  std::vector<QuarantinedParts> started;
+  while (const auto relapse = this->FindRelapse()) {
+    started.push_back(this->StartQuarantine(*relapse, aNow));
+  }
   for (;;) {
     const EvidenceByPart evidence = this->CollectEvidence();
     this->UpdateSuspects(evidence, aNow);
@@ -94,7 +99,8 @@
     if (culprit == nullptr || !this->AreAnswersKnown(culprit->first, aNow)) {
       return started;
     }
-    started.push_back(this->StartQuarantine(culprit->first, aNow));
+    started.push_back(
+      this->StartQuarantine(this->CombinationOf(*culprit, evidence), aNow));
   }
 }
 
@@ -121,31 +127,69 @@
   });
 }
 
+bool
+CrashAttribution::HasRequestWith(const Crash& aCrash, const Parts& aParts)
+{
+  return std::any_of(
+    aCrash.requests.begin(), aCrash.requests.end(), [&](const Parts& aRequest) {
+      return std::all_of(
+        aParts.begin(), aParts.end(), [&](const std::string& aPart) {
+          return std::find(aRequest.begin(), aRequest.end(), aPart) !=
+                 aRequest.end();
+        });
+    });
+}
+
 bool
 CrashAttribution::IsExplained(const Crash& aCrash) const
 {
   return std::any_of(
-    aCrash.positions.begin(), aCrash.positions.end(), [&](const auto& aItem) {
-      const auto found = this->quarantines.find(aItem.first);
-      return found != this->quarantines.end() && aCrash.at <= found->second.end;
+    this->quarantines.begin(), this->quarantines.end(), [&](const auto& aItem) {
+      return aCrash.at <= aItem.second.end &&
+             HasRequestWith(aCrash, aItem.first);
     });
 }
 
+std::vector<const CrashAttribution::Crash*>
+CrashAttribution::UnexplainedCrashes() const
+{
+  std::vector<const Crash*> unexplained;
+  for (const Crash& crash : this->crashes) {
+    if (!this->IsExplained(crash)) {
+      unexplained.push_back(&crash);
+    }
+  }
+  return unexplained;
+}
+
+std::optional<CrashAttribution::Parts>
+CrashAttribution::FindRelapse() const
+{
+  for (const Crash* const crash : this->UnexplainedCrashes()) {
+    for (const auto& [parts, quarantine] : this->quarantines) {
+      if (HasRequestWith(*crash, parts)) {
+        return parts;
+      }
+    }
+  }
+  return std::nullopt;
+}
+
 CrashAttribution::EvidenceByPart
 CrashAttribution::CollectEvidence() const
 {
   EvidenceByPart evidence;
-  for (const Crash& crash : this->crashes) {
-    if (this->IsExplained(crash)) {
-      continue;
-    }
-    for (const auto& [part, position] : crash.positions) {
-      Evidence& item = evidence[part];
-      item.position = std::max(item.position, position);
-      if (item.crashes == 0 ||
-          crash.at - item.lastCountedAt >= this->options.minSeparation) {
-        ++item.crashes;
-        item.lastCountedAt = crash.at;
+  for (const Crash* const crash : this->UnexplainedCrashes()) {
+    for (const Parts& request : crash->requests) {
+      int position = 0;
+      for (const std::string& part : request) {
+        Evidence& item = evidence[part];
+        item.position = std::max(item.position, ++position);
+        if (item.crashes == 0 ||
+            crash->at - item.lastCountedAt >= this->options.minSeparation) {
+          ++item.crashes;
+          item.lastCountedAt = crash->at;
+        }
       }
     }
   }
@@ -161,27 +205,16 @@
 }
 
 bool
-CrashAttribution::IsOnProbation(const std::string& aPart) const
-{
-  return this->quarantines.contains(aPart);
-}
-
-bool
-CrashAttribution::IsIncriminated(const std::string& aPart,
-                                 const Evidence& aEvidence) const
+CrashAttribution::IsIncriminated(const Evidence& aEvidence) const
 {
-  return this->IsOnProbation(aPart) ||
-         (aEvidence.crashes >= this->options.minCrashes &&
-          aEvidence.answers <=
-            aEvidence.crashes * this->options.maxAnswersPerCrash);
+  return aEvidence.crashes >= this->options.minCrashes &&
+         aEvidence.answers <=
+           aEvidence.crashes * this->options.maxAnswersPerCrash;
 }
 
 bool
 CrashAttribution::AreAnswersKnown(const std::string& aPart, Instant aNow) const
 {
-  if (this->IsOnProbation(aPart)) {
-    return true;
-  }
   const auto since = this->suspectedSince.find(aPart);
   return since != this->suspectedSince.end() &&
          aNow - since->second >= this->options.answerCollectionTime;
@@ -212,7 +245,7 @@
     return std::tuple(aItem.crashes, -aItem.answers, aItem.position);
   };
   for (const auto& item : aEvidence) {
-    if (this->IsIncriminated(item.first, item.second) &&
+    if (this->IsIncriminated(item.second) &&
         (culprit == nullptr || rank(item.second) > rank(culprit->second))) {
       culprit = &item;
     }
@@ -224,7 +257,7 @@
   // more by chance. While none of them is answered, the later part is likelier.
   const EvidenceByPart::value_type* later = culprit;
   for (const auto& item : aEvidence) {
-    if (this->IsIncriminated(item.first, item.second) &&
+    if (this->IsIncriminated(item.second) &&
         item.second.position > later->second.position &&
         item.second.answers <= culprit->second.answers &&
         2 * item.second.crashes >= culprit->second.crashes) {
@@ -234,17 +267,40 @@
   return later;
 }
 
-QuarantinedPart
-CrashAttribution::StartQuarantine(const std::string& aPart, Instant aNow)
+CrashAttribution::Parts
+CrashAttribution::CombinationOf(const EvidenceByPart::value_type& aCulprit,
+                                const EvidenceByPart& aEvidence) const
+{
+  const std::vector<const Crash*> unexplained = this->UnexplainedCrashes();
+  const auto alwaysOccursWithCulprit = [&](const std::string& aPart) {
+    return std::all_of(
+      unexplained.begin(), unexplained.end(), [&](const Crash* aCrash) {
+        return !HasRequestWith(*aCrash, { aCulprit.first }) ||
+               HasRequestWith(*aCrash, { aCulprit.first, aPart });
+      });
+  };
+  Parts combination;
+  for (const auto& [part, item] : aEvidence) {
+    if (this->IsIncriminated(item) && item.answers <= aCulprit.second.answers &&
+        alwaysOccursWithCulprit(part)) {
+      combination.push_back(part);
+    }
+  }
+  return combination;
+}
+
+QuarantinedParts
+CrashAttribution::StartQuarantine(const Parts& aParts, Instant aNow)
 {
   const auto [entry, isNew] = this->quarantines.try_emplace(
-    aPart, Quarantine{ .end = aNow, .duration = this->options.quarantineTime });
+    aParts,
+    Quarantine{ .end = aNow, .duration = this->options.quarantineTime });
   if (!isNew) {
     entry->second.duration =
       std::min(2 * entry->second.duration, this->options.maxQuarantineTime);
   }
   entry->second.end = aNow + entry->second.duration;
-  return { .part = aPart, .remaining = entry->second.duration };
+  return { .parts = aParts, .remaining = entry->second.duration };
 }
 
 } // namespace apricottrack
--- a/src/quarantine/CrashAttribution.h
+++ b/src/quarantine/CrashAttribution.h
@@ -5,6 +5,7 @@
 
 #include <deque>
 #include <map>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -13,8 +14,9 @@
 /// Finds the prompt parts that crash targets, from the lost and the answered
 /// requests of all nodes. A part is at fault if several crashes cannot be
 /// explained without it and its requests are hardly ever answered; parts that
-/// sound requests share with the deadly ones are answered often. Used at the
-/// planner's node.
+/// sound requests share with the deadly ones are answered often. Parts that
+/// always occurred together are quarantined together, so that sound requests
+/// with some of them continue. Used at the planner's node.
 class CrashAttribution
 {
 public:
@@ -31,12 +33,14 @@
     Duration answerCollectionTime = milliseconds(800);
     /// A part with more answers than this for each crash is not at fault.
     double maxAnswersPerCrash = 1.0 / 3;
-    /// First quarantine of a part; each further one is twice as long.
+    /// First quarantine of a combination; each further one is twice as long.
     Duration quarantineTime = seconds(120);
     Duration maxQuarantineTime = seconds(3600);
-    /// After its quarantine a part is quarantined again after one crash.
+    /// After its quarantine a combination is quarantined again after one crash.
     Duration probationTime = seconds(600);
     std::size_t maxCrashes = 256;
+    /// Requests of one crash that are considered.
+    std::size_t maxRequestsPerCrash = 64;
     /// Losses at one target within this time belong to one crash.
     Duration reportSpread = milliseconds(1000);
   };
@@ -52,23 +56,25 @@
   void RecordAnswers(const std::string& aNode,
                      const std::vector<PartAnswers>& aAnswers);
 
-  /// Takes over parts that another node has quarantined. If any is new here,
+  /// Takes over what another node has quarantined. If any is new here,
   /// earlier crashes are dropped, as that node has attributed them already.
-  void Adopt(const std::vector<QuarantinedPart>& aParts, Instant aNow);
+  void Adopt(const std::vector<QuarantinedParts>& aCombinations, Instant aNow);
 
-  /// Returns the parts that have to be quarantined from now on.
-  std::vector<QuarantinedPart> Update(Instant aNow);
+  /// Returns the combinations of parts that have to be quarantined from now on.
+  std::vector<QuarantinedParts> Update(Instant aNow);
 
   /// Parts whose answers all nodes should report.
   std::vector<std::string> Suspects() const;
 
 private:
+  using Parts = std::vector<std::string>;
+
   struct Crash
   {
     std::string target;
     Instant at;
-    /// Position in the prompt, by part; of all requests that were lost.
-    std::map<std::string, int> positions;
+    /// The parts of each request that was lost, in order; without duplicates.
+    std::vector<Parts> requests;
   };
 
   struct Quarantine
@@ -89,19 +95,27 @@
 
   void RecordLoss(const LostRequest& aRequest, Instant aNow);
   void Prune(Instant aNow);
-  /// True if a part caused the crash that was in quarantine by its end.
+  /// True if a request of the crash has all of the parts.
+  static bool HasRequestWith(const Crash& aCrash, const Parts& aParts);
+  /// True if a request caused the crash that was quarantined by its end.
   bool IsExplained(const Crash& aCrash) const;
+  /// Returns the crashes that are not explained.
+  std::vector<const Crash*> UnexplainedCrashes() const;
   EvidenceByPart CollectEvidence() const;
-  bool IsOnProbation(const std::string& aPart) const;
-  bool IsIncriminated(const std::string& aPart,
-                      const Evidence& aEvidence) const;
+  bool IsIncriminated(const Evidence& aEvidence) const;
+  /// Returns a combination on probation that caused another crash, or nothing.
+  std::optional<Parts> FindRelapse() const;
   /// True if all nodes have had the time to report the part's answers.
   bool AreAnswersKnown(const std::string& aPart, Instant aNow) const;
   void UpdateSuspects(const EvidenceByPart& aEvidence, Instant aNow);
   /// Returns the part that most likely caused the crashes; null if none did.
   const EvidenceByPart::value_type* FindCulprit(
     const EvidenceByPart& aEvidence) const;
-  QuarantinedPart StartQuarantine(const std::string& aPart, Instant aNow);
+  /// Returns the part with all others that may as well have caused its crashes,
+  /// as each of these had a request with both.
+  Parts CombinationOf(const EvidenceByPart::value_type& aCulprit,
+                      const EvidenceByPart& aEvidence) const;
+  QuarantinedParts StartQuarantine(const Parts& aParts, Instant aNow);
 
   Options options;
   /// By time.
@@ -112,8 +126,9 @@
   std::map<std::string, Instant> suspectedSince;
   /// Number of answers, by suspect and node.
   std::map<std::string, std::map<std::string, int>> answers;
-  /// Present and former quarantines, by part, until the end of the probation.
-  std::map<std::string, Quarantine> quarantines;
+  /// Present and former quarantines, by sorted parts, until the end of the
+  /// probation.
+  std::map<Parts, Quarantine> quarantines;
 };
 
 } // namespace apricottrack
--- a/src/quarantine/CrashReports.h
+++ b/src/quarantine/CrashReports.h
@@ -23,7 +23,8 @@
   friend bool operator==(const LostRequest&, const LostRequest&) = default;
 };
 
-/// Number of complete responses to requests with a prompt part.
+/// Number of responses that show a prompt part to be sound: complete ones, and
+/// those that went on after the time in which a target crashes.
 struct PartAnswers
 {
   std::string part;
@@ -32,14 +33,17 @@
   friend bool operator==(const PartAnswers&, const PartAnswers&) = default;
 };
 
-/// A prompt part whose requests are refused for the remaining time.
-struct QuarantinedPart
+/// Prompt parts that crash targets. Requests that have all of them are refused
+/// for the remaining time. There are several if the crashes do not show which
+/// one is at fault.
+struct QuarantinedParts
 {
-  std::string part;
+  /// Sorted.
+  std::vector<std::string> parts;
   Duration remaining = Duration::zero();
 
-  friend bool operator==(const QuarantinedPart&,
-                         const QuarantinedPart&) = default;
+  friend bool operator==(const QuarantinedParts&,
+                         const QuarantinedParts&) = default;
 };
 
 } // namespace apricottrack
--- a/src/quarantine/PromptQuarantine.cpp
+++ b/src/quarantine/PromptQuarantine.cpp
@@ -5,17 +5,21 @@
 namespace apricottrack {
 
 bool
-PromptQuarantine::Add(const std::vector<QuarantinedPart>& aParts, Instant aNow)
+PromptQuarantine::Add(const std::vector<QuarantinedParts>& aCombinations,
+                      Instant aNow)
 {
-  std::erase_if(this->endsByPart,
+  std::erase_if(this->endsByParts,
                 [&](const auto& aItem) { return aItem.second <= aNow; });
   bool grew = false;
-  for (const QuarantinedPart& part : aParts) {
-    if (part.remaining <= Duration::zero()) {
+  for (const QuarantinedParts& combination : aCombinations) {
+    // A combination without parts would refuse every request.
+    if (combination.remaining <= Duration::zero() ||
+        combination.parts.empty()) {
       continue;
     }
-    const Instant end = aNow + part.remaining;
-    const auto [entry, isNew] = this->endsByPart.try_emplace(part.part, end);
+    const Instant end = aNow + combination.remaining;
+    const auto [entry, isNew] =
+      this->endsByParts.try_emplace(combination.parts, end);
     entry->second = std::max(entry->second, end);
     grew = grew || isNew;
   }
@@ -27,26 +31,29 @@
                                Instant aNow) const
 {
   std::optional<Duration> remaining;
-  for (const std::string& part : aParts) {
-    const auto found = this->endsByPart.find(part);
-    if (found != this->endsByPart.end() && found->second > aNow) {
-      remaining = std::max(remaining.value_or(Duration::zero()),
-                           Duration(found->second - aNow));
+  for (const auto& [parts, end] : this->endsByParts) {
+    const bool hasAll =
+      std::all_of(parts.begin(), parts.end(), [&](const std::string& aPart) {
+        return std::find(aParts.begin(), aParts.end(), aPart) != aParts.end();
+      });
+    if (hasAll && end > aNow) {
+      remaining =
+        std::max(remaining.value_or(Duration::zero()), Duration(end - aNow));
     }
   }
   return remaining;
 }
 
-std::vector<QuarantinedPart>
-PromptQuarantine::Parts(Instant aNow) const
+std::vector<QuarantinedParts>
+PromptQuarantine::Combinations(Instant aNow) const
 {
-  std::vector<QuarantinedPart> parts;
-  for (const auto& [part, end] : this->endsByPart) {
+  std::vector<QuarantinedParts> combinations;
+  for (const auto& [parts, end] : this->endsByParts) {
     if (end > aNow) {
-      parts.push_back({ .part = part, .remaining = end - aNow });
+      combinations.push_back({ .parts = parts, .remaining = end - aNow });
     }
   }
-  return parts;
+  return combinations;
 }
 
 } // namespace apricottrack
--- a/src/quarantine/PromptQuarantine.h
+++ b/src/quarantine/PromptQuarantine.h
@@ -10,24 +10,25 @@
 
 namespace apricottrack {
 
-/// The prompt parts whose requests this node refuses, because they crash
-/// targets. Each serving node has one; CrashAttribution selects the parts.
+/// The combinations of prompt parts whose requests this node refuses, because
+/// they crash targets. Each serving node has one; CrashAttribution selects
+/// them.
 class PromptQuarantine
 {
 public:
-  /// Adds parts, or extends their time. Returns true if any of them is new.
-  bool Add(const std::vector<QuarantinedPart>& aParts, Instant aNow);
+  /// Adds combinations, or extends their time. Returns true if any is new.
+  bool Add(const std::vector<QuarantinedParts>& aCombinations, Instant aNow);
 
   /// Returns how long a request with these parts will be refused, or none if it
   /// may be sent to a target.
   std::optional<Duration> RemainingFor(const std::vector<std::string>& aParts,
                                        Instant aNow) const;
 
-  std::vector<QuarantinedPart> Parts(Instant aNow) const;
+  std::vector<QuarantinedParts> Combinations(Instant aNow) const;
 
 private:
-  /// End of the quarantine, by part.
-  std::map<std::string, Instant> endsByPart;
+  /// End of the quarantine, by sorted parts.
+  std::map<std::vector<std::string>, Instant> endsByParts;
 };
 
 } // namespace apricottrack
--- a/src/serving/FleetRelay.cpp
+++ b/src/serving/FleetRelay.cpp
@@ -223,7 +223,7 @@
     this->context.loads.SamplesSince(aNow - kMaxLoadReportAge, true, aNow);
   answer.demands = this->context.fleetDemands;
   answer.suspectedParts = this->context.crashRecorder.Suspects();
-  answer.quarantinedParts = this->context.quarantine.Parts(aNow);
+  answer.quarantinedParts = this->context.quarantine.Combinations(aNow);
   if (aQuestion.catalogRevision < answer.catalogRevision &&
       this->TryReserveCatalogSend(aQuestion, aNow)) {
     answer.catalog = this->catalog.DocumentText();
--- a/src/serving/FollowTask.cpp
+++ b/src/serving/FollowTask.cpp
@@ -217,7 +217,7 @@
     this->context.crashRecorder.LostSince(this->lossesReportedUpTo, aNow);
   aQuestion.partAnswers = this->context.crashRecorder.SuspectAnswers(aNow);
   if (this->lossesReportedUpTo == Instant{}) {
-    aQuestion.quarantinedParts = this->context.quarantine.Parts(aNow);
+    aQuestion.quarantinedParts = this->context.quarantine.Combinations(aNow);
   }
 }
 
--- a/src/serving/QuarantineTask.cpp
+++ b/src/serving/QuarantineTask.cpp
@@ -9,6 +9,7 @@
 #include <boost/asio/detached.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/json.hpp>
+#include <fmt/format.h>
 
 namespace apricottrack {
 
@@ -24,24 +25,46 @@
 constexpr Duration kEndTolerance = seconds(10);
 
 std::string
-EncodeParts(const std::vector<QuarantinedPart>& aParts, UnixMillis aWallNow)
+EncodeCombinations(const std::vector<QuarantinedParts>& aCombinations,
+                   UnixMillis aWallNow)
 {
-  json::array parts;
-  for (const QuarantinedPart& part : aParts) {
-    parts.push_back(
-      json::object{ { "part", part.part },
-                    { "ends", aWallNow + part.remaining / milliseconds(1) } });
+  json::array items;
+  for (const QuarantinedParts& item : aCombinations) {
+    items.push_back(
+      json::object{ { "parts", json::value_from(item.parts) },
+                    { "ends", aWallNow + item.remaining / milliseconds(1) } });
   }
-  return json::serialize(json::object{ { "parts", std::move(parts) } });
+  return json::serialize(json::object{ { "parts", std::move(items) } });
 }
 
-std::vector<QuarantinedPart>
-DecodeParts(const json::object& aDocument, UnixMillis aWallNow)
+/// Returns the names of an item's parts. An older node has stored the name of a
+/// single part.
+std::vector<std::string>
+DecodeNames(const json::object& aItem)
 {
-  std::vector<QuarantinedPart> parts;
+  std::vector<std::string> names;
+  if (const json::array* const parts = JsonArray(aItem, "parts")) {
+    for (const json::value& part : *parts) {
+      if (part.is_string()) {
+        names.emplace_back(part.get_string());
+      }
+    }
+  }
+  std::string single = JsonText(aItem, "part");
+  if (!single.empty()) {
+    names.push_back(std::move(single));
+  }
+  std::sort(names.begin(), names.end());
+  return names;
+}
+
+std::vector<QuarantinedParts>
+DecodeCombinations(const json::object& aDocument, UnixMillis aWallNow)
+{
+  std::vector<QuarantinedParts> combinations;
   const json::array* const items = JsonArray(aDocument, "parts");
   if (items == nullptr) {
-    return parts;
+    return combinations;
   }
   for (const json::value& item : *items) {
     if (!item.is_object()) {
@@ -52,12 +75,13 @@
                                aWallNow,
                                aWallNow + kMaxStoredTime / milliseconds(1)) -
       aWallNow;
-    const std::string part = JsonText(item.get_object(), "part");
-    if (!part.empty() && remaining > 0) {
-      parts.push_back({ .part = part, .remaining = milliseconds(remaining) });
+    std::vector<std::string> names = DecodeNames(item.get_object());
+    if (!names.empty() && remaining > 0) {
+      combinations.push_back(
+        { .parts = std::move(names), .remaining = milliseconds(remaining) });
     }
   }
-  return parts;
+  return combinations;
 }
 
 } // namespace
@@ -113,7 +137,7 @@
 bool
 QuarantineTask::Attribute(Instant aNow)
 {
-  this->attribution.Adopt(this->context.quarantine.Parts(aNow), aNow);
+  this->attribution.Adopt(this->context.quarantine.Combinations(aNow), aNow);
   this->attribution.RecordLosses(
     this->context.crashRecorder.LostSince(this->ownLossesRecordedUntil, aNow),
     aNow);
@@ -121,16 +145,16 @@
   this->attribution.RecordAnswers(
     this->context.settings.node,
     this->context.crashRecorder.SuspectAnswers(aNow));
-  const std::vector<QuarantinedPart> parts = this->attribution.Update(aNow);
-  for (const QuarantinedPart& part : parts) {
+  const std::vector<QuarantinedParts> started = this->attribution.Update(aNow);
+  for (const QuarantinedParts& item : started) {
     LogLine("prompt_part_quarantined")
-      .With("part", part.part)
-      .With("for_s", std::int64_t{ part.remaining / seconds(1) })
+      .With("part", fmt::format("{}", fmt::join(item.parts, "+")))
+      .With("for_s", std::int64_t{ item.remaining / seconds(1) })
       .Warn();
     this->context.counters.Add("prompt_parts_quarantined");
   }
   this->context.crashRecorder.SetSuspects(this->attribution.Suspects());
-  return this->context.quarantine.Add(parts, aNow);
+  return this->context.quarantine.Add(started, aNow);
 }
 
 Task<void>
@@ -165,20 +189,20 @@
   }
   this->isLoaded = true;
   this->isLoadedAsPlanner = this->hooks.isPlanner();
-  std::vector<QuarantinedPart> parts;
+  std::vector<QuarantinedParts> combinations;
   if (item->revision > 0) {
     const auto document =
       ParseJsonObject(item->value, "read quarantine", keys::kQuarantineKey);
     if (document) {
-      parts = DecodeParts(*document, WallNow());
+      combinations = DecodeCombinations(*document, WallNow());
     } else {
       LogLine("quarantine_unreadable").With(document.error()).Warn();
     }
   }
-  this->SetStored(item->revision, parts, now);
-  if (this->context.quarantine.Add(parts, now)) {
+  this->SetStored(item->revision, combinations, now);
+  if (this->context.quarantine.Add(combinations, now)) {
     LogLine("quarantine_loaded")
-      .With("parts", static_cast<std::int64_t>(parts.size()))
+      .With("parts", static_cast<std::int64_t>(combinations.size()))
       .Info();
     this->hooks.onChange();
   }
@@ -187,11 +211,11 @@
 Task<void>
 QuarantineTask::Save()
 {
-  const std::vector<QuarantinedPart> parts =
-    this->context.quarantine.Parts(MonotonicNow());
+  const std::vector<QuarantinedParts> combinations =
+    this->context.quarantine.Combinations(MonotonicNow());
   Swap swap{ .key = std::string(keys::kQuarantineKey),
              .expected = this->storedRevision,
-             .value = EncodeParts(parts, WallNow()) };
+             .value = EncodeCombinations(combinations, WallNow()) };
   const auto revision = co_await this->store.CompareAndSwap(std::move(swap));
   const Instant now = MonotonicNow();
   if (!revision) {
@@ -201,33 +225,35 @@
     this->isLoadedAsPlanner = false;
     co_return;
   }
-  this->SetStored(*revision, parts, now);
+  this->SetStored(*revision, combinations, now);
 }
 
 void
 QuarantineTask::SetStored(Revision aRevision,
-                          const std::vector<QuarantinedPart>& aParts,
+                          const std::vector<QuarantinedParts>& aCombinations,
                           Instant aNow)
 {
   this->storedRevision = aRevision;
   this->restoreCount = this->store.RestoreCount();
   this->storedEnds.clear();
-  for (const QuarantinedPart& part : aParts) {
-    this->storedEnds[part.part] = aNow + part.remaining;
+  for (const QuarantinedParts& item : aCombinations) {
+    this->storedEnds[item.parts] = aNow + item.remaining;
   }
 }
 
 bool
 QuarantineTask::HasUnsavedParts(Instant aNow) const
 {
-  const std::vector<QuarantinedPart> parts =
-    this->context.quarantine.Parts(aNow);
-  return std::any_of(
-    parts.begin(), parts.end(), [&](const QuarantinedPart& aPart) {
-      const auto stored = this->storedEnds.find(aPart.part);
-      return stored == this->storedEnds.end() ||
-             aNow + aPart.remaining > stored->second + kEndTolerance;
-    });
+  const std::vector<QuarantinedParts> combinations =
+    this->context.quarantine.Combinations(aNow);
+  return std::any_of(combinations.begin(),
+                     combinations.end(),
+                     [&](const QuarantinedParts& aItem) {
+                       const auto stored = this->storedEnds.find(aItem.parts);
+                       return stored == this->storedEnds.end() ||
+                              aNow + aItem.remaining >
+                                stored->second + kEndTolerance;
+                     });
 }
 
 } // namespace apricottrack
--- a/src/serving/QuarantineTask.h
+++ b/src/serving/QuarantineTask.h
@@ -35,7 +35,7 @@
     std::function<bool()> isPlanner;
     /// True if this node reads the store itself, without a planner to follow.
     std::function<bool()> readsStore;
-    /// Called after a part was added to the quarantine.
+    /// Called after a combination was added to the quarantine.
     std::function<void()> onChange;
   };
 
@@ -53,7 +53,7 @@
 private:
   Task<void> Run();
   /// Attributes the crashes that are known, at the planner's node. Returns true
-  /// if a part was quarantined.
+  /// if a combination was quarantined.
   bool Attribute(Instant aNow);
   /// Calls the store if that is due.
   Task<void> Synchronize();
@@ -62,9 +62,9 @@
   Task<void> Save();
   /// Applies and remembers the store's state.
   void SetStored(Revision aRevision,
-                 const std::vector<QuarantinedPart>& aParts,
+                 const std::vector<QuarantinedParts>& aCombinations,
                  Instant aNow);
-  /// True if the store lacks a part or its present end.
+  /// True if the store lacks a combination or its present end.
   bool HasUnsavedParts(Instant aNow) const;
 
   ServingContext& context;
@@ -82,8 +82,8 @@
   Revision storedRevision = 0;
   /// RestoreCount when the stored parts were last read or written.
   std::int64_t restoreCount = 0;
-  /// End of the quarantine as stored, by part.
-  std::map<std::string, Instant> storedEnds;
+  /// End of the quarantine as stored, by parts.
+  std::map<std::vector<std::string>, Instant> storedEnds;
 };
 
 } // namespace apricottrack
--- a/src/serving/RequestFlow.cpp
+++ b/src/serving/RequestFlow.cpp
@@ -26,6 +26,10 @@
 /// costs some 40 to 60 ms; a longer queue would make all of its requests late.
 constexpr double kBatchQueueShare = 0.1;
 
+/// A prompt that crashes its target does so as soon as the response begins. One
+/// whose stream goes on for longer is sound.
+constexpr Duration kSoundStreamTime = milliseconds(300);
+
 constexpr unsigned kFirstSuccess = 200;
 constexpr unsigned kFirstRedirect = 300;
 constexpr unsigned kFirstServerError = 500;
@@ -207,6 +211,8 @@
   this->targetAbandoned = false;
   this->connectionLost = false;
   this->responseStarted = false;
+  this->streamingSince.reset();
+  this->promptProvenSound = false;
   this->runningEntry = this->context.running.emplace(aTarget.id, this);
 }
 
@@ -318,7 +324,9 @@
     if (!this->ResolveHedgeOnProgress()) {
       co_return CallEnd::kNoAnswer;
     }
-    this->context.stalls.OnProgress(this->lastTargetId, false, MonotonicNow());
+    const Instant now = MonotonicNow();
+    this->context.stalls.OnProgress(this->lastTargetId, false, now);
+    this->RecordStreamProgress(now);
     std::string events = this->eventSplitter.Append(*chunk);
     if (this->eventSplitter.IsEventTooLarge()) {
       this->lastError.detail = "an event exceeds the size limit";
@@ -398,9 +406,27 @@
          aError.code != ErrorCode::kTimeout;
 }
 
+void
+RequestFlow::RecordStreamProgress(Instant aNow)
+{
+  if (!this->streamingSince) {
+    this->streamingSince = aNow;
+  } else if (!this->promptProvenSound &&
+             aNow - *this->streamingSince >= kSoundStreamTime) {
+    this->promptProvenSound = true;
+    this->context.crashRecorder.OnAnswered(this->caller.sharedPromptParts,
+                                           aNow);
+  }
+}
+
 void
 RequestFlow::RecordForAttribution(CallEnd aEnd)
 {
+  // A prompt that was proven sound is counted already, and has not caused a
+  // later loss.
+  if (this->promptProvenSound) {
+    return;
+  }
   const Instant now = MonotonicNow();
   const auto& parts = this->caller.sharedPromptParts;
   if (aEnd == CallEnd::kAnswered) {
--- a/src/serving/RequestFlow.h
+++ b/src/serving/RequestFlow.h
@@ -12,6 +12,7 @@
 
 #include <map>
 #include <memory>
+#include <optional>
 #include <set>
 #include <string>
 
@@ -42,7 +43,8 @@
   /// request or has capacity, or if the retry budget is used up.
   void HedgeCurrentCall(HedgeReason aReason);
 
-  /// Cancels the call if a part of the prompt is in quarantine.
+  /// Cancels the call if the prompt is in quarantine, unless its response has
+  /// shown it to be sound.
   void CancelIfQuarantined();
 
   /// ReplicaKey of the replica that runs the request; empty for a target of a
@@ -100,6 +102,9 @@
   /// Returns whether the target closed the connection before the end of the
   /// response.
   static bool IsConnectionLost(CallEnd aEnd, const Error& aError);
+  /// Records the prompt's parts as sound once the response has gone on for long
+  /// enough.
+  void RecordStreamProgress(Instant aNow);
   /// Records whether the call was answered or lost with its target.
   void RecordForAttribution(CallEnd aEnd);
   NextStep DecideNextStep(CallEnd aEnd);
@@ -157,6 +162,10 @@
   bool connectionLost = false;
   /// Part of the current target's response has arrived.
   bool responseStarted = false;
+  /// When the first bytes of the current target's event stream arrived.
+  std::optional<Instant> streamingSince;
+  /// The current target's response has shown the prompt to be sound.
+  bool promptProvenSound = false;
   /// The head of an event stream has been sent to the caller.
   bool streamStarted = false;
 };
--- a/src/serving/RequestFlowHedging.cpp
+++ b/src/serving/RequestFlowHedging.cpp
@@ -146,7 +146,8 @@
 void
 RequestFlow::CancelIfQuarantined()
 {
-  if (!this->context.quarantine.RemainingFor(this->caller.sharedPromptParts,
+  if (this->promptProvenSound ||
+      !this->context.quarantine.RemainingFor(this->caller.sharedPromptParts,
                                              MonotonicNow())) {
     return;
   }
