Leave the work of a silent replica that cannot continue elsewhere

Cause: two missed reports counted as the loss of a target. The planner joined the other members again at once and ordered the returning head to leave.

FleetPlanningRound::MustFinishWork now says in one place which replicas no order may interrupt: those of a service with requests that no other target may continue, while the head serves or closes and no member is lost. A member is lost if it is gone, replaced, in another list, or unresponsive for 3 s. Nodes send nothing new to the replica meanwhile. Other services are planned as before.

--- a/src/catalog/Catalog.cpp
+++ b/src/catalog/Catalog.cpp
@@ -25,6 +25,22 @@
   return FindByName(aCatalog.services, aName);
 }
 
+Duration
+LongestUnrepeatableTimeout(const Catalog& aCatalog, std::string_view aService)
+{
+  Duration longest = Duration::zero();
+  for (const CatalogRoute& route : aCatalog.routes) {
+    const bool usesService = std::any_of(
+      route.services.begin(),
+      route.services.end(),
+      [&](const ServiceShare& aShare) { return aShare.service == aService; });
+    if (usesService && !route.IsRepeatable()) {
+      longest = std::max(longest, route.timeout);
+    }
+  }
+  return longest;
+}
+
 const ReplicaModel*
 FindModel(const CatalogService& aService, std::string_view aName)
 {
--- a/src/catalog/Catalog.h
+++ b/src/catalog/Catalog.h
@@ -177,6 +177,11 @@
 const CatalogService*
 FindService(const Catalog& aCatalog, std::string_view aName);
 
+/// Returns the longest timeout of the routes to the service whose requests no
+/// other target may continue; zero if there are none.
+Duration
+LongestUnrepeatableTimeout(const Catalog& aCatalog, std::string_view aService);
+
 /// Returns null if the service has no such model.
 const ReplicaModel*
 FindModel(const CatalogService& aService, std::string_view aName);
--- a/src/replicas/FleetConversions.cpp
+++ b/src/replicas/FleetConversions.cpp
@@ -15,7 +15,8 @@
   const PlannerMember* const head = this->FindTarget(headId);
   const Membership* const membership =
     this->CurrentMembership(aReplica, headId);
-  return head == nullptr || head->unresponsive || membership == nullptr ||
+  return head == nullptr || membership == nullptr ||
+         (head->unresponsive && !this->MustFinishWork(aReplica)) ||
          (membership->state != MemberState::kOpen &&
           membership->state != MemberState::kClosing);
 }
--- /dev/null
+++ b/src/replicas/FleetInterruption.cpp
@@ -0,0 +1,66 @@
+#include "replicas/FleetPlanningRound.h"
+
+#include <algorithm>
+
+// The part of FleetPlanningRound that decides whether an order may end running
+// requests. Most requests continue at another target; for the others, a missed
+// report is no reason to end a response that may still become complete.
+namespace apricottrack {
+
+bool
+FleetPlanningRound::IsLostTo(const PlannedReplica& aReplica,
+                             const std::string& aId) const
+{
+  const PlannerMember* const member = this->FindTarget(aId);
+  return member == nullptr || member->lost ||
+         this->CurrentMembership(aReplica, aId) == nullptr;
+}
+
+bool
+FleetPlanningRound::MustFinishWork(const PlannedReplica& aReplica) const
+{
+  if (this->view.longestUnrepeatableWork == Duration::zero() ||
+      aReplica.members.size() <
+        static_cast<std::size_t>(this->ModelOf(aReplica).size)) {
+    return false;
+  }
+  // Without one of its members, the head stands still until it aborts.
+  const bool isAnyLost =
+    std::any_of(aReplica.members.begin(),
+                aReplica.members.end(),
+                [&](const auto& aId) { return this->IsLostTo(aReplica, aId); });
+  if (isAnyLost) {
+    return false;
+  }
+  const MemberState state =
+    this->CurrentMembership(aReplica, aReplica.members.front())->state;
+  return state == MemberState::kOpen || state == MemberState::kClosing;
+}
+
+bool
+FleetPlanningRound::FinishesOrphanedWork(const PlannerMember& aMember)
+{
+  if (this->view.longestUnrepeatableWork == Duration::zero()) {
+    return false;
+  }
+  const Membership& membership = *aMember.record.membership;
+  const MemberState state = this->index.HeadState(membership);
+  if (state != MemberState::kOpen && state != MemberState::kClosing) {
+    return false;
+  }
+  const std::string& id = aMember.record.id;
+  if (membership.rank == 0 && membership.state == MemberState::kOpen) {
+    const PlannedReplica orphaned{ .name = membership.replica,
+                                   .model = aMember.record.model,
+                                   .domain = aMember.record.fabricDomain,
+                                   .epoch = membership.epoch,
+                                   .members = { id } };
+    this->planner.preparations[id] = {
+      .until = this->now + this->planner.options.orderMargin, .model = {}
+    };
+    this->IssueOrder(OrderKind::kCloseGently, orphaned, id);
+  }
+  return true;
+}
+
+} // namespace apricottrack
--- a/src/replicas/FleetPlanner.h
+++ b/src/replicas/FleetPlanner.h
@@ -24,6 +24,9 @@
   /// Missed `PlannerTask::Options::maxMissedReports` report queries in a row,
   /// or another target now listens on its address.
   bool unresponsive = false;
+  /// Unresponsive for `PlannerTask::Options::lossConfirmationTime`, or replaced
+  /// on its address. One that is only unresponsive may continue its work.
+  bool lost = false;
   /// Has reported to this planner. The entry of one that has not may precede
   /// orders of another planner.
   bool reported = true;
@@ -57,6 +60,9 @@
   /// entry does not mean that the target is gone, and no orders are issued
   /// except before traffic.
   bool entriesSettled = true;
+  /// Longest timeout of the service's requests that no other target may
+  /// continue once they have begun; zero if there are none.
+  Duration longestUnrepeatableWork = Duration::zero();
 };
 
 /// Life cycle of a replica in the planner's view.
--- a/src/replicas/FleetPlanningRound.cpp
+++ b/src/replicas/FleetPlanningRound.cpp
@@ -344,7 +344,7 @@
 FleetPlanningRound::AdvanceOpening(PlannedReplica& aReplica)
 {
   if (!this->IsIntact(aReplica)) {
-    if (!this->Repair(aReplica)) {
+    if (!this->MustFinishWork(aReplica) && !this->Repair(aReplica)) {
       this->Dissolve(aReplica);
     }
     return;
@@ -370,11 +370,19 @@
   const bool serving = head != nullptr && head->state == MemberState::kOpen;
   if (!serving || !this->IsIntact(aReplica)) {
     this->MarkBroken(aReplica);
+    if (this->MustFinishWork(aReplica)) {
+      if (!serving) {
+        aReplica.phase = ReplicaPhase::kClosing;
+        aReplica.phaseSince = this->now;
+      }
+      return;
+    }
     if (!this->Repair(aReplica) && !this->RepairFromDonors(aReplica)) {
       this->Dissolve(aReplica);
     }
     return;
   }
+  this->ClearBroken(aReplica);
   if (this->ReplaceSlowMembers(aReplica)) {
     return;
   }
@@ -423,6 +431,13 @@
     this->now + this->planner.options.brokenReportDuration;
 }
 
+void
+FleetPlanningRound::ClearBroken(const PlannedReplica& aReplica)
+{
+  this->planner.brokenUntil.erase(
+    ReplicaKey({ .replica = aReplica.name, .epoch = aReplica.epoch }));
+}
+
 void
 FleetPlanningRound::BeginJoin(PlannedReplica& aReplica,
                               std::vector<std::string> aMembers)
--- a/src/replicas/FleetPlanningRound.h
+++ b/src/replicas/FleetPlanningRound.h
@@ -69,6 +69,17 @@
   /// the domain has too few idle targets to replace the other members.
   bool CanKeepServing(const PlannedReplica& aReplica) const;
 
+  /// Returns true if the target no longer does its work as a member of the
+  /// replica: it is lost or gone, or is a member of another list.
+  bool IsLostTo(const PlannedReplica& aReplica, const std::string& aId) const;
+  /// Returns true if the replica may have requests that it can still complete
+  /// and that no other target may continue. No order may end them.
+  bool MustFinishWork(const PlannedReplica& aReplica) const;
+  /// Returns true if the targets of this list of members must not be ordered to
+  /// leave it, because its head may have such requests. Orders the head to
+  /// finish them.
+  bool FinishesOrphanedWork(const PlannerMember& aMember);
+
   /// Removes state of targets and lists of members that no longer exist.
   void PruneStaleState();
   /// Adds replicas to the plan that another planner formed.
@@ -76,6 +87,8 @@
   /// Reports the current list of members as broken for
   /// `Options::brokenReportDuration`.
   void MarkBroken(const PlannedReplica& aReplica);
+  /// Ends that report, as the list of members is intact after all.
+  void ClearBroken(const PlannedReplica& aReplica);
   /// Moves each replica on in its life cycle, and repairs or dissolves it.
   void AdvanceReplicas();
   void AdvanceJoining(PlannedReplica& aReplica);
@@ -199,7 +212,8 @@
   /// members. Returns false if no conversion is possible or worth its cost.
   bool RepairFromDonors(PlannedReplica& aReplica);
   /// Returns true if the head does not report that it serves or finishes
-  /// requests in the current epoch, or is unresponsive or gone.
+  /// requests in the current epoch, or is gone or, unless MustFinishWork,
+  /// unresponsive.
   bool HasStopped(const PlannedReplica& aReplica) const;
   /// Returns true if the head responds and reports kReady, which means that it
   /// does not serve.
--- a/src/replicas/FleetSpares.cpp
+++ b/src/replicas/FleetSpares.cpp
@@ -35,7 +35,8 @@
     }
     const bool replicaContinues =
       this->planner.replicas.contains(membership->replica);
-    if (this->HasReadyHead(*membership) && !replicaContinues) {
+    if ((this->HasReadyHead(*membership) && !replicaContinues) ||
+        this->FinishesOrphanedWork(member)) {
       continue;
     }
     const PlannedReplica orphaned{ .name = membership->replica,
--- a/src/serving/PlannerCalls.cpp
+++ b/src/serving/PlannerCalls.cpp
@@ -93,14 +93,19 @@
     std::max<Duration>(this->options.reportInterval,
                        this->options.reportIntervalPerTarget * aMembers.size());
   int remainingProbes = this->options.maxProbesPerRound;
+  const bool awaitsSilentTargets =
+    this->LongestUnrepeatableWork(aService, aNow) > Duration::zero();
   const std::set<std::string> targetsInProgress =
     this->planners[aService.name]->TargetsChangingState();
   for (const auto& [id, member] : aMembers) {
     const ProbeState& probe = this->probes[id];
     const bool urgent = probe.missedReports > 0 &&
                         probe.missedReports < this->options.maxMissedReports;
+    // The replica of a target that is not lost may serve again at any time.
+    const bool isAwaited =
+      awaitsSilentTargets && member.unresponsive && !member.lost;
     const bool orderPending =
-      targetsInProgress.contains(id) || member.record.leaving;
+      targetsInProgress.contains(id) || member.record.leaving || isAwaited;
     const Duration interval = urgent ? this->options.urgentInterval
                               : orderPending
                                 ? this->options.pendingOrderInterval
@@ -173,7 +178,7 @@
   ProbeState& probe = this->probes[aTarget];
   probe.isPending = false;
   if (report) {
-    if (probe.missedReports >= this->options.maxMissedReports) {
+    if (this->IsUnresponsive(probe)) {
       LogLine("target_heard_again").With("target", aTarget).Info();
     }
     probe.missedReports = 0;
@@ -186,7 +191,9 @@
     this->context.counters.Add("reports_judged_late");
     co_return;
   }
-  ++probe.missedReports;
+  if (probe.missedReports++ == 0) {
+    probe.silentSince = probeSentAt;
+  }
   if (probe.missedReports < this->options.maxMissedReports) {
     this->StartProbe(aTarget, aAddress, true, MonotonicNow());
   } else if (probe.missedReports == this->options.maxMissedReports) {
--- a/src/serving/PlannerTask.cpp
+++ b/src/serving/PlannerTask.cpp
@@ -73,10 +73,13 @@
     }
     const TargetRecord*& holder = found->second;
     if (entry->startedAt > holder->startedAt) {
-      aMembers.find(holder->id)->second.unresponsive = true;
+      PlannerMember& displaced = aMembers.find(holder->id)->second;
+      displaced.unresponsive = true;
+      displaced.lost = true;
       holder = entry;
     } else {
       member.unresponsive = true;
+      member.lost = true;
     }
   }
 }
@@ -328,7 +331,7 @@
 }
 
 PlannerMembers
-PlannerTask::CollectServiceTargets(const CatalogService& aService)
+PlannerTask::CollectServiceTargets(const CatalogService& aService, Instant aNow)
 {
   PlannerMembers members;
   for (const auto& [id, entry] : this->context.fleet.All()) {
@@ -344,8 +347,8 @@
     } else {
       member.reported = found->second.report.has_value();
       member.record = this->NewestRecord(aService, entry, found->second);
-      member.unresponsive =
-        found->second.missedReports >= this->options.maxMissedReports;
+      member.unresponsive = this->IsUnresponsive(found->second);
+      member.lost = this->IsLost(found->second, aNow);
       const auto& report = found->second.report;
       member.slow = report && report->startedAt == member.record.startedAt &&
                     report->pace >= this->options.slowTimeFactor;
@@ -353,11 +356,32 @@
     members.emplace(id, std::move(member));
   }
   MarkDisplacedTargets(this->context.fleet, members);
-  this->AddUnlistedMembers(aService, members);
+  this->AddUnlistedMembers(aService, members, aNow);
   this->PruneGoneTargets(aService, members);
   return members;
 }
 
+bool
+PlannerTask::IsUnresponsive(const ProbeState& aProbe) const
+{
+  return aProbe.missedReports >= this->options.maxMissedReports;
+}
+
+bool
+PlannerTask::IsLost(const ProbeState& aProbe, Instant aNow) const
+{
+  return this->IsUnresponsive(aProbe) &&
+         aNow - aProbe.silentSince >= this->options.lossConfirmationTime;
+}
+
+Duration
+PlannerTask::LongestUnrepeatableWork(const CatalogService& aService,
+                                     Instant aNow)
+{
+  return this->unrepeatableWork[aService.name].LongestTimeout(
+    this->context.catalog.Current(), aService.name, aNow);
+}
+
 void
 PlannerTask::PruneGoneTargets(const CatalogService& aService,
                               const PlannerMembers& aMembers)
@@ -374,7 +398,8 @@
 
 void
 PlannerTask::AddUnlistedMembers(const CatalogService& aService,
-                                PlannerMembers& aMembers)
+                                PlannerMembers& aMembers,
+                                Instant aNow)
 {
   const auto planner = this->planners.find(aService.name);
   if (planner == this->planners.end()) {
@@ -385,8 +410,7 @@
       const auto entry = this->lastEntries.find(id);
       const auto probe = this->probes.find(id);
       if (aMembers.contains(id) || entry == this->lastEntries.end() ||
-          probe == this->probes.end() ||
-          probe->second.missedReports >= this->options.maxMissedReports) {
+          probe == this->probes.end() || this->IsLost(probe->second, aNow)) {
         continue;
       }
       PlannerMember member;
@@ -394,6 +418,7 @@
         this->NewestRecord(aService, entry->second, probe->second);
       member.record.leaving = true;
       member.listed = false;
+      member.unresponsive = this->IsUnresponsive(probe->second);
       aMembers.emplace(id, std::move(member));
     }
   }
@@ -422,7 +447,7 @@
 void
 PlannerTask::PlanService(const CatalogService& aService, Instant aNow)
 {
-  const PlannerMembers members = this->CollectServiceTargets(aService);
+  const PlannerMembers members = this->CollectServiceTargets(aService, aNow);
   if (members.empty()) {
     return;
   }
@@ -433,6 +458,7 @@
     .beforeTraffic =
       this->context.settings.serving->firstStart && !this->context.requestsSeen,
     .entriesSettled = this->continuesTerm || this->hooks.entriesSettled(),
+    .longestUnrepeatableWork = this->LongestUnrepeatableWork(aService, aNow),
   };
   auto& planner = this->planners[aService.name];
   if (planner == nullptr) {
--- a/src/serving/PlannerTask.h
+++ b/src/serving/PlannerTask.h
@@ -8,6 +8,7 @@
 #include "replicas/ReplicaCheckLimiter.h"
 #include "replicas/RoundPacer.h"
 #include "replicas/TakeoverGuard.h"
+#include "replicas/UnrepeatableWork.h"
 #include "serving/ServingContext.h"
 
 #include <functional>
@@ -50,6 +51,9 @@
     Duration lateReportThreshold = milliseconds(60);
     /// Consecutive missed reports after which a target is unresponsive.
     int maxMissedReports = 2;
+    /// An unresponsive target counts as lost after this time; sound ones may be
+    /// silent for a second or two.
+    Duration lossConfirmationTime = milliseconds(3000);
     /// Reported factor on the times of the engine from which a target counts as
     /// slow. Replacing a member interrupts its replica for less than a second.
     double slowTimeFactor = 1.6;
@@ -130,6 +134,8 @@
     Instant reportedAt;
     /// Consecutive reports that were missed.
     int missedReports = 0;
+    /// When the first of them was requested.
+    Instant silentSince;
     /// A probe is in progress.
     bool isPending = false;
   };
@@ -176,12 +182,21 @@
                     const PlannerMembers& aMembers,
                     Instant aNow);
   /// Targets of a service in their newest known state, unlisted ones included.
-  PlannerMembers CollectServiceTargets(const CatalogService& aService);
-  /// Adds replica members that respond although their entries are gone, because
-  /// they lost their connection to the store or are leaving. They finish their
-  /// running requests and get no others.
+  PlannerMembers CollectServiceTargets(const CatalogService& aService,
+                                       Instant aNow);
+  /// Adds replica members that are not lost although their entries are gone,
+  /// because they lost their connection to the store or are leaving. They
+  /// finish their running requests and get no others.
   void AddUnlistedMembers(const CatalogService& aService,
-                          PlannerMembers& aMembers);
+                          PlannerMembers& aMembers,
+                          Instant aNow);
+  bool IsUnresponsive(const ProbeState& aProbe) const;
+  /// True if the target has been unresponsive for `lossConfirmationTime`.
+  bool IsLost(const ProbeState& aProbe, Instant aNow) const;
+  /// Longest timeout of the service's requests that no other target may
+  /// continue.
+  Duration LongestUnrepeatableWork(const CatalogService& aService,
+                                   Instant aNow);
   /// Removes the state of targets that are neither listed nor responsive.
   void PruneGoneTargets(const CatalogService& aService,
                         const PlannerMembers& aMembers);
@@ -239,6 +254,8 @@
   std::map<std::string, TargetRecord, std::less<>> lastEntries;
   /// When the last planner_view line was logged, by service name.
   std::map<std::string, Instant, std::less<>> viewLoggedAt;
+  /// By service name.
+  std::map<std::string, UnrepeatableWork, std::less<>> unrepeatableWork;
   /// Demand that other nodes reported, by node name.
   std::map<std::string, NodeDemands, std::less<>> demandsByNode;
   /// When this node became the planner.
--- a/tests/CatalogTest.cpp
+++ b/tests/CatalogTest.cpp
@@ -79,3 +79,23 @@
   CHECK(holder.MayAcceptKeys(kStart + seconds(6)));
   CHECK_FALSE(holder.MayAcceptKeys(kStart + seconds(7)));
 }
+
+// Guards against planning that takes a service's requests for repeatable.
+TEST_CASE("LongestUnrepeatableTimeout considers all routes to a service")
+{
+  const auto route = [](RouteKind aKind, bool aResumable, int aSeconds) {
+    return CatalogRoute{ .kind = aKind,
+                         .resumable = aResumable,
+                         .timeout = seconds(aSeconds),
+                         .services = { { .service = "x" },
+                                       { .service = "y" } } };
+  };
+  Catalog catalog;
+  catalog.routes = { route(RouteKind::kIdempotent, false, 50),
+                     route(RouteKind::kStream, true, 40) };
+  CHECK(LongestUnrepeatableTimeout(catalog, "y") == Duration::zero());
+  catalog.routes.push_back(route(RouteKind::kStream, false, 9));
+  catalog.routes.push_back(route(RouteKind::kNonIdempotent, false, 7));
+  CHECK(LongestUnrepeatableTimeout(catalog, "y") == seconds(9));
+  CHECK(LongestUnrepeatableTimeout(catalog, "z") == Duration::zero());
+}
--- a/tests/FakeFleet.h
+++ b/tests/FakeFleet.h
@@ -88,7 +88,8 @@
     return { .service = this->service,
              .members = this->members,
              .demands = this->demands,
-             .beforeTraffic = aBeforeTraffic };
+             .beforeTraffic = aBeforeTraffic,
+             .longestUnrepeatableWork = this->longestUnrepeatableWork };
   }
 
   /// Runs planning rounds every 50 ms until 100 in a row issue no order.
@@ -116,6 +117,9 @@
   CatalogService service = MakeEngineService();
   PlannerMembers members;
   ModelDemands demands;
+  Duration longestUnrepeatableWork = Duration::zero();
+  /// Heads have work: those that close gently do not stop by themselves.
+  bool headsHaveWork = false;
   /// Targets that were ordered into another replica while the head of their
   /// current one was serving.
   std::vector<std::string> violations;
@@ -170,8 +174,12 @@
       case OrderKind::kCloseNow:
       case OrderKind::kCloseGently:
         if (record.membership &&
-            record.membership->state == MemberState::kOpen) {
-          record.membership->state = MemberState::kReady;
+            (record.membership->state == MemberState::kOpen ||
+             record.membership->state == MemberState::kClosing)) {
+          record.membership->state =
+            this->headsHaveWork && aOrder.kind == OrderKind::kCloseGently
+              ? MemberState::kClosing
+              : MemberState::kReady;
         }
         break;
       case OrderKind::kLeave:
--- /dev/null
+++ b/tests/FleetInterruptionTest.cpp
@@ -0,0 +1,155 @@
+#include "FakeFleet.h"
+
+#include <catch2/catch.hpp>
+
+using namespace apricottrack;
+
+namespace {
+
+/// A fleet whose heads run requests that no other target may continue.
+FakeFleet
+MakeBusyFleet(int aTargetCount)
+{
+  FakeFleet fleet(aTargetCount);
+  fleet.longestUnrepeatableWork = seconds(12);
+  return fleet;
+}
+
+/// Returns the number of orders that end the work of a head in the list of
+/// members: all but a graceful close.
+std::ptrdiff_t
+CountInterruptions(const std::vector<ReplicaOrder>& aOrders,
+                   const PlannedReplica& aReplica)
+{
+  return std::count_if(
+    aOrders.begin(), aOrders.end(), [&](const ReplicaOrder& aOrder) {
+      const auto& members = aReplica.members;
+      return std::find(members.begin(), members.end(), aOrder.target) !=
+               members.end() &&
+             aOrder.kind != OrderKind::kCloseGently &&
+             aOrder.kind != OrderKind::kStage;
+    });
+}
+
+std::string
+KeyOf(const PlannedReplica& aReplica)
+{
+  return ReplicaKey({ .replica = aReplica.name, .epoch = aReplica.epoch });
+}
+
+} // namespace
+
+// Guards against streams that are cut because their sound head, or another
+// member, was silent for a second.
+TEST_CASE("FleetPlanner leaves a replica with a silent member its work")
+{
+  FakeFleet fleet = MakeBusyFleet(12);
+  FleetPlanner planner = MakePlanner(1);
+  Instant now = kStart;
+  fleet.RunUntilIdle(planner, now, true);
+  REQUIRE(CountServing(planner) >= 2);
+  const PlannedReplica replica = planner.Replicas().begin()->second;
+  const bool isHeadSilent = GENERATE(true, false);
+  const std::string silent =
+    isHeadSilent ? replica.members.front() : replica.members.back();
+  fleet.members.at(silent).unresponsive = true;
+  for (int i = 0; i < 50; ++i, now += milliseconds(50)) {
+    CHECK(CountInterruptions(planner.PlanRound(fleet.View(), now), replica) ==
+          0);
+    // Nodes send it no requests meanwhile.
+    CHECK(planner.BrokenReplicas(now).contains(KeyOf(replica)));
+  }
+  fleet.members.at(silent).unresponsive = false;
+  CHECK(fleet.RunUntilIdle(planner, now) == 0);
+  CHECK(planner.Replicas().at(replica.name).epoch == replica.epoch);
+  CHECK(planner.BrokenReplicas(now).empty());
+}
+
+// Guards against a replica that is never repaired because its work is awaited.
+TEST_CASE("FleetPlanner repairs a replica once a member is lost")
+{
+  FakeFleet fleet = MakeBusyFleet(12);
+  FleetPlanner planner = MakePlanner(1);
+  Instant now = kStart;
+  fleet.RunUntilIdle(planner, now, true);
+  const PlannedReplica replica = planner.Replicas().begin()->second;
+  const std::size_t rank = GENERATE(0, 1);
+  PlannerMember& member = fleet.members.at(replica.members[rank]);
+  const bool isRestarted = GENERATE(true, false);
+  if (isRestarted) {
+    member.record.membership.reset();
+  } else {
+    member.unresponsive = true;
+    member.lost = true;
+  }
+  fleet.RunUntilIdle(planner, now);
+  const PlannedReplica& repaired = planner.Replicas().at(replica.name);
+  CHECK(repaired.epoch > replica.epoch);
+  CHECK(repaired.phase == ReplicaPhase::kServing);
+}
+
+// Guards against a repair that takes its members from other heads with work.
+TEST_CASE("FleetPlanner leaves several silent replicas their work")
+{
+  FakeFleet fleet = MakeBusyFleet(18);
+  FleetPlanner planner = MakePlanner(1);
+  Instant now = kStart;
+  fleet.RunUntilIdle(planner, now, true);
+  const auto replicas = planner.Replicas();
+  REQUIRE(replicas.size() >= 3);
+  for (const auto& [name, replica] : replicas) {
+    fleet.members.at(replica.members.front()).unresponsive = true;
+  }
+  for (int i = 0; i < 30; ++i, now += milliseconds(50)) {
+    const auto orders = planner.PlanRound(fleet.View(), now);
+    for (const auto& [name, replica] : replicas) {
+      CHECK(CountInterruptions(orders, replica) == 0);
+    }
+  }
+}
+
+// Guards against work that is cut when a head returns from a partition.
+TEST_CASE("FleetPlanner lets a superseded head finish its work")
+{
+  FakeFleet fleet = MakeBusyFleet(9);
+  fleet.headsHaveWork = true;
+  FleetPlanner planner = MakePlanner(1);
+  Instant now = kStart;
+  fleet.RunUntilIdle(planner, now, true);
+  const PlannedReplica replica = planner.Replicas().begin()->second;
+  const std::string head = replica.members.front();
+  const PlannerMember partitioned = fleet.members.at(head);
+  fleet.members.erase(head);
+  fleet.RunUntilIdle(planner, now);
+  fleet.members[head] = partitioned;
+  bool closedGently = false;
+  for (int i = 0; i < 40; ++i, now += milliseconds(50)) {
+    const auto orders = planner.PlanRound(fleet.View(), now);
+    for (const ReplicaOrder& order : orders) {
+      const bool isForHead = order.target == head;
+      closedGently =
+        closedGently || (isForHead && order.kind == OrderKind::kCloseGently);
+      CHECK_FALSE((isForHead && order.kind == OrderKind::kLeave));
+    }
+    fleet.Execute(orders);
+  }
+  CHECK(closedGently);
+  fleet.members.at(head).record.membership->state = MemberState::kReady;
+  fleet.RunUntilIdle(planner, now);
+  CHECK(fleet.members.at(head).record.membership !=
+        partitioned.record.membership);
+  CHECK(fleet.violations.empty());
+}
+
+// Guards against a wait for silent heads where any work can continue elsewhere.
+TEST_CASE("FleetPlanner repairs a silent replica at once if its work is "
+          "repeatable")
+{
+  FakeFleet fleet(12);
+  FleetPlanner planner = MakePlanner(1);
+  Instant now = kStart;
+  fleet.RunUntilIdle(planner, now, true);
+  const PlannedReplica replica = planner.Replicas().begin()->second;
+  fleet.members.at(replica.members.front()).unresponsive = true;
+  CHECK(CountInterruptions(planner.PlanRound(fleet.View(), now), replica) > 0);
+}
