Let heads finish work that cannot continue elsewhere before they close

Cause: each graceful close was followed by an abort after 2.5 s, although the members stay as long as the head has work. Donors of a repair were aborted at once, and heads with a slow member joined again at once.

Under MustFinishWork a closing head now has the longest timeout of such requests, donors close gracefully, and a slow member is replaced once the head has finished. A graceful close without effect is repeated.

--- a/src/replicas/FleetConversions.cpp
+++ b/src/replicas/FleetConversions.cpp
@@ -122,7 +122,10 @@
     donor.recipient = name == aReplica ? std::string{} : aReplica;
     donor.phase = ReplicaPhase::kClosing;
     donor.phaseSince = this->now;
-    this->IssueOrder(aOrderKind, donor, donor.members.front());
+    this->IssueOrder(this->MustFinishWork(donor) ? OrderKind::kCloseGently
+                                                 : aOrderKind,
+                     donor,
+                     donor.members.front());
   }
 }
 
--- a/src/replicas/FleetInterruption.cpp
+++ b/src/replicas/FleetInterruption.cpp
@@ -37,6 +37,38 @@
   return state == MemberState::kOpen || state == MemberState::kClosing;
 }
 
+void
+FleetPlanningRound::CloseGently(PlannedReplica& aReplica)
+{
+  aReplica.phase = ReplicaPhase::kClosing;
+  aReplica.phaseSince = this->now;
+  this->IssueOrder(OrderKind::kCloseGently, aReplica, aReplica.members.front());
+}
+
+void
+FleetPlanningRound::HurryClosing(PlannedReplica& aReplica)
+{
+  const Duration waited = this->now - aReplica.phaseSince;
+  const Duration graceful = this->planner.options.gracefulCloseTimeout;
+  if (waited < graceful) {
+    return;
+  }
+  if (this->MustFinishWork(aReplica)) {
+    const Membership* const head =
+      this->CurrentMembership(aReplica, aReplica.members.front());
+    if (head->state == MemberState::kOpen) {
+      // The order had no effect, so the head has accepted requests since.
+      this->CloseGently(aReplica);
+      return;
+    }
+    if (waited < this->view.longestUnrepeatableWork) {
+      return;
+    }
+  }
+  aReplica.phaseSince = this->now;
+  this->IssueOrder(OrderKind::kCloseNow, aReplica, aReplica.members.front());
+}
+
 bool
 FleetPlanningRound::FinishesOrphanedWork(const PlannerMember& aMember)
 {
--- a/src/replicas/FleetPlanner.h
+++ b/src/replicas/FleetPlanner.h
@@ -147,7 +147,8 @@
     /// know the list that replaced it.
     Duration brokenReportDuration = seconds(4);
     /// Maximum time for a head to finish its running requests before it is
-    /// ordered to abort them.
+    /// ordered to abort those that continue at another target. The others have
+    /// `FleetPlannerView::longestUnrepeatableWork`.
     Duration gracefulCloseTimeout = milliseconds(2500);
   };
 
--- a/src/replicas/FleetPlanningRound.cpp
+++ b/src/replicas/FleetPlanningRound.cpp
@@ -383,29 +383,25 @@
     return;
   }
   this->ClearBroken(aReplica);
-  if (this->ReplaceSlowMembers(aReplica)) {
+  if (this->CanReplaceSlowMembers(aReplica)) {
+    if (this->MustFinishWork(aReplica)) {
+      this->CloseGently(aReplica);
+    } else {
+      this->ReplaceSlowMembers(aReplica);
+    }
     return;
   }
   if (this->HasLeavingMember(aReplica) && !this->CanKeepServing(aReplica)) {
     // Running requests finish first; the replacement joins afterwards.
-    aReplica.phase = ReplicaPhase::kClosing;
-    aReplica.phaseSince = this->now;
-    this->IssueOrder(
-      OrderKind::kCloseGently, aReplica, aReplica.members.front());
+    this->CloseGently(aReplica);
   }
 }
 
 bool
 FleetPlanningRound::AdvanceClosing(PlannedReplica& aReplica)
 {
-  const bool running = !this->HasStopped(aReplica);
-  if (running && this->now - aReplica.phaseSince <
-                   this->planner.options.gracefulCloseTimeout) {
-    return false;
-  }
-  if (running) {
-    aReplica.phaseSince = this->now;
-    this->IssueOrder(OrderKind::kCloseNow, aReplica, aReplica.members.front());
+  if (!this->HasStopped(aReplica)) {
+    this->HurryClosing(aReplica);
     return false;
   }
   if (this->IsAwaitingDonors(aReplica) ||
@@ -416,7 +412,14 @@
     this->RetireMemberList(aReplica);
     return true;
   }
-  if (this->FinishConversion(aReplica) || this->Repair(aReplica)) {
+  if (this->FinishConversion(aReplica)) {
+    return false;
+  }
+  if (this->CanReplaceSlowMembers(aReplica)) {
+    this->ReplaceSlowMembers(aReplica);
+    return false;
+  }
+  if (this->Repair(aReplica)) {
     return false;
   }
   this->RetireMemberList(aReplica);
--- a/src/replicas/FleetPlanningRound.h
+++ b/src/replicas/FleetPlanningRound.h
@@ -75,6 +75,11 @@
   /// Returns true if the replica may have requests that it can still complete
   /// and that no other target may continue. No order may end them.
   bool MustFinishWork(const PlannedReplica& aReplica) const;
+  /// Orders the head to finish its requests and moves the replica to kClosing.
+  void CloseGently(PlannedReplica& aReplica);
+  /// Orders the head of a closing replica to abort its requests once they have
+  /// had enough time, or repeats a CloseGently without effect.
+  void HurryClosing(PlannedReplica& aReplica);
   /// Returns true if the targets of this list of members must not be ordered to
   /// leave it, because its head may have such requests. Orders the head to
   /// finish them.
@@ -103,9 +108,12 @@
   /// under a new epoch. Returns false if no member is usable or the fabric
   /// domain has too few targets.
   bool Repair(PlannedReplica& aReplica);
-  /// Replaces the slow members of a serving replica by idle targets. Returns
-  /// false if none is slow or the domain has too few idle targets.
-  bool ReplaceSlowMembers(PlannedReplica& aReplica);
+  /// Returns the usable members that are not slow.
+  std::vector<std::string> FastMembersOf(const PlannedReplica& aReplica) const;
+  /// Returns true if a member is slow and the domain has enough idle targets.
+  bool CanReplaceSlowMembers(const PlannedReplica& aReplica) const;
+  /// Replaces the slow members by idle targets, as CanReplaceSlowMembers.
+  void ReplaceSlowMembers(PlannedReplica& aReplica);
   /// Orders the head, if it responds, to stop immediately and moves the replica
   /// to kClosing; its members are released once the head has stopped.
   void Dissolve(PlannedReplica& aReplica);
@@ -203,8 +211,9 @@
   /// Returns the replica's usable members that are not cold for the model.
   std::vector<std::string> UsableMembersFor(const PlannedReplica& aReplica,
                                             const ReplicaModel& aModel) const;
-  /// Orders the donors to stop serving; their members then go to the replica
-  /// named `aReplica`, which may be a donor itself.
+  /// Orders the donors to stop serving, gently where MustFinishWork; their
+  /// members then go to the replica named `aReplica`, which may be a donor
+  /// itself.
   void StopDonors(const Conversion& aConversion,
                   const std::string& aReplica,
                   OrderKind aOrderKind);
--- a/src/replicas/FleetRepair.cpp
+++ b/src/replicas/FleetRepair.cpp
@@ -71,27 +71,36 @@
   return true;
 }
 
-bool
-FleetPlanningRound::ReplaceSlowMembers(PlannedReplica& aReplica)
+std::vector<std::string>
+FleetPlanningRound::FastMembersOf(const PlannedReplica& aReplica) const
 {
   std::vector<std::string> members;
   for (const std::string& id : aReplica.members) {
-    const PlannerMember* const member = this->FindTarget(id);
-    if (!member->slow && !member->record.leaving) {
+    if (this->IsUsable(id) && !this->FindTarget(id)->slow) {
       members.push_back(id);
     }
   }
+  return members;
+}
+
+bool
+FleetPlanningRound::CanReplaceSlowMembers(const PlannedReplica& aReplica) const
+{
+  const bool hasSlowMember = std::any_of(
+    aReplica.members.begin(), aReplica.members.end(), [&](const auto& aId) {
+      return this->IsUsable(aId) && this->FindTarget(aId)->slow;
+    });
+  return hasSlowMember &&
+         this->FastMembersOf(aReplica).size() +
+             this->CountIdleTargetsIn(aReplica.domain, aReplica.model) >=
+           aReplica.members.size();
+}
+
+void
+FleetPlanningRound::ReplaceSlowMembers(PlannedReplica& aReplica)
+{
+  std::vector<std::string> members = this->FastMembersOf(aReplica);
   const auto size = aReplica.members.size();
-  const bool hasSlowMember =
-    std::any_of(aReplica.members.begin(),
-                aReplica.members.end(),
-                [&](const auto& aId) { return this->FindTarget(aId)->slow; });
-  const int spares =
-    hasSlowMember ? this->CountIdleTargetsIn(aReplica.domain, aReplica.model)
-                  : 0;
-  if (!hasSlowMember || members.size() + spares < size) {
-    return false;
-  }
   for (std::string& id : this->IdleTargetsIn(aReplica.domain, aReplica.model)) {
     if (members.size() < size) {
       members.push_back(std::move(id));
@@ -99,7 +108,6 @@
   }
   this->MarkBroken(aReplica);
   this->BeginJoin(aReplica, std::move(members));
-  return true;
 }
 
 bool
@@ -123,7 +131,7 @@
   if (!conversion) {
     return false;
   }
-  // The donors stop without finishing their requests, which are continued on
+  // The donors stop without finishing those requests that are continued on
   // other replicas, because the remaining members idle until the repair.
   this->StopDonors(*conversion, aReplica.name, OrderKind::kCloseNow);
   this->Dissolve(aReplica);
--- a/tests/FleetInterruptionTest.cpp
+++ b/tests/FleetInterruptionTest.cpp
@@ -153,3 +153,160 @@
   fleet.members.at(replica.members.front()).unresponsive = true;
   CHECK(CountInterruptions(planner.PlanRound(fleet.View(), now), replica) > 0);
 }
+
+namespace {
+
+/// Returns how long the planner lets the head finish its work before it orders
+/// to abort it, and checks that no other order ends it.
+Duration
+TimeToFinish(FakeFleet& aFleet,
+             FleetPlanner& aPlanner,
+             const PlannedReplica& aReplica,
+             Instant aNow)
+{
+  const Instant start = aNow;
+  for (; aNow - start < seconds(30); aNow += milliseconds(50)) {
+    const auto orders = aPlanner.PlanRound(aFleet.View(), aNow);
+    const auto aborts =
+      std::count_if(orders.begin(), orders.end(), [&](const auto& aOrder) {
+        return aOrder.kind == OrderKind::kCloseNow &&
+               aOrder.target == aReplica.members.front();
+      });
+    CHECK(CountInterruptions(orders, aReplica) == aborts);
+    if (aborts > 0) {
+      break;
+    }
+    aFleet.Execute(orders);
+  }
+  return aNow - start;
+}
+
+} // namespace
+
+// Guards against streams of a sound head that are cut because another member,
+// or the head itself, drains.
+TEST_CASE("FleetPlanner lets the head of a draining replica finish its work")
+{
+  FakeFleet fleet = MakeBusyFleet(12);
+  FleetPlanner planner = MakePlanner(1);
+  Instant now = kStart;
+  fleet.RunUntilIdle(planner, now, true);
+  fleet.headsHaveWork = true;
+  const PlannedReplica replica = planner.Replicas().begin()->second;
+  const std::size_t rank = GENERATE(0, 1);
+  fleet.members.at(replica.members[rank]).record.leaving = true;
+  SECTION("work that never ends")
+  {
+    CHECK(TimeToFinish(fleet, planner, replica, now) >= seconds(12));
+  }
+  SECTION("a silent head")
+  {
+    fleet.Execute(planner.PlanRound(fleet.View(), now));
+    fleet.members.at(replica.members.front()).unresponsive = true;
+    CHECK(TimeToFinish(fleet, planner, replica, now) >= seconds(12));
+  }
+  SECTION("work that ends")
+  {
+    for (int i = 0; i < 100; ++i, now += milliseconds(50)) {
+      fleet.Execute(planner.PlanRound(fleet.View(), now));
+    }
+    fleet.members.at(replica.members.front()).record.membership->state =
+      MemberState::kReady;
+    fleet.RunUntilIdle(planner, now);
+    const PlannedReplica& repaired = planner.Replicas().at(replica.name);
+    CHECK(repaired.phase == ReplicaPhase::kServing);
+    CHECK(repaired.epoch > replica.epoch);
+  }
+}
+
+TEST_CASE("FleetPlanner repeats a graceful close without effect")
+{
+  FakeFleet fleet = MakeBusyFleet(12);
+  FleetPlanner planner = MakePlanner(1);
+  Instant now = kStart;
+  fleet.RunUntilIdle(planner, now, true);
+  const PlannedReplica replica = planner.Replicas().begin()->second;
+  fleet.members.at(replica.members.back()).record.leaving = true;
+  int closes = 0;
+  for (int i = 0; i < 200; ++i, now += milliseconds(50)) {
+    const auto orders = planner.PlanRound(fleet.View(), now);
+    CHECK(CountInterruptions(orders, replica) == 0);
+    closes += static_cast<int>(
+      std::count_if(orders.begin(), orders.end(), [&](const auto& aOrder) {
+        return aOrder.kind == OrderKind::kCloseGently;
+      }));
+  }
+  CHECK(closes == 4);
+}
+
+// Guards against streams that are cut to replace a slow member.
+TEST_CASE("FleetPlanner replaces a slow member once its head has finished")
+{
+  FakeFleet fleet = MakeBusyFleet(12);
+  FleetPlanner planner = MakePlanner(1);
+  Instant now = kStart;
+  fleet.RunUntilIdle(planner, now, true);
+  fleet.headsHaveWork = true;
+  const PlannedReplica replica = planner.Replicas().begin()->second;
+  const std::string slow = replica.members.back();
+  fleet.members.at(slow).slow = true;
+  for (int i = 0; i < 100; ++i, now += milliseconds(50)) {
+    const auto orders = planner.PlanRound(fleet.View(), now);
+    CHECK(CountInterruptions(orders, replica) == 0);
+    fleet.Execute(orders);
+  }
+  fleet.members.at(replica.members.front()).record.membership->state =
+    MemberState::kReady;
+  fleet.RunUntilIdle(planner, now);
+  const PlannedReplica& repaired = planner.Replicas().at(replica.name);
+  CHECK(repaired.phase == ReplicaPhase::kServing);
+  CHECK(std::find(repaired.members.begin(), repaired.members.end(), slow) ==
+        repaired.members.end());
+}
+
+// Guards against streams that are cut to convert their replica.
+TEST_CASE("FleetPlanner lets donors of a repair finish their work")
+{
+  FakeFleet fleet = MakeBusyFleet(14);
+  fleet.service.engine->models = {
+    { .name = "large", .size = 8, .share = 0.5, .loadTime = seconds(16) },
+    { .name = "small", .size = 3, .share = 0.5, .loadTime = seconds(12) },
+  };
+  FleetPlanner planner = MakePlanner(1);
+  Instant now = kStart;
+  fleet.RunUntilIdle(planner, now, true);
+  REQUIRE(planner.CountReplicas("large", ReplicaPhase::kServing) == 1);
+  REQUIRE(planner.CountReplicas("small", ReplicaPhase::kServing) == 2);
+  fleet.headsHaveWork = true;
+  fleet.demands = {
+    { "large",
+      { .requests = 60, .promptTokens = 42'000, .outputTokens = 12'000 } },
+    { "small", { .requests = 0.5, .promptTokens = 350, .outputTokens = 100 } },
+  };
+  for (auto& [id, member] : fleet.members) {
+    member.record.stagedModels = { "large", "small" };
+  }
+  std::vector<PlannedReplica> donors;
+  for (const auto& [name, replica] : planner.Replicas()) {
+    if (replica.model == "large") {
+      fleet.members.erase(replica.members.back());
+    } else {
+      donors.push_back(replica);
+    }
+  }
+  bool closedGently = false;
+  for (int i = 0; i < 100; ++i, now += milliseconds(50)) {
+    const auto orders = planner.PlanRound(fleet.View(), now);
+    for (const PlannedReplica& donor : donors) {
+      CHECK(CountInterruptions(orders, donor) == 0);
+      closedGently =
+        closedGently ||
+        std::any_of(orders.begin(), orders.end(), [&](const auto& aOrder) {
+          return aOrder.kind == OrderKind::kCloseGently &&
+                 aOrder.target == donor.members.front();
+        });
+    }
+    fleet.Execute(orders);
+  }
+  CHECK(closedGently);
+}
