Answer requests that have not ended at the end of a planned stop

Reported by other operators: requests that came late in the grace period of a stop were passed on and cut at its end without a response.

Cause here: admission did not look at the time left, and the process ended 0.4 s before the limit whoever was connected.

A stop now gives all requests an earlier deadline. A request whose response would take longer is refused (503, not run); at the deadline calls are cancelled and their callers get 504, 502 or, if nothing was sent, 503.

--- a/src/engine/EngineCost.cpp
+++ b/src/engine/EngineCost.cpp
@@ -57,6 +57,16 @@
   return this->StepTime(aRunningRequests, aContextTokens) * this->engine.stride;
 }
 
+Duration
+EngineCost::RequestTime(double aPromptTokens, double aOutputTokens) const
+{
+  const double slots = this->engine.batchSlots;
+  const double seconds =
+    ToSeconds(this->StepTime(slots, slots * (aPromptTokens + aOutputTokens))) *
+    aOutputTokens;
+  return this->PrefillTime(aPromptTokens) + FromSeconds(seconds);
+}
+
 double
 EngineCost::PrefillShare(const ModelDemand& aDemand, double aReplicaCount) const
 {
--- a/src/engine/EngineCost.h
+++ b/src/engine/EngineCost.h
@@ -40,6 +40,10 @@
   /// prefill.
   Duration PassTime(double aRunningRequests, double aContextTokens) const;
 
+  /// Time from the start of a request's prefill to the end of its response,
+  /// with all batch slots taken by requests of this size.
+  Duration RequestTime(double aPromptTokens, double aOutputTokens) const;
+
   /// Share of a replica's time spent on prefill, with the demand spread evenly
   /// over this many replicas. At 1 or more they cannot keep up.
   double PrefillShare(const ModelDemand& aDemand, double aReplicaCount) const;
--- a/src/http/HttpServer.cpp
+++ b/src/http/HttpServer.cpp
@@ -186,6 +186,17 @@
   }
 }
 
+Task<void>
+HttpServer::WaitForConnections(Instant aUntil)
+{
+  static constexpr Duration kCheckInterval = milliseconds(20);
+  asio::steady_timer timer(this->executor);
+  while (!this->sessions.empty() && MonotonicNow() < aUntil) {
+    timer.expires_after(kCheckInterval);
+    co_await timer.async_wait(kAsTuple);
+  }
+}
+
 void
 HttpServer::AcceptQueuedConnections()
 {
--- a/src/http/HttpServer.h
+++ b/src/http/HttpServer.h
@@ -112,6 +112,9 @@
   /// and their connections are closed afterwards.
   void Stop();
 
+  /// Waits until all connections are closed, at most until `aUntil`.
+  Task<void> WaitForConnections(Instant aUntil);
+
   /// Number of open connections.
   std::size_t ConnectionCount() const { return this->sessions.size(); }
 
--- a/src/http/HttpTypes.cpp
+++ b/src/http/HttpTypes.cpp
@@ -60,4 +60,14 @@
   return response;
 }
 
+HttpResponse
+TextResponse(unsigned aStatus, std::string aBody)
+{
+  HttpResponse response;
+  response.result(aStatus);
+  response.set(boost::beast::http::field::content_type, "text/plain");
+  response.body() = std::move(aBody);
+  return response;
+}
+
 } // namespace apricottrack
--- a/src/http/HttpTypes.h
+++ b/src/http/HttpTypes.h
@@ -42,6 +42,10 @@
 HttpResponse
 JsonResponse(unsigned aStatus, std::string aBody);
 
+/// Returns a response with a plain text body.
+HttpResponse
+TextResponse(unsigned aStatus, std::string aBody);
+
 } // namespace apricottrack
 
 #endif
--- a/src/serving/RequestFlow.cpp
+++ b/src/serving/RequestFlow.cpp
@@ -83,6 +83,10 @@
     co_await this->Refuse(503, "no_service");
     co_return;
   }
+  if (!this->CanEndBeforeStop(MonotonicNow())) {
+    co_await this->Refuse(503, "node_stopping");
+    co_return;
+  }
   this->Budget().OnFirstAttempt();
   this->context.demand.OnRequest(this->DemandKey(),
                                  this->caller.promptTokens,
@@ -103,7 +107,7 @@
 {
   for (;;) {
     const Instant now = MonotonicNow();
-    if (now + kMinCallTime >= this->admittedRequest.deadline) {
+    if (now + kMinCallTime >= this->Deadline()) {
       co_await this->Finish(this->DecideNextStep(CallEnd::kOutOfTime));
       co_return;
     }
@@ -171,7 +175,7 @@
   const TargetInstructions instructions{
     .targetId = aTarget.id,
     .account = this->admittedRequest.account,
-    .timeLeft = this->admittedRequest.deadline - aNow - kResponseMargin,
+    .timeLeft = this->Deadline() - aNow - kResponseMargin,
     .resumeAfter = this->eventSplitter.LastId(),
     .isRetry = aIsRetry,
   };
@@ -183,7 +187,7 @@
            // only the id tells the response from a copy of an earlier one.
            .mayReuse = this->admittedRequest.route->IsRepeatable() &&
                        !this->caller.attemptId.empty(),
-           .deadline = this->admittedRequest.deadline };
+           .deadline = this->Deadline() };
 }
 
 Task<CallEnd>
@@ -392,7 +396,7 @@
   if (!aCall.WasSent()) {
     return CallEnd::kNotSent;
   }
-  if (MonotonicNow() + milliseconds(1) >= this->admittedRequest.deadline) {
+  if (MonotonicNow() + milliseconds(1) >= this->Deadline()) {
     return CallEnd::kOutOfTime;
   }
   return aError.code == ErrorCode::kBadReply ? CallEnd::kTruncated
@@ -442,8 +446,7 @@
   if (this->callerDisconnected) {
     return NextStep::kAbort;
   }
-  this->history.timeLeft =
-    MonotonicNow() + kMinCallTime < this->admittedRequest.deadline;
+  this->history.timeLeft = MonotonicNow() + kMinCallTime < this->Deadline();
   this->history.budgetLeft = true;
   const NextStep step =
     DecideNext(*this->admittedRequest.route, aEnd, this->history);
--- a/src/serving/RequestFlow.h
+++ b/src/serving/RequestFlow.h
@@ -43,6 +43,10 @@
   /// request or has capacity, or if the retry budget is used up.
   void HedgeCurrentCall(HedgeReason aReason);
 
+  /// Ends the call, because the node stops. The caller gets an error response,
+  /// or a closed connection if its stream has begun.
+  void CancelForStop();
+
   /// Cancels the call if the prompt is in quarantine, unless its response has
   /// shown it to be sound.
   void CancelIfQuarantined();
@@ -61,6 +65,10 @@
   Task<void> Run();
   /// Key that demand is counted under: the model or, without one, the service.
   const std::string& DemandKey() const;
+  /// The request's deadline, or an earlier end of this node.
+  Instant Deadline() const;
+  /// False if the response would probably take longer than this node runs.
+  bool CanEndBeforeStop(Instant aNow) const;
   PlacementChoice ChooseTarget(Instant aNow) const;
   Task<CallEnd> CallTarget(const Candidate& aTarget);
   TargetCall::Options MakeCallOptions(const Candidate& aTarget,
--- a/src/serving/RequestFlowEnds.cpp
+++ b/src/serving/RequestFlowEnds.cpp
@@ -1,12 +1,49 @@
 #include "base/Log.h"
 #include "serving/RequestFlow.h"
 
+#include <algorithm>
 #include <cmath>
 #include <fmt/format.h>
 
-// The part of RequestFlow that ends a request and logs its calls and its end.
+// The part of RequestFlow that ends a request, also because the node stops, and
+// logs its calls and its end.
 namespace apricottrack {
 
+Instant
+RequestFlow::Deadline() const
+{
+  const Instant deadline = this->admittedRequest.deadline;
+  return std::min(deadline, this->context.requestsEndAt.value_or(deadline));
+}
+
+bool
+RequestFlow::CanEndBeforeStop(Instant aNow) const
+{
+  if (!this->context.requestsEndAt) {
+    return true;
+  }
+  const CatalogService& service = *this->admittedRequest.service;
+  const ReplicaModel* const model = FindModel(service, this->caller.model);
+  const Duration responseTime =
+    model == nullptr
+      ? kMinCallTime
+      : EngineCost(*service.engine, *model)
+          .RequestTime(static_cast<double>(this->caller.promptTokens),
+                       static_cast<double>(this->caller.outputTokens));
+  return aNow + std::max(responseTime, kMinCallTime) <
+         *this->context.requestsEndAt;
+}
+
+void
+RequestFlow::CancelForStop()
+{
+  this->CancelHedge();
+  if (this->call != nullptr) {
+    this->targetAbandoned = true;
+    this->call->Cancel();
+  }
+}
+
 Task<void>
 RequestFlow::Finish(NextStep aStep)
 {
--- a/src/serving/RequestFlowHedging.cpp
+++ b/src/serving/RequestFlowHedging.cpp
@@ -14,7 +14,7 @@
          this->admittedRequest.route->IsRepeatable() &&
          possibleRuns < this->admittedRequest.route->maxTargets &&
          this->history.sendCount < kMaxRefusedHedges &&
-         aNow + kMinCallTime < this->admittedRequest.deadline &&
+         aNow + kMinCallTime < this->Deadline() &&
          !this->context.quarantine.RemainingFor(this->caller.sharedPromptParts,
                                                 aNow);
 }
--- a/src/serving/ServingNode.cpp
+++ b/src/serving/ServingNode.cpp
@@ -34,6 +34,9 @@
 constexpr Duration kLeaveDuration = milliseconds(2600);
 /// Time left of the platform's stop limit when the process exits by itself.
 constexpr Duration kStopMargin = milliseconds(400);
+/// Time before that in which the callers of unfinished requests get an error
+/// response.
+constexpr Duration kLastResponseTime = milliseconds(200);
 /// Subtracted from the lifetime of a catalog verification, for the time that a
 /// request takes to its target.
 constexpr Duration kVerificationMargin = milliseconds(300);
@@ -51,16 +54,6 @@
                   aSettings.drainBound - kStoreFallbackTime);
 }
 
-HttpResponse
-TextResponse(unsigned aStatus, std::string aBody)
-{
-  HttpResponse response;
-  response.result(aStatus);
-  response.set(boost::beast::http::field::content_type, "text/plain");
-  response.body() = std::move(aBody);
-  return response;
-}
-
 } // namespace
 
 class ServingNode::Impl
@@ -431,6 +424,9 @@
     return;
   }
   this->context.draining = true;
+  this->context.requestsEndAt = MonotonicNow() +
+                                this->settings.serving->stopLimit -
+                                kStopMargin - kLastResponseTime;
   this->planner.Release();
   this->relay.NotifyWaitingNodes();
   this->callerServer->CloseAfterNextResponse();
@@ -448,16 +444,16 @@
 Task<void>
 ServingNode::Impl::Drain(std::function<void()> aOnDone)
 {
-  const Instant deadline =
-    MonotonicNow() + this->settings.serving->stopLimit - kStopMargin;
+  const Instant requestsEndAt = *this->context.requestsEndAt;
   asio::steady_timer timer(this->context.executor, kLeaveDuration);
   co_await timer.async_wait(kAsTuple);
   this->callerServer->Stop();
-  while (this->callerServer->ConnectionCount() > 0 &&
-         MonotonicNow() < deadline) {
-    timer.expires_after(milliseconds(20));
-    co_await timer.async_wait(kAsTuple);
+  co_await this->callerServer->WaitForConnections(requestsEndAt);
+  for (const auto& [target, flow] : this->context.running) {
+    flow->CancelForStop();
   }
+  co_await this->callerServer->WaitForConnections(requestsEndAt +
+                                                  kLastResponseTime);
   LogLine("node_stopped")
     .With("in_flight", std::int64_t{ this->context.inFlight })
     .Info();
--- a/tests/EngineCostTest.cpp
+++ b/tests/EngineCostTest.cpp
@@ -37,6 +37,7 @@
   const EngineCost cost(engine, engine.models[0]);
   CHECK(cost.StepTime(26, 0) == microseconds(7120));
   CHECK(ToSeconds(cost.PrefillTime(1460)) == Approx(0.0288).epsilon(0.01));
+  CHECK(ToSeconds(cost.RequestTime(1460, 100)) == Approx(0.741).epsilon(0.01));
   CHECK(cost.PrefillShare(kLargeDemand, 5) == Approx(0.394).epsilon(0.01));
   CHECK(cost.PrefillShare(kLargeDemand, 1) > 1);
   CHECK(cost.Saturation(kLargeDemand, 1) > 10);
