Answer requests whose handler throws

A caller got neither a response nor a closed connection if the handling of its request threw an exception, and a pointer to the request stayed behind. Known trigger: TRACE with a body, for which the HTTP library throws.

Such requests are passed on now. Any other exception is logged and answered with 502, which promises nothing, on both request flows.

HttpServerTest, "answers a request whose handler throws", and RequestFlowTest, "passes on a TRACE request with a body", which failed on objects built before the change to HttpConnection::Send (502 in place of 200).

--- a/src/http/HttpClient.cpp
+++ b/src/http/HttpClient.cpp
@@ -105,7 +105,12 @@
 Task<Result<void>>
 HttpConnection::Send(HttpRequest aRequest, Duration aTimeout)
 {
-  aRequest.prepare_payload();
+  if (aRequest.method() == http::verb::trace && !aRequest.body().empty()) {
+    // prepare_payload() throws.
+    aRequest.content_length(aRequest.body().size());
+  } else {
+    aRequest.prepare_payload();
+  }
   this->state->parser.reset();
   this->state->stream.expires_after(aTimeout);
   auto [error, size] =
--- a/src/http/HttpServer.cpp
+++ b/src/http/HttpServer.cpp
@@ -1,5 +1,7 @@
 #include "http/HttpServer.h"
 
+#include "base/Log.h"
+
 #include <array>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
@@ -307,10 +309,27 @@
     exchange.CloseAfterHandler();
   }
   aSession.stream.expires_never();
-  co_await this->options.handler(exchange);
+  co_await this->HandleRequest(exchange);
   co_return exchange.KeepsConnectionOpen();
 }
 
+Task<void>
+HttpServer::HandleRequest(HttpExchange& aExchange)
+{
+  std::string failure;
+  try {
+    co_await this->options.handler(aExchange);
+    co_return;
+  } catch (const std::exception& exception) {
+    failure = exception.what();
+  }
+  LogLine("request_handler_failed").With("detail", failure).Warn();
+  aExchange.CloseAfterHandler();
+  if (!aExchange.HasStartedResponse()) {
+    co_await aExchange.Reply(this->options.failureResponder());
+  }
+}
+
 Task<void>
 HttpServer::RejectRequest(Session& aSession, boost::system::error_code aError)
 {
--- a/src/http/HttpServer.h
+++ b/src/http/HttpServer.h
@@ -101,6 +101,11 @@
     HttpServerLimits limits;
     HttpHandler handler;
     HttpErrorResponder errorResponder;
+    /// Builds the response to a request whose handler has thrown an exception.
+    /// It must not state whether the request was run.
+    std::function<HttpResponse()> failureResponder = [] {
+      return JsonResponse(502, R"({"error":"internal_error"})");
+    };
   };
 
   /// Binds and starts accepting.
@@ -136,6 +141,8 @@
   void StartSession(boost::asio::ip::tcp::socket aSocket);
   Task<void> ServeConnection(std::shared_ptr<Session> aSession);
   Task<bool> ServeRequest(Session& aSession);
+  /// Runs the handler. An exception ends the request, but nothing else.
+  Task<void> HandleRequest(HttpExchange& aExchange);
   Task<void> RejectRequest(Session& aSession, boost::system::error_code aError);
 
   boost::asio::any_io_executor executor;
--- a/src/node/Node.cpp
+++ b/src/node/Node.cpp
@@ -186,6 +186,16 @@
         co_await run.Serve();
       },
       .errorResponder = errorResponder,
+      .failureResponder =
+        [] {
+          return RefusalResponse(
+            Refusal{ .status = 502,
+                     .code = "internal_error",
+                     .outcome = Outcome::kUnknown,
+                     .message = "the request may have been run",
+                     .retryAfter = std::nullopt },
+            RandomId());
+        },
     });
   if (!newCallerServer) {
     return tl::unexpected(newCallerServer.error());
--- a/src/serving/RequestFlow.cpp
+++ b/src/serving/RequestFlow.cpp
@@ -55,6 +55,11 @@
 
 RequestFlow::~RequestFlow()
 {
+  if (this->call != nullptr || this->hedge != nullptr) {
+    // An exception has left the entry of a call behind.
+    std::erase_if(this->context.running,
+                  [&](const auto& aEntry) { return aEntry.second == this; });
+  }
   if (this->hedge != nullptr) {
     this->hedge->Cancel();
   }
--- a/tests/HttpServerTest.cpp
+++ b/tests/HttpServerTest.cpp
@@ -94,3 +94,36 @@
   CHECK(written > 0);
   CHECK(written < kMaxBufferedBytes);
 }
+
+// Guards against a caller that waits forever because its handler has thrown.
+TEST_CASE("HttpServer answers a request whose handler throws")
+{
+  asio::io_context io{ 1 };
+  HttpServer::Options options = OptionsFor(ServingHarness::FreeAddress(io));
+  const bool hasStarted = GENERATE(false, true);
+  options.handler = [hasStarted](HttpExchange& aExchange) -> Task<void> {
+    if (hasStarted) {
+      co_await aExchange.BeginStream(200, {});
+    }
+    throw std::invalid_argument("thrown");
+  };
+  const std::string address = options.address;
+  const auto server = *HttpServer::Make(io.get_executor(), std::move(options));
+  std::string response;
+  asio::co_spawn(
+    io,
+    [&]() -> Task<void> {
+      tcp::socket socket(io);
+      co_await socket.async_connect(*ParseEndpoint(address), kAsTuple);
+      const std::string request = "GET / HTTP/1.1\r\nHost: h\r\n\r\n";
+      co_await asio::async_write(socket, asio::buffer(request), kAsTuple);
+      co_await asio::async_read(
+        socket, asio::dynamic_buffer(response), kAsTuple);
+      io.stop();
+    },
+    asio::detached);
+  io.run_for(seconds(5));
+  CHECK(StatusOf(response) == (hasStarted ? 200 : 502));
+  CHECK_FALSE(IsCompleteStream(response));
+  CHECK(server->ConnectionCount() == 0);
+}
--- a/tests/RequestFlowTest.cpp
+++ b/tests/RequestFlowTest.cpp
@@ -254,3 +254,31 @@
   CHECK(response.find("id: 8") != std::string::npos);
   CHECK(IsCompleteStream(response));
 }
+
+// Guards against a caller without response, as the HTTP library throws on it.
+TEST_CASE("RequestFlow passes on a TRACE request with a body")
+{
+  ServingHarness harness;
+  std::string received;
+  harness.AddTarget("t", [&](TargetConnection& aConnection, int) -> Task<void> {
+    received = co_await aConnection.ReadRequest();
+    co_await aConnection.Write(
+      PlainResponse(200, "X-Signed: 1\r\nX-Attempt: a\r\n", "ok"));
+  });
+  std::string response;
+  REQUIRE(harness.Run(
+    [&]() -> Task<void> {
+      tcp::socket socket(harness.io);
+      co_await socket.async_connect(harness.callerEndpoint, kAsTuple);
+      const std::string request =
+        "TRACE /once/x HTTP/1.1\r\nHost: h\r\nConnection: close\r\nX-Attempt: "
+        "a\r\nX-Timeout: 900\r\nContent-Length: 2\r\n\r\nhi";
+      co_await asio::async_write(socket, asio::buffer(request), kAsTuple);
+      co_await asio::async_read(
+        socket, asio::dynamic_buffer(response), kAsTuple);
+    },
+    kTestLimit));
+  CHECK(StatusOf(response) == 200);
+  CHECK(received.find("Content-Length: 2\r\n") != std::string::npos);
+  CHECK(harness.context.running.empty());
+}
