Let callers of rejected requests read the response

A request rejected before its end (400, 408, 413, 431) was closed with unread bytes, which resets the connection and may destroy the response. The server now reads and discards the rest for up to a second.

--- a/src/http/HttpServer.cpp
+++ b/src/http/HttpServer.cpp
@@ -25,6 +25,12 @@
 /// of a chunked body and parts of the body itself.
 constexpr std::size_t kMaxUnparsedBodyBytes = std::size_t{ 64 } * 1024;
 
+/// How long, and for how many bytes, the rest of a rejected request is read and
+/// discarded. Closing before would reset the connection, and the caller might
+/// not get the response.
+constexpr Duration kDiscardTime = seconds(1);
+constexpr std::size_t kMaxDiscardedBytes = std::size_t{ 8 } * 1024 * 1024;
+
 } // namespace
 
 HttpExchange::HttpExchange(beast::tcp_stream& aStream,
@@ -356,7 +362,28 @@
   response.keep_alive(false);
   response.prepare_payload();
   aSession.stream.expires_after(seconds(1));
-  co_await http::async_write(aSession.stream, response, kAsTuple);
+  const auto [error, size] =
+    co_await http::async_write(aSession.stream, response, kAsTuple);
+  if (!error) {
+    co_await this->DiscardRequest(aSession);
+  }
+}
+
+Task<void>
+HttpServer::DiscardRequest(Session& aSession)
+{
+  boost::system::error_code ignored;
+  aSession.stream.socket().shutdown(tcp::socket::shutdown_send, ignored);
+  aSession.stream.expires_after(kDiscardTime);
+  std::array<char, 4096> bytes{};
+  for (std::size_t total = 0; total < kMaxDiscardedBytes;) {
+    const auto [error, size] =
+      co_await aSession.stream.async_read_some(asio::buffer(bytes), kAsTuple);
+    if (error) {
+      co_return;
+    }
+    total += size;
+  }
 }
 
 } // namespace apricottrack
--- a/src/http/HttpServer.h
+++ b/src/http/HttpServer.h
@@ -144,6 +144,8 @@
   /// Runs the handler. An exception ends the request, but nothing else.
   Task<void> HandleRequest(HttpExchange& aExchange);
   Task<void> RejectRequest(Session& aSession, boost::system::error_code aError);
+  /// Discards what the caller still sends of a rejected request.
+  Task<void> DiscardRequest(Session& aSession);
 
   boost::asio::any_io_executor executor;
   Options options;
--- a/tests/HttpServerTest.cpp
+++ b/tests/HttpServerTest.cpp
@@ -127,3 +127,37 @@
   CHECK_FALSE(IsCompleteStream(response));
   CHECK(server->ConnectionCount() == 0);
 }
+
+// Guards against a rejection that its caller does not get, because the
+// connection is reset while the caller still sends the request.
+TEST_CASE("HttpServer lets the caller of a rejected request read the response")
+{
+  asio::io_context io{ 1 };
+  HttpServer::Options options = OptionsFor(ServingHarness::FreeAddress(io));
+  options.errorResponder = [](unsigned aStatus, std::string_view) {
+    return TextResponse(aStatus, "rejected");
+  };
+  const std::string address = options.address;
+  const auto server = *HttpServer::Make(io.get_executor(), std::move(options));
+  std::string response;
+  asio::co_spawn(
+    io,
+    [&]() -> Task<void> {
+      tcp::socket socket(io);
+      co_await socket.async_connect(*ParseEndpoint(address), kAsTuple);
+      TargetConnection connection(std::move(socket));
+      co_await connection.Write("POST / HTTP/1.1\r\nHost: h\r\n"
+                                "Content-Length: 4000000\r\n\r\n");
+      // A caller that reads only once it has sent all.
+      const std::string part(50'000, 'a');
+      for (int i = 0; i < 80; ++i) {
+        co_await connection.Write(part);
+        co_await connection.Wait(milliseconds(2));
+      }
+      response = co_await connection.ReadRequest();
+      io.stop();
+    },
+    asio::detached);
+  io.run_for(seconds(10));
+  CHECK(StatusOf(response) == 413);
+}
