Answer requests that are received too slowly

The server's reads used the timeouts of a Beast stream, which close the socket: a request that was received too slowly never got its 408, and its caller had neither an answer nor a refusal.

ReadDeadline cancels the read only.

HttpServerTest, "tells the caller that its request was too slow", failed on objects built before the change (no response).

--- a/src/http/HttpServer.cpp
+++ b/src/http/HttpServer.cpp
@@ -1,6 +1,7 @@
 #include "http/HttpServer.h"
 
 #include "base/Log.h"
+#include "http/ReadDeadline.h"
 
 #include <array>
 #include <boost/asio/co_spawn.hpp>
@@ -25,6 +26,9 @@
 /// of a chunked body and parts of the body itself.
 constexpr std::size_t kMaxUnparsedBodyBytes = std::size_t{ 64 } * 1024;
 
+/// Size of the first read of a request, in bytes.
+constexpr std::size_t kFirstReadBytes = 4096;
+
 /// How long, and for how many bytes, the rest of a rejected request is read and
 /// discarded. Closing before would reset the connection, and the caller might
 /// not get the response.
@@ -277,34 +281,26 @@
 {
   // A copy, because SetLimits may be called during the waits below.
   const HttpServerLimits limits = this->options.limits;
-  http::request_parser<http::string_body> parser;
+  RequestParser parser;
   parser.header_limit(limits.headerBytes);
   parser.body_limit(limits.bodyBytes);
   aSession.buffer.max_size(limits.headerBytes + kMaxUnparsedBodyBytes);
-  aSession.stream.expires_after(
-    this->stopping ? std::min(limits.idleTimeout, kLastRequestWait)
-                   : limits.idleTimeout);
-  if (aSession.buffer.size() == 0) {
-    auto [waitError, read] = co_await aSession.stream.async_read_some(
-      aSession.buffer.prepare(4096), kAsTuple);
-    if (waitError) {
-      co_return false;
-    }
-    aSession.buffer.commit(read);
+  aSession.stream.expires_never();
+  if (aSession.buffer.size() == 0 &&
+      !co_await this->WaitForRequest(
+        aSession,
+        this->stopping ? std::min(limits.idleTimeout, kLastRequestWait)
+                       : limits.idleTimeout)) {
+    co_return false;
   }
   aSession.busy = true;
-  aSession.stream.expires_after(limits.receiveTimeout);
-  auto [error, size] = co_await http::async_read_header(
-    aSession.stream, aSession.buffer, parser, kAsTuple);
-  if (!error && parser.get()[http::field::expect] == "100-continue") {
-    static constexpr std::string_view kContinue =
-      "HTTP/1.1 100 Continue\r\n\r\n";
-    co_await asio::async_write(
-      aSession.stream, asio::buffer(kContinue), kAsTuple);
-  }
-  if (!error) {
-    std::tie(error, size) = co_await http::async_read(
-      aSession.stream, aSession.buffer, parser, kAsTuple);
+  boost::system::error_code error;
+  {
+    ReadDeadline deadline(aSession.stream.socket(), limits.receiveTimeout);
+    error = co_await ReceiveRequest(aSession, parser);
+    if (error == asio::error::operation_aborted && deadline.HasExpired()) {
+      error = beast::error::timeout;
+    }
   }
   if (error) {
     co_await this->RejectRequest(aSession, error);
@@ -319,6 +315,42 @@
   co_return exchange.KeepsConnectionOpen();
 }
 
+Task<bool>
+HttpServer::WaitForRequest(Session& aSession, Duration aTimeout)
+{
+  tcp::socket& socket = aSession.stream.socket();
+  ReadDeadline deadline(socket, aTimeout);
+  co_await socket.async_wait(tcp::socket::wait_read, kAsTuple);
+  // Also after the deadline: this process may have been delayed, and a request
+  // that has arrived must be answered.
+  boost::system::error_code error;
+  if (socket.available(error) == 0 || error) {
+    co_return false;
+  }
+  const auto [readError, size] = co_await aSession.stream.async_read_some(
+    aSession.buffer.prepare(kFirstReadBytes), kAsTuple);
+  aSession.buffer.commit(size);
+  co_return !readError;
+}
+
+Task<boost::system::error_code>
+HttpServer::ReceiveRequest(Session& aSession, RequestParser& aParser)
+{
+  auto [error, size] = co_await http::async_read_header(
+    aSession.stream, aSession.buffer, aParser, kAsTuple);
+  if (!error && aParser.get()[http::field::expect] == "100-continue") {
+    static constexpr std::string_view kContinue =
+      "HTTP/1.1 100 Continue\r\n\r\n";
+    co_await asio::async_write(
+      aSession.stream, asio::buffer(kContinue), kAsTuple);
+  }
+  if (!error) {
+    std::tie(error, size) = co_await http::async_read(
+      aSession.stream, aSession.buffer, aParser, kAsTuple);
+  }
+  co_return error;
+}
+
 Task<void>
 HttpServer::HandleRequest(HttpExchange& aExchange)
 {
--- a/src/http/HttpServer.h
+++ b/src/http/HttpServer.h
@@ -7,6 +7,7 @@
 #include <boost/asio/any_io_executor.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/core/tcp_stream.hpp>
+#include <boost/beast/http/parser.hpp>
 #include <functional>
 #include <memory>
 #include <set>
@@ -133,6 +134,8 @@
 
 private:
   struct Session;
+  using RequestParser =
+    boost::beast::http::request_parser<boost::beast::http::string_body>;
 
   HttpServer(boost::asio::any_io_executor aExecutor, Options aOptions);
   Task<void> AcceptConnections();
@@ -141,6 +144,11 @@
   void StartSession(boost::asio::ip::tcp::socket aSocket);
   Task<void> ServeConnection(std::shared_ptr<Session> aSession);
   Task<bool> ServeRequest(Session& aSession);
+  /// Waits for the first bytes of a request and reads them. Returns false if
+  /// none have arrived within `aTimeout`.
+  Task<bool> WaitForRequest(Session& aSession, Duration aTimeout);
+  static Task<boost::system::error_code> ReceiveRequest(Session& aSession,
+                                                        RequestParser& aParser);
   /// Runs the handler. An exception ends the request, but nothing else.
   Task<void> HandleRequest(HttpExchange& aExchange);
   Task<void> RejectRequest(Session& aSession, boost::system::error_code aError);
--- a/tests/HttpServerTest.cpp
+++ b/tests/HttpServerTest.cpp
@@ -1,5 +1,7 @@
 #include "ServingHarness.h"
 
+#include <thread>
+
 using namespace apricottrack;
 
 namespace {
@@ -161,3 +163,70 @@
   io.run_for(seconds(10));
   CHECK(StatusOf(response) == 413);
 }
+
+// Guards against a request that is closed without a response, because the node
+// was delayed until after the idle timeout of its connection.
+TEST_CASE("HttpServer answers a request that arrived before a late timeout")
+{
+  asio::io_context io{ 1 };
+  HttpServer::Options options = OptionsFor(ServingHarness::FreeAddress(io));
+  options.limits.idleTimeout = milliseconds(100);
+  const std::string address = options.address;
+  const auto server = *HttpServer::Make(io.get_executor(), std::move(options));
+  // Callers that block, so that the server's loop does not run meanwhile.
+  asio::io_context callersIo{ 1 };
+  std::vector<tcp::socket> sockets;
+  constexpr int kCallers = 20;
+  for (int i = 0; i < kCallers; ++i) {
+    sockets.emplace_back(callersIo);
+    sockets.back().connect(*ParseEndpoint(address));
+  }
+  io.run_for(milliseconds(30));
+  for (tcp::socket& socket : sockets) {
+    asio::write(socket,
+                asio::buffer(std::string("GET / HTTP/1.1\r\nHost: h\r\n\r\n")));
+  }
+  std::this_thread::sleep_for(milliseconds(200));
+  io.restart();
+  io.run_for(milliseconds(300));
+  int answered = 0;
+  for (tcp::socket& socket : sockets) {
+    std::string response;
+    boost::system::error_code error;
+    asio::read(socket, asio::dynamic_buffer(response), error);
+    answered += response.ends_with("served") ? 1 : 0;
+  }
+  CHECK(answered == kCallers);
+  CHECK(server->ConnectionCount() == 0);
+}
+
+// Guards against a slow request that is closed without a response.
+TEST_CASE("HttpServer tells the caller that its request was too slow")
+{
+  asio::io_context io{ 1 };
+  HttpServer::Options options = OptionsFor(ServingHarness::FreeAddress(io));
+  options.limits.receiveTimeout = milliseconds(100);
+  options.errorResponder = [](unsigned aStatus, std::string_view) {
+    return TextResponse(aStatus, "rejected");
+  };
+  const std::string address = options.address;
+  const auto server = *HttpServer::Make(io.get_executor(), std::move(options));
+  const std::string part =
+    GENERATE("GET / HT",
+             "GET / HTTP/1.1\r\nHost: h\r\n",
+             "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 9\r\n\r\nbo");
+  std::string response;
+  asio::co_spawn(
+    io,
+    [&]() -> Task<void> {
+      tcp::socket socket(io);
+      co_await socket.async_connect(*ParseEndpoint(address), kAsTuple);
+      co_await asio::async_write(socket, asio::buffer(part), kAsTuple);
+      co_await asio::async_read(
+        socket, asio::dynamic_buffer(response), kAsTuple);
+      io.stop();
+    },
+    asio::detached);
+  io.run_for(seconds(5));
+  CHECK(StatusOf(response) == 408);
+}
