Forget unlisted silent targets at once where all work is repeatable

With the change for work that cannot continue elsewhere, members without a store entry stayed in the planner's view for 3 s after they fell silent, in all services. Where all work is repeatable they leave it after two missed reports again, as before; nothing waits for them there.

--- a/src/serving/PlannerTask.cpp
+++ b/src/serving/PlannerTask.cpp
@@ -405,12 +405,16 @@
   if (planner == this->planners.end()) {
     return;
   }
+  const bool awaitsSilentTargets =
+    this->LongestUnrepeatableWork(aService, aNow) > Duration::zero();
   for (const auto& [name, replica] : planner->second->Replicas()) {
     for (const std::string& id : replica.members) {
       const auto entry = this->lastEntries.find(id);
       const auto probe = this->probes.find(id);
       if (aMembers.contains(id) || entry == this->lastEntries.end() ||
-          probe == this->probes.end() || this->IsLost(probe->second, aNow)) {
+          probe == this->probes.end() ||
+          (awaitsSilentTargets ? this->IsLost(probe->second, aNow)
+                               : this->IsUnresponsive(probe->second))) {
         continue;
       }
       PlannerMember member;
--- a/src/serving/PlannerTask.h
+++ b/src/serving/PlannerTask.h
@@ -184,9 +184,9 @@
   /// Targets of a service in their newest known state, unlisted ones included.
   PlannerMembers CollectServiceTargets(const CatalogService& aService,
                                        Instant aNow);
-  /// Adds replica members that are not lost although their entries are gone,
-  /// because they lost their connection to the store or are leaving. They
-  /// finish their running requests and get no others.
+  /// Adds replica members that respond, or may continue their work, although
+  /// their entries are gone, because they lost their connection to the store or
+  /// are leaving. They finish their running requests and get no others.
   void AddUnlistedMembers(const CatalogService& aService,
                           PlannerMembers& aMembers,
                           Instant aNow);
