Count and log connections and responses that end without their caller's knowledge

Change: HttpServer counts connections over the limit, connections that are closed although their last response promised to keep them open, those of them on which a request had arrived, and responses that could not be written. Both nodes log the counts when they stop; the metrics show two of them. request_end is logged after the response is written and has write_error.

The loop of HttpServer::ServeConnection is written out: with co_await as its whole condition and no other local variable, GCC 12.2 on arm64 resumed the coroutine with a wrong state (SIGTRAP at the first connection, at -O1 and -O2, with sanitizers too).

--- a/src/http/HttpServer.cpp
+++ b/src/http/HttpServer.cpp
@@ -57,10 +57,7 @@
   this->stream.expires_after(this->sendTimeout);
   auto [error, size] =
     co_await http::async_write(this->stream, aResponse, kAsTuple);
-  if (error) {
-    this->CloseAfterHandler();
-  }
-  co_return !error;
+  co_return this->CheckWritten(error);
 }
 
 Task<bool>
@@ -79,10 +76,7 @@
   this->stream.expires_after(this->sendTimeout);
   auto [error, size] =
     co_await http::async_write_header(this->stream, serializer, kAsTuple);
-  if (error) {
-    this->CloseAfterHandler();
-  }
-  co_return !error;
+  co_return this->CheckWritten(error);
 }
 
 Task<bool>
@@ -108,10 +102,17 @@
   this->stream.expires_after(this->sendTimeout);
   auto [error, size] =
     co_await asio::async_write(this->stream, asio::buffer(aBytes), kAsTuple);
-  if (error) {
+  co_return this->CheckWritten(error);
+}
+
+bool
+HttpExchange::CheckWritten(const boost::system::error_code& aError)
+{
+  if (aError) {
+    this->writeError = aError.message();
     this->CloseAfterHandler();
   }
-  co_return !error;
+  return !aError;
 }
 
 bool
@@ -155,6 +156,8 @@
   beast::flat_buffer buffer;
   /// True while a request is being handled or partly received.
   bool busy = false;
+  /// True if the caller may expect that a further request is served.
+  bool keptOpen = false;
 };
 
 HttpServer::HttpServer(asio::any_io_executor aExecutor, Options aOptions)
@@ -229,6 +232,7 @@
 HttpServer::StartSession(tcp::socket aSocket)
 {
   if (this->sessions.size() >= this->options.limits.connections) {
+    ++this->counts.overLimit;
     return;
   }
   boost::system::error_code ignored;
@@ -246,6 +250,18 @@
     asio::detached);
 }
 
+void
+HttpServer::LogCounts() const
+{
+  LogLine("caller_connections")
+    .With("open", static_cast<std::int64_t>(this->sessions.size()))
+    .With("over_limit", this->counts.overLimit)
+    .With("closed_without_notice", this->counts.closedWithoutNotice)
+    .With("closed_with_request", this->counts.closedWithRequest)
+    .With("failed_responses", this->counts.failedResponses)
+    .Info();
+}
+
 Task<void>
 HttpServer::AcceptConnections()
 {
@@ -268,12 +284,28 @@
 Task<void>
 HttpServer::ServeConnection(std::shared_ptr<Session> aSession)
 {
-  while (co_await this->ServeRequest(*aSession) && !this->stopping) {
+  // GCC 12 corrupts the frame of a loop whose condition alone awaits.
+  bool mayFollow = true;
+  do {
+    mayFollow = co_await this->ServeRequest(*aSession);
     aSession->busy = false;
-  }
+  } while (mayFollow && !this->stopping);
+  this->Close(*aSession);
+}
+
+void
+HttpServer::Close(Session& aSession)
+{
   boost::system::error_code ignored;
-  aSession->stream.socket().shutdown(tcp::socket::shutdown_send, ignored);
-  aSession->stream.close();
+  tcp::socket& socket = aSession.stream.socket();
+  if (aSession.keptOpen && this->stopping) {
+    ++this->counts.closedWithoutNotice;
+    if (aSession.buffer.size() > 0 || socket.available(ignored) > 0) {
+      ++this->counts.closedWithRequest;
+    }
+  }
+  socket.shutdown(tcp::socket::shutdown_send, ignored);
+  aSession.stream.close();
 }
 
 Task<bool>
@@ -294,6 +326,7 @@
     co_return false;
   }
   aSession.busy = true;
+  aSession.keptOpen = false;
   boost::system::error_code error;
   {
     ReadDeadline deadline(aSession.stream.socket(), limits.receiveTimeout);
@@ -312,7 +345,9 @@
   }
   aSession.stream.expires_never();
   co_await this->HandleRequest(exchange);
-  co_return exchange.KeepsConnectionOpen();
+  this->counts.failedResponses += exchange.WriteError().empty() ? 0 : 1;
+  aSession.keptOpen = exchange.KeepsConnectionOpen();
+  co_return aSession.keptOpen;
 }
 
 Task<bool>
--- a/src/http/HttpServer.h
+++ b/src/http/HttpServer.h
@@ -33,6 +33,24 @@
   Duration sendTimeout = seconds(15);
 };
 
+/// Counts of connections and responses that ended otherwise than callers
+/// expect.
+struct HttpServerCounts
+{
+  /// Connections that were closed at once, because of the limit.
+  std::int64_t overLimit = 0;
+  /// Connections that were closed while a request could still follow, without a
+  /// response that announced it.
+  std::int64_t closedWithoutNotice = 0;
+  /// Of these, connections on which bytes of a request had arrived.
+  std::int64_t closedWithRequest = 0;
+  /// Responses that could not be written completely.
+  std::int64_t failedResponses = 0;
+
+  friend bool operator==(const HttpServerCounts&,
+                         const HttpServerCounts&) = default;
+};
+
 /// One request on a caller's connection, and the means to respond to it.
 /// Each method that writes returns false if the write failed, which means that
 /// the caller has disconnected or does not read.
@@ -63,6 +81,9 @@
   /// Returns whether the connection stays open for a further request.
   bool KeepsConnectionOpen() const { return this->keepAlive; }
 
+  /// Why the response could not be written; empty if no write has failed.
+  const std::string& WriteError() const { return this->writeError; }
+
   /// Returns false if the caller has closed its connection.
   bool IsCallerConnected();
 
@@ -73,12 +94,15 @@
 
 private:
   Task<bool> Write(std::string aBytes);
+  /// Returns whether a write has succeeded, and closes the connection if not.
+  bool CheckWritten(const boost::system::error_code& aError);
 
   boost::beast::tcp_stream& stream;
   HttpRequest request;
   Duration sendTimeout;
   bool hasStartedResponse = false;
   bool keepAlive = true;
+  std::string writeError;
   std::shared_ptr<std::function<void()>> onDisconnect;
 };
 
@@ -124,6 +148,10 @@
   /// Number of open connections.
   std::size_t ConnectionCount() const { return this->sessions.size(); }
 
+  const HttpServerCounts& Counts() const { return this->counts; }
+  /// Logs the counts and the number of open connections.
+  void LogCounts() const;
+
   /// Sets the limits. A connection applies them once it starts to wait for its
   /// next request.
   void SetLimits(HttpServerLimits aLimits) { this->options.limits = aLimits; }
@@ -147,6 +175,8 @@
   /// Waits for the first bytes of a request and reads them. Returns false if
   /// none have arrived within `aTimeout`.
   Task<bool> WaitForRequest(Session& aSession, Duration aTimeout);
+  /// Closes a connection and counts it if its caller does not expect that.
+  void Close(Session& aSession);
   static Task<boost::system::error_code> ReceiveRequest(Session& aSession,
                                                         RequestParser& aParser);
   /// Runs the handler. An exception ends the request, but nothing else.
@@ -159,6 +189,7 @@
   Options options;
   boost::asio::ip::tcp::acceptor acceptor;
   std::set<std::shared_ptr<Session>> sessions;
+  HttpServerCounts counts;
   bool stopping = false;
   bool closeAfterResponse = false;
 };
--- a/src/node/Node.cpp
+++ b/src/node/Node.cpp
@@ -377,6 +377,7 @@
   LogLine("node_stopped")
     .With("unwritten_ends", static_cast<std::int64_t>(this->PendingEnds()))
     .Info();
+  this->callerServer->LogCounts();
   aDone();
 }
 
--- a/src/node/RequestRun.cpp
+++ b/src/node/RequestRun.cpp
@@ -467,6 +467,7 @@
     .With("events", static_cast<std::int64_t>(this->relay.RelayedEventCount()))
     .With("first_byte_s", ToSeconds(this->firstByteDelay))
     .With("total_s", seconds)
+    .With("write_error", this->exchange.WriteError())
     .Info();
 }
 
--- a/src/serving/RequestFlowEnds.cpp
+++ b/src/serving/RequestFlowEnds.cpp
@@ -54,8 +54,8 @@
         this->LogEnd("answered", 200);
       } else {
         const unsigned status = this->heldResponse->result_int();
-        this->LogEnd("answered", status);
         co_await this->exchange.Reply(std::move(*this->heldResponse));
+        this->LogEnd("answered", status);
       }
       co_return;
     case NextStep::kAbort:
@@ -83,9 +83,9 @@
     co_await this->Finish(NextStep::kFail);
     co_return;
   }
-  this->LogEnd("prompt_quarantined", 503);
   co_await this->exchange.Reply(
     MakeRefusalUntil("prompt_quarantined", aRemaining));
+  this->LogEnd("prompt_quarantined", 503);
 }
 
 Task<void>
@@ -97,9 +97,9 @@
     this->exchange.CloseAfterHandler();
     co_return;
   }
-  this->LogEnd(aReason, aStatus);
   co_await this->exchange.Reply(
     MakeRefusal(aStatus, aReason, this->context.random));
+  this->LogEnd(aReason, aStatus);
 }
 
 Task<void>
@@ -183,6 +183,7 @@
     .With("total_ms", std::int64_t{ (now - this->arrivedAt) / milliseconds(1) })
     .With("events", this->eventSplitter.EventCount())
     .With("detail", this->lastError.detail)
+    .With("write_error", this->exchange.WriteError())
     .Info();
 }
 
--- a/src/serving/ServingNode.cpp
+++ b/src/serving/ServingNode.cpp
@@ -363,6 +363,11 @@
     co_return;
   }
   this->context.counters.Set("requests_in_flight", {}, this->context.inFlight);
+  const HttpServerCounts& connections = this->callerServer->Counts();
+  this->context.counters.Set(
+    "connections_over_limit", {}, connections.overLimit);
+  this->context.counters.Set(
+    "responses_not_written", {}, connections.failedResponses);
   this->context.counters.Set(
     "planner_leads", {}, this->planner.IsPlanner() ? 1 : 0);
   this->context.counters.Set(
@@ -457,6 +462,7 @@
   LogLine("node_stopped")
     .With("in_flight", std::int64_t{ this->context.inFlight })
     .Info();
+  this->callerServer->LogCounts();
   aOnDone();
 }
 
--- a/tests/HttpServerTest.cpp
+++ b/tests/HttpServerTest.cpp
@@ -200,6 +200,34 @@
   CHECK(server->ConnectionCount() == 0);
 }
 
+// Guards against connections that end without a trace.
+TEST_CASE("HttpServer counts connections that it closes and responses that it "
+          "cannot write")
+{
+  asio::io_context io{ 1 };
+  HttpServer::Options options = OptionsFor(ServingHarness::FreeAddress(io));
+  options.limits.connections = 1;
+  options.limits.sendTimeout = milliseconds(100);
+  options.handler = [](HttpExchange& aExchange) -> Task<void> {
+    HttpResponse response;
+    // More than the socket buffers of a caller that does not read hold.
+    response.body() = std::string(std::size_t{ 32 } * 1024 * 1024, 'a');
+    co_await aExchange.Reply(std::move(response));
+    CHECK_FALSE(aExchange.WriteError().empty());
+  };
+  const std::string address = options.address;
+  const auto server = *HttpServer::Make(io.get_executor(), std::move(options));
+  asio::io_context callersIo{ 1 };
+  tcp::socket served(callersIo);
+  tcp::socket refused(callersIo);
+  served.connect(*ParseEndpoint(address));
+  refused.connect(*ParseEndpoint(address));
+  asio::write(served, asio::buffer(std::string("GET / HTTP/1.1\r\n\r\n")));
+  io.run_for(milliseconds(300));
+  CHECK(server->Counts() ==
+        HttpServerCounts{ .overLimit = 1, .failedResponses = 1 });
+}
+
 // Guards against a slow request that is closed without a response.
 TEST_CASE("HttpServer tells the caller that its request was too slow")
 {
