Truncate log lines that their pipe may have no room for

Seen: a node whose log reader does not read hangs, with all its requests, at the first line longer than 4096 bytes. Lines can be that long: target_call lists the parts of a prompt, and a header may have 16 KB.

Cause: a pipe that polls as writable has room for PIPE_BUF bytes; the write of a longer line blocks until the reader has made room.

Change: lines are truncated so that a write never exceeds PIPE_BUF.

--- a/src/base/BoundedSink.cpp
+++ b/src/base/BoundedSink.cpp
@@ -1,12 +1,34 @@
 #include "base/BoundedSink.h"
 
 #include <algorithm>
+#include <climits>
 #include <fmt/format.h>
 #include <poll.h>
 #include <unistd.h>
 
 namespace apricottrack {
 
+namespace {
+
+/// A writable pipe has room for this many bytes, so that writing them does not
+/// block.
+constexpr std::size_t kMaxWriteBytes = PIPE_BUF;
+/// Reserved for the line that reports dropped lines.
+constexpr std::size_t kDropReportBytes = 64;
+constexpr std::string_view kTruncationMark = " [truncated]\n";
+
+void
+TruncateLine(std::string& aText)
+{
+  constexpr std::size_t kMaxLineBytes = kMaxWriteBytes - kDropReportBytes;
+  if (aText.size() > kMaxLineBytes) {
+    aText.resize(kMaxLineBytes - kTruncationMark.size());
+    aText.append(kTruncationMark);
+  }
+}
+
+} // namespace
+
 BoundedSink::BoundedSink(Options aOptions)
   : options(aOptions)
   , tokens(aOptions.burst)
@@ -37,8 +59,6 @@
   if (poll(&pollState, 1, 0) != 1 || (pollState.revents & POLLOUT) == 0) {
     return false;
   }
-  // A writable pipe has room for at least PIPE_BUF (4096) bytes, so a line up
-  // to that size does not block.
   return write(this->options.descriptor, aText.data(), aText.size()) ==
          static_cast<ssize_t>(aText.size());
 }
@@ -49,6 +69,7 @@
   spdlog::memory_buf_t buffer;
   this->formatter_->format(aMessage, buffer);
   std::string text(buffer.data(), buffer.size());
+  TruncateLine(text);
   if (this->unreportedDrops > 0) {
     text +=
       fmt::format("event=log_lines_dropped count={}\n", this->unreportedDrops);
--- a/src/base/BoundedSink.h
+++ b/src/base/BoundedSink.h
@@ -11,7 +11,8 @@
 
 /// Log sink that writes to standard output and never blocks, so that a slow
 /// reader of the log cannot stall the node. A line that exceeds the rate, or
-/// that the pipe has no room for, is dropped. The next line written is followed
+/// that the pipe has no room for, is dropped; one that is longer than a pipe
+/// takes without blocking is truncated. The next line written is followed
 /// by a line with the number of dropped ones. Used by one thread.
 class BoundedSink final
   : public spdlog::sinks::base_sink<spdlog::details::null_mutex>
