Keep nodes running when their log cannot be written

Seen: when the reader of a node's log ends, or the log file reaches its size limit, the node ends at its next line, with all its requests (exit by SIGPIPE or SIGXFSZ).

Cause: a failed write raises a signal that ends the process by default; sockets are written with a flag that prevents it, the log is not.

Change: both signals are ignored. Both request flows run in this program.

Test: wholepath.test_process; both cases failed before on real processes (callers' connections closed without a response).

--- /dev/null
+++ b/tests/wholepath/test_process.py
@@ -0,0 +1,57 @@
+"""What ends a node's process from outside, such as the reader of its log."""
+
+import os
+import subprocess
+import unittest
+
+from deployment import Deployment, Shape, call, chat, wait_until
+
+import brennock
+
+BUILD = os.environ["BUILD_DIR"]
+
+
+class ProcessTest(unittest.TestCase):
+    def setUp(self):
+        self.deployment = Deployment(BUILD, Shape(nodes=1))
+        self.deployment.start()
+        self.addCleanup(self.deployment.stop)
+        self.deployment.apply(brennock.configuration(4, 2).to_toml())
+        wait_until(lambda: self.deployment.serving("advisor") == 4)
+
+    def start_daemon(self, node, **descriptors):
+        """Starts the daemon of a node with the given standard descriptors."""
+        daemon = os.path.join(BUILD, "apricottrackd")
+        node.process = subprocess.Popen([daemon, node.settings], **descriptors)
+        self.deployment.processes.append(node.process)
+        return node.process
+
+    def assert_serves(self, node):
+        wait_until(lambda: call(node.admin, "GET", "/healthz")[0] == 200)
+        wait_until(lambda: chat(node.listen, "hello")[0] == 200)
+
+    def test_a_log_reader_that_ends_does_not_end_the_node(self):
+        node = self.deployment.add_node("entry-1", "ie-south-a")
+        process = self.start_daemon(node, stdout=subprocess.PIPE)
+        self.assert_serves(node)
+        process.stdout.close()
+        for i in range(5):
+            self.assertEqual(chat(node.listen, f"unread {i}")[0], 200)
+        self.assertIsNone(process.poll())
+
+    def test_a_log_file_at_its_size_limit_does_not_end_the_node(self):
+        node = self.deployment.add_node("entry-1", "ie-south-a")
+        path = os.path.join(self.deployment.folder, "limited.log")
+        limited = ["prlimit", "--fsize=1000"]
+        daemon = os.path.join(BUILD, "apricottrackd")
+        with open(path, "wb") as log:
+            process = subprocess.Popen([*limited, daemon, node.settings], stdout=log)
+        self.deployment.processes.append(process)
+        self.assert_serves(node)
+        for i in range(5):
+            self.assertEqual(chat(node.listen, f"unlogged {i}")[0], 200)
+        self.assertIsNone(process.poll())
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/tools/apricottrackd.cpp
+++ b/tools/apricottrackd.cpp
@@ -4,6 +4,7 @@
 #include "apricottrack/Node.h"
 #include "apricottrack/Settings.h"
 #include "base/Log.h"
+#include "base/StandardOutput.h"
 #include "platform/PlatformStore.h"
 #include "platform/WireProtocol.h"
 #include "serving/ServingNode.h"
@@ -127,6 +128,7 @@
 int
 main(int argc, char** argv)
 {
+  IgnoreWriteSignals();
   CLI::App app("apricottrack node daemon");
   std::string path;
   bool checkOnly = false;
