Open standard descriptors that are closed when a node starts

Seen: a node that is started without standard output writes its log to whatever gets descriptor 1, here the event loop's own eventfd; it may as well be a caller's or a target's connection.

Cause: a new descriptor gets the lowest free number.

Change: /dev/null is opened in place of closed standard descriptors before anything else is opened.

Test: wholepath.test_process (descriptor 1 was an eventfd before).

--- a/tests/wholepath/test_process.py
+++ b/tests/wholepath/test_process.py
@@ -52,6 +52,18 @@
             self.assertEqual(chat(node.listen, f"unlogged {i}")[0], 200)
         self.assertIsNone(process.poll())
 
+    def test_a_node_without_standard_descriptors_serves(self):
+        node = self.deployment.add_node("entry-1", "ie-south-a")
+        # The shell only closes the descriptors and becomes the daemon.
+        command = 'exec "$0" "$1" <&- >&- 2>&-'
+        daemon = os.path.join(BUILD, "apricottrackd")
+        process = subprocess.Popen(["sh", "-c", command, daemon, node.settings])
+        self.deployment.processes.append(process)
+        self.assert_serves(node)
+        for descriptor in range(3):
+            target = os.readlink(f"/proc/{process.pid}/fd/{descriptor}")
+            self.assertEqual(target, "/dev/null")
+
 
 if __name__ == "__main__":
     unittest.main()
--- a/tools/apricottrackd.cpp
+++ b/tools/apricottrackd.cpp
@@ -128,6 +128,7 @@
 int
 main(int argc, char** argv)
 {
+  OpenClosedStandardDescriptors();
   IgnoreWriteSignals();
   CLI::App app("apricottrack node daemon");
   std::string path;
