Hold signals back until a starting node can handle them

Seen: SIGHUP to a node that is starting ends it (exit by signal, up to 12 ms after its start on an idle machine; with slow settings for as long as they are read), and SIGTERM ends it without the planned stop, also once it listens and callers have connected.

Cause: the handlers were installed after the settings had been read and the node had been made.

Change: HeldSignals blocks the signals at the start of main() and releases them once the handlers are in place; those that arrived meanwhile are then handled. The time until main() runs cannot be covered by the process itself.

Test: wholepath.test_process; both cases failed before on real processes.

--- a/tests/wholepath/test_process.py
+++ b/tests/wholepath/test_process.py
@@ -1,7 +1,9 @@
-"""What ends a node's process from outside, such as the reader of its log."""
+"""What ends or blocks a node's process from outside: signals and log readers."""
 
 import os
+import signal
 import subprocess
+import time
 import unittest
 
 from deployment import Deployment, Shape, call, chat, wait_until
@@ -52,6 +54,42 @@
             self.assertEqual(chat(node.listen, f"unlogged {i}")[0], 200)
         self.assertIsNone(process.poll())
 
+    def test_signals_during_the_start_do_not_end_the_node(self):
+        node = self.deployment.add_node("entry-1", "ie-south-a")
+        with open(node.settings) as file:
+            text = file.read()
+        os.remove(node.settings)
+        # The daemon waits for its settings meanwhile.
+        os.mkfifo(node.settings)
+        process = self.start_daemon(node, stdout=subprocess.DEVNULL)
+        time.sleep(1)
+        process.send_signal(signal.SIGHUP)
+        time.sleep(0.2)
+        self.assertIsNone(process.poll())
+        with open(node.settings, "w") as file:
+            # Settings are read again after the signal.
+            os.remove(node.settings)
+            with open(node.settings, "w") as settings:
+                settings.write(text)
+            file.write(text)
+        self.assert_serves(node)
+        self.assertIsNone(process.poll())
+
+    def test_a_stop_during_the_start_is_a_planned_stop(self):
+        node = self.deployment.add_node("entry-1", "ie-south-a")
+        with open(node.settings) as file:
+            text = file.read()
+        os.remove(node.settings)
+        os.mkfifo(node.settings)
+        process = self.start_daemon(node, stdout=subprocess.DEVNULL)
+        time.sleep(1)
+        process.send_signal(signal.SIGTERM)
+        time.sleep(0.2)
+        self.assertIsNone(process.poll())
+        with open(node.settings, "w") as file:
+            file.write(text)
+        self.assertEqual(process.wait(20), 0)
+
     def test_a_node_without_standard_descriptors_serves(self):
         node = self.deployment.add_node("entry-1", "ie-south-a")
         # The shell only closes the descriptors and becomes the daemon.
--- a/tools/apricottrackd.cpp
+++ b/tools/apricottrackd.cpp
@@ -3,6 +3,7 @@
 
 #include "apricottrack/Node.h"
 #include "apricottrack/Settings.h"
+#include "base/HeldSignals.h"
 #include "base/Log.h"
 #include "base/StandardOutput.h"
 #include "platform/PlatformStore.h"
@@ -73,7 +74,8 @@
 int
 RunUntilStopped(boost::asio::io_context& aContext,
                 const Result<std::unique_ptr<NodeType>>& aNode,
-                const std::string& aPath)
+                const std::string& aPath,
+                const HeldSignals& aHeldSignals)
 {
   if (!aNode) {
     LogLine("node_not_started").With(aNode.error()).Warn();
@@ -96,17 +98,21 @@
         .Warn();
     }
   });
+  aHeldSignals.Release();
   aContext.run();
   return 0;
 }
 
 int
-RunNode(const Settings& aSettings, const std::string& aPath)
+RunNode(const Settings& aSettings,
+        const std::string& aPath,
+        const HeldSignals& aHeldSignals)
 {
   boost::asio::io_context context(1);
   const auto executor = context.get_executor();
   if (!aSettings.serving) {
-    return RunUntilStopped(context, Node::Make(executor, aSettings), aPath);
+    return RunUntilStopped(
+      context, Node::Make(executor, aSettings), aPath, aHeldSignals);
   }
   ServingNode::Platform platform{
     .protocol = std::make_unique<platform::WireProtocol>(),
@@ -120,7 +126,8 @@
   return RunUntilStopped(
     context,
     ServingNode::Make(executor, aSettings, std::move(platform)),
-    aPath);
+    aPath,
+    aHeldSignals);
 }
 
 } // namespace
@@ -130,6 +137,7 @@
 {
   OpenClosedStandardDescriptors();
   IgnoreWriteSignals();
+  const HeldSignals heldSignals{ SIGHUP, SIGINT, SIGTERM };
   CLI::App app("apricottrack node daemon");
   std::string path;
   bool checkOnly = false;
@@ -149,5 +157,5 @@
     return 0;
   }
   StartLogging(settings->logLevel);
-  return RunNode(*settings, path);
+  return RunNode(*settings, path, heldSignals);
 }
