Answer the next request on connections that a stopping node promised to keep

Cause: a response whose header was written before the stop promises to keep the connection open. A server that had stopped accepting closed the connection right after it, also when the next request had already arrived; a response to a request that had arrived before the stop promised it even during the stop. The product's own interface announced no end at all while it drained.

Change: HttpExchange decides about the announcement when it writes the header. After a response that promised to keep the connection, a stopping server waits up to a second for the next request and answers it with Connection: close. The waits end before the process does (CloseIdleConnections). Node announces the end of connections from the start of its drain, like ServingNode.

--- a/src/http/HttpServer.cpp
+++ b/src/http/HttpServer.cpp
@@ -19,8 +19,9 @@
 namespace {
 
 /// How long a stopping server waits for the request of a connection that it has
-/// just accepted.
-constexpr Duration kLastRequestWait = milliseconds(300);
+/// just accepted, or whose last response promised to keep it open. Callers that
+/// continue a conversation send their next request within this time.
+constexpr Duration kLastRequestWait = seconds(1);
 
 /// Maximum number of bytes that are kept unparsed beyond a header: the framing
 /// of a chunked body and parts of the body itself.
@@ -39,17 +40,20 @@
 
 HttpExchange::HttpExchange(beast::tcp_stream& aStream,
                            HttpRequest aRequest,
-                           Duration aSendTimeout)
+                           Duration aSendTimeout,
+                           const bool& aServerCloses)
   : stream(aStream)
   , request(std::move(aRequest))
   , sendTimeout(aSendTimeout)
   , keepAlive(this->request.keep_alive())
+  , serverCloses(aServerCloses)
 {
 }
 
 Task<bool>
 HttpExchange::Reply(HttpResponse aResponse)
 {
+  this->keepAlive = this->keepAlive && !this->serverCloses;
   aResponse.version(this->request.version());
   aResponse.keep_alive(this->keepAlive);
   aResponse.prepare_payload();
@@ -63,6 +67,7 @@
 Task<bool>
 HttpExchange::BeginStream(unsigned aStatus, HttpHeaders aHeaders)
 {
+  this->keepAlive = this->keepAlive && !this->serverCloses;
   http::response<http::empty_body> head;
   head.result(aStatus);
   head.version(11);
@@ -164,6 +169,7 @@
   : executor(std::move(aExecutor))
   , options(std::move(aOptions))
   , acceptor(this->executor)
+  , lastRequestWait(kLastRequestWait)
 {
 }
 
@@ -191,9 +197,24 @@
 HttpServer::Stop()
 {
   this->stopping = true;
+  this->closeAfterResponse = true;
   this->AcceptQueuedConnections();
   boost::system::error_code ignored;
   this->acceptor.close(ignored);
+  this->CancelIdleReads();
+}
+
+void
+HttpServer::CloseIdleConnections()
+{
+  this->lastRequestWait = Duration::zero();
+  this->CancelIdleReads();
+}
+
+void
+HttpServer::CancelIdleReads()
+{
+  boost::system::error_code ignored;
   for (const auto& session : this->sessions) {
     if (!session->busy && session->stream.socket().available(ignored) == 0) {
       session->stream.cancel();
@@ -286,10 +307,10 @@
 {
   // GCC 12 corrupts the frame of a loop whose condition alone awaits.
   bool mayFollow = true;
-  do {
+  while (mayFollow) {
     mayFollow = co_await this->ServeRequest(*aSession);
     aSession->busy = false;
-  } while (mayFollow && !this->stopping);
+  }
   this->Close(*aSession);
 }
 
@@ -321,7 +342,7 @@
   if (aSession.buffer.size() == 0 &&
       !co_await this->WaitForRequest(
         aSession,
-        this->stopping ? std::min(limits.idleTimeout, kLastRequestWait)
+        this->stopping ? std::min(limits.idleTimeout, this->lastRequestWait)
                        : limits.idleTimeout)) {
     co_return false;
   }
@@ -339,10 +360,10 @@
     co_await this->RejectRequest(aSession, error);
     co_return false;
   }
-  HttpExchange exchange(aSession.stream, parser.release(), limits.sendTimeout);
-  if (this->stopping || this->closeAfterResponse) {
-    exchange.CloseAfterHandler();
-  }
+  HttpExchange exchange(aSession.stream,
+                        parser.release(),
+                        limits.sendTimeout,
+                        this->closeAfterResponse);
   aSession.stream.expires_never();
   co_await this->HandleRequest(exchange);
   this->counts.failedResponses += exchange.WriteError().empty() ? 0 : 1;
--- a/src/http/HttpServer.h
+++ b/src/http/HttpServer.h
@@ -59,7 +59,8 @@
 public:
   HttpExchange(boost::beast::tcp_stream& aStream,
                HttpRequest aRequest,
-               Duration aSendTimeout);
+               Duration aSendTimeout,
+               const bool& aServerCloses);
 
   const HttpRequest& Request() const { return this->request; }
 
@@ -102,6 +103,8 @@
   Duration sendTimeout;
   bool hasStartedResponse = false;
   bool keepAlive = true;
+  /// True once the server closes connections after their next response.
+  const bool& serverCloses;
   std::string writeError;
   std::shared_ptr<std::function<void()>> onDisconnect;
 };
@@ -138,10 +141,15 @@
     boost::asio::any_io_executor aExecutor,
     Options aOptions);
 
-  /// Stops accepting and closes idle connections. Requests in flight finish,
-  /// and their connections are closed afterwards.
+  /// Stops accepting and closes idle connections. Requests in flight finish. A
+  /// connection whose last response did not announce its end stays open for a
+  /// short time, for the caller's next request.
   void Stop();
 
+  /// Closes the connections on which no request has arrived, without waiting
+  /// for one any longer.
+  void CloseIdleConnections();
+
   /// Waits until all connections are closed, at most until `aUntil`.
   Task<void> WaitForConnections(Instant aUntil);
 
@@ -169,6 +177,8 @@
   Task<void> AcceptConnections();
   /// Accepts all connections that wait in the listener's queue.
   void AcceptQueuedConnections();
+  /// Ends the wait of the connections on which no bytes have arrived.
+  void CancelIdleReads();
   void StartSession(boost::asio::ip::tcp::socket aSocket);
   Task<void> ServeConnection(std::shared_ptr<Session> aSession);
   Task<bool> ServeRequest(Session& aSession);
@@ -190,6 +200,8 @@
   boost::asio::ip::tcp::acceptor acceptor;
   std::set<std::shared_ptr<Session>> sessions;
   HttpServerCounts counts;
+  /// How long a stopping server waits for a connection's next request.
+  Duration lastRequestWait;
   bool stopping = false;
   bool closeAfterResponse = false;
 };
--- a/src/node/Node.cpp
+++ b/src/node/Node.cpp
@@ -344,6 +344,7 @@
     return;
   }
   this->context.draining = true;
+  this->callerServer->CloseAfterNextResponse();
   LogLine("node_draining")
     .With("in_flight", std::int64_t{ this->context.requestsInFlight })
     .Info();
--- a/src/serving/ServingNode.cpp
+++ b/src/serving/ServingNode.cpp
@@ -457,6 +457,7 @@
   for (const auto& [target, flow] : this->context.running) {
     flow->CancelForStop();
   }
+  this->callerServer->CloseIdleConnections();
   co_await this->callerServer->WaitForConnections(requestsEndAt +
                                                   kLastResponseTime);
   LogLine("node_stopped")
--- a/tests/HttpServerTest.cpp
+++ b/tests/HttpServerTest.cpp
@@ -59,6 +59,107 @@
   CHECK(server->ConnectionCount() == 0);
 }
 
+// Guards against requests that are lost because a stopping node closes a
+// connection that it has promised to keep open.
+TEST_CASE("HttpServer::Stop answers the next request after a response that "
+          "promised to keep the connection open")
+{
+  asio::io_context io{ 1 };
+  HttpServer::Options options = OptionsFor(ServingHarness::FreeAddress(io));
+  HttpServer* server = nullptr;
+  options.handler = [&](HttpExchange& aExchange) -> Task<void> {
+    if (aExchange.Request().target() == "/stream") {
+      co_await aExchange.BeginStream(200, {});
+      server->Stop();
+      co_await aExchange.WriteChunk("event");
+      co_await aExchange.EndStream();
+      // The caller's next request arrives before the handler returns.
+      std::this_thread::sleep_for(milliseconds(50));
+      co_return;
+    }
+    HttpResponse response;
+    response.body() = "served";
+    co_await aExchange.Reply(std::move(response));
+  };
+  const std::string address = options.address;
+  const auto owner = *HttpServer::Make(io.get_executor(), std::move(options));
+  server = owner.get();
+  const Duration pause = GENERATE(milliseconds(0), milliseconds(150));
+  std::string received;
+  std::thread caller([&] {
+    asio::io_context callerIo{ 1 };
+    tcp::socket socket(callerIo);
+    boost::system::error_code error;
+    socket.connect(*ParseEndpoint(address), error);
+    const auto send = [&](const std::string& aTarget) {
+      asio::write(
+        socket,
+        asio::buffer("GET " + aTarget + " HTTP/1.1\r\nHost: h\r\n\r\n"),
+        error);
+    };
+    send("/stream");
+    asio::read_until(
+      socket, asio::dynamic_buffer(received), "0\r\n\r\n", error);
+    std::this_thread::sleep_for(pause);
+    received.clear();
+    send("/next");
+    asio::read(socket, asio::dynamic_buffer(received), error);
+  });
+  io.run_for(milliseconds(700));
+  CHECK(server->ConnectionCount() == 0);
+  caller.join();
+  CHECK(StatusOf(received) == 200);
+  CHECK(received.find("Connection: close") != std::string::npos);
+  CHECK(server->Counts() == HttpServerCounts{});
+}
+
+// Guards against callers that reuse a connection because a response which was
+// written during a stop promised to keep it open.
+TEST_CASE("HttpServer announces the close of a connection in responses to "
+          "requests that arrived before a stop")
+{
+  asio::io_context io{ 1 };
+  HttpServer::Options options = OptionsFor(ServingHarness::FreeAddress(io));
+  const bool isOrdered = GENERATE(true, false);
+  const bool isStream = GENERATE(true, false);
+  HttpServer* server = nullptr;
+  options.handler = [&](HttpExchange& aExchange) -> Task<void> {
+    if (isOrdered) {
+      server->CloseAfterNextResponse();
+    } else {
+      server->Stop();
+    }
+    if (isStream) {
+      co_await aExchange.BeginStream(200, {});
+      co_await aExchange.EndStream();
+      co_return;
+    }
+    HttpResponse response;
+    response.body() = "served";
+    co_await aExchange.Reply(std::move(response));
+  };
+  const std::string address = options.address;
+  const auto owner = *HttpServer::Make(io.get_executor(), std::move(options));
+  server = owner.get();
+  std::string response;
+  asio::co_spawn(
+    io,
+    [&]() -> Task<void> {
+      tcp::socket socket(io);
+      co_await socket.async_connect(*ParseEndpoint(address), kAsTuple);
+      const std::string request = "GET / HTTP/1.1\r\nHost: h\r\n\r\n";
+      co_await asio::async_write(socket, asio::buffer(request), kAsTuple);
+      co_await asio::async_read(
+        socket, asio::dynamic_buffer(response), kAsTuple);
+      io.stop();
+    },
+    asio::detached);
+  io.run_for(seconds(2));
+  CHECK(StatusOf(response) == 200);
+  CHECK(response.find("Connection: close") != std::string::npos);
+  CHECK(server->ConnectionCount() == 0);
+}
+
 // Guards against a caller whose request without end exhausts the memory.
 TEST_CASE("HttpServer rejects a request without end")
 {
--- a/tests/wholepath/test_stops.py
+++ b/tests/wholepath/test_stops.py
@@ -1,6 +1,8 @@
 """Planned stops finish requests in flight; leaving targets get no new requests."""
 
 import concurrent.futures
+import http.client
+import json
 import os
 import signal
 import threading
@@ -46,6 +48,28 @@
         wait_until(lambda: self.deployment.command("status").stdout.count("node ") == 1)
         self.assertEqual(chat(self.node(1), "after")[0], 200)
 
+    def test_a_stopping_node_announces_the_end_of_kept_connections(self):
+        stopping = self.deployment.nodes[0]
+        host, port = stopping.listen.split(":")
+        kept = http.client.HTTPConnection(host, int(port), timeout=20)
+        self.addCleanup(kept.close)
+
+        def request():
+            body = {"model": "advisor", "messages": [{"role": "user", "content": "x"}]}
+            kept.request(
+                "POST", "/v1/chat/completions", json.dumps({**body, "max_tokens": 2}),
+                {"Authorization": "Bearer brennock-chain-0"},
+            )  # fmt: skip
+            response = kept.getresponse()
+            response.read()
+            return response.status, response.getheader("Connection")
+
+        self.assertEqual(request(), (200, None))
+        stopping.process.send_signal(signal.SIGTERM)
+        wait_until(lambda: call(stopping.admin, "GET", "/healthz")[0] == 503)
+        self.assertEqual(request(), (200, "close"))
+        self.assertEqual(stopping.process.wait(20), 0)
+
     def test_a_drained_vm_gets_no_new_requests_and_none_fail(self):
         groups = self.deployment.status()["groups"]
         leaving = groups[0]["members"][0]
