Read what follows a request before its connection is closed

Seen: a response of 200 KB or more was cut in the middle (127,843 of 200,000 bytes, then a reset), although the log said that it was answered, when its caller had sent bytes behind its request: a pipelined request, or only a line end. It needs a connection that closes after the response, as in every planned stop or when the caller asks for it.

Cause: closing a connection with unread bytes resets it, and the kernel discards what it has not sent yet.

Change: such bytes are read and discarded for up to a second, as after a rejected request, before the connection is closed.

Test: HttpServerTest; it failed before with either kind of bytes.

--- a/src/http/HttpServer.cpp
+++ b/src/http/HttpServer.cpp
@@ -30,7 +30,7 @@
 /// Size of the first read of a request, in bytes.
 constexpr std::size_t kFirstReadBytes = 4096;
 
-/// How long, and for how many bytes, the rest of a rejected request is read and
+/// How long, and for how many bytes, what a caller still sends is read and
 /// discarded. Closing before would reset the connection, and the caller might
 /// not get the response.
 constexpr Duration kDiscardTime = seconds(1);
@@ -311,22 +311,30 @@
     mayFollow = co_await this->ServeRequest(*aSession);
     aSession->busy = false;
   }
-  this->Close(*aSession);
+  this->CountClose(*aSession);
+  boost::system::error_code ignored;
+  tcp::socket& socket = aSession->stream.socket();
+  if (socket.available(ignored) > 0) {
+    // Closing with unread bytes would reset the connection, and the caller
+    // might not get the end of its response.
+    co_await this->DiscardRequest(*aSession);
+  }
+  socket.shutdown(tcp::socket::shutdown_send, ignored);
+  aSession->stream.close();
 }
 
 void
-HttpServer::Close(Session& aSession)
+HttpServer::CountClose(const Session& aSession)
 {
+  if (!aSession.keptOpen || !this->stopping) {
+    return;
+  }
   boost::system::error_code ignored;
-  tcp::socket& socket = aSession.stream.socket();
-  if (aSession.keptOpen && this->stopping) {
-    ++this->counts.closedWithoutNotice;
-    if (aSession.buffer.size() > 0 || socket.available(ignored) > 0) {
-      ++this->counts.closedWithRequest;
-    }
+  ++this->counts.closedWithoutNotice;
+  if (aSession.buffer.size() > 0 ||
+      aSession.stream.socket().available(ignored) > 0) {
+    ++this->counts.closedWithRequest;
   }
-  socket.shutdown(tcp::socket::shutdown_send, ignored);
-  aSession.stream.close();
 }
 
 Task<bool>
--- a/src/http/HttpServer.h
+++ b/src/http/HttpServer.h
@@ -185,14 +185,15 @@
   /// Waits for the first bytes of a request and reads them. Returns false if
   /// none have arrived within `aTimeout`.
   Task<bool> WaitForRequest(Session& aSession, Duration aTimeout);
-  /// Closes a connection and counts it if its caller does not expect that.
-  void Close(Session& aSession);
+  /// Counts a connection that is about to be closed, if its caller does not
+  /// expect that.
+  void CountClose(const Session& aSession);
   static Task<boost::system::error_code> ReceiveRequest(Session& aSession,
                                                         RequestParser& aParser);
   /// Runs the handler. An exception ends the request, but nothing else.
   Task<void> HandleRequest(HttpExchange& aExchange);
   Task<void> RejectRequest(Session& aSession, boost::system::error_code aError);
-  /// Discards what the caller still sends of a rejected request.
+  /// Discards what the caller still sends on a connection that ends.
   Task<void> DiscardRequest(Session& aSession);
 
   boost::asio::any_io_executor executor;
--- a/tests/HttpServerTest.cpp
+++ b/tests/HttpServerTest.cpp
@@ -231,6 +231,45 @@
   CHECK(server->ConnectionCount() == 0);
 }
 
+// Guards against a response that is cut because bytes follow its request.
+TEST_CASE(
+  "HttpServer lets a caller read its response although it has sent more "
+  "than its request")
+{
+  asio::io_context io{ 1 };
+  HttpServer::Options options = OptionsFor(ServingHarness::FreeAddress(io));
+  const std::string body(std::size_t{ 1024 } * 1024, 'a');
+  options.handler = [&](HttpExchange& aExchange) -> Task<void> {
+    asio::steady_timer timer(io, milliseconds(50));
+    co_await timer.async_wait(kAsTuple);
+    HttpResponse response;
+    response.body() = body;
+    co_await aExchange.Reply(std::move(response));
+  };
+  const std::string address = options.address;
+  const auto server = *HttpServer::Make(io.get_executor(), std::move(options));
+  const std::string next = GENERATE("\r\n", "GET /next HTTP/1.1\r\n\r\n");
+  std::string received;
+  std::thread caller([&] {
+    asio::io_context callerIo{ 1 };
+    tcp::socket socket(callerIo);
+    boost::system::error_code error;
+    socket.connect(*ParseEndpoint(address), error);
+    asio::write(
+      socket,
+      asio::buffer(std::string("GET / HTTP/1.1\r\nConnection: close\r\n\r\n")),
+      error);
+    std::this_thread::sleep_for(milliseconds(20));
+    asio::write(socket, asio::buffer(next), error);
+    std::this_thread::sleep_for(milliseconds(200));
+    asio::read(socket, asio::dynamic_buffer(received), error);
+  });
+  io.run_for(milliseconds(600));
+  caller.join();
+  CHECK(received.ends_with(body));
+  CHECK(server->ConnectionCount() == 0);
+}
+
 // Guards against a rejection that its caller does not get, because the
 // connection is reset while the caller still sends the request.
 TEST_CASE("HttpServer lets the caller of a rejected request read the response")
