Refuse requests late in a stop that may not end before it does

Seen: streams sent 3.4 s (plain target) and 4.9 s (engine) after SIGTERM were passed on and cut at 7.4 s, when the stop's requests have to end. Their callers could have gone to another node.

Cause: admission in a stop estimates the response from the engine's cost model, without the target's queue, and takes a plain service for immediate. Requests come that late on kept connections and behind slow uploads.

Change: once the node accepts no connections, a request is admitted only if its own deadline lies before the end of the stop; otherwise it gets 503, not run, at once. The product's own interface waits for its requests without a limit.

Test: RequestFlowStopTest.

--- a/src/serving/RequestFlowEnds.cpp
+++ b/src/serving/RequestFlowEnds.cpp
@@ -22,6 +22,12 @@
   if (!this->context.requestsEndAt) {
     return true;
   }
+  // Other nodes are used by then. The estimate below knows neither the queue of
+  // a target nor how long a plain service works.
+  if (this->context.connectionsEndAt &&
+      aNow >= *this->context.connectionsEndAt) {
+    return this->admittedRequest.deadline <= *this->context.requestsEndAt;
+  }
   const CatalogService& service = *this->admittedRequest.service;
   const ReplicaModel* const model = FindModel(service, this->caller.model);
   const Duration responseTime =
--- a/src/serving/ServingContext.h
+++ b/src/serving/ServingContext.h
@@ -61,6 +61,8 @@
   std::mt19937_64 random;
   /// A graceful stop has begun.
   bool draining = false;
+  /// When this node stops accepting connections, because of that stop.
+  std::optional<Instant> connectionsEndAt;
   /// When all requests must have ended, because of that stop.
   std::optional<Instant> requestsEndAt;
   /// At least one caller request has arrived since the start.
--- a/src/serving/ServingNode.cpp
+++ b/src/serving/ServingNode.cpp
@@ -11,6 +11,7 @@
 #include "serving/Refusals.h"
 #include "serving/RequestFlow.h"
 
+#include <algorithm>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/steady_timer.hpp>
@@ -429,9 +430,10 @@
     return;
   }
   this->context.draining = true;
-  this->context.requestsEndAt = MonotonicNow() +
-                                this->settings.serving->stopLimit -
-                                kStopMargin - kLastResponseTime;
+  const Instant now = MonotonicNow();
+  this->context.connectionsEndAt = now + kLeaveDuration;
+  this->context.requestsEndAt =
+    now + this->settings.serving->stopLimit - kStopMargin - kLastResponseTime;
   this->planner.Release();
   this->relay.NotifyWaitingNodes();
   this->callerServer->CloseAfterNextResponse();
--- a/tests/RequestFlowStopTest.cpp
+++ b/tests/RequestFlowStopTest.cpp
@@ -54,6 +54,37 @@
   CHECK_FALSE(IsCompleteStream(response));
 }
 
+// Guards against streams that are accepted late in a stop and cut at its end.
+TEST_CASE(
+  "RequestFlow refuses requests that may not end before the node stops, "
+  "once it accepts no connections")
+{
+  ServingHarness harness;
+  int calls = 0;
+  harness.AddTarget("t", [&](TargetConnection& aConnection, int) -> Task<void> {
+    co_await aConnection.ReadRequest();
+    ++calls;
+    co_await aConnection.Write(
+      PlainResponse(200, "X-Signed: 1\r\nX-Attempt: a\r\n", "ok"));
+  });
+  const std::string path = GENERATE("/once/x", "/idempotent/x", "/stream/x");
+  CAPTURE(path);
+  std::string refusal;
+  std::string response;
+  REQUIRE(harness.Run(
+    [&]() -> Task<void> {
+      harness.context.connectionsEndAt = MonotonicNow();
+      harness.context.requestsEndAt = MonotonicNow() + seconds(2);
+      refusal = co_await harness.Call(path, "a", seconds(4));
+      response = co_await harness.Call("/once/x", "a", seconds(1));
+    },
+    kTestLimit));
+  CHECK(StatusOf(refusal) == 503);
+  CHECK(refusal.find("Retry-After") != std::string::npos);
+  CHECK(StatusOf(response) == 200);
+  CHECK(calls == 1);
+}
+
 // Guards against requests that are passed on although the node ends before.
 TEST_CASE("RequestFlow refuses requests that cannot end before the node stops")
 {
