Answer open requests at the end of a stop although the node was delayed

Seen: a node that is not scheduled for 0.25 s around the end of a stop ended with all its open requests unanswered (20 of 20, bookings among them that had run). In 9 of 13 cases the process did not end but used a whole core until it was killed, in two it aborted.

Cause: the time for the last error responses ended at a fixed instant; past that instant the loop was stopped before the responses were written. The loop was then destroyed after the node, so the requests that were still open referred to a node that was gone (~RequestFlow walked a destroyed map). That second part needs no delay: a caller that does not read a response suffices.

Change: a delayed node takes at least 100 ms for these responses, within the margin before the stop limit. The process ends without destroying either.

--- a/src/serving/ServingNode.cpp
+++ b/src/serving/ServingNode.cpp
@@ -38,6 +38,9 @@
 /// Time before that in which the callers of unfinished requests get an error
 /// response.
 constexpr Duration kLastResponseTime = milliseconds(200);
+/// Smallest part of that time that a delayed node takes, also if less of the
+/// stop limit is left then.
+constexpr Duration kMinLastResponseTime = milliseconds(100);
 /// Subtracted from the lifetime of a catalog verification, for the time that a
 /// request takes to its target.
 constexpr Duration kVerificationMargin = milliseconds(300);
@@ -460,8 +463,9 @@
     flow->CancelForStop();
   }
   this->callerServer->CloseIdleConnections();
-  co_await this->callerServer->WaitForConnections(requestsEndAt +
-                                                  kLastResponseTime);
+  // This node may have been delayed, and its callers wait for the responses.
+  co_await this->callerServer->WaitForConnections(std::max(
+    requestsEndAt + kLastResponseTime, MonotonicNow() + kMinLastResponseTime));
   LogLine("node_stopped")
     .With("in_flight", std::int64_t{ this->context.inFlight })
     .Info();
--- a/tools/apricottrackd.cpp
+++ b/tools/apricottrackd.cpp
@@ -13,6 +13,7 @@
 #include <CLI/CLI.hpp>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/signal_set.hpp>
+#include <cstdlib>
 #include <fstream>
 #include <iostream>
 #include <sstream>
@@ -68,8 +69,8 @@
   });
 }
 
-/// Runs the loop until a stop signal arrives and the node has stopped. Returns
-/// the exit code.
+/// Runs the loop until a stop signal arrives and the node has stopped, and ends
+/// the process. Returns the exit code if the node has not started.
 template<typename NodeType>
 int
 RunUntilStopped(boost::asio::io_context& aContext,
@@ -100,7 +101,10 @@
   });
   aHeldSignals.Release();
   aContext.run();
-  return 0;
+  // Requests whose callers do not read, for example, are still open. They refer
+  // to the node, and the node to the context, so neither may be destroyed
+  // first.
+  std::_Exit(0);
 }
 
 int
