Keep reading what follows a request during a stop

Found by a reading of the change: a connection whose rest is discarded counted as idle, so a stop cut that short. Also: the tests of the process check that the log file reached its limit, and that a stop during the start is a planned one.

--- a/src/http/HttpServer.cpp
+++ b/src/http/HttpServer.cpp
@@ -317,6 +317,7 @@
   if (socket.available(ignored) > 0) {
     // Closing with unread bytes would reset the connection, and the caller
     // might not get the end of its response.
+    aSession->busy = true;
     co_await this->DiscardRequest(*aSession);
   }
   socket.shutdown(tcp::socket::shutdown_send, ignored);
--- a/tests/wholepath/test_process.py
+++ b/tests/wholepath/test_process.py
@@ -52,6 +52,7 @@
         self.assert_serves(node)
         for i in range(5):
             self.assertEqual(chat(node.listen, f"unlogged {i}")[0], 200)
+        self.assertEqual(os.path.getsize(path), 1000)
         self.assertIsNone(process.poll())
 
     def test_signals_during_the_start_do_not_end_the_node(self):
@@ -81,14 +82,16 @@
             text = file.read()
         os.remove(node.settings)
         os.mkfifo(node.settings)
-        process = self.start_daemon(node, stdout=subprocess.DEVNULL)
+        process = self.start_daemon(node, stdout=subprocess.PIPE)
         time.sleep(1)
         process.send_signal(signal.SIGTERM)
         time.sleep(0.2)
         self.assertIsNone(process.poll())
         with open(node.settings, "w") as file:
             file.write(text)
-        self.assertEqual(process.wait(20), 0)
+        output = process.communicate(timeout=20)[0].decode()
+        self.assertIn("event=node_stopped", output)
+        self.assertEqual(process.returncode, 0)
 
     def test_a_node_without_standard_descriptors_serves(self):
         node = self.deployment.add_node("entry-1", "ie-south-a")
