Record a failing test for streams that are interrupted twice

Cause: the planner orders members of a sound head away after 0.2 s of silence, and the stream has used up its two targets, or finds no retry or place.

--- a/tests/RequestFlowBrokenStreamTest.cpp
+++ b/tests/RequestFlowBrokenStreamTest.cpp
@@ -97,3 +97,33 @@
   CHECK(calls == 2);
   CHECK(response.ends_with(Event(1) + Event(2) + "0\r\n\r\n"));
 }
+
+// Guards against a stream that is cut because both targets that may run it were
+// interrupted for a moment, although one of them is sound again.
+TEST_CASE(
+  "RequestFlow continues a stream at a target that it has called before")
+{
+  ServingHarness harness;
+  const auto calls = std::make_shared<int>(0);
+  const auto script = [calls](TargetConnection& aConnection,
+                              int) -> Task<void> {
+    co_await aConnection.ReadRequest();
+    const int call = (*calls)++;
+    if (call < 2) {
+      // Each of the two targets ends its first response after one event.
+      co_await aConnection.Write(StreamHead("a") + Event(call + 1));
+      co_return;
+    }
+    co_await aConnection.Write(StreamHead("a") + Event(3) + "0\r\n\r\n");
+  };
+  harness.AddTarget("t1", script);
+  harness.AddTarget("t2", script);
+  std::string response;
+  REQUIRE(harness.Run(
+    [&]() -> Task<void> {
+      response = co_await harness.Call("/stream/x", "a", seconds(4));
+    },
+    kTestLimit));
+  CHECK(StatusOf(response) == 200);
+  CHECK(IsCompleteStream(response));
+}
