Discard the rest of a rejected request once and within 4 MiB

With an error response it discarded twice, once after the response and once before the close.

A rejected request is now discarded in one place, before the close, and up to 4 MiB. The bound of the test is unchanged.

--- a/src/http/HttpServer.cpp
+++ b/src/http/HttpServer.cpp
@@ -34,7 +34,7 @@
 /// discarded. Closing before would reset the connection, and the caller might
 /// not get the response.
 constexpr Duration kDiscardTime = seconds(1);
-constexpr std::size_t kMaxDiscardedBytes = std::size_t{ 8 } * 1024 * 1024;
+constexpr std::size_t kMaxDiscardedBytes = std::size_t{ 4 } * 1024 * 1024;
 
 } // namespace
 
@@ -163,6 +163,8 @@
   bool busy = false;
   /// True if the caller may expect that a further request is served.
   bool keptOpen = false;
+  /// True if a request was rejected that its caller may still be sending.
+  bool isRejected = false;
 };
 
 HttpServer::HttpServer(asio::any_io_executor aExecutor, Options aOptions)
@@ -314,7 +316,7 @@
   this->CountClose(*aSession);
   boost::system::error_code ignored;
   tcp::socket& socket = aSession->stream.socket();
-  if (socket.available(ignored) > 0) {
+  if (aSession->isRejected || socket.available(ignored) > 0) {
     // Closing with unread bytes would reset the connection, and the caller
     // might not get the end of its response.
     aSession->busy = true;
@@ -461,9 +463,7 @@
   aSession.stream.expires_after(seconds(1));
   const auto [error, size] =
     co_await http::async_write(aSession.stream, response, kAsTuple);
-  if (!error) {
-    co_await this->DiscardRequest(aSession);
-  }
+  aSession.isRejected = !error;
 }
 
 Task<void>
--- a/tests/HttpServerTest.cpp
+++ b/tests/HttpServerTest.cpp
@@ -175,8 +175,16 @@
                                           chunkedHead + "0\r\nX-Own: ");
   CAPTURE(start);
   asio::io_context io{ 1 };
-  const std::string address = ServingHarness::FreeAddress(io);
-  const auto server = *HttpServer::Make(io.get_executor(), OptionsFor(address));
+  HttpServer::Options options = OptionsFor(ServingHarness::FreeAddress(io));
+  const bool hasErrorResponder = GENERATE(false, true);
+  CAPTURE(hasErrorResponder);
+  if (hasErrorResponder) {
+    options.errorResponder = [](unsigned aStatus, std::string_view) {
+      return TextResponse(aStatus, "rejected");
+    };
+  }
+  const std::string address = options.address;
+  const auto server = *HttpServer::Make(io.get_executor(), std::move(options));
   std::size_t written = 0;
   asio::co_spawn(
     io,
