Let an interrupted stream wait and return to a target that it has called

Cause: a request never returned to a target that it had called, counted calls where its route bounds the number of targets, and gave up at once if there was neither a place nor a retry.

A started stream that may be resumed now waits for up to two seconds for a place and a retry, and may return to a target a second after its last call there ended. Targets are counted instead of calls, so no more of them run it than the route allows; six sends bound one that no target can complete. It does not return after a response that must not be passed on, nor with a prompt that was not proven sound, which may have crashed its targets. The wait ends with the caller, the deadline and the stop of the node.

--- a/src/serving/RequestFlow.cpp
+++ b/src/serving/RequestFlow.cpp
@@ -112,8 +112,9 @@
 {
   for (;;) {
     const Instant now = MonotonicNow();
-    if (now + kMinCallTime >= this->Deadline()) {
-      co_await this->Finish(this->DecideNextStep(CallEnd::kOutOfTime));
+    if (this->callerDisconnected || now + kMinCallTime >= this->Deadline()) {
+      const NextStep step = co_await this->DecideNextStep(CallEnd::kOutOfTime);
+      co_await this->Finish(step);
       co_return;
     }
     if (const auto remaining = this->context.quarantine.RemainingFor(
@@ -123,6 +124,9 @@
     }
     const PlacementChoice choice = this->ChooseTarget(now);
     if (choice.refusal != PlacementRefusal::kNone) {
+      if (co_await this->WaitForContinuation()) {
+        continue;
+      }
       this->lastError.detail =
         choice.refusal == PlacementRefusal::kFull ? "full" : "no_target";
       co_await this->Finish(this->history.possibleRunCount > 0
@@ -135,7 +139,10 @@
     while (this->hedge != nullptr) {
       end = co_await this->ContinueWithHedge(end);
     }
-    const NextStep step = this->DecideNextStep(end);
+    if (this->streamStarted && !this->interruptedAt) {
+      this->interruptedAt = MonotonicNow();
+    }
+    const NextStep step = co_await this->DecideNextStep(end);
     this->LogCall(this->lastTargetId, end, NextStepName(step));
     if (step != NextStep::kTryElsewhere) {
       co_await this->Finish(step);
@@ -156,10 +163,11 @@
                             this->context.stalls,
                             this->context.settings.availabilityZone);
   const auto demand = this->context.fleetDemands.find(this->DemandKey());
+  const std::vector<Candidate>& candidates = this->context.candidates.Find(
+    *this->admittedRequest.service, this->caller.model);
   return placement.Choose(
-    this->context.candidates.Find(*this->admittedRequest.service,
-                                  this->caller.model),
-    this->calledTargets,
+    candidates,
+    this->ExcludedTargets(candidates, aNow),
     demand == this->context.fleetDemands.end() ? 0 : demand->second.requests,
     aNow,
     this->context.random);
@@ -203,7 +211,7 @@
     this->context.targetPool,
     this->context.protocol,
     this->MakeCallOptions(aTarget, this->history.sendCount > 0, now));
-  this->calledTargets.insert(aTarget.id);
+  this->calledTargets[aTarget.id].reset();
   this->context.loads.OnSent(aTarget.id);
   this->context.stalls.OnSent(aTarget.id, now);
   this->BeginCall(newCall, aTarget);
@@ -246,7 +254,7 @@
     this->context.stalls.OnFailure(id, MonotonicNow());
   }
   this->RecordForAttribution(end);
-  this->CountCall(current, end);
+  this->CountCall(id, current, end);
   if (end == CallEnd::kAnswered || end == CallEnd::kCallerGone ||
       end == CallEnd::kOutOfTime) {
     this->CancelHedge();
@@ -255,12 +263,19 @@
 }
 
 void
-RequestFlow::CountCall(const TargetCall& aCall, CallEnd aEnd)
+RequestFlow::CountCall(const std::string& aTargetId,
+                       const TargetCall& aCall,
+                       CallEnd aEnd)
 {
   const bool mayHaveRun =
     aCall.WasSent() && aEnd != CallEnd::kNotRun && aEnd != CallEnd::kNotSent;
   this->history.sendCount += aCall.WasSent() ? 1 : 0;
-  this->history.possibleRunCount += mayHaveRun ? 1 : 0;
+  if (mayHaveRun) {
+    this->possibleRunners.insert(aTargetId);
+  }
+  this->history.possibleRunCount =
+    static_cast<int>(this->possibleRunners.size());
+  this->calledTargets[aTargetId] = MonotonicNow();
 }
 
 Task<CallEnd>
@@ -294,8 +309,8 @@
   }
   const bool success = IsSuccess(aHead.result_int());
   if (success && (!targetHead.isSigned || targetHead.isEncoded)) {
-    this->lastError.detail = "response is unsigned or has a content encoding";
-    co_return CallEnd::kTruncated;
+    co_return this->RejectResponse(
+      "response is unsigned or has a content encoding");
   }
   // Other statuses of success, such as 204, have no events.
   if (aHead.result() == http::status::ok && targetHead.isEventStream &&
@@ -303,9 +318,8 @@
     co_return co_await this->RelayEvents(aCall, aHead);
   }
   if (this->streamStarted) {
-    this->lastError.detail = "continuation is no event stream, status " +
-                             std::to_string(aHead.result_int());
-    co_return CallEnd::kTruncated;
+    co_return this->RejectResponse("continuation is no event stream, status " +
+                                   std::to_string(aHead.result_int()));
   }
   co_return co_await this->BufferResponse(aCall, aHead, targetHead);
 }
@@ -335,11 +349,11 @@
     }
     const Instant now = MonotonicNow();
     this->context.stalls.OnProgress(this->lastTargetId, false, now);
+    this->interruptedAt.reset();
     this->RecordStreamProgress(now);
     std::string events = this->eventSplitter.Append(*chunk);
     if (this->eventSplitter.IsEventTooLarge()) {
-      this->lastError.detail = "an event exceeds the size limit";
-      co_return CallEnd::kTruncated;
+      co_return this->RejectResponse("an event exceeds the size limit");
     }
     const bool callerConnected =
       co_await this->exchange.WriteChunk(std::move(events));
@@ -367,9 +381,8 @@
   }
   aCall.Finish();
   if (!aTargetHead.isSigned && aTargetHead.attemptId.empty()) {
-    this->lastError.detail =
-      "response has neither a signature nor an attempt id";
-    co_return CallEnd::kTruncated;
+    co_return this->RejectResponse(
+      "response has neither a signature nor an attempt id");
   }
   this->heldResponse = std::make_unique<HttpResponse>();
   this->heldResponse->result(aHead.result_int());
@@ -382,6 +395,14 @@
                                                     : CallEnd::kAnswered;
 }
 
+CallEnd
+RequestFlow::RejectResponse(std::string aDetail)
+{
+  this->lastError.detail = std::move(aDetail);
+  this->responseRejected = true;
+  return CallEnd::kTruncated;
+}
+
 CallEnd
 RequestFlow::RecordFailure(const TargetCall& aCall, const Error& aError)
 {
@@ -423,6 +444,7 @@
   } else if (!this->promptProvenSound &&
              aNow - *this->streamingSince >= kSoundStreamTime) {
     this->promptProvenSound = true;
+    this->everProvenSound = true;
     this->context.crashRecorder.OnAnswered(this->caller.sharedPromptParts,
                                            aNow);
   }
@@ -445,24 +467,6 @@
   }
 }
 
-NextStep
-RequestFlow::DecideNextStep(CallEnd aEnd)
-{
-  if (this->callerDisconnected) {
-    return NextStep::kAbort;
-  }
-  this->history.timeLeft = MonotonicNow() + kMinCallTime < this->Deadline();
-  this->history.budgetLeft = true;
-  const NextStep step =
-    DecideNext(*this->admittedRequest.route, aEnd, this->history);
-  if (step != NextStep::kTryElsewhere || this->Budget().TryConsume()) {
-    return step;
-  }
-  this->history.budgetLeft = false;
-  this->context.counters.Add("retries_denied");
-  return DecideNext(*this->admittedRequest.route, aEnd, this->history);
-}
-
 bool
 RequestFlow::IsStream() const
 {
--- a/src/serving/RequestFlow.h
+++ b/src/serving/RequestFlow.h
@@ -70,6 +70,16 @@
   /// False if the response would probably take longer than this node runs.
   bool CanEndBeforeStop(Instant aNow) const;
   PlacementChoice ChooseTarget(Instant aNow) const;
+  /// Returns the targets that must not get the request now.
+  std::set<std::string> ExcludedTargets(
+    const std::vector<Candidate>& aCandidates,
+    Instant aNow) const;
+  /// Returns whether a target that may have run the request may continue it.
+  bool MayReturn() const;
+  /// Waits until a target or a retry may have become available for an
+  /// interrupted stream. Returns false without waiting if the stream has waited
+  /// for long enough, or cannot continue.
+  Task<bool> WaitForContinuation();
   Task<CallEnd> CallTarget(const Candidate& aTarget);
   TargetCall::Options MakeCallOptions(const Candidate& aTarget,
                                       bool aIsRetry,
@@ -79,7 +89,9 @@
   /// Handles the response of the current call and records its end.
   Task<CallEnd> CompleteCall(Result<HttpResponse> aHead);
   /// Counts a call that has ended among those of the request.
-  void CountCall(const TargetCall& aCall, CallEnd aEnd);
+  void CountCall(const std::string& aTargetId,
+                 const TargetCall& aCall,
+                 CallEnd aEnd);
   /// Returns whether another target may run the request besides the current
   /// one.
   bool MayHedge(Instant aNow) const;
@@ -103,6 +115,8 @@
   Task<CallEnd> BufferResponse(TargetCall& aCall,
                                const HttpResponse& aHead,
                                const TargetHead& aTargetHead);
+  /// Ends the current call, because its response must not be passed on.
+  CallEnd RejectResponse(std::string aDetail);
   /// Classifies a failed call by how far it got.
   CallEnd ClassifyFailure(const TargetCall& aCall, const Error& aError) const;
   /// Classifies a failure of the current call and keeps it for the log.
@@ -115,7 +129,7 @@
   void RecordStreamProgress(Instant aNow);
   /// Records whether the call was answered or lost with its target.
   void RecordForAttribution(CallEnd aEnd);
-  NextStep DecideNextStep(CallEnd aEnd);
+  Task<NextStep> DecideNextStep(CallEnd aEnd);
   /// Sends the final response, or closes the connection if the caller is gone.
   Task<void> Finish(NextStep aStep);
   /// Ends a request that has a prompt part in quarantine for `aRemaining`.
@@ -141,8 +155,10 @@
   AdmittedRequest admittedRequest;
   EventSplitter eventSplitter;
   CallHistory history;
-  /// Targets that were called; not chosen again.
-  std::set<std::string> calledTargets;
+  /// When the last call of each called target ended; nothing while it goes on.
+  std::map<std::string, std::optional<Instant>> calledTargets;
+  /// Targets that may have started to run the request.
+  std::set<std::string> possibleRunners;
   /// The call in progress, or null.
   TargetCall* call = nullptr;
   /// The entry of that call in ServingContext::running.
@@ -174,8 +190,14 @@
   std::optional<Instant> streamingSince;
   /// The current target's response has shown the prompt to be sound.
   bool promptProvenSound = false;
+  /// The response of any target has shown the prompt to be sound.
+  bool everProvenSound = false;
+  /// A target has sent a response that must not be passed on.
+  bool responseRejected = false;
   /// The head of an event stream has been sent to the caller.
   bool streamStarted = false;
+  /// When a call ended after which the started stream has made no progress.
+  std::optional<Instant> interruptedAt;
 };
 
 } // namespace apricottrack
--- a/src/serving/RequestFlowHedging.cpp
+++ b/src/serving/RequestFlowHedging.cpp
@@ -38,7 +38,7 @@
     return;
   }
   const std::string& id = choice.target.id;
-  this->calledTargets.insert(id);
+  this->calledTargets[id].reset();
   this->context.loads.OnSent(id);
   this->context.stalls.OnSent(id, now);
   this->context.counters.Add("hedges");
@@ -108,7 +108,7 @@
       end == CallEnd::kTruncated) {
     this->context.stalls.OnFailure(id, now);
   }
-  this->CountCall(ended->Call(), end);
+  this->CountCall(id, ended->Call(), end);
   this->LogCall(id, end, "none");
 }
 
@@ -140,7 +140,8 @@
   this->context.counters.Add("hedges_cancelled");
   this->context.loads.OnEnded(cancelled->Target().id);
   this->context.stalls.OnEnded(cancelled->Target().id, false);
-  this->CountCall(cancelled->Call(), CallEnd::kNoAnswer);
+  this->CountCall(
+    cancelled->Target().id, cancelled->Call(), CallEnd::kNoAnswer);
 }
 
 void
--- /dev/null
+++ b/src/serving/RequestFlowRetry.cpp
@@ -0,0 +1,92 @@
+#include "serving/RequestFlow.h"
+
+#include <algorithm>
+#include <boost/asio/steady_timer.hpp>
+
+// The part of RequestFlow that decides whether and where a request is retried,
+// and how long an interrupted stream waits for that.
+namespace apricottrack {
+
+namespace {
+
+/// A stream returns to a target only after this time: one that has just
+/// rejected or lost it is not ready sooner.
+constexpr Duration kReturnDelay = seconds(1);
+/// Longest time for which an interrupted stream waits for a target or a retry.
+constexpr Duration kMaxInterruption = seconds(2);
+/// Time between two attempts to continue an interrupted stream.
+constexpr Duration kContinuationInterval = milliseconds(50);
+
+} // namespace
+
+bool
+RequestFlow::MayReturn() const
+{
+  // A prompt that was not proven sound may have crashed its targets, and a
+  // rejected response is no momentary interruption.
+  return this->streamStarted && !this->responseRejected &&
+         this->admittedRequest.route->IsRepeatable() &&
+         (this->everProvenSound || this->caller.sharedPromptParts.empty());
+}
+
+std::set<std::string>
+RequestFlow::ExcludedTargets(const std::vector<Candidate>& aCandidates,
+                             Instant aNow) const
+{
+  const bool mayReturn = this->MayReturn();
+  std::set<std::string> excluded;
+  for (const auto& [id, endedAt] : this->calledTargets) {
+    if (!mayReturn || !endedAt || aNow - *endedAt < kReturnDelay) {
+      excluded.insert(id);
+    }
+  }
+  const int runCount = this->history.possibleRunCount;
+  if (runCount > 0 && runCount >= this->admittedRequest.route->maxTargets) {
+    for (const Candidate& candidate : aCandidates) {
+      if (!this->possibleRunners.contains(candidate.id)) {
+        excluded.insert(candidate.id);
+      }
+    }
+  }
+  return excluded;
+}
+
+Task<bool>
+RequestFlow::WaitForContinuation()
+{
+  const Instant now = MonotonicNow();
+  if (!this->MayReturn() || !this->interruptedAt ||
+      now >= *this->interruptedAt + kMaxInterruption) {
+    co_return false;
+  }
+  boost::asio::steady_timer timer(this->context.executor);
+  timer.expires_at(std::min(now + kContinuationInterval, this->Deadline()));
+  co_await timer.async_wait(kAsTuple);
+  co_return true;
+}
+
+Task<NextStep>
+RequestFlow::DecideNextStep(CallEnd aEnd)
+{
+  const CatalogRoute& route = *this->admittedRequest.route;
+  this->history.mayReturn = this->MayReturn();
+  for (;;) {
+    if (this->callerDisconnected) {
+      co_return NextStep::kAbort;
+    }
+    this->history.timeLeft = MonotonicNow() + kMinCallTime < this->Deadline();
+    this->history.budgetLeft = true;
+    const NextStep step = DecideNext(route, aEnd, this->history);
+    if (step != NextStep::kTryElsewhere || this->Budget().TryConsume()) {
+      co_return step;
+    }
+    this->history.budgetLeft = false;
+    const bool hasWaited = co_await this->WaitForContinuation();
+    if (!hasWaited) {
+      this->context.counters.Add("retries_denied");
+      co_return DecideNext(route, aEnd, this->history);
+    }
+  }
+}
+
+} // namespace apricottrack
--- a/src/serving/RetryRules.cpp
+++ b/src/serving/RetryRules.cpp
@@ -8,6 +8,10 @@
 /// target that accepts it.
 constexpr int kMaxSendsWithoutRun = 3;
 
+/// Maximum sends of a stream that returns to targets; bounds the load of one
+/// that no target can complete.
+constexpr int kMaxSendsOfStream = 6;
+
 /// Returns the step that ends a request which is not retried.
 NextStep
 FinalStep(const CallHistory& aHistory)
@@ -28,7 +32,11 @@
   if (aHistory.possibleRunCount == 0) {
     return aHistory.sendCount < kMaxSendsWithoutRun;
   }
-  return aRoute.IsRepeatable() && aHistory.possibleRunCount < aRoute.maxTargets;
+  if (!aRoute.IsRepeatable()) {
+    return false;
+  }
+  return aHistory.possibleRunCount < aRoute.maxTargets ||
+         (aHistory.mayReturn && aHistory.sendCount < kMaxSendsOfStream);
 }
 
 } // namespace
--- a/src/serving/RetryRules.h
+++ b/src/serving/RetryRules.h
@@ -36,7 +36,8 @@
 {
   /// The response is final.
   kDone,
-  /// Call a target that was not called for this request before.
+  /// Call another target. A started stream may return to one that was called
+  /// before.
   kTryElsewhere,
   /// Respond that the request was not run, and when to retry.
   kRefuse,
@@ -56,12 +57,15 @@
 {
   /// Number of targets that may have started to run it.
   int possibleRunCount = 0;
-  /// Number of targets that it was sent to.
+  /// Number of calls in which it was sent.
   int sendCount = 0;
   /// The retry budget allows another attempt.
   bool budgetLeft = true;
   /// Enough time for another call is left before the deadline.
   bool timeLeft = true;
+  /// The request is a started stream, which a target that may have run it may
+  /// continue.
+  bool mayReturn = false;
 };
 
 /// Decides what follows the end of a call; the counts of the history include
--- a/tests/RequestFlowBrokenStreamTest.cpp
+++ b/tests/RequestFlowBrokenStreamTest.cpp
@@ -127,3 +127,122 @@
   CHECK(StatusOf(response) == 200);
   CHECK(IsCompleteStream(response));
 }
+
+// Guards against a stream that more targets run than its route allows.
+TEST_CASE("RequestFlow continues a stream at no more targets than its route "
+          "allows")
+{
+  ServingHarness harness;
+  std::set<std::string> runners;
+  int calls = 0;
+  for (const std::string id : { "t1", "t2", "t3" }) {
+    harness.AddTarget(
+      id, [&, id](TargetConnection& aConnection, int) -> Task<void> {
+        co_await aConnection.ReadRequest();
+        runners.insert(id);
+        co_await aConnection.Write(StreamHead("a") + Event(++calls));
+      });
+  }
+  std::string response;
+  REQUIRE(harness.Run(
+    [&]() -> Task<void> {
+      response = co_await harness.Call("/stream/x", "a", seconds(4));
+    },
+    kTestLimit));
+  CHECK(runners.size() == 2);
+  CHECK(calls >= 3);
+  CHECK_FALSE(IsCompleteStream(response));
+}
+
+// Guards against a prompt that crashes the same targets again and again.
+TEST_CASE("RequestFlow does not return to a target with a prompt that was not "
+          "proven sound")
+{
+  ServingHarness harness;
+  int calls = 0;
+  const auto script = [&](TargetConnection& aConnection, int) -> Task<void> {
+    co_await aConnection.ReadRequest();
+    co_await aConnection.Write(StreamHead("a") + Event(++calls));
+  };
+  harness.AddTarget("t1", script);
+  harness.AddTarget("t2", script);
+  std::string response;
+  REQUIRE(harness.Run(
+    [&]() -> Task<void> {
+      response = co_await harness.Call("/stream/x", "a", seconds(4), "p,own");
+    },
+    kTestLimit));
+  CHECK(calls == 2);
+  CHECK_FALSE(IsCompleteStream(response));
+}
+
+// Guards against a stream that is cut for want of a place or a retry that
+// becomes available a moment later.
+TEST_CASE("RequestFlow continues a stream once a target and a retry are "
+          "available")
+{
+  const bool lacksRetry = GENERATE(true, false);
+  CAPTURE(lacksRetry);
+  ServingHarness harness;
+  const auto calls = std::make_shared<int>(0);
+  const auto script =
+    BreakThenAnswer(calls, StreamHead("a") + Event(4) + "0\r\n\r\n");
+  harness.AddTarget("t1", script);
+  auto& budgets = harness.context.retryBudgets;
+  if (lacksRetry) {
+    harness.AddTarget("t2", script);
+    budgets.try_emplace("app", RetryBudget::Options{ .ratio = 0, .reserve = 1 })
+      .first->second.TryConsume();
+  }
+  std::string response;
+  asio::co_spawn(
+    harness.io,
+    [&]() -> Task<void> {
+      asio::steady_timer timer(harness.io, milliseconds(500));
+      co_await timer.async_wait(kAsTuple);
+      CHECK(*calls == 1);
+      if (lacksRetry) {
+        budgets.clear();
+      } else {
+        harness.AddTarget("t2", script);
+      }
+    },
+    asio::detached);
+  REQUIRE(harness.Run(
+    [&]() -> Task<void> {
+      response = co_await harness.Call("/stream/x", "a", seconds(4));
+    },
+    kTestLimit));
+  CHECK(*calls == 2);
+  CHECK(response.ends_with(Event(3) + Event(4) + "0\r\n\r\n"));
+}
+
+// Guards against an interrupted stream that outlives its caller or its node.
+TEST_CASE("RequestFlow ends an interrupted stream when its caller leaves or "
+          "its node stops")
+{
+  const bool callerLeaves = GENERATE(true, false);
+  CAPTURE(callerLeaves);
+  ServingHarness harness;
+  harness.AddTarget("t1", BreakThenAnswer(std::make_shared<int>(0), ""));
+  REQUIRE(harness.Run(
+    [&]() -> Task<void> {
+      tcp::socket socket(harness.io);
+      co_await socket.async_connect(harness.callerEndpoint, kAsTuple);
+      const std::string request = "GET /stream/x HTTP/1.1\r\nHost: h\r\n"
+                                  "X-Attempt: a\r\nX-Timeout: 9000\r\n\r\n";
+      co_await asio::async_write(socket, asio::buffer(request), kAsTuple);
+      asio::steady_timer timer(harness.io, milliseconds(300));
+      co_await timer.async_wait(kAsTuple);
+      CHECK(harness.context.inFlight == 1);
+      if (callerLeaves) {
+        socket.close();
+      } else {
+        harness.context.requestsEndAt = MonotonicNow() + milliseconds(20);
+      }
+      timer.expires_after(milliseconds(200));
+      co_await timer.async_wait(kAsTuple);
+      CHECK(harness.context.inFlight == 0);
+    },
+    kTestLimit));
+}
--- a/tests/RetryRulesTest.cpp
+++ b/tests/RetryRulesTest.cpp
@@ -86,6 +86,28 @@
         NextStep::kDone);
 }
 
+// Guards against a started stream that is cut although one of its targets is
+// sound again.
+TEST_CASE("RetryRules continues a started stream at a target that may have run "
+          "it, with at most six sends")
+{
+  CHECK(
+    DecideNext(kResumableStream,
+               CallEnd::kTruncated,
+               { .possibleRunCount = 2, .sendCount = 5, .mayReturn = true }) ==
+    NextStep::kTryElsewhere);
+  CHECK(
+    DecideNext(kResumableStream,
+               CallEnd::kTruncated,
+               { .possibleRunCount = 2, .sendCount = 6, .mayReturn = true }) ==
+    NextStep::kFail);
+  CHECK(
+    DecideNext(kNonResumableStream,
+               CallEnd::kTruncated,
+               { .possibleRunCount = 1, .sendCount = 1, .mayReturn = true }) ==
+    NextStep::kFail);
+}
+
 TEST_CASE("RetryRules aborts the request of a disconnected caller")
 {
   CHECK(DecideNext(kIdempotentRoute,
