Keep the members of a replica through a short silence

Callers lost resumable streams when a sound target was silent for about a second: the planner ordered the other members of its replica elsewhere after two missed reports, 0.2 s. The head could then not go on, and its streams moved. After a second silence they had used up the targets that may run them.

Replicas with work that cannot continue elsewhere already kept their members until a loss is confirmed. Now every serving replica does so for two seconds if reports timed out; a refused or reset connection still shows at once that the process is gone. Nodes send such a replica no requests meanwhile and continue its streams elsewhere where they may, as before. A planner that alone hears nobody for less than that time interrupts nothing either.

--- a/src/replicas/FleetInterruption.cpp
+++ b/src/replicas/FleetInterruption.cpp
@@ -3,8 +3,9 @@
 #include <algorithm>
 
 // The part of FleetPlanningRound that decides whether an order may end running
-// requests. Most requests continue at another target; for the others, a missed
-// report is no reason to end a response that may still become complete.
+// requests. Most requests continue at another target, unless they have used up
+// the targets that may run them; a short silence is no reason to interrupt
+// them. For those that never continue elsewhere, only a loss is.
 namespace apricottrack {
 
 bool
@@ -19,9 +20,8 @@
 bool
 FleetPlanningRound::MustFinishWork(const PlannedReplica& aReplica) const
 {
-  if (this->view.longestUnrepeatableWork == Duration::zero() ||
-      aReplica.members.size() <
-        static_cast<std::size_t>(this->ModelOf(aReplica).size)) {
+  if (aReplica.members.size() <
+      static_cast<std::size_t>(this->ModelOf(aReplica).size)) {
     return false;
   }
   // Without one of its members, the head stands still until it aborts.
@@ -34,7 +34,15 @@
   }
   const MemberState state =
     this->CurrentMembership(aReplica, aReplica.members.front())->state;
-  return state == MemberState::kOpen || state == MemberState::kClosing;
+  if (state != MemberState::kOpen && state != MemberState::kClosing) {
+    return false;
+  }
+  return this->view.longestUnrepeatableWork > Duration::zero() ||
+         std::any_of(aReplica.members.begin(),
+                     aReplica.members.end(),
+                     [&](const auto& aId) {
+                       return this->FindTarget(aId)->brieflySilent;
+                     });
 }
 
 void
--- a/src/replicas/FleetPlanner.h
+++ b/src/replicas/FleetPlanner.h
@@ -24,6 +24,9 @@
   /// Missed `PlannerTask::Options::maxMissedReports` report queries in a row,
   /// or another target now listens on its address.
   bool unresponsive = false;
+  /// Unresponsive because it was silent, for less than
+  /// `PlannerTask::Options::silenceTolerance`. It probably continues its work.
+  bool brieflySilent = false;
   /// Unresponsive for `PlannerTask::Options::lossConfirmationTime`, or replaced
   /// on its address. One that is only unresponsive may continue its work.
   bool lost = false;
--- a/src/serving/PlannerCalls.cpp
+++ b/src/serving/PlannerCalls.cpp
@@ -194,6 +194,7 @@
   if (probe.missedReports++ == 0) {
     probe.silentSince = probeSentAt;
   }
+  probe.hasTimedOut = report.error().code == ErrorCode::kTimeout;
   if (probe.missedReports < this->options.maxMissedReports) {
     this->StartProbe(aTarget, aAddress, true, MonotonicNow());
   } else if (probe.missedReports == this->options.maxMissedReports) {
--- a/src/serving/PlannerTask.cpp
+++ b/src/serving/PlannerTask.cpp
@@ -348,6 +348,7 @@
       member.reported = found->second.report.has_value();
       member.record = this->NewestRecord(aService, entry, found->second);
       member.unresponsive = this->IsUnresponsive(found->second);
+      member.brieflySilent = this->IsBrieflySilent(found->second, aNow);
       member.lost = this->IsLost(found->second, aNow);
       const auto& report = found->second.report;
       member.slow = report && report->startedAt == member.record.startedAt &&
@@ -367,6 +368,13 @@
   return aProbe.missedReports >= this->options.maxMissedReports;
 }
 
+bool
+PlannerTask::IsBrieflySilent(const ProbeState& aProbe, Instant aNow) const
+{
+  return this->IsUnresponsive(aProbe) && aProbe.hasTimedOut &&
+         aNow - aProbe.silentSince < this->options.silenceTolerance;
+}
+
 bool
 PlannerTask::IsLost(const ProbeState& aProbe, Instant aNow) const
 {
--- a/src/serving/PlannerTask.h
+++ b/src/serving/PlannerTask.h
@@ -54,6 +54,9 @@
     /// An unresponsive target counts as lost after this time; sound ones may be
     /// silent for a second or two.
     Duration lossConfirmationTime = milliseconds(3000);
+    /// A replica with an unresponsive member keeps its members for this time if
+    /// the member timed out, as a sound one may do.
+    Duration silenceTolerance = milliseconds(2000);
     /// Reported factor on the times of the engine from which a target counts as
     /// slow. Replacing a member interrupts its replica for less than a second.
     double slowTimeFactor = 1.6;
@@ -136,6 +139,8 @@
     int missedReports = 0;
     /// When the first of them was requested.
     Instant silentSince;
+    /// The last missed report timed out.
+    bool hasTimedOut = false;
     /// A probe is in progress.
     bool isPending = false;
   };
@@ -191,6 +196,9 @@
                           PlannerMembers& aMembers,
                           Instant aNow);
   bool IsUnresponsive(const ProbeState& aProbe) const;
+  /// True if the target is unresponsive and has been silent for less than
+  /// `silenceTolerance`.
+  bool IsBrieflySilent(const ProbeState& aProbe, Instant aNow) const;
   /// True if the target has been unresponsive for `lossConfirmationTime`.
   bool IsLost(const ProbeState& aProbe, Instant aNow) const;
   /// Longest timeout of the service's requests that no other target may
--- a/tests/FleetInterruptionTest.cpp
+++ b/tests/FleetInterruptionTest.cpp
@@ -65,6 +65,44 @@
   CHECK(planner.BrokenReplicas(now).empty());
 }
 
+// Guards against streams that are interrupted by orders although the silent
+// member goes on within a second.
+TEST_CASE("FleetPlanner leaves a replica with a briefly silent member its work "
+          "that could continue elsewhere")
+{
+  FakeFleet fleet(12);
+  FleetPlanner planner = MakePlanner(1);
+  Instant now = kStart;
+  fleet.RunUntilIdle(planner, now, true);
+  const PlannedReplica replica = planner.Replicas().begin()->second;
+  const bool isHeadSilent = GENERATE(true, false);
+  PlannerMember& silent = fleet.members.at(
+    isHeadSilent ? replica.members.front() : replica.members.back());
+  silent.unresponsive = true;
+  silent.brieflySilent = true;
+  for (int i = 0; i < 30; ++i, now += milliseconds(50)) {
+    CHECK(CountInterruptions(planner.PlanRound(fleet.View(), now), replica) ==
+          0);
+    // Nodes send it no requests meanwhile.
+    CHECK(planner.BrokenReplicas(now).contains(KeyOf(replica)));
+  }
+  SECTION("the member responds again")
+  {
+    silent.unresponsive = false;
+    silent.brieflySilent = false;
+    CHECK(fleet.RunUntilIdle(planner, now) == 0);
+    CHECK(planner.Replicas().at(replica.name).epoch == replica.epoch);
+  }
+  SECTION("the member stays silent")
+  {
+    silent.brieflySilent = false;
+    fleet.RunUntilIdle(planner, now);
+    const PlannedReplica& repaired = planner.Replicas().at(replica.name);
+    CHECK(repaired.epoch > replica.epoch);
+    CHECK(repaired.phase == ReplicaPhase::kServing);
+  }
+}
+
 // Guards against a replica that is never repaired because its work is awaited.
 TEST_CASE("FleetPlanner repairs a replica once a member is lost")
 {
