Judge a short silence by the last failed probe, also if it did not connect

Targets of services with repeatable work were probed only once a second while silent, so the tolerance could end up to 0.6 s after the target had returned; a connection that timed out while opening, which a full queue or a lost packet can cause, counted as a process that is gone; a silent member whose entry the store does not list still broke its replica after 0.2 s.

Errors say whether the operation timed out, whatever their code. A replica in which another member's process is gone is repaired at once.

The test of repeatable work keeps its check and is named after the case that it shows, a process that is gone.

--- a/include/apricottrack/Error.h
+++ b/include/apricottrack/Error.h
@@ -46,6 +46,8 @@
   std::string peer;
   /// Description for people.
   std::string detail;
+  /// The operation took too long, whatever the code.
+  bool timedOut = false;
 
   friend bool operator==(const Error&, const Error&) = default;
 };
--- a/src/http/HttpClient.cpp
+++ b/src/http/HttpClient.cpp
@@ -54,11 +54,13 @@
                  const boost::system::error_code& aError)
 {
   const bool timeout = aError == beast::error::timeout;
-  return Failure(
+  auto failure = Failure(
     timeout && aCode != ErrorCode::kUnreachable ? ErrorCode::kTimeout : aCode,
     aStep,
     aPeer,
     aError.message());
+  failure.value().timedOut = timeout;
+  return failure;
 }
 
 } // namespace
--- a/src/replicas/FleetInterruption.cpp
+++ b/src/replicas/FleetInterruption.cpp
@@ -3,9 +3,9 @@
 #include <algorithm>
 
 // The part of FleetPlanningRound that decides whether an order may end running
-// requests. Most requests continue at another target, unless they have used up
-// the targets that may run them; a short silence is no reason to interrupt
-// them. For those that never continue elsewhere, only a loss is.
+// requests. Most requests continue at another target, but some have used up the
+// targets that may run them, so a short silence interrupts none. Requests that
+// never continue elsewhere are interrupted only once a member is lost.
 namespace apricottrack {
 
 bool
@@ -38,11 +38,21 @@
     return false;
   }
   return this->view.longestUnrepeatableWork > Duration::zero() ||
-         std::any_of(aReplica.members.begin(),
-                     aReplica.members.end(),
-                     [&](const auto& aId) {
-                       return this->FindTarget(aId)->brieflySilent;
-                     });
+         this->IsBrieflySilent(aReplica);
+}
+
+bool
+FleetPlanningRound::IsBrieflySilent(const PlannedReplica& aReplica) const
+{
+  bool isAnySilent = false;
+  for (const std::string& id : aReplica.members) {
+    const PlannerMember& member = *this->FindTarget(id);
+    if (member.unresponsive && !member.brieflySilent) {
+      return false;
+    }
+    isAnySilent = isAnySilent || member.brieflySilent;
+  }
+  return isAnySilent;
 }
 
 void
--- a/src/replicas/FleetPlanner.h
+++ b/src/replicas/FleetPlanner.h
@@ -21,13 +21,13 @@
 struct PlannerMember
 {
   TargetRecord record;
-  /// Missed `PlannerTask::Options::maxMissedReports` report queries in a row,
+  /// Missed `TargetProbe::Options::maxMissedReports` report queries in a row,
   /// or another target now listens on its address.
   bool unresponsive = false;
   /// Unresponsive because it was silent, for less than
-  /// `PlannerTask::Options::silenceTolerance`. It probably continues its work.
+  /// `TargetProbe::Options::silenceTolerance`. It probably continues its work.
   bool brieflySilent = false;
-  /// Unresponsive for `PlannerTask::Options::lossConfirmationTime`, or replaced
+  /// Unresponsive for `TargetProbe::Options::lossConfirmationTime`, or replaced
   /// on its address. One that is only unresponsive may continue its work.
   bool lost = false;
   /// Has reported to this planner. The entry of one that has not may precede
--- a/src/replicas/FleetPlanningRound.h
+++ b/src/replicas/FleetPlanningRound.h
@@ -73,8 +73,12 @@
   /// replica: it is lost or gone, or is a member of another list.
   bool IsLostTo(const PlannedReplica& aReplica, const std::string& aId) const;
   /// Returns true if the replica may have requests that it can still complete
-  /// and that no other target may continue. No order may end them.
+  /// and that no other target may continue, or is only silent for a moment. No
+  /// order may end its work.
   bool MustFinishWork(const PlannedReplica& aReplica) const;
+  /// Returns true if members are unresponsive, and all of them are only briefly
+  /// silent. All members must be known.
+  bool IsBrieflySilent(const PlannedReplica& aReplica) const;
   /// Orders the head to finish its requests and moves the replica to kClosing.
   void CloseGently(PlannedReplica& aReplica);
   /// Orders the head of a closing replica to abort its requests once they have
--- a/src/serving/PlannerCalls.cpp
+++ b/src/serving/PlannerCalls.cpp
@@ -98,12 +98,12 @@
   const std::set<std::string> targetsInProgress =
     this->planners[aService.name]->TargetsChangingState();
   for (const auto& [id, member] : aMembers) {
-    const ProbeState& probe = this->probes[id];
-    const bool urgent = probe.missedReports > 0 &&
-                        probe.missedReports < this->options.maxMissedReports;
+    const TargetProbe& probe = this->probes[id];
+    const bool urgent =
+      probe.missedReports > 0 && !probe.IsUnresponsive(this->options.probes);
     // The replica of a target that is not lost may serve again at any time.
-    const bool isAwaited =
-      awaitsSilentTargets && member.unresponsive && !member.lost;
+    const bool isAwaited = member.unresponsive && !member.lost &&
+                           (awaitsSilentTargets || member.brieflySilent);
     const bool orderPending =
       targetsInProgress.contains(id) || member.record.leaving || isAwaited;
     const Duration interval = urgent ? this->options.urgentInterval
@@ -124,7 +124,7 @@
                         bool aUrgent,
                         Instant aNow)
 {
-  ProbeState& probe = this->probes[aTarget];
+  TargetProbe& probe = this->probes[aTarget];
   probe.isPending = true;
   probe.probeSentAt = aNow;
   asio::co_spawn(
@@ -175,15 +175,13 @@
     (aUrgent ? this->options.urgentTimeout
              : this->options.reportTimeout + this->options.urgentTimeout) +
     this->options.lateReportThreshold;
-  ProbeState& probe = this->probes[aTarget];
+  TargetProbe& probe = this->probes[aTarget];
   probe.isPending = false;
   if (report) {
-    if (this->IsUnresponsive(probe)) {
+    if (probe.IsUnresponsive(this->options.probes)) {
       LogLine("target_heard_again").With("target", aTarget).Info();
     }
-    probe.missedReports = 0;
-    probe.reportedAt = probeSentAt;
-    probe.report = std::move(*report);
+    probe.OnReport(std::move(*report), probeSentAt);
     co_return;
   }
   const Instant now = MonotonicNow();
@@ -191,13 +189,10 @@
     this->context.counters.Add("reports_judged_late");
     co_return;
   }
-  if (probe.missedReports++ == 0) {
-    probe.silentSince = probeSentAt;
-  }
-  probe.hasTimedOut = report.error().code == ErrorCode::kTimeout;
-  if (probe.missedReports < this->options.maxMissedReports) {
+  probe.OnMissed(probeSentAt, report.error().timedOut);
+  if (!probe.IsUnresponsive(this->options.probes)) {
     this->StartProbe(aTarget, aAddress, true, MonotonicNow());
-  } else if (probe.missedReports == this->options.maxMissedReports) {
+  } else if (probe.missedReports == this->options.probes.maxMissedReports) {
     LogLine("target_silent")
       .With("target", aTarget)
       .With(report.error())
--- a/src/serving/PlannerTask.cpp
+++ b/src/serving/PlannerTask.cpp
@@ -84,6 +84,18 @@
   }
 }
 
+/// Copies what the probes say about a target.
+void
+SetResponsiveness(PlannerMember& aMember,
+                  const TargetProbe& aProbe,
+                  const TargetProbe::Options& aOptions,
+                  Instant aNow)
+{
+  aMember.unresponsive = aProbe.IsUnresponsive(aOptions);
+  aMember.brieflySilent = aProbe.IsBrieflySilent(aOptions);
+  aMember.lost = aProbe.IsLost(aOptions, aNow);
+}
+
 } // namespace
 
 PlannerTask::PlannerTask(ServingContext& aContext,
@@ -322,7 +334,7 @@
 TargetRecord
 PlannerTask::NewestRecord(const CatalogService& aService,
                           const TargetRecord& aEntry,
-                          const ProbeState& aProbe) const
+                          const TargetProbe& aProbe) const
 {
   return MergeReport(aEntry,
                      this->context.fleet.ChangedAt(aEntry.id),
@@ -347,9 +359,7 @@
     } else {
       member.reported = found->second.report.has_value();
       member.record = this->NewestRecord(aService, entry, found->second);
-      member.unresponsive = this->IsUnresponsive(found->second);
-      member.brieflySilent = this->IsBrieflySilent(found->second, aNow);
-      member.lost = this->IsLost(found->second, aNow);
+      SetResponsiveness(member, found->second, this->options.probes, aNow);
       const auto& report = found->second.report;
       member.slow = report && report->startedAt == member.record.startedAt &&
                     report->pace >= this->options.slowTimeFactor;
@@ -362,26 +372,6 @@
   return members;
 }
 
-bool
-PlannerTask::IsUnresponsive(const ProbeState& aProbe) const
-{
-  return aProbe.missedReports >= this->options.maxMissedReports;
-}
-
-bool
-PlannerTask::IsBrieflySilent(const ProbeState& aProbe, Instant aNow) const
-{
-  return this->IsUnresponsive(aProbe) && aProbe.hasTimedOut &&
-         aNow - aProbe.silentSince < this->options.silenceTolerance;
-}
-
-bool
-PlannerTask::IsLost(const ProbeState& aProbe, Instant aNow) const
-{
-  return this->IsUnresponsive(aProbe) &&
-         aNow - aProbe.silentSince >= this->options.lossConfirmationTime;
-}
-
 Duration
 PlannerTask::LongestUnrepeatableWork(const CatalogService& aService,
                                      Instant aNow)
@@ -421,8 +411,7 @@
       const auto probe = this->probes.find(id);
       if (aMembers.contains(id) || entry == this->lastEntries.end() ||
           probe == this->probes.end() ||
-          (awaitsSilentTargets ? this->IsLost(probe->second, aNow)
-                               : this->IsUnresponsive(probe->second))) {
+          probe->second.IsLost(this->options.probes, aNow)) {
         continue;
       }
       PlannerMember member;
@@ -430,7 +419,11 @@
         this->NewestRecord(aService, entry->second, probe->second);
       member.record.leaving = true;
       member.listed = false;
-      member.unresponsive = this->IsUnresponsive(probe->second);
+      SetResponsiveness(member, probe->second, this->options.probes, aNow);
+      if (member.unresponsive && !member.brieflySilent &&
+          !awaitsSilentTargets) {
+        continue;
+      }
       aMembers.emplace(id, std::move(member));
     }
   }
--- a/src/serving/PlannerTask.h
+++ b/src/serving/PlannerTask.h
@@ -8,6 +8,7 @@
 #include "replicas/ReplicaCheckLimiter.h"
 #include "replicas/RoundPacer.h"
 #include "replicas/TakeoverGuard.h"
+#include "replicas/TargetProbe.h"
 #include "replicas/UnrepeatableWork.h"
 #include "serving/ServingContext.h"
 
@@ -49,14 +50,7 @@
     /// A report that fails this much later than its timeout indicates a delay
     /// of this node, and is not counted as missed.
     Duration lateReportThreshold = milliseconds(60);
-    /// Consecutive missed reports after which a target is unresponsive.
-    int maxMissedReports = 2;
-    /// An unresponsive target counts as lost after this time; sound ones may be
-    /// silent for a second or two.
-    Duration lossConfirmationTime = milliseconds(3000);
-    /// A replica with an unresponsive member keeps its members for this time if
-    /// the member timed out, as a sound one may do.
-    Duration silenceTolerance = milliseconds(2000);
+    TargetProbe::Options probes;
     /// Reported factor on the times of the engine from which a target counts as
     /// slow. Replacing a member interrupts its replica for less than a second.
     double slowTimeFactor = 1.6;
@@ -127,24 +121,6 @@
   void Release();
 
 private:
-  /// State of the probes of one target.
-  struct ProbeState
-  {
-    std::optional<TargetReport> report;
-    /// When the last probe was sent.
-    Instant probeSentAt;
-    /// When the probe that returned the last report was sent.
-    Instant reportedAt;
-    /// Consecutive reports that were missed.
-    int missedReports = 0;
-    /// When the first of them was requested.
-    Instant silentSince;
-    /// The last missed report timed out.
-    bool hasTimedOut = false;
-    /// A probe is in progress.
-    bool isPending = false;
-  };
-
   struct NodeDemands
   {
     ModelDemands demands;
@@ -195,12 +171,6 @@
   void AddUnlistedMembers(const CatalogService& aService,
                           PlannerMembers& aMembers,
                           Instant aNow);
-  bool IsUnresponsive(const ProbeState& aProbe) const;
-  /// True if the target is unresponsive and has been silent for less than
-  /// `silenceTolerance`.
-  bool IsBrieflySilent(const ProbeState& aProbe, Instant aNow) const;
-  /// True if the target has been unresponsive for `lossConfirmationTime`.
-  bool IsLost(const ProbeState& aProbe, Instant aNow) const;
   /// Longest timeout of the service's requests that no other target may
   /// continue.
   Duration LongestUnrepeatableWork(const CatalogService& aService,
@@ -211,7 +181,7 @@
   /// The entry, updated from the last report if that is newer.
   TargetRecord NewestRecord(const CatalogService& aService,
                             const TargetRecord& aEntry,
-                            const ProbeState& aProbe) const;
+                            const TargetProbe& aProbe) const;
   /// True if each target has reported since this node became the planner, or is
   /// unresponsive.
   bool HaveAllReported(const PlannerMembers& aMembers) const;
@@ -257,7 +227,7 @@
   /// By service name.
   std::map<std::string, std::unique_ptr<FleetPlanner>, std::less<>> planners;
   /// By target id.
-  std::map<std::string, ProbeState, std::less<>> probes;
+  std::map<std::string, TargetProbe, std::less<>> probes;
   /// Last known entries, kept for a target after the store has lost its entry.
   std::map<std::string, TargetRecord, std::less<>> lastEntries;
   /// When the last planner_view line was logged, by service name.
--- a/tests/FleetInterruptionTest.cpp
+++ b/tests/FleetInterruptionTest.cpp
@@ -180,8 +180,9 @@
 }
 
 // Guards against a wait for silent heads where any work can continue elsewhere.
-TEST_CASE("FleetPlanner repairs a silent replica at once if its work is "
-          "repeatable")
+TEST_CASE(
+  "FleetPlanner repairs a replica at once if a member's process is gone "
+  "and its work is repeatable")
 {
   FakeFleet fleet(12);
   FleetPlanner planner = MakePlanner(1);
@@ -189,6 +190,9 @@
   fleet.RunUntilIdle(planner, now, true);
   const PlannedReplica replica = planner.Replicas().begin()->second;
   fleet.members.at(replica.members.front()).unresponsive = true;
+  const bool isOtherSilent = GENERATE(false, true);
+  fleet.members.at(replica.members.back()).unresponsive = isOtherSilent;
+  fleet.members.at(replica.members.back()).brieflySilent = isOtherSilent;
   CHECK(CountInterruptions(planner.PlanRound(fleet.View(), now), replica) > 0);
 }
 
