Bound the sends of a stream that returns, and tell its responses apart

Found by the review of the returning streams, by reading. A stream at the only target with a place was sent again every 1.5 s until its deadline, because six sends bounded only streams that had used up their targets. Bytes without a complete event counted as progress and renewed its wait. On a kept connection, a late copy of the target's earlier response has the same attempt id, so it could be taken for that of the new call. A hedge was denied to a stream that had returned, as its current target was counted twice.

Returns are bounded by six sends, progress is a complete event, a target that was called before gets a new connection, and targets are counted once. Tests cover the bound, a proven prompt and the longest wait.

--- a/src/serving/RequestFlow.cpp
+++ b/src/serving/RequestFlow.cpp
@@ -197,9 +197,11 @@
              this->exchange.Request(), instructions),
            .attemptId = this->caller.attemptId,
            // A closed kept connection hides whether the request ran. On one,
-           // only the id tells the response from a copy of an earlier one.
+           // only the id tells the response from a copy of an earlier one,
+           // unless the target has already responded to this request.
            .mayReuse = this->admittedRequest.route->IsRepeatable() &&
-                       !this->caller.attemptId.empty(),
+                       !this->caller.attemptId.empty() &&
+                       !this->calledTargets.contains(aTarget.id),
            .deadline = this->Deadline() };
 }
 
@@ -349,9 +351,11 @@
     }
     const Instant now = MonotonicNow();
     this->context.stalls.OnProgress(this->lastTargetId, false, now);
-    this->interruptedAt.reset();
     this->RecordStreamProgress(now);
     std::string events = this->eventSplitter.Append(*chunk);
+    if (!events.empty()) {
+      this->interruptedAt.reset();
+    }
     if (this->eventSplitter.IsEventTooLarge()) {
       co_return this->RejectResponse("an event exceeds the size limit");
     }
--- a/src/serving/RequestFlow.h
+++ b/src/serving/RequestFlow.h
@@ -190,13 +190,13 @@
   std::optional<Instant> streamingSince;
   /// The current target's response has shown the prompt to be sound.
   bool promptProvenSound = false;
-  /// The response of any target has shown the prompt to be sound.
+  /// The response of any target so far has shown the prompt to be sound.
   bool everProvenSound = false;
   /// A target has sent a response that must not be passed on.
   bool responseRejected = false;
   /// The head of an event stream has been sent to the caller.
   bool streamStarted = false;
-  /// When a call ended after which the started stream has made no progress.
+  /// When the started stream was interrupted, if it has not continued since.
   std::optional<Instant> interruptedAt;
 };
 
--- a/src/serving/RequestFlowHedging.cpp
+++ b/src/serving/RequestFlowHedging.cpp
@@ -7,8 +7,11 @@
 bool
 RequestFlow::MayHedge(Instant aNow) const
 {
-  // The current call is not counted in the history yet.
-  const int possibleRuns = this->history.possibleRunCount + 1;
+  // The current call is not counted in the history yet, but an earlier one of
+  // the same target may be.
+  const int possibleRuns =
+    this->history.possibleRunCount +
+    (this->possibleRunners.contains(this->lastTargetId) ? 0 : 1);
   return this->call != nullptr && this->hedge == nullptr &&
          !this->callerDisconnected && !this->targetAbandoned &&
          this->admittedRequest.route->IsRepeatable() &&
@@ -38,6 +41,8 @@
     return;
   }
   const std::string& id = choice.target.id;
+  TargetCall::Options callOptions =
+    this->MakeCallOptions(choice.target, true, now);
   this->calledTargets[id].reset();
   this->context.loads.OnSent(id);
   this->context.stalls.OnSent(id, now);
@@ -47,8 +52,7 @@
     this->context,
     HedgeCall::Options{ .target = choice.target,
                         .estimatedLoad = choice.load,
-                        .call =
-                          this->MakeCallOptions(choice.target, true, now) });
+                        .call = std::move(callOptions) });
   this->hedge->Start([this] { this->OnHedgeHead(); });
 }
 
--- a/src/serving/RetryRules.cpp
+++ b/src/serving/RetryRules.cpp
@@ -35,8 +35,10 @@
   if (!aRoute.IsRepeatable()) {
     return false;
   }
-  return aHistory.possibleRunCount < aRoute.maxTargets ||
-         (aHistory.mayReturn && aHistory.sendCount < kMaxSendsOfStream);
+  if (aHistory.mayReturn) {
+    return aHistory.sendCount < kMaxSendsOfStream;
+  }
+  return aHistory.possibleRunCount < aRoute.maxTargets;
 }
 
 } // namespace
--- a/tests/RequestFlowBrokenStreamTest.cpp
+++ b/tests/RequestFlowBrokenStreamTest.cpp
@@ -176,6 +176,58 @@
   CHECK_FALSE(IsCompleteStream(response));
 }
 
+// Guards against a stream that is cut although its prompt cannot have crashed
+// its targets.
+TEST_CASE("RequestFlow returns to a target with a prompt that was proven sound")
+{
+  ServingHarness harness;
+  int calls = 0;
+  const auto script = [&](TargetConnection& aConnection, int) -> Task<void> {
+    co_await aConnection.ReadRequest();
+    const int call = calls++;
+    co_await aConnection.Write(StreamHead("a") + Event(2 * call + 1));
+    co_await aConnection.Wait(milliseconds(400));
+    co_await aConnection.Write(Event(2 * call + 2) +
+                               (call == 2 ? "0\r\n\r\n" : ""));
+  };
+  harness.AddTarget("t1", script);
+  harness.AddTarget("t2", script);
+  std::string response;
+  REQUIRE(harness.Run(
+    [&]() -> Task<void> {
+      response = co_await harness.Call("/stream/x", "a", seconds(8), "p,own");
+    },
+    kTestLimit));
+  CHECK(calls == 3);
+  CHECK(response.ends_with(Event(6) + "0\r\n\r\n"));
+}
+
+// Guards against a caller that waits for a stream that cannot continue.
+TEST_CASE("RequestFlow cuts a stream that finds no target for two seconds")
+{
+  ServingHarness harness;
+  harness.AddTarget("t1", BreakThenAnswer(std::make_shared<int>(0), ""));
+  std::string response;
+  const Instant start = MonotonicNow();
+  asio::co_spawn(
+    harness.io,
+    [&]() -> Task<void> {
+      asio::steady_timer timer(harness.io, milliseconds(500));
+      co_await timer.async_wait(kAsTuple);
+      harness.context.stalls.OnFailure("t1", start + seconds(60));
+    },
+    asio::detached);
+  REQUIRE(harness.Run(
+    [&]() -> Task<void> {
+      response = co_await harness.Call("/stream/x", "a", seconds(8));
+    },
+    kTestLimit));
+  CHECK(StatusOf(response) == 200);
+  CHECK_FALSE(IsCompleteStream(response));
+  CHECK(MonotonicNow() - start > milliseconds(1900));
+  CHECK(MonotonicNow() - start < seconds(3));
+}
+
 // Guards against a stream that is cut for want of a place or a retry that
 // becomes available a moment later.
 TEST_CASE("RequestFlow continues a stream once a target and a retry are "
--- a/tests/RetryRulesTest.cpp
+++ b/tests/RetryRulesTest.cpp
@@ -101,6 +101,11 @@
                CallEnd::kTruncated,
                { .possibleRunCount = 2, .sendCount = 6, .mayReturn = true }) ==
     NextStep::kFail);
+  CHECK(
+    DecideNext(kResumableStream,
+               CallEnd::kTruncated,
+               { .possibleRunCount = 1, .sendCount = 6, .mayReturn = true }) ==
+    NextStep::kFail);
   CHECK(
     DecideNext(kNonResumableStream,
                CallEnd::kTruncated,
