Close idle connections to addresses that are no longer used

The pool closed a connection that had been idle for too long only when the same address was used again, so those to targets that had left stayed for good.

Each use of the pool, for any address, now closes what has expired at all of them, at most twice a second. HttpConnectionPoolTest failed before: the target's end of the connection was never closed.

--- a/src/http/HttpClient.cpp
+++ b/src/http/HttpClient.cpp
@@ -206,6 +206,13 @@
   this->state->stream.close();
 }
 
+namespace {
+
+/// Time between two checks for expired idle connections.
+constexpr Duration kExpiryCheckInterval = milliseconds(500);
+
+} // namespace
+
 HttpConnectionPool::HttpConnectionPool(asio::any_io_executor aExecutor,
                                        Options aOptions)
   : executor(std::move(aExecutor))
@@ -213,10 +220,30 @@
 {
 }
 
+void
+HttpConnectionPool::CloseExpired(Instant aNow)
+{
+  if (aNow < this->nextExpiryCheckAt) {
+    return;
+  }
+  this->nextExpiryCheckAt = aNow + kExpiryCheckInterval;
+  for (auto it = this->idleConnections.begin();
+       it != this->idleConnections.end();) {
+    // The oldest connection is the first.
+    auto& queue = it->second;
+    while (!queue.empty() &&
+           aNow - queue.front().idleSince > this->options.idleTimeout) {
+      queue.pop_front();
+    }
+    it = queue.empty() ? this->idleConnections.erase(it) : std::next(it);
+  }
+}
+
 std::unique_ptr<HttpConnection>
 HttpConnectionPool::TakeIdleConnection(const std::string& aAddress,
                                        Instant aNow)
 {
+  this->CloseExpired(aNow);
   const auto found = this->idleConnections.find(aAddress);
   while (found != this->idleConnections.end() && !found->second.empty()) {
     IdleConnection newest = std::move(found->second.back());
@@ -257,6 +284,7 @@
   std::unique_ptr<HttpConnection> aConnection,
   Instant aNow)
 {
+  this->CloseExpired(aNow);
   if (!aConnection->IsReusable() || aConnection->IsClosedOrHasUnreadBytes()) {
     return;
   }
--- a/src/http/HttpClient.h
+++ b/src/http/HttpClient.h
@@ -73,7 +73,8 @@
   {
     /// Maximum number of idle connections per address.
     std::size_t idlePerAddress = 64;
-    /// A connection that was idle for longer is not used again.
+    /// A connection that was idle for longer is not used again, and closed
+    /// when the pool is next used for any address.
     Duration idleTimeout = seconds(20);
     Duration connectTimeout = seconds(1);
   };
@@ -105,9 +106,14 @@
     Instant idleSince;
   };
 
+  /// Closes the connections to all addresses that were idle for too long.
+  void CloseExpired(Instant aNow);
+
   boost::asio::any_io_executor executor;
   Options options;
   std::map<std::string, std::deque<IdleConnection>> idleConnections;
+  /// When CloseExpired next looks at the connections.
+  Instant nextExpiryCheckAt;
 };
 
 /// Limits of one call of Fetch.
