--- a/src/serving/PlannerCalls.cpp
+++ b/src/serving/PlannerCalls.cpp
@@ -84,6 +84,16 @@
   }
 }
 
+bool
+PlannerTask::HaveAllReported(const PlannerMembers& aMembers) const
+{
+  return std::all_of(aMembers.begin(), aMembers.end(), [&](const auto& aEntry) {
+    const auto probe = this->probes.find(aEntry.first);
+    return aEntry.second.unresponsive ||
+           (probe != this->probes.end() && probe->second.report);
+  });
+}
+
 void
 PlannerTask::ProbeTargets(const CatalogService& aService,
                           const PlannerMembers& aMembers,
--- a/src/serving/PlannerTask.cpp
+++ b/src/serving/PlannerTask.cpp
@@ -439,16 +439,6 @@
   return unresponsive * 2 > aMembers.size();
 }
 
-bool
-PlannerTask::HaveAllReported(const PlannerMembers& aMembers) const
-{
-  return std::all_of(aMembers.begin(), aMembers.end(), [&](const auto& aEntry) {
-    const auto probe = this->probes.find(aEntry.first);
-    return aEntry.second.unresponsive ||
-           (probe != this->probes.end() && probe->second.report);
-  });
-}
-
 void
 PlannerTask::PlanService(const CatalogService& aService, Instant aNow)
 {
