Count a silent member that accepts no connection as gone at once again

A process that is only paused still accepts connections, so a failed connect is evidence that a silence alone is not, and so is a missing entry.

The log of a silent target says whether the operation timed out.

--- a/src/replicas/TargetProbe.h
+++ b/src/replicas/TargetProbe.h
@@ -27,7 +27,7 @@
   void OnReport(TargetReport aReport, Instant aSentAt);
 
   /// Records that a probe which was sent at `aSentAt` returned no report.
-  /// `aTimedOut` is false if the connection was refused or reset.
+  /// `aTimedOut` is false if the target accepted no connection or reset it.
   void OnMissed(Instant aSentAt, bool aTimedOut);
 
   bool IsUnresponsive(const Options& aOptions) const;
--- a/src/serving/PlannerCalls.cpp
+++ b/src/serving/PlannerCalls.cpp
@@ -199,12 +199,14 @@
     this->context.counters.Add("reports_judged_late");
     co_return;
   }
-  probe.OnMissed(probeSentAt, report.error().timedOut);
+  // A sound target that is silent still accepts connections.
+  probe.OnMissed(probeSentAt, report.error().code == ErrorCode::kTimeout);
   if (!probe.IsUnresponsive(this->options.probes)) {
     this->StartProbe(aTarget, aAddress, true, MonotonicNow());
   } else if (probe.missedReports == this->options.probes.maxMissedReports) {
     LogLine("target_silent")
       .With("target", aTarget)
+      .With("timed_out", std::int64_t{ report.error().timedOut })
       .With(report.error())
       .Info();
     this->RunRound(MonotonicNow());
--- a/src/serving/PlannerTask.cpp
+++ b/src/serving/PlannerTask.cpp
@@ -411,7 +411,9 @@
       const auto probe = this->probes.find(id);
       if (aMembers.contains(id) || entry == this->lastEntries.end() ||
           probe == this->probes.end() ||
-          probe->second.IsLost(this->options.probes, aNow)) {
+          (awaitsSilentTargets
+             ? probe->second.IsLost(this->options.probes, aNow)
+             : probe->second.IsUnresponsive(this->options.probes))) {
         continue;
       }
       PlannerMember member;
@@ -420,10 +422,6 @@
       member.record.leaving = true;
       member.listed = false;
       SetResponsiveness(member, probe->second, this->options.probes, aNow);
-      if (member.unresponsive && !member.brieflySilent &&
-          !awaitsSilentTargets) {
-        continue;
-      }
       aMembers.emplace(id, std::move(member));
     }
   }
