Log the request limits that targets state

No log line said what limit a target had stated, so it could not be told whether nodes ignore a limit or each keep it without adding up. Both request flows now decode the limit and log when it is heard, changes or ends, with the number of own requests meanwhile; no decision uses it yet.

--- a/src/node/Node.cpp
+++ b/src/node/Node.cpp
@@ -104,6 +104,7 @@
       std::make_unique<IntactGroupGate>(this->settings.maxReportAge),
       this->settings.maxReportAge),
     .targetPool = HttpConnectionPool(aExecutor, HttpConnectionPool::Options{}),
+    .targetLimits = {},
     .retryPolicy = std::make_unique<SafeRetryPolicy>(),
     .dispatchers = {},
     .journals = {},
--- a/src/node/NodeContext.h
+++ b/src/node/NodeContext.h
@@ -6,6 +6,7 @@
 #include "config/ConfigurationHolder.h"
 #include "http/HttpClient.h"
 #include "limits/AccountLimiter.h"
+#include "limits/TargetLimits.h"
 #include "membership/NodeDirectory.h"
 #include "node/Dispatcher.h"
 #include "node/JournalTask.h"
@@ -35,6 +36,7 @@
   NodeDirectory directory;
   NodeView view;
   HttpConnectionPool targetPool;
+  TargetLimits targetLimits;
   std::unique_ptr<RetryPolicy> retryPolicy;
   /// Keyed by service name.
   std::map<std::string, std::unique_ptr<Dispatcher>, std::less<>> dispatchers;
--- a/src/node/RequestRun.cpp
+++ b/src/node/RequestRun.cpp
@@ -343,6 +343,7 @@
   this->triedTargetIds.insert(aTarget.id);
   this->lastTargetId = aTarget.id;
   AttemptOptions options{
+    .targetId = aTarget.id,
     .address = aTarget.address,
     .message = this->BuildTargetRequest(aTarget, attemptId),
     .attemptId = attemptId,
@@ -359,9 +360,12 @@
     .stallTimeout = service.stallTimeout,
     .deadline = this->spec.deadline,
   };
-  TargetAttempt attempt(
-    this->context.targetPool, this->relay, std::move(options));
+  TargetAttempt attempt(this->context.targetPool,
+                        this->relay,
+                        this->context.targetLimits,
+                        std::move(options));
   const Instant start = MonotonicNow();
+  this->context.targetLimits.OnSent(aTarget.id);
   this->dispatcher->OnStart(aTarget, start);
   const AttemptEnd end = co_await attempt.Run();
   const Instant now = MonotonicNow();
--- a/src/node/TargetAttempt.cpp
+++ b/src/node/TargetAttempt.cpp
@@ -15,9 +15,11 @@
 
 TargetAttempt::TargetAttempt(HttpConnectionPool& aPool,
                              ResponseRelay& aRelay,
+                             TargetLimits& aLimits,
                              AttemptOptions aOptions)
   : pool(aPool)
   , relay(aRelay)
+  , limits(aLimits)
   , options(std::move(aOptions))
 {
 }
@@ -59,6 +61,10 @@
              .detail = "the response does not echo X-Request-Id" };
     co_return AttemptEnd::kForeignAnswer;
   }
+  this->limits.OnResponse(this->options.targetId,
+                          ReadRequestLimit((*head)["X-Request-Limit"]),
+                          this->sentAt,
+                          MonotonicNow());
   if ((*head)["X-Request-Outcome"] == "not_run") {
     this->failure =
       Error{ .code = ErrorCode::kRefused,
@@ -82,7 +88,7 @@
     this->connection = std::move(*newConnection);
   }
   this->mayHaveSent = true;
-  const Instant start = MonotonicNow();
+  this->sentAt = MonotonicNow();
   const auto written = co_await this->connection->Send(
     this->options.message, this->BoundByDeadline(this->options.stallTimeout));
   if (!written) {
@@ -93,7 +99,7 @@
     this->options.bodyLimit);
   if (head) {
     this->firstByteDelay =
-      std::max(Duration(1), Duration(MonotonicNow() - start));
+      std::max(Duration(1), Duration(MonotonicNow() - this->sentAt));
   }
   co_return head;
 }
--- a/src/node/TargetAttempt.h
+++ b/src/node/TargetAttempt.h
@@ -2,6 +2,7 @@
 #define APRICOTTRACK_NODE_TARGETATTEMPT_H
 
 #include "http/HttpClient.h"
+#include "limits/TargetLimits.h"
 #include "retry/RetryPolicy.h"
 
 #include <functional>
@@ -14,6 +15,7 @@
 /// One request to one target, and the limits on its response.
 struct AttemptOptions
 {
+  std::string targetId;
   std::string address;
   HttpRequest message;
   /// Sent as X-Request-Id; the response must echo it if `expectsEcho`.
@@ -38,6 +40,7 @@
 public:
   TargetAttempt(HttpConnectionPool& aPool,
                 ResponseRelay& aRelay,
+                TargetLimits& aLimits,
                 AttemptOptions aOptions);
 
   Task<AttemptEnd> Run();
@@ -65,10 +68,13 @@
 
   HttpConnectionPool& pool;
   ResponseRelay& relay;
+  TargetLimits& limits;
   AttemptOptions options;
   std::unique_ptr<HttpConnection> connection;
   /// True once any byte of the request may have been sent.
   bool mayHaveSent = false;
+  /// When sending last began.
+  Instant sentAt;
   Duration firstByteDelay = Duration::zero();
   Error failure;
 };
--- a/src/serving/PlatformProtocol.h
+++ b/src/serving/PlatformProtocol.h
@@ -76,6 +76,9 @@
   /// The body has a content encoding, so it is not the target's own bytes.
   bool isEncoded = false;
   std::optional<TargetLoad> load;
+  /// Requests per second that the target accepts from all nodes together, for
+  /// as long as its responses say so.
+  std::optional<double> requestLimit;
   /// Replica member that caused the refusal; empty if none is named.
   std::string memberAtFault;
 
--- a/src/serving/RequestFlow.cpp
+++ b/src/serving/RequestFlow.cpp
@@ -213,14 +213,36 @@
     this->context.targetPool,
     this->context.protocol,
     this->MakeCallOptions(aTarget, this->history.sendCount > 0, now));
-  this->calledTargets[aTarget.id].reset();
-  this->context.loads.OnSent(aTarget.id);
-  this->context.stalls.OnSent(aTarget.id, now);
+  this->RecordSend(aTarget.id, now);
   this->BeginCall(newCall, aTarget);
   auto head = co_await newCall.Start();
   co_return co_await this->CompleteCall(std::move(head));
 }
 
+void
+RequestFlow::RecordSend(const std::string& aTargetId, Instant aNow)
+{
+  this->calledTargets[aTargetId].reset();
+  this->context.loads.OnSent(aTargetId);
+  this->context.stalls.OnSent(aTargetId, aNow);
+  this->context.limits.OnSent(aTargetId);
+}
+
+TargetHead
+RequestFlow::RecordHead(const std::string& aTargetId,
+                        const TargetCall& aCall,
+                        const HttpResponse& aHead,
+                        Instant aNow)
+{
+  TargetHead head = this->context.protocol.ReadHead(aHead);
+  // Bytes that a target has not signed do not prove that a limit has ended.
+  if (head.requestLimit || head.isSigned) {
+    this->context.limits.OnResponse(
+      aTargetId, head.requestLimit, aCall.SentAt(), aNow);
+  }
+  return head;
+}
+
 void
 RequestFlow::BeginCall(TargetCall& aCall, const Candidate& aTarget)
 {
@@ -284,7 +306,8 @@
 RequestFlow::HandleResponse(TargetCall& aCall, const HttpResponse& aHead)
 {
   const Instant now = MonotonicNow();
-  const TargetHead targetHead = this->context.protocol.ReadHead(aHead);
+  const TargetHead targetHead =
+    this->RecordHead(this->lastTargetId, aCall, aHead, now);
   if (IsSuccess(aHead.result_int()) && !this->ResolveHedgeOnProgress()) {
     co_return CallEnd::kNoAnswer;
   }
--- a/src/serving/RequestFlow.h
+++ b/src/serving/RequestFlow.h
@@ -84,6 +84,13 @@
   TargetCall::Options MakeCallOptions(const Candidate& aTarget,
                                       bool aIsRetry,
                                       Instant aNow) const;
+  /// Records a request that is about to be sent, by whatever call.
+  void RecordSend(const std::string& aTargetId, Instant aNow);
+  /// Decodes the head of a response and records what the target says of itself.
+  TargetHead RecordHead(const std::string& aTargetId,
+                        const TargetCall& aCall,
+                        const HttpResponse& aHead,
+                        Instant aNow);
   /// Makes this the current call.
   void BeginCall(TargetCall& aCall, const Candidate& aTarget);
   /// Handles the response of the current call and records its end.
--- a/src/serving/RequestFlowHedging.cpp
+++ b/src/serving/RequestFlowHedging.cpp
@@ -43,9 +43,7 @@
   const std::string& id = choice.target.id;
   TargetCall::Options callOptions =
     this->MakeCallOptions(choice.target, true, now);
-  this->calledTargets[id].reset();
-  this->context.loads.OnSent(id);
-  this->context.stalls.OnSent(id, now);
+  this->RecordSend(id, now);
   this->context.counters.Add("hedges");
   this->hedgeReason = aReason;
   this->hedge = std::make_shared<HedgeCall>(
@@ -103,7 +101,7 @@
       this->context.crashRecorder.OnLost(
         id, this->caller.sharedPromptParts, now);
     }
-  } else if (this->context.protocol.ReadHead(*ended->Head()).notRun) {
+  } else if (this->RecordHead(id, ended->Call(), *ended->Head(), now).notRun) {
     end = CallEnd::kNotRun;
   }
   this->context.loads.OnEnded(id);
--- a/src/serving/ServingContext.h
+++ b/src/serving/ServingContext.h
@@ -7,6 +7,7 @@
 #include "fleet/Fleet.h"
 #include "http/ByteBudget.h"
 #include "http/HttpClient.h"
+#include "limits/TargetLimits.h"
 #include "placement/CandidateDirectory.h"
 #include "placement/DemandMeter.h"
 #include "placement/LoadTracker.h"
@@ -47,6 +48,7 @@
   std::set<std::string> vouched;
   LoadTracker loads;
   StallDetector stalls;
+  TargetLimits limits;
   /// Demand at this node.
   DemandMeter demand;
   /// Demand at all nodes together; empty while unknown.
--- a/src/serving/ServingNode.cpp
+++ b/src/serving/ServingNode.cpp
@@ -124,6 +124,7 @@
     .candidates = {},
     .loads = LoadTracker(LoadTracker::Options{}),
     .stalls = StallDetector(StallDetector::Options{}),
+    .limits = {},
     .demand = DemandMeter(DemandMeter::Options{}),
     .fleetDemands = {},
     .targetPool =
--- a/src/serving/TargetCall.cpp
+++ b/src/serving/TargetCall.cpp
@@ -76,6 +76,7 @@
                       "cancelled before the request was sent");
   }
   this->sent = true;
+  this->sentAt = MonotonicNow();
   const auto written =
     co_await this->connection->Send(this->options.message, this->TimeLeft());
   if (!written) {
--- a/src/serving/TargetCall.h
+++ b/src/serving/TargetCall.h
@@ -50,6 +50,8 @@
 
   /// True if bytes of the request may have reached the target.
   bool WasSent() const { return this->sent; }
+  /// When sending began; only if WasSent.
+  Instant SentAt() const { return this->sentAt; }
   /// True if the connection came from the pool.
   bool HasReusedConnection() const { return this->reusedConnection; }
 
@@ -72,6 +74,7 @@
   Options options;
   std::unique_ptr<HttpConnection> connection;
   bool sent = false;
+  Instant sentAt;
   bool reusedConnection = false;
   bool cancelled = false;
 };
--- a/tests/PlatformProtocolTest.cpp
+++ b/tests/PlatformProtocolTest.cpp
@@ -93,6 +93,23 @@
           ->leaving);
 }
 
+TEST_CASE("WireProtocol ignores a request limit that is no number in range")
+{
+  const auto limitOf = [](std::string_view aText) {
+    HttpResponse response(http::status::ok, 11);
+    response.set("Server-Limit", aText);
+    return WireProtocol().ReadHead(response).requestLimit;
+  };
+  CHECK(limitOf("3.5") == 3.5);
+  CHECK(limitOf("12") == 12);
+  CHECK(limitOf("0") == 0);
+  CHECK_FALSE(WireProtocol().ReadHead(HttpResponse()).requestLimit);
+  const std::string text = GENERATE(
+    "", "-1", "x", "3.5x", "nan", "inf", "1e99", "1e3", "999999999999");
+  CAPTURE(text);
+  CHECK_FALSE(limitOf(text));
+}
+
 TEST_CASE("WireProtocol rejects target entries with missing or invalid fields")
 {
   CHECK_FALSE(ReadEntry(""));
--- a/tests/ServingHarness.h
+++ b/tests/ServingHarness.h
@@ -159,6 +159,7 @@
                .candidates = {},
                .loads = LoadTracker(LoadTracker::Options{}),
                .stalls = StallDetector(StallDetector::Options{}),
+               .limits = {},
                .demand = DemandMeter(DemandMeter::Options{}),
                .fleetDemands = {},
                .targetPool = HttpConnectionPool(this->io.get_executor(), {}),
--- a/tests/TruncatedResponseTest.cpp
+++ b/tests/TruncatedResponseTest.cpp
@@ -64,9 +64,11 @@
     { .address = address,
       .handler = [&](HttpExchange& aExchange) -> Task<void> {
         ResponseRelay relay(aExchange, "a");
+        TargetLimits limits;
         TargetAttempt attempt(
           harness.context.targetPool,
           relay,
+          limits,
           { .address = harness.context.fleet.Find("t")->address,
             .message = HttpRequest(boost::beast::http::verb::get, "/", 11),
             .attemptId = "a",
