--- a/tests/ServingHarness.h
+++ b/tests/ServingHarness.h
@@ -68,7 +68,8 @@
     return { .attemptId = std::string(aHead["X-Attempt"]),
              .notRun = aHead.count("X-Not-Run") > 0,
              .isSigned = aHead.count("X-Signed") > 0,
-             .isEventStream = aHead["Content-Type"] == "text/event-stream" };
+             .isEventStream = aHead["Content-Type"] == "text/event-stream",
+             .requestLimit = ReadRequestLimit(aHead["X-Limit"]) };
   }
   HttpHeaders ResponseHeaders(const HttpResponse& aHead) const override
   {
