Keep all nodes together within a target's request limit

Cause: the limit was not read, and what is read of a target in one node's responses (its load) is no limit on what the nodes send together. The added log showed 142 requests from six nodes in 19 s to a target that accepted 3.2 a second, at most 2.5 a second from any one of them. Class: a bound on the sum of the nodes is left to decisions that each node makes by itself.

Now TargetLimits divides a limit by the nodes' demand, as AccountLimiter divides that of an account, and gives a node turns. Turns are not saved up: an unused one expires, so that 295 nodes cannot send one each after a quiet time. What one node hears, the planner's node passes on with its age. All sends of the platform's request flow (first, resend, hedge, continuation) take a turn in one place. Other targets get what a limited one does not; a request waits for a turn that still comes within its latency objective, and is rejected at once otherwise, with Retry-After from the next turn.

--- a/src/fleet/FleetMessages.h
+++ b/src/fleet/FleetMessages.h
@@ -4,6 +4,7 @@
 #include "apricottrack/Time.h"
 #include "engine/ReplicaBudget.h"
 #include "fleet/TargetRecord.h"
+#include "limits/LimitSample.h"
 #include "placement/LoadSample.h"
 #include "quarantine/CrashReports.h"
 
@@ -41,6 +42,9 @@
   std::vector<PartAnswers> partAnswers;
   /// The sender's quarantine, for a new planner.
   std::vector<QuarantinedParts> quarantinedParts;
+  /// What targets' responses to the sender since its previous query said about
+  /// their limits.
+  std::vector<LimitSample> limits;
 
   friend bool operator==(const FleetQuestion&, const FleetQuestion&) = default;
 };
@@ -86,6 +90,8 @@
   /// Prompt parts whose answers the planner needs to attribute crashes.
   std::vector<std::string> suspectedParts;
   std::vector<QuarantinedParts> quarantinedParts;
+  /// What any node has heard about targets' limits a short time ago.
+  std::vector<LimitSample> limits;
 
   friend bool operator==(const FleetAnswer&, const FleetAnswer&) = default;
 };
--- a/src/limits/LimitSample.cpp
+++ b/src/limits/LimitSample.cpp
@@ -19,12 +19,17 @@
     std::from_chars(aText.data(), end, limit, std::chars_format::fixed);
   const bool isNumber =
     !aText.empty() && parsed.ec == std::errc{} && parsed.ptr == end;
-  // Written so that NaN is rejected as well.
-  const bool isInRange = limit >= 0 && limit <= kMaxRequestLimit;
-  if (!isNumber || !isInRange) {
+  if (!isNumber || !IsRequestLimit(limit)) {
     return std::nullopt;
   }
   return limit;
 }
 
+bool
+IsRequestLimit(double aLimit)
+{
+  // False for NaN as well.
+  return aLimit >= 0 && aLimit <= kMaxRequestLimit;
+}
+
 } // namespace apricottrack
--- a/src/limits/LimitSample.h
+++ b/src/limits/LimitSample.h
@@ -14,6 +14,10 @@
 std::optional<double>
 ReadRequestLimit(std::string_view aText);
 
+/// True for a number that can be a request limit.
+bool
+IsRequestLimit(double aLimit);
+
 /// What a target's responses said about its request limit.
 struct LimitSample
 {
--- a/src/membership/FleetPacking.cpp
+++ b/src/membership/FleetPacking.cpp
@@ -158,6 +158,38 @@
   return loads;
 }
 
+std::vector<flatbuffers::Offset<wire::RequestLimit>>
+PackLimits(Builder& aBuilder, const std::vector<LimitSample>& aLimits)
+{
+  std::vector<flatbuffers::Offset<wire::RequestLimit>> limits;
+  limits.reserve(aLimits.size());
+  for (const LimitSample& sample : aLimits) {
+    limits.push_back(wire::CreateRequestLimitDirect(
+      aBuilder,
+      sample.target.c_str(),
+      sample.limit ? flatbuffers::Optional<double>(*sample.limit)
+                   : flatbuffers::nullopt,
+      static_cast<std::uint32_t>(ToMilliseconds(sample.age))));
+  }
+  return limits;
+}
+
+std::vector<LimitSample>
+UnpackLimits(
+  const flatbuffers::Vector<flatbuffers::Offset<wire::RequestLimit>>* aItems)
+{
+  std::vector<LimitSample> limits;
+  if (aItems != nullptr) {
+    for (const wire::RequestLimit* const item : *aItems) {
+      const auto limit = item->limit();
+      limits.push_back({ .target = TextOf(item->target()),
+                         .limit = limit ? std::optional(*limit) : std::nullopt,
+                         .age = milliseconds(item->age_ms()) });
+    }
+  }
+  return limits;
+}
+
 std::vector<flatbuffers::Offset<wire::LostRequest>>
 PackLostRequests(Builder& aBuilder, const std::vector<LostRequest>& aRequests)
 {
@@ -262,6 +294,7 @@
     PackQuarantinedParts(aBuilder, aMessage.quarantinedParts);
   const auto demands = PackModelDemands(aBuilder, aMessage.demands);
   const auto loads = PackLoads(aBuilder, aMessage.loads);
+  const auto limits = PackLimits(aBuilder, aMessage.limits);
   return wire::CreateFleetQuestionDirect(
            aBuilder,
            aMessage.node.c_str(),
@@ -274,7 +307,8 @@
            &loads,
            &lostRequests,
            &partAnswers,
-           &quarantinedParts)
+           &quarantinedParts,
+           &limits)
     .Union();
 }
 
@@ -289,6 +323,7 @@
   const TextOffsets broken = PackTexts(aBuilder, aMessage.broken);
   const TextOffsets vouched = PackTexts(aBuilder, aMessage.vouched);
   const auto loads = PackLoads(aBuilder, aMessage.loads);
+  const auto limits = PackLimits(aBuilder, aMessage.limits);
   const auto demands = PackModelDemands(aBuilder, aMessage.demands);
   const TextOffsets suspectedParts =
     PackTexts(aBuilder, aMessage.suspectedParts);
@@ -312,7 +347,8 @@
            &loads,
            &demands,
            &suspectedParts,
-           &quarantinedParts)
+           &quarantinedParts,
+           &limits)
     .Union();
 }
 
@@ -340,7 +376,8 @@
                           UnpackLostRequests(aBody.lost_requests()),
                         .partAnswers = UnpackPartAnswers(aBody.part_answers()),
                         .quarantinedParts =
-                          UnpackQuarantinedParts(aBody.quarantined_parts()) };
+                          UnpackQuarantinedParts(aBody.quarantined_parts()),
+                        .limits = UnpackLimits(aBody.request_limits()) };
 }
 
 FleetAnswer
@@ -363,7 +400,8 @@
                       .demands = UnpackModelDemands(aBody.demands()),
                       .suspectedParts = TextsOf(aBody.suspected_parts()),
                       .quarantinedParts =
-                        UnpackQuarantinedParts(aBody.quarantined_parts()) };
+                        UnpackQuarantinedParts(aBody.quarantined_parts()),
+                      .limits = UnpackLimits(aBody.request_limits()) };
   if (aBody.targets() != nullptr) {
     for (const wire::TargetState* const target : *aBody.targets()) {
       answer.targets.push_back(UnpackTarget(*target));
--- a/src/node/Node.cpp
+++ b/src/node/Node.cpp
@@ -104,7 +104,8 @@
       std::make_unique<IntactGroupGate>(this->settings.maxReportAge),
       this->settings.maxReportAge),
     .targetPool = HttpConnectionPool(aExecutor, HttpConnectionPool::Options{}),
-    .targetLimits = {},
+    .targetLimits =
+      TargetLimits(TargetLimits::Options{}, std::random_device{}()),
     .retryPolicy = std::make_unique<SafeRetryPolicy>(),
     .dispatchers = {},
     .journals = {},
--- a/src/node/RequestRun.cpp
+++ b/src/node/RequestRun.cpp
@@ -365,7 +365,6 @@
                         this->context.targetLimits,
                         std::move(options));
   const Instant start = MonotonicNow();
-  this->context.targetLimits.OnSent(aTarget.id);
   this->dispatcher->OnStart(aTarget, start);
   const AttemptEnd end = co_await attempt.Run();
   const Instant now = MonotonicNow();
--- a/src/serving/FleetRelay.cpp
+++ b/src/serving/FleetRelay.cpp
@@ -20,6 +20,10 @@
 /// Older reports of target loads are not relayed.
 constexpr Duration kMaxLoadReportAge = milliseconds(700);
 
+/// What was heard about targets' limits longer ago is not relayed; nodes query
+/// several times in this time.
+constexpr Duration kMaxLimitAge = milliseconds(1500);
+
 /// Longest time that a query is held, whatever its sender asks for.
 constexpr Duration kMaxQueryWait = seconds(2);
 
@@ -180,6 +184,9 @@
   for (const LoadSample& sample : aQuestion.loads) {
     this->context.loads.OnForwardedReport(sample, now);
   }
+  for (const LimitSample& sample : aQuestion.limits) {
+    this->context.limits.OnForwarded(sample, now);
+  }
   if (!this->HasChanges(aQuestion, now)) {
     asio::steady_timer timer(this->context.executor,
                              std::min(aQuestion.wait, kMaxQueryWait));
@@ -221,6 +228,8 @@
   answer.nodes = this->planner.NodeCount(aNow);
   answer.loads =
     this->context.loads.SamplesSince(aNow - kMaxLoadReportAge, true, aNow);
+  answer.limits =
+    this->context.limits.SamplesSince(aNow - kMaxLimitAge, true, aNow);
   answer.demands = this->context.fleetDemands;
   answer.suspectedParts = this->context.crashRecorder.Suspects();
   answer.quarantinedParts = this->context.quarantine.Combinations(aNow);
--- a/src/serving/FollowTask.cpp
+++ b/src/serving/FollowTask.cpp
@@ -152,15 +152,17 @@
       std::make_unique<PeerLink>(this->context.executor, this->plannerAddress);
   }
   const Instant now = MonotonicNow();
-  FleetQuestion question{ .node = this->context.settings.node,
-                          .source = this->source,
-                          .sequence = this->sequence,
-                          .catalogRevision = this->catalog.SeenRevision(),
-                          .wait = this->options.wait,
-                          .demands = this->context.demand.Demands(now),
-                          .wantsCatalog = this->wantsCatalog,
-                          .loads = this->context.loads.SamplesSince(
-                            this->querySentAt, false, now) };
+  FleetQuestion question{
+    .node = this->context.settings.node,
+    .source = this->source,
+    .sequence = this->sequence,
+    .catalogRevision = this->catalog.SeenRevision(),
+    .wait = this->options.wait,
+    .demands = this->context.demand.Demands(now),
+    .wantsCatalog = this->wantsCatalog,
+    .loads = this->context.loads.SamplesSince(this->querySentAt, false, now),
+    .limits = this->context.limits.SamplesSince(this->querySentAt, false, now)
+  };
   this->AddCrashReports(question, now);
   this->querySentAt = now;
   const auto reply = co_await this->queryLink->SendRequest(
@@ -263,6 +265,9 @@
   for (const LoadSample& sample : aAnswer.loads) {
     this->context.loads.OnForwardedReport(sample, aNow);
   }
+  for (const LimitSample& sample : aAnswer.limits) {
+    this->context.limits.OnForwarded(sample, aNow);
+  }
   // The ReplicaKey of each replica that lost a member, and of each one that the
   // planner confirms as intact.
   std::set<std::string> broken(aAnswer.broken.begin(), aAnswer.broken.end());
--- a/src/serving/Refusals.cpp
+++ b/src/serving/Refusals.cpp
@@ -1,5 +1,6 @@
 #include "serving/Refusals.h"
 
+#include <algorithm>
 #include <cmath>
 #include <fmt/format.h>
 
@@ -17,6 +18,17 @@
 constexpr unsigned kUnavailable = 503;
 constexpr unsigned kUnauthorized = 401;
 
+void
+SetRetryAfter(HttpResponse& aResponse,
+              double aMaxSeconds,
+              std::mt19937_64& aRandom)
+{
+  std::uniform_real_distribution<double> retryAfterDistribution(
+    kMinRetryAfterSeconds, aMaxSeconds);
+  aResponse.set(http::field::retry_after,
+                fmt::format("{:.2f}", retryAfterDistribution(aRandom)));
+}
+
 } // namespace
 
 HttpResponse
@@ -27,10 +39,7 @@
   HttpResponse response =
     JsonResponse(aStatus, fmt::format(R"({{"error":"{}"}})", aReason));
   if (aStatus == kUnavailable) {
-    std::uniform_real_distribution<double> retryAfterDistribution(
-      kMinRetryAfterSeconds, kMaxRetryAfterSeconds);
-    response.set(http::field::retry_after,
-                 fmt::format("{:.2f}", retryAfterDistribution(aRandom)));
+    SetRetryAfter(response, kMaxRetryAfterSeconds, aRandom);
   }
   if (aStatus == kUnauthorized) {
     response.set(http::field::www_authenticate, "Bearer");
@@ -38,6 +47,18 @@
   return response;
 }
 
+HttpResponse
+MakeSpreadRefusal(std::string_view aReason,
+                  Duration aLongest,
+                  std::mt19937_64& aRandom)
+{
+  HttpResponse response =
+    JsonResponse(kUnavailable, fmt::format(R"({{"error":"{}"}})", aReason));
+  SetRetryAfter(
+    response, std::max(kMaxRetryAfterSeconds, ToSeconds(aLongest)), aRandom);
+  return response;
+}
+
 HttpResponse
 MakeRefusalUntil(std::string_view aReason, Duration aRetryAfter)
 {
--- a/src/serving/Refusals.h
+++ b/src/serving/Refusals.h
@@ -17,6 +17,13 @@
             std::string_view aReason,
             std::mt19937_64& aRandom);
 
+/// Makes a 503 whose Retry-After is spread up to `aLongest`, or as MakeRefusal
+/// does if that is longer.
+HttpResponse
+MakeSpreadRefusal(std::string_view aReason,
+                  Duration aLongest,
+                  std::mt19937_64& aRandom);
+
 /// Makes the 503 of a request that will be refused until `aRetryAfter` has
 /// passed; sent as Retry-After, rounded up to whole seconds.
 HttpResponse
--- a/src/serving/RequestFlow.cpp
+++ b/src/serving/RequestFlow.cpp
@@ -22,10 +22,6 @@
 /// that share the reserve is unknown.
 constexpr double kMinRetryReserve = 1;
 
-/// Requests beyond a batch's slots, as a share of them. Each place in the queue
-/// costs some 40 to 60 ms; a longer queue would make all of its requests late.
-constexpr double kBatchQueueShare = 0.1;
-
 /// A prompt that crashes its target does so as soon as the response begins. One
 /// whose stream goes on for longer is sound.
 constexpr Duration kSoundStreamTime = milliseconds(300);
@@ -122,20 +118,18 @@
       co_await this->EndQuarantined(*remaining);
       co_return;
     }
-    const PlacementChoice choice = this->ChooseTarget(now);
-    if (choice.refusal != PlacementRefusal::kNone) {
-      if (co_await this->WaitForContinuation()) {
+    const TargetChoice choice = this->ChooseTarget(now);
+    const PlacementChoice& placement = choice.placement;
+    if (placement.refusal != PlacementRefusal::kNone) {
+      if (co_await this->WaitForTurn(choice) ||
+          co_await this->WaitForContinuation()) {
         continue;
       }
-      this->lastError.detail =
-        choice.refusal == PlacementRefusal::kFull ? "full" : "no_target";
-      co_await this->Finish(this->history.possibleRunCount > 0
-                              ? NextStep::kFail
-                              : NextStep::kRefuse);
+      co_await this->EndWithoutTarget(choice);
       co_return;
     }
-    this->estimatedLoad = choice.load;
-    CallEnd end = co_await this->CallTarget(choice.target);
+    this->estimatedLoad = placement.load;
+    CallEnd end = co_await this->CallTarget(placement.target);
     while (this->hedge != nullptr) {
       end = co_await this->ContinueWithHedge(end);
     }
@@ -151,35 +145,6 @@
   }
 }
 
-PlacementChoice
-RequestFlow::ChooseTarget(Instant aNow) const
-{
-  Placement::Options options{};
-  if (this->admittedRequest.service->engine) {
-    options.queueShare = kBatchQueueShare;
-  }
-  const Placement placement(options,
-                            this->context.loads,
-                            this->context.stalls,
-                            this->context.settings.availabilityZone);
-  const auto demand = this->context.fleetDemands.find(this->DemandKey());
-  const std::vector<Candidate>& candidates = this->context.candidates.Find(
-    *this->admittedRequest.service, this->caller.model);
-  return placement.Choose(
-    candidates,
-    this->ExcludedTargets(candidates, aNow),
-    demand == this->context.fleetDemands.end() ? 0 : demand->second.requests,
-    aNow,
-    this->context.random);
-}
-
-const std::string&
-RequestFlow::DemandKey() const
-{
-  return this->caller.model.empty() ? this->admittedRequest.service->name
-                                    : this->caller.model;
-}
-
 TargetCall::Options
 RequestFlow::MakeCallOptions(const Candidate& aTarget,
                              bool aIsRetry,
@@ -219,15 +184,6 @@
   co_return co_await this->CompleteCall(std::move(head));
 }
 
-void
-RequestFlow::RecordSend(const std::string& aTargetId, Instant aNow)
-{
-  this->calledTargets[aTargetId].reset();
-  this->context.loads.OnSent(aTargetId);
-  this->context.stalls.OnSent(aTargetId, aNow);
-  this->context.limits.OnSent(aTargetId);
-}
-
 TargetHead
 RequestFlow::RecordHead(const std::string& aTargetId,
                         const TargetCall& aCall,
--- a/src/serving/RequestFlow.h
+++ b/src/serving/RequestFlow.h
@@ -69,7 +69,37 @@
   Instant Deadline() const;
   /// False if the response would probably take longer than this node runs.
   bool CanEndBeforeStop(Instant aNow) const;
-  PlacementChoice ChooseTarget(Instant aNow) const;
+  /// When this node may send its next request to a target that is limited.
+  struct Turn
+  {
+    std::string target;
+    Instant at;
+
+    friend bool operator==(const Turn&, const Turn&) = default;
+  };
+  struct TargetChoice
+  {
+    PlacementChoice placement;
+    /// The earliest turn at the targets that were left out for their limits.
+    std::optional<Turn> nextTurn;
+
+    friend bool operator==(const TargetChoice&, const TargetChoice&) = default;
+  };
+  TargetChoice ChooseTarget(Instant aNow) const;
+  /// Demand at this node and at the others for the targets that may run the
+  /// request.
+  DemandSplit SplitDemand(Instant aNow) const;
+  /// Adds the targets whose limit leaves no turn to this node now, and returns
+  /// the earliest turn at these.
+  std::optional<Turn> ExcludeTargetsOutOfTurn(
+    const std::vector<Candidate>& aCandidates,
+    std::set<std::string>& aExcluded,
+    Instant aNow) const;
+  /// Takes the choice's next turn and waits for it. Returns false without
+  /// waiting if the response would be late.
+  Task<bool> WaitForTurn(const TargetChoice& aChoice);
+  /// Ends a request for which no target was chosen.
+  Task<void> EndWithoutTarget(const TargetChoice& aChoice);
   /// Returns the targets that must not get the request now.
   std::set<std::string> ExcludedTargets(
     const std::vector<Candidate>& aCandidates,
@@ -84,7 +114,8 @@
   TargetCall::Options MakeCallOptions(const Candidate& aTarget,
                                       bool aIsRetry,
                                       Instant aNow) const;
-  /// Records a request that is about to be sent, by whatever call.
+  /// Records a request that is about to be sent, by whatever call, and takes a
+  /// turn at a target that is limited.
   void RecordSend(const std::string& aTargetId, Instant aNow);
   /// Decodes the head of a response and records what the target says of itself.
   TargetHead RecordHead(const std::string& aTargetId,
@@ -177,6 +208,8 @@
   ByteBudget::Reservation heldMemory;
   /// A complete response that is not a stream, held until no retry follows.
   std::unique_ptr<HttpResponse> heldResponse;
+  /// The target at which the request has taken a turn; empty without one.
+  std::string reservedTarget;
   Error lastError;
   std::string lastTargetId;
   std::string replica;
--- a/src/serving/RequestFlowHedging.cpp
+++ b/src/serving/RequestFlowHedging.cpp
@@ -32,7 +32,7 @@
   if (!this->MayHedge(now)) {
     return;
   }
-  const PlacementChoice choice = this->ChooseTarget(now);
+  const PlacementChoice choice = this->ChooseTarget(now).placement;
   // The retry is consumed here, not once the current call has failed: several
   // requests of one target are hedged at the same time.
   if (choice.refusal != PlacementRefusal::kNone ||
--- a/src/serving/RequestFlowRetry.cpp
+++ b/src/serving/RequestFlowRetry.cpp
@@ -3,15 +3,12 @@
 #include <algorithm>
 #include <boost/asio/steady_timer.hpp>
 
-// The part of RequestFlow that decides whether and where a request is retried,
-// and how long an interrupted stream waits for that.
+// The part of RequestFlow that decides whether a request is retried, and how
+// long an interrupted stream waits for that.
 namespace apricottrack {
 
 namespace {
 
-/// A stream returns to a target only after this time: one that has just
-/// rejected or lost it is not ready sooner.
-constexpr Duration kReturnDelay = seconds(1);
 /// Longest time for which an interrupted stream waits for a target or a retry.
 constexpr Duration kMaxInterruption = seconds(2);
 /// Time between two attempts to continue an interrupted stream.
@@ -29,28 +26,6 @@
          (this->everProvenSound || this->caller.sharedPromptParts.empty());
 }
 
-std::set<std::string>
-RequestFlow::ExcludedTargets(const std::vector<Candidate>& aCandidates,
-                             Instant aNow) const
-{
-  const bool mayReturn = this->MayReturn();
-  std::set<std::string> excluded;
-  for (const auto& [id, endedAt] : this->calledTargets) {
-    if (!mayReturn || !endedAt || aNow - *endedAt < kReturnDelay) {
-      excluded.insert(id);
-    }
-  }
-  const int runCount = this->history.possibleRunCount;
-  if (runCount > 0 && runCount >= this->admittedRequest.route->maxTargets) {
-    for (const Candidate& candidate : aCandidates) {
-      if (!this->possibleRunners.contains(candidate.id)) {
-        excluded.insert(candidate.id);
-      }
-    }
-  }
-  return excluded;
-}
-
 Task<bool>
 RequestFlow::WaitForContinuation()
 {
--- a/src/serving/ServingNode.cpp
+++ b/src/serving/ServingNode.cpp
@@ -124,7 +124,8 @@
     .candidates = {},
     .loads = LoadTracker(LoadTracker::Options{}),
     .stalls = StallDetector(StallDetector::Options{}),
-    .limits = {},
+    .limits =
+      TargetLimits(TargetLimits::Options{}, std::random_device{}()),
     .demand = DemandMeter(DemandMeter::Options{}),
     .fleetDemands = {},
     .targetPool =
--- a/tests/ServingHarness.h
+++ b/tests/ServingHarness.h
@@ -160,7 +160,7 @@
                .candidates = {},
                .loads = LoadTracker(LoadTracker::Options{}),
                .stalls = StallDetector(StallDetector::Options{}),
-               .limits = {},
+               .limits = TargetLimits(TargetLimits::Options{}, 1),
                .demand = DemandMeter(DemandMeter::Options{}),
                .fleetDemands = {},
                .targetPool = HttpConnectionPool(this->io.get_executor(), {}),
--- a/tests/TruncatedResponseTest.cpp
+++ b/tests/TruncatedResponseTest.cpp
@@ -64,7 +64,7 @@
     { .address = address,
       .handler = [&](HttpExchange& aExchange) -> Task<void> {
         ResponseRelay relay(aExchange, "a");
-        TargetLimits limits;
+        TargetLimits limits(TargetLimits::Options{}, 1);
         TargetAttempt attempt(
           harness.context.targetPool,
           relay,
