--- a/tests/standins/TargetStandin.cpp
+++ b/tests/standins/TargetStandin.cpp
@@ -152,6 +152,14 @@
                                       : std::string(aRequest["X-Request-Id"]);
 }
 
+void
+TargetStandin::SetRequestLimit(HttpResponse& aResponse) const
+{
+  if (!this->faults.requestLimit.empty()) {
+    aResponse.set("X-Request-Limit", this->faults.requestLimit);
+  }
+}
+
 Task<void>
 TargetStandin::Handle(HttpExchange& aExchange)
 {
@@ -239,7 +247,8 @@
                            .stallAfter = number("stall_after", -1),
                            .wrongRequestIds = JsonFlag(*body, "foreign_ids"),
                            .duplicateResponses = JsonFlag(*body, "duplicate"),
-                           .slowFactor = number("slow_percent", 100) / 100.0 };
+                           .slowFactor = number("slow_percent", 100) / 100.0,
+                           .requestLimit = JsonText(*body, "request_limit") };
   }
   co_await aExchange.Reply(JsonResponse(200, R"({"ok":true})"));
 }
@@ -362,6 +371,7 @@
     co_await this->Sleep(this->options.tokenMs * tokens);
     HttpResponse response = JsonResponse(200, CompletionBody(content, hit));
     response.set("X-Request-Id", this->ResponseId(request));
+    this->SetRequestLimit(response);
     if (this->groupBreaks != breaksAtStart) {
       aExchange.CloseAfterHandler();
     } else {
@@ -386,6 +396,9 @@
   HttpHeaders headers;
   headers.emplace_back("Content-Type", "text/event-stream");
   headers.emplace_back("X-Request-Id", this->ResponseId(request));
+  if (!this->faults.requestLimit.empty()) {
+    headers.emplace_back("X-Request-Limit", this->faults.requestLimit);
+  }
   bool connected = co_await aExchange.BeginStream(200, std::move(headers));
   for (int i = first; connected && i < aTokens; ++i) {
     if (i - first == this->faults.stallAfter) {
@@ -421,6 +434,7 @@
   HttpResponse response =
     JsonResponse(200, PlainBody(this->options.vm, request));
   response.set("X-Request-Id", this->ResponseId(request));
+  this->SetRequestLimit(response);
   if (this->faults.duplicateResponses) {
     co_await aExchange.Reply(response);
   }
--- a/tests/standins/TargetStandin.h
+++ b/tests/standins/TargetStandin.h
@@ -80,8 +80,11 @@
     bool duplicateResponses = false;
     /// Multiplies all processing times.
     double slowFactor = 1;
+    /// Sent as X-Request-Limit in responses; nothing if empty.
+    std::string requestLimit;
   };
 
+  void SetRequestLimit(HttpResponse& aResponse) const;
   Task<void> HandleStatus(HttpExchange& aExchange);
   Task<void> HandleOrder(HttpExchange& aExchange);
   Task<void> HandleControl(HttpExchange& aExchange);
