Keep target limits on the product's own interface

The request flow in src/node had the same fault as the platform's: the stand-in's limit of 3 a second was exceeded with 413 requests in 4 s (23 allowed).

A node's router now leaves out targets at which this node has no turn, so that requests wait in the admission queue as they do for a slot; a request for which the turns of all targets come too late is rejected at once with the time until there is one. Demand is not exchanged by service here, so a limit is divided equally by the number of nodes, and each node hears of it by its own requests.

--- a/src/node/Dispatcher.cpp
+++ b/src/node/Dispatcher.cpp
@@ -6,12 +6,19 @@
 
 namespace asio = boost::asio;
 
+namespace {
+
+/// Longest wait that a refusal states because targets limit their requests.
+constexpr double kMaxLimitWaitSeconds = 60;
+
+} // namespace
+
 Dispatcher::Dispatcher(asio::any_io_executor aExecutor, Options aOptions)
   : executor(std::move(aExecutor))
   , options(std::move(aOptions))
-  , router(
-      Router::Options{ .availabilityZone = this->options.availabilityZone },
-      MakeAffinityStrategy())
+  , router(Router::Options{ .availabilityZone = this->options.availabilityZone,
+                            .limits = this->options.limits },
+           MakeAffinityStrategy())
   , queue(AdmissionQueue::Options{ .limit = this->options.queueLimit })
   , budget(RetryBudget::Options{})
   , random(std::random_device{}())
@@ -35,10 +42,30 @@
                            this->queue.EstimatedWait(this->queue.Size()));
 }
 
+std::optional<Duration>
+Dispatcher::WaitForLimits(Instant aNow) const
+{
+  const auto rate = this->router.LimitedRate(aNow);
+  if (!rate) {
+    return std::nullopt;
+  }
+  const double ahead = this->queue.Size();
+  return FromSeconds(*rate > 0 ? std::min(kMaxLimitWaitSeconds, ahead / *rate)
+                               : kMaxLimitWaitSeconds);
+}
+
 Task<std::optional<Refusal>>
 Dispatcher::Admit(Ticket aTicket)
 {
   const Instant now = MonotonicNow();
+  if (const auto wait = this->WaitForLimits(now);
+      wait && now + *wait >= aTicket.deadline) {
+    co_return MakeNotRunRefusal(
+      503,
+      "target_limit",
+      "the targets of this service limit their requests",
+      wait);
+  }
   const TicketId id = this->nextTicket++;
   const Instant deadline = aTicket.deadline;
   aTicket.id = id;
--- a/src/node/Dispatcher.h
+++ b/src/node/Dispatcher.h
@@ -27,6 +27,8 @@
     /// While the service has no target, a request is refused once this long
     /// has passed since it began to wait.
     Duration maxWaitWithoutTargets = seconds(3);
+    /// The request limits of targets; outlives the dispatcher.
+    TargetLimits* limits = nullptr;
   };
 
   Dispatcher(boost::asio::any_io_executor aExecutor, Options aOptions);
@@ -34,6 +36,9 @@
   /// Changes the queue limit; applies to requests that arrive afterwards.
   void SetQueueLimit(int aLimit) { this->queue.SetLimit(aLimit); }
 
+  /// Sets the number of nodes that share the targets' request limits.
+  void SetNodeCount(int aCount) { this->router.SetNodeCount(aCount); }
+
   /// Replaces the set of targets and dispatches waiting requests to them.
   void SetTargets(const std::vector<Target>& aTargets, Instant aNow);
 
@@ -92,6 +97,9 @@
   void RefuseWaiter(TicketId aId, Refusal aRefusal);
   void RefuseWithoutTargets(Instant aNow);
   Refusal DeadlineRefusal() const;
+  /// Returns when a request that arrives now gets a turn at a target; none
+  /// unless all targets are limited.
+  std::optional<Duration> WaitForLimits(Instant aNow) const;
 
   boost::asio::any_io_executor executor;
   Options options;
--- a/src/node/Node.cpp
+++ b/src/node/Node.cpp
@@ -282,8 +282,10 @@
         this->context.executor,
         Dispatcher::Options{ .availabilityZone =
                                this->settings.availabilityZone,
-                             .queueLimit = service.queueLimit });
+                             .queueLimit = service.queueLimit,
+                             .limits = &this->context.targetLimits });
     }
+    dispatcher->SetNodeCount(this->context.directory.Count());
     dispatcher->SetQueueLimit(service.queueLimit);
     dispatcher->SetTargets(this->context.view.TargetsFor(service, now), now);
   }
--- a/src/routing/Router.cpp
+++ b/src/routing/Router.cpp
@@ -61,10 +61,41 @@
   return std::max(corrected, static_cast<double>(aEntry.inFlight));
 }
 
+void
+Router::SetNodeCount(int aCount)
+{
+  this->demand.nodeCount = aCount;
+}
+
+bool
+Router::HasTurn(const Entry& aEntry, Instant aNow) const
+{
+  return this->options.limits == nullptr ||
+         this->options.limits->NextTurn(aEntry.target.id, this->demand, aNow) <=
+           aNow;
+}
+
+std::optional<double>
+Router::LimitedRate(Instant aNow) const
+{
+  if (this->options.limits == nullptr || this->targets.empty()) {
+    return std::nullopt;
+  }
+  double sum = 0;
+  for (const auto& [id, entry] : this->targets) {
+    const auto rate = this->options.limits->OwnRate(id, this->demand, aNow);
+    if (!rate) {
+      return std::nullopt;
+    }
+    sum += *rate;
+  }
+  return sum;
+}
+
 bool
 Router::CanAccept(const Entry& aEntry, Instant aNow) const
 {
-  if (aNow < aEntry.backoffUntil) {
+  if (aNow < aEntry.backoffUntil || !this->HasTurn(aEntry, aNow)) {
     return false;
   }
   if (aEntry.isStraggler) {
@@ -125,6 +156,9 @@
 {
   const auto found = this->targets.find(aId);
   if (found != this->targets.end()) {
+    if (this->options.limits != nullptr) {
+      this->options.limits->TakeTurn(aId, this->demand, aNow);
+    }
     ++found->second.inFlight;
     found->second.recentStarts.push_back(aNow);
   }
@@ -205,7 +239,9 @@
     if (!this->CanAccept(entry, aNow)) {
       continue;
     }
-    freeSlots += entry.isStraggler
+    const bool isLimited = this->options.limits != nullptr &&
+                           this->options.limits->LimitOf(id, aNow);
+    freeSlots += entry.isStraggler || isLimited
                    ? 1
                    : entry.target.slots * this->options.overcommitFactor -
                        this->EstimatedRequests(entry);
--- a/src/routing/Router.h
+++ b/src/routing/Router.h
@@ -2,6 +2,7 @@
 #define APRICOTTRACK_ROUTING_ROUTER_H
 
 #include "apricottrack/Time.h"
+#include "limits/TargetLimits.h"
 #include "routing/RoutingStrategy.h"
 
 #include <cstdint>
@@ -39,8 +40,9 @@
 
 /// Chooses a target for each request of one service at one node. Tracks, per
 /// target, this node's requests in flight and the mean time to first byte, and
-/// keeps requests away from stragglers (targets much slower than the median)
-/// and from targets that just failed.
+/// keeps requests away from stragglers (targets much slower than the median),
+/// from targets that just failed, and from those whose request limit leaves
+/// this node no turn.
 class Router
 {
 public:
@@ -62,6 +64,8 @@
     Duration failureBackoff = milliseconds(500);
     /// Maximum number of requests at a target, as a multiple of its slots.
     double overcommitFactor = 1.0;
+    /// The request limits of targets; outlives the router. Null without limits.
+    TargetLimits* limits = nullptr;
   };
 
   Router(Options aOptions, std::unique_ptr<RoutingStrategy> aStrategy);
@@ -70,6 +74,10 @@
   /// kept.
   void SetTargets(const std::vector<Target>& aTargets);
 
+  /// Sets the number of nodes that share the targets' request limits; until
+  /// then, limited targets get no requests.
+  void SetNodeCount(int aCount);
+
   /// Returns a target that accepts a request, or nothing. Those in `aTried` are
   /// chosen only if no other target accepts requests. A straggler that is due
   /// for a request is returned to first attempts, and to others if there is no
@@ -91,6 +99,9 @@
 
   /// Number of requests that the targets together can still accept.
   int FreeSlots(Instant aNow) const;
+  /// Returns the requests per second that this node may send to all targets
+  /// together; none unless all are limited.
+  std::optional<double> LimitedRate(Instant aNow) const;
   /// Sum of the slots of all targets, free or not.
   int TotalSlots() const;
   bool IsStraggler(const std::string& aId) const;
@@ -121,7 +132,10 @@
 
   /// The reported requests, corrected by this node's starts and ends since.
   double EstimatedRequests(const Entry& aEntry) const;
-  /// True if the target may get a request now: it is not in backoff, and holds
+  /// True unless the target's limit leaves this node no turn now.
+  bool HasTurn(const Entry& aEntry, Instant aNow) const;
+  /// True if the target may get a request now: it is not in backoff, this node
+  /// has a turn, and it holds
   /// fewer requests than `Options::overcommitFactor` allows, or is a straggler
   /// that is due for a request and has none of this node in flight.
   bool CanAccept(const Entry& aEntry, Instant aNow) const;
@@ -133,6 +147,8 @@
 
   Options options;
   std::unique_ptr<RoutingStrategy> strategy;
+  /// Demand is not known by service, so limits are divided equally.
+  DemandSplit demand;
   /// By target id.
   std::map<std::string, Entry> targets;
 };
--- a/tests/RouterTest.cpp
+++ b/tests/RouterTest.cpp
@@ -138,3 +138,30 @@
   CHECK_FALSE(router.Choose({}, {}, kNow, random));
   CHECK(router.Choose({}, {}, kNow + seconds(1), random));
 }
+
+// Guards against requests that wait for a slot and are then refused, because
+// the target's limit leaves this node no turn.
+TEST_CASE("Router counts no free slots at a target without a turn")
+{
+  TargetLimits limits(TargetLimits::Options{}, 1);
+  Router router({ .availabilityZone = "a", .limits = &limits },
+                MakeAffinityStrategy());
+  router.SetTargets(Targets(2, 4));
+  CHECK(router.FreeSlots(kNow) == 8);
+  CHECK_FALSE(router.LimitedRate(kNow));
+  limits.OnResponse("group-0#1", 2, kNow, kNow);
+  limits.OnResponse("group-1#1", 2, kNow, kNow);
+  CHECK(router.FreeSlots(kNow) == 0);
+  CHECK(router.LimitedRate(kNow) == 0.0);
+  router.SetNodeCount(1);
+  Random random(1);
+  const Instant later = kNow + seconds(1);
+  CHECK(router.LimitedRate(later) == Approx(4).epsilon(0.1));
+  REQUIRE(router.FreeSlots(later) == 2);
+  for (int i = 0; i < 6; ++i) {
+    if (const auto target = router.Choose({ .prefix = 1 }, {}, later, random)) {
+      router.OnStart(target->id, later);
+    }
+  }
+  CHECK(router.FreeSlots(later) == 0);
+}
