--- /dev/null
+++ b/src/quarantine/RequestIdentity.cpp
@@ -0,0 +1,24 @@
+#include "quarantine/RequestIdentity.h"
+
+#include "base/Hash.h"
+
+#include <fmt/format.h>
+
+namespace apricottrack {
+
+std::string
+RequestIdentity(const HttpRequest& aRequest, std::string_view aAccount)
+{
+  std::uint64_t hash = 0;
+  for (const std::string_view text :
+       { std::string_view(aRequest.method_string()),
+         std::string_view(aRequest[boost::beast::http::field::host]),
+         std::string_view(aRequest.target()),
+         aAccount,
+         std::string_view(aRequest.body()) }) {
+    hash = StableHash(text, hash);
+  }
+  return fmt::format("request:{:016x}", hash);
+}
+
+} // namespace apricottrack
--- /dev/null
+++ b/src/quarantine/RequestIdentity.h
@@ -0,0 +1,19 @@
+#ifndef APRICOTTRACK_QUARANTINE_REQUESTIDENTITY_H
+#define APRICOTTRACK_QUARANTINE_REQUESTIDENTITY_H
+
+#include "http/HttpTypes.h"
+
+#include <string>
+#include <string_view>
+
+namespace apricottrack {
+
+/// Returns a hash of what stays the same when a caller repeats a request:
+/// method, host, path, client account and body. It is the same on all nodes and
+/// contains a colon, which ids of prompt parts do not.
+std::string
+RequestIdentity(const HttpRequest& aRequest, std::string_view aAccount);
+
+} // namespace apricottrack
+
+#endif
--- a/src/serving/RequestFlow.cpp
+++ b/src/serving/RequestFlow.cpp
@@ -1,5 +1,7 @@
 #include "serving/RequestFlow.h"
 
+#include "quarantine/RequestIdentity.h"
+
 #include <algorithm>
 
 namespace apricottrack {
@@ -80,6 +82,7 @@
     co_return;
   }
   this->admittedRequest = std::move(admission.request);
+  this->identity = RequestIdentity(request, this->admittedRequest.account);
   if (this->admittedRequest.service == nullptr) {
     co_await this->Refuse(503, "no_service");
     co_return;
--- a/src/serving/RequestFlow.h
+++ b/src/serving/RequestFlow.h
@@ -191,6 +191,8 @@
   Instant arrivedAt;
   CallerHead caller;
   AdmittedRequest admittedRequest;
+  /// RequestIdentity of the request, once it is admitted.
+  std::string identity;
   EventSplitter eventSplitter;
   CallHistory history;
   /// When the last call of each called target ended; nothing while it goes on.
--- a/src/serving/RequestFlowEnds.cpp
+++ b/src/serving/RequestFlowEnds.cpp
@@ -138,6 +138,7 @@
   }
   LogLine line("target_call");
   line.With("request", this->caller.attemptId)
+    .With("identity", this->identity)
     .With("target", aTargetId)
     .With("end", CallEndName(aEnd))
     .With("after_ms",
