Quarantine a request that crashes the targets that run it

Cause: crashes were attributed to prompt parts only. A request without any left no record, so that nothing linked its repeats; and three targets lost within 0.1 s counted as one crash, although the request was sent to each after the one before had ended. Class: evidence is keyed by one property of a request, and requests that lack it are never suspected.

Now the identity of a request (method, host, path, client account, body) is one more key beside the prompt's parts, in the same attribution, quarantine, store document and messages. It is blamed only if it explains all crashes that its parts explain, after two attempts of the caller and three targets, and only without answers. A target counts again if the request was sent to it after the last crash. A suspect is not sent on to a further target, so that it costs one target each time, and not hedged. Crashes that a request explains still count against its prompt parts once another request with them crashes a target.

"RequestFlow records lost and answered requests" expected the prompt's parts alone; it now expects the identity after them as well.

--- a/src/membership/FleetPacking.cpp
+++ b/src/membership/FleetPacking.cpp
@@ -201,7 +201,9 @@
       aBuilder,
       request.target.c_str(),
       &parts,
-      static_cast<std::uint32_t>(ToMilliseconds(request.age))));
+      static_cast<std::uint32_t>(ToMilliseconds(request.age)),
+      request.attempt.c_str(),
+      static_cast<std::uint32_t>(ToMilliseconds(request.runTime))));
   }
   return requests;
 }
@@ -215,6 +217,8 @@
     for (const wire::LostRequest* const request : *aItems) {
       requests.push_back({ .target = TextOf(request->target()),
                            .parts = TextsOf(request->parts()),
+                           .attempt = TextOf(request->attempt()),
+                           .runTime = milliseconds(request->run_ms()),
                            .age = milliseconds(request->age_ms()) });
     }
   }
--- a/src/quarantine/CrashAttribution.cpp
+++ b/src/quarantine/CrashAttribution.cpp
@@ -1,5 +1,7 @@
 #include "quarantine/CrashAttribution.h"
 
+#include "quarantine/RequestIdentity.h"
+
 #include <algorithm>
 #include <tuple>
 
@@ -46,9 +48,14 @@
   }
   auto& requests = crash->requests;
   if (requests.size() < this->options.maxRequestsPerCrash &&
-      std::find(requests.begin(), requests.end(), aRequest.parts) ==
-        requests.end()) {
-    requests.push_back(aRequest.parts);
+      std::none_of(
+        requests.begin(), requests.end(), [&](const Request& aKnown) {
+          return aKnown.parts == aRequest.parts &&
+                 aKnown.attempt == aRequest.attempt;
+        })) {
+    requests.push_back({ .parts = aRequest.parts,
+                         .attempt = aRequest.attempt,
+                         .sentAt = at - aRequest.runTime });
   }
 }
 
@@ -131,21 +138,28 @@
 CrashAttribution::HasRequestWith(const Crash& aCrash, const Parts& aParts)
 {
   return std::any_of(
-    aCrash.requests.begin(), aCrash.requests.end(), [&](const Parts& aRequest) {
+    aCrash.requests.begin(),
+    aCrash.requests.end(),
+    [&](const Request& aRequest) {
+      const Parts& parts = aRequest.parts;
       return std::all_of(
         aParts.begin(), aParts.end(), [&](const std::string& aPart) {
-          return std::find(aRequest.begin(), aRequest.end(), aPart) !=
-                 aRequest.end();
+          return std::find(parts.begin(), parts.end(), aPart) != parts.end();
         });
     });
 }
 
 bool
-CrashAttribution::IsExplained(const Crash& aCrash) const
+CrashAttribution::IsExplained(const Crash& aCrash,
+                              Explanation aExplanation) const
 {
+  const auto mayExplain = [&](const Parts& aParts) {
+    return aExplanation == Explanation::kAny ||
+           std::none_of(aParts.begin(), aParts.end(), IsRequestIdentity);
+  };
   return std::any_of(
     this->quarantines.begin(), this->quarantines.end(), [&](const auto& aItem) {
-      return aCrash.at <= aItem.second.end &&
+      return aCrash.at <= aItem.second.end && mayExplain(aItem.first) &&
              HasRequestWith(aCrash, aItem.first);
     });
 }
@@ -155,7 +169,7 @@
 {
   std::vector<const Crash*> unexplained;
   for (const Crash& crash : this->crashes) {
-    if (!this->IsExplained(crash)) {
+    if (!this->IsExplained(crash, Explanation::kAny)) {
       unexplained.push_back(&crash);
     }
   }
@@ -175,21 +189,51 @@
   return std::nullopt;
 }
 
+void
+CrashAttribution::AddEvidence(Evidence& aEvidence,
+                              const Crash& aCrash,
+                              const Request& aRequest) const
+{
+  aEvidence.attempts.insert(aRequest.attempt);
+  const auto isSeparate = [&](Instant aLast) {
+    return aCrash.at - aLast >= this->options.minSeparation;
+  };
+  if (aEvidence.crashes == 0 || isSeparate(aEvidence.lastCountedAt)) {
+    ++aEvidence.crashes;
+    aEvidence.lastCountedAt = aCrash.at;
+  }
+  const bool wasSentLater =
+    aRequest.sentAt + this->options.timeTolerance >= aEvidence.lastRunAt &&
+    aCrash.at > aEvidence.lastRunAt;
+  if (aEvidence.separateRuns == 0 || isSeparate(aEvidence.lastRunAt) ||
+      wasSentLater) {
+    ++aEvidence.separateRuns;
+    aEvidence.lastRunAt = aCrash.at;
+  }
+}
+
 CrashAttribution::EvidenceByPart
 CrashAttribution::CollectEvidence() const
 {
   EvidenceByPart evidence;
-  for (const Crash* const crash : this->UnexplainedCrashes()) {
-    for (const Parts& request : crash->requests) {
+  for (const Crash& crash : this->crashes) {
+    if (this->IsExplained(crash, Explanation::kPartsAlone)) {
+      continue;
+    }
+    // The request that explains a crash may have crashed its target by a part,
+    // which other requests share.
+    const bool isExplained = this->IsExplained(crash, Explanation::kAny);
+    for (const Request& request : crash.requests) {
       int position = 0;
-      for (const std::string& part : request) {
-        Evidence& item = evidence[part];
-        item.position = std::max(item.position, ++position);
-        if (item.crashes == 0 ||
-            crash->at - item.lastCountedAt >= this->options.minSeparation) {
-          ++item.crashes;
-          item.lastCountedAt = crash->at;
+      for (const std::string& part : request.parts) {
+        ++position;
+        if (isExplained && IsRequestIdentity(part)) {
+          continue;
         }
+        Evidence& item = evidence[part];
+        item.position = std::max(item.position, position);
+        item.isNeeded = item.isNeeded || !isExplained;
+        this->AddEvidence(item, crash, request);
       }
     }
   }
@@ -205,11 +249,14 @@
 }
 
 bool
-CrashAttribution::IsIncriminated(const Evidence& aEvidence) const
+CrashAttribution::IsIncriminated(const EvidenceByPart::value_type& aItem) const
 {
-  return aEvidence.crashes >= this->options.minCrashes &&
-         aEvidence.answers <=
-           aEvidence.crashes * this->options.maxAnswersPerCrash;
+  const auto& [part, evidence] = aItem;
+  const bool isRequest = IsRequestIdentity(part);
+  const int crashes = isRequest ? evidence.separateRuns : evidence.crashes;
+  return evidence.isNeeded && crashes >= this->options.minCrashes &&
+         evidence.answers <= crashes * this->options.maxAnswersPerCrash &&
+         (!isRequest || evidence.attempts.size() >= this->options.minAttempts);
 }
 
 bool
@@ -224,14 +271,14 @@
 CrashAttribution::UpdateSuspects(const EvidenceByPart& aEvidence, Instant aNow)
 {
   for (const auto& [part, item] : aEvidence) {
-    if (item.crashes >= kMinSuspectCrashes) {
+    if (item.separateRuns >= kMinSuspectCrashes) {
       this->suspectedSince.try_emplace(part, aNow);
     }
   }
   const auto isCleared = [&](const auto& aItem) {
     const auto found = aEvidence.find(aItem.first);
     return found == aEvidence.end() ||
-           found->second.crashes < kMinSuspectCrashes;
+           found->second.separateRuns < kMinSuspectCrashes;
   };
   std::erase_if(this->suspectedSince, isCleared);
   std::erase_if(this->answers, isCleared);
@@ -245,7 +292,7 @@
     return std::tuple(aItem.crashes, -aItem.answers, aItem.position);
   };
   for (const auto& item : aEvidence) {
-    if (this->IsIncriminated(item.second) &&
+    if (this->IsIncriminated(item) &&
         (culprit == nullptr || rank(item.second) > rank(culprit->second))) {
       culprit = &item;
     }
@@ -256,11 +303,13 @@
   // The parts before the one at fault have all of its crashes too, and a few
   // more by chance. While none of them is answered, the later part is likelier.
   const EvidenceByPart::value_type* later = culprit;
+  // A request as a whole has to explain all of them.
   for (const auto& item : aEvidence) {
-    if (this->IsIncriminated(item.second) &&
+    const int weight = IsRequestIdentity(item.first) ? 1 : 2;
+    if (this->IsIncriminated(item) &&
         item.second.position > later->second.position &&
         item.second.answers <= culprit->second.answers &&
-        2 * item.second.crashes >= culprit->second.crashes) {
+        weight * item.second.crashes >= culprit->second.crashes) {
       later = &item;
     }
   }
@@ -280,10 +329,11 @@
       });
   };
   Parts combination;
-  for (const auto& [part, item] : aEvidence) {
-    if (this->IsIncriminated(item) && item.answers <= aCulprit.second.answers &&
-        alwaysOccursWithCulprit(part)) {
-      combination.push_back(part);
+  for (const auto& item : aEvidence) {
+    if (this->IsIncriminated(item) &&
+        item.second.answers <= aCulprit.second.answers &&
+        alwaysOccursWithCulprit(item.first)) {
+      combination.push_back(item.first);
     }
   }
   return combination;
--- a/src/quarantine/CrashAttribution.h
+++ b/src/quarantine/CrashAttribution.h
@@ -6,6 +6,7 @@
 #include <deque>
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -17,6 +18,11 @@
 /// sound requests share with the deadly ones are answered often. Parts that
 /// always occurred together are quarantined together, so that sound requests
 /// with some of them continue. Used at the planner's node.
+///
+/// A request as a whole can be at fault as well: its identity counts as its
+/// last part. It is blamed if it explains all crashes that its parts explain,
+/// and only once the caller has repeated it, as a sound request may be lost
+/// several times beside a deadly one that takes the same way.
 class CrashAttribution
 {
 public:
@@ -29,6 +35,11 @@
     /// Crashes of a part within less time of each other count once: targets
     /// that fail together, with their zone or replica, have one cause.
     Duration minSeparation = milliseconds(100);
+    /// A request that was sent after a crash, up to this inaccuracy of reported
+    /// times, and was lost with another target counts again at once.
+    Duration timeTolerance = milliseconds(10);
+    /// Attempts of a caller before a request as a whole is quarantined.
+    std::size_t minAttempts = 2;
     /// Time for all nodes to report the answers of a new suspect.
     Duration answerCollectionTime = milliseconds(800);
     /// A part with more answers than this for each crash is not at fault.
@@ -69,12 +80,22 @@
 private:
   using Parts = std::vector<std::string>;
 
+  /// A request that was lost in a crash.
+  struct Request
+  {
+    /// In order.
+    Parts parts;
+    /// Id of the caller's attempt.
+    std::string attempt;
+    Instant sentAt;
+  };
+
   struct Crash
   {
     std::string target;
     Instant at;
-    /// The parts of each request that was lost, in order; without duplicates.
-    std::vector<Parts> requests;
+    /// Without duplicates.
+    std::vector<Request> requests;
   };
 
   struct Quarantine
@@ -86,8 +107,15 @@
   /// What the crashes without another explanation say about one part.
   struct Evidence
   {
+    /// Crashes that are `minSeparation` apart.
     int crashes = 0;
     Instant lastCountedAt;
+    /// The same, and those of requests that were sent after the last one.
+    int separateRuns = 0;
+    Instant lastRunAt;
+    std::set<std::string> attempts;
+    /// A crash has no explanation at all.
+    bool isNeeded = false;
     int position = 0;
     int answers = 0;
   };
@@ -97,12 +125,23 @@
   void Prune(Instant aNow);
   /// True if a request of the crash has all of the parts.
   static bool HasRequestWith(const Crash& aCrash, const Parts& aParts);
+  /// What may explain a crash.
+  enum class Explanation
+  {
+    kAny,
+    /// Prompt parts, not a request as a whole.
+    kPartsAlone,
+  };
   /// True if a request caused the crash that was quarantined by its end.
-  bool IsExplained(const Crash& aCrash) const;
+  bool IsExplained(const Crash& aCrash, Explanation aExplanation) const;
   /// Returns the crashes that are not explained.
   std::vector<const Crash*> UnexplainedCrashes() const;
   EvidenceByPart CollectEvidence() const;
-  bool IsIncriminated(const Evidence& aEvidence) const;
+  /// Adds a crash to the evidence of one part of a request.
+  void AddEvidence(Evidence& aEvidence,
+                   const Crash& aCrash,
+                   const Request& aRequest) const;
+  bool IsIncriminated(const EvidenceByPart::value_type& aItem) const;
   /// Returns a combination on probation that caused another crash, or nothing.
   std::optional<Parts> FindRelapse() const;
   /// True if all nodes have had the time to report the part's answers.
--- a/src/quarantine/CrashRecorder.cpp
+++ b/src/quarantine/CrashRecorder.cpp
@@ -1,5 +1,6 @@
 #include "quarantine/CrashRecorder.h"
 
+#include <algorithm>
 #include <utility>
 
 namespace apricottrack {
@@ -7,12 +8,14 @@
 void
 CrashRecorder::OnLost(const std::string& aTarget,
                       const std::vector<std::string>& aParts,
+                      const LostCall& aCall,
                       Instant aNow)
 {
   if (aParts.empty()) {
     return;
   }
-  this->losses.push_back({ .target = aTarget, .parts = aParts, .at = aNow });
+  this->losses.push_back(
+    { .target = aTarget, .parts = aParts, .call = aCall, .at = aNow });
   while (this->losses.size() > this->options.maxLostRequests ||
          aNow - this->losses.front().at > this->options.lifetime) {
     this->losses.pop_front();
@@ -34,8 +37,11 @@
   std::vector<LostRequest> requests;
   for (const Loss& loss : this->losses) {
     if (loss.at > aSince && aNow - loss.at <= this->options.lifetime) {
-      requests.push_back(
-        { .target = loss.target, .parts = loss.parts, .age = aNow - loss.at });
+      requests.push_back({ .target = loss.target,
+                           .parts = loss.parts,
+                           .attempt = loss.call.attempt,
+                           .runTime = loss.call.runTime,
+                           .age = aNow - loss.at });
     }
   }
   return requests;
@@ -47,18 +53,33 @@
   this->suspects = std::move(aParts);
 }
 
+bool
+CrashRecorder::IsUnansweredSuspect(const std::string& aPart) const
+{
+  return std::find(this->suspects.begin(), this->suspects.end(), aPart) !=
+           this->suspects.end() &&
+         this->AnswersOf(aPart) == 0;
+}
+
+int
+CrashRecorder::AnswersOf(const std::string& aPart) const
+{
+  int count = 0;
+  for (const Counts* const counts :
+       { &this->currentCounts, &this->previousCounts }) {
+    const auto found = counts->find(aPart);
+    count += found == counts->end() ? 0 : found->second;
+  }
+  return count;
+}
+
 std::vector<PartAnswers>
 CrashRecorder::SuspectAnswers(Instant aNow)
 {
   this->RotateCounts(aNow);
   std::vector<PartAnswers> answers;
   for (const std::string& part : this->suspects) {
-    int count = 0;
-    for (const Counts* const counts :
-         { &this->currentCounts, &this->previousCounts }) {
-      const auto found = counts->find(part);
-      count += found == counts->end() ? 0 : found->second;
-    }
+    const int count = this->AnswersOf(part);
     if (count > 0) {
       answers.push_back({ .part = part, .count = count });
     }
--- a/src/quarantine/CrashRecorder.h
+++ b/src/quarantine/CrashRecorder.h
@@ -11,7 +11,8 @@
 namespace apricottrack {
 
 /// Records which prompt parts this node's requests had when their target
-/// crashed, and how many requests with a part were answered. Each serving node
+/// crashed, and how many requests with a part were answered. The identity of a
+/// request counts as one more part. Each serving node
 /// has one; CrashAttribution combines the records of all nodes.
 class CrashRecorder
 {
@@ -31,10 +32,20 @@
   {
   }
 
+  /// The call in which a request was lost.
+  struct LostCall
+  {
+    /// Id of the caller's attempt.
+    std::string attempt;
+    /// From sending the request to its loss.
+    Duration runTime = Duration::zero();
+  };
+
   /// Records a request that was lost with its target. Has no effect without
   /// parts.
   void OnLost(const std::string& aTarget,
               const std::vector<std::string>& aParts,
+              const LostCall& aCall,
               Instant aNow);
 
   /// Records a request that was answered completely.
@@ -47,6 +58,9 @@
   void SetSuspects(std::vector<std::string> aParts);
   const std::vector<std::string>& Suspects() const { return this->suspects; }
 
+  /// Returns whether a part is a suspect of which this node has seen no answer.
+  bool IsUnansweredSuspect(const std::string& aPart) const;
+
   /// Returns the number of answers of each suspect that has any.
   std::vector<PartAnswers> SuspectAnswers(Instant aNow);
 
@@ -57,9 +71,11 @@
   {
     std::string target;
     std::vector<std::string> parts;
+    LostCall call;
     Instant at;
   };
 
+  int AnswersOf(const std::string& aPart) const;
   /// Starts a new counting period if the current one has ended.
   void RotateCounts(Instant aNow);
 
--- a/src/quarantine/CrashReports.h
+++ b/src/quarantine/CrashReports.h
@@ -15,16 +15,21 @@
 struct LostRequest
 {
   std::string target;
-  /// Ids of the shared parts of its prompt, in order.
+  /// Ids of the shared parts of its prompt, in order, then its RequestIdentity.
   std::vector<std::string> parts;
+  /// Id of the caller's attempt.
+  std::string attempt;
+  /// From sending the request to its loss.
+  Duration runTime = Duration::zero();
   /// Time since the loss.
   Duration age = Duration::zero();
 
   friend bool operator==(const LostRequest&, const LostRequest&) = default;
 };
 
-/// Number of responses that show a prompt part to be sound: complete ones, and
-/// those that went on after the time in which a target crashes.
+/// Number of responses that show a prompt part, or a whole request, to be
+/// sound: complete ones, and those that went on after the time in which a
+/// target crashes.
 struct PartAnswers
 {
   std::string part;
@@ -33,7 +38,8 @@
   friend bool operator==(const PartAnswers&, const PartAnswers&) = default;
 };
 
-/// Prompt parts that crash targets. Requests that have all of them are refused
+/// Prompt parts that crash targets, or the identity of a request that does.
+/// Requests that have all of them are refused
 /// for the remaining time. There are several if the crashes do not show which
 /// one is at fault.
 struct QuarantinedParts
--- a/src/quarantine/RequestIdentity.cpp
+++ b/src/quarantine/RequestIdentity.cpp
@@ -6,6 +6,12 @@
 
 namespace apricottrack {
 
+namespace {
+
+constexpr std::string_view kPrefix = "request:";
+
+} // namespace
+
 std::string
 RequestIdentity(const HttpRequest& aRequest, std::string_view aAccount)
 {
@@ -18,7 +24,13 @@
          std::string_view(aRequest.body()) }) {
     hash = StableHash(text, hash);
   }
-  return fmt::format("request:{:016x}", hash);
+  return fmt::format("{}{:016x}", kPrefix, hash);
+}
+
+bool
+IsRequestIdentity(std::string_view aKey)
+{
+  return aKey.starts_with(kPrefix);
 }
 
 } // namespace apricottrack
--- a/src/quarantine/RequestIdentity.h
+++ b/src/quarantine/RequestIdentity.h
@@ -14,6 +14,10 @@
 std::string
 RequestIdentity(const HttpRequest& aRequest, std::string_view aAccount);
 
+/// True for the result of RequestIdentity, false for the id of a prompt part.
+bool
+IsRequestIdentity(std::string_view aKey);
+
 } // namespace apricottrack
 
 #endif
--- a/src/serving/RequestFlow.cpp
+++ b/src/serving/RequestFlow.cpp
@@ -83,6 +83,8 @@
   }
   this->admittedRequest = std::move(admission.request);
   this->identity = RequestIdentity(request, this->admittedRequest.account);
+  this->crashKeys = this->caller.sharedPromptParts;
+  this->crashKeys.push_back(this->identity);
   if (this->admittedRequest.service == nullptr) {
     co_await this->Refuse(503, "no_service");
     co_return;
@@ -116,8 +118,8 @@
       co_await this->Finish(step);
       co_return;
     }
-    if (const auto remaining = this->context.quarantine.RemainingFor(
-          this->caller.sharedPromptParts, now)) {
+    if (const auto remaining =
+          this->context.quarantine.RemainingFor(this->crashKeys, now)) {
       co_await this->EndQuarantined(*remaining);
       co_return;
     }
@@ -236,7 +238,7 @@
        end == CallEnd::kTruncated)) {
     this->context.stalls.OnFailure(id, MonotonicNow());
   }
-  this->RecordForAttribution(end);
+  this->RecordForAttribution(current, end);
   this->CountCall(id, current, end);
   if (end == CallEnd::kAnswered || end == CallEnd::kCallerGone ||
       end == CallEnd::kOutOfTime) {
@@ -431,13 +433,24 @@
              aNow - *this->streamingSince >= kSoundStreamTime) {
     this->promptProvenSound = true;
     this->everProvenSound = true;
-    this->context.crashRecorder.OnAnswered(this->caller.sharedPromptParts,
-                                           aNow);
+    this->context.crashRecorder.OnAnswered(this->crashKeys, aNow);
   }
 }
 
 void
-RequestFlow::RecordForAttribution(CallEnd aEnd)
+RequestFlow::RecordLoss(const std::string& aTargetId,
+                        const TargetCall& aCall,
+                        Instant aNow)
+{
+  this->context.crashRecorder.OnLost(
+    aTargetId,
+    this->crashKeys,
+    { .attempt = this->caller.attemptId, .runTime = aNow - aCall.SentAt() },
+    aNow);
+}
+
+void
+RequestFlow::RecordForAttribution(const TargetCall& aCall, CallEnd aEnd)
 {
   // A prompt that was proven sound is counted already, and has not caused a
   // later loss.
@@ -445,14 +458,20 @@
     return;
   }
   const Instant now = MonotonicNow();
-  const auto& parts = this->caller.sharedPromptParts;
   if (aEnd == CallEnd::kAnswered) {
-    this->context.crashRecorder.OnAnswered(parts, now);
+    this->context.crashRecorder.OnAnswered(this->crashKeys, now);
   } else if (this->connectionLost) {
-    this->context.crashRecorder.OnLost(this->lastTargetId, parts, now);
+    this->RecordLoss(this->lastTargetId, aCall, now);
   }
 }
 
+bool
+RequestFlow::MayCrashTargets() const
+{
+  return !this->everProvenSound &&
+         this->context.crashRecorder.IsUnansweredSuspect(this->identity);
+}
+
 bool
 RequestFlow::IsStream() const
 {
--- a/src/serving/RequestFlow.h
+++ b/src/serving/RequestFlow.h
@@ -165,8 +165,15 @@
   /// Records the prompt's parts as sound once the response has gone on for long
   /// enough.
   void RecordStreamProgress(Instant aNow);
+  /// Records that the request was lost with a target.
+  void RecordLoss(const std::string& aTargetId,
+                  const TargetCall& aCall,
+                  Instant aNow);
   /// Records whether the call was answered or lost with its target.
-  void RecordForAttribution(CallEnd aEnd);
+  void RecordForAttribution(const TargetCall& aCall, CallEnd aEnd);
+  /// True if the request has probably crashed targets, so that it should not go
+  /// on to another one.
+  bool MayCrashTargets() const;
   Task<NextStep> DecideNextStep(CallEnd aEnd);
   /// Sends the final response, or closes the connection if the caller is gone.
   Task<void> Finish(NextStep aStep);
@@ -193,6 +200,8 @@
   AdmittedRequest admittedRequest;
   /// RequestIdentity of the request, once it is admitted.
   std::string identity;
+  /// The shared parts of its prompt and its identity, which may crash targets.
+  std::vector<std::string> crashKeys;
   EventSplitter eventSplitter;
   CallHistory history;
   /// When the last call of each called target ended; nothing while it goes on.
--- a/src/serving/RequestFlowHedging.cpp
+++ b/src/serving/RequestFlowHedging.cpp
@@ -17,9 +17,8 @@
          this->admittedRequest.route->IsRepeatable() &&
          possibleRuns < this->admittedRequest.route->maxTargets &&
          this->history.sendCount < kMaxRefusedHedges &&
-         aNow + kMinCallTime < this->Deadline() &&
-         !this->context.quarantine.RemainingFor(this->caller.sharedPromptParts,
-                                                aNow);
+         aNow + kMinCallTime < this->Deadline() && !this->MayCrashTargets() &&
+         !this->context.quarantine.RemainingFor(this->crashKeys, aNow);
 }
 
 void
@@ -98,8 +97,7 @@
   if (!ended->Head()) {
     end = this->ClassifyFailure(ended->Call(), ended->Head().error());
     if (IsConnectionLost(end, ended->Head().error())) {
-      this->context.crashRecorder.OnLost(
-        id, this->caller.sharedPromptParts, now);
+      this->RecordLoss(id, ended->Call(), now);
     }
   } else if (this->RecordHead(id, ended->Call(), *ended->Head(), now).notRun) {
     end = CallEnd::kNotRun;
@@ -150,8 +148,7 @@
 RequestFlow::CancelIfQuarantined()
 {
   if (this->promptProvenSound ||
-      !this->context.quarantine.RemainingFor(this->caller.sharedPromptParts,
-                                             MonotonicNow())) {
+      !this->context.quarantine.RemainingFor(this->crashKeys, MonotonicNow())) {
     return;
   }
   this->CancelHedge();
--- a/src/serving/RequestFlowRetry.cpp
+++ b/src/serving/RequestFlowRetry.cpp
@@ -52,6 +52,10 @@
     this->history.timeLeft = MonotonicNow() + kMinCallTime < this->Deadline();
     this->history.budgetLeft = true;
     const NextStep step = DecideNext(route, aEnd, this->history);
+    if (step == NextStep::kTryElsewhere && this->connectionLost &&
+        this->MayCrashTargets()) {
+      co_return NextStep::kFail;
+    }
     if (step != NextStep::kTryElsewhere || this->Budget().TryConsume()) {
       co_return step;
     }
--- a/tests/CrashRecorderTest.cpp
+++ b/tests/CrashRecorderTest.cpp
@@ -7,9 +7,9 @@
 TEST_CASE("CrashRecorder returns the losses after a time with their ages")
 {
   CrashRecorder recorder(CrashRecorder::Options{ .lifetime = seconds(30) });
-  recorder.OnLost("t1", { "a", "b" }, Instant{ seconds(10) });
-  recorder.OnLost("t2", {}, Instant{ seconds(11) });
-  recorder.OnLost("t3", { "c" }, Instant{ seconds(12) });
+  recorder.OnLost("t1", { "a", "b" }, {}, Instant{ seconds(10) });
+  recorder.OnLost("t2", {}, {}, Instant{ seconds(11) });
+  recorder.OnLost("t3", { "c" }, {}, Instant{ seconds(12) });
   const Instant now{ seconds(13) };
   CHECK(recorder.LostSince(Instant{}, now) ==
         std::vector<LostRequest>{
@@ -23,7 +23,8 @@
 {
   CrashRecorder recorder(CrashRecorder::Options{ .maxLostRequests = 2 });
   for (int i = 1; i <= 5; ++i) {
-    recorder.OnLost("t" + std::to_string(i), { "a" }, Instant{ seconds(i) });
+    recorder.OnLost(
+      "t" + std::to_string(i), { "a" }, {}, Instant{ seconds(i) });
   }
   const auto losses = recorder.LostSince(Instant{}, Instant{ seconds(6) });
   REQUIRE(losses.size() == 2);
--- a/tests/CrashingPromptTest.cpp
+++ b/tests/CrashingPromptTest.cpp
@@ -1,5 +1,6 @@
 #include "QuarantineStore.h"
 #include "TargetResponses.h"
+#include "quarantine/RequestIdentity.h"
 #include "serving/QuarantineTask.h"
 
 using namespace apricottrack;
@@ -149,7 +150,9 @@
         std::vector<PartAnswers>{ { .part = "shared", .count = 1 } });
   const auto losses = harness.context.crashRecorder.LostSince(Instant{}, now);
   REQUIRE(losses.size() == 1);
-  CHECK(losses.front().parts == std::vector<std::string>{ "deadly" });
+  REQUIRE(losses.front().parts.size() == 2);
+  CHECK(losses.front().parts.front() == "deadly");
+  CHECK(IsRequestIdentity(losses.front().parts.back()));
 }
 
 // Guards against sound requests that are refused because they share a part with
--- a/tests/PeerMessagesTest.cpp
+++ b/tests/PeerMessagesTest.cpp
@@ -19,17 +19,15 @@
                          .submission = "s",
                          .submittedAt = 7,
                          .text = "firm = \"f\"" },
-    FleetQuestion{ .node = "n",
-                   .limits = { { .target = "t",
-                                 .limit = 0,
-                                 .age = milliseconds(30) } } },
-    FleetAnswer{ .source = "s",
-                 .limits = { { .target = "t",
-                               .limit = 2.5,
-                               .age = milliseconds(40) },
-                             { .target = "u",
-                               .limit = std::nullopt,
-                               .age = milliseconds(50) } } },
+    FleetQuestion{
+      .node = "n",
+      .limits = { { .target = "t", .limit = 0, .age = milliseconds(30) } } },
+    FleetAnswer{
+      .source = "s",
+      .limits = { { .target = "t", .limit = 2.5, .age = milliseconds(40) },
+                  { .target = "u",
+                    .limit = std::nullopt,
+                    .age = milliseconds(50) } } },
   };
   for (const PeerMessage& message : messages) {
     const auto parsed = ParsePeerMessage(EncodePeerMessage(message), "p");
