--- a/tests/TargetLimitsTest.cpp
+++ b/tests/TargetLimitsTest.cpp
@@ -125,7 +125,7 @@
   const std::vector<DemandSplit> demands(
     nodes.size(), { .own = 50, .other = 0, .nodeCount = 6 });
   const auto sent = SendAtEveryTurn(nodes, demands, kStart);
-  CHECK(sent.size() <= 2 * 4 * 30);
+  CHECK(sent.size() <= 240);
 }
 
 TEST_CASE("TargetLimits gives no turn to a node that does not know how many "
