--- a/src/serving/RequestFlow.cpp
+++ b/src/serving/RequestFlow.cpp
@@ -24,10 +24,6 @@
 /// that share the reserve is unknown.
 constexpr double kMinRetryReserve = 1;
 
-/// A prompt that crashes its target does so as soon as the response begins. One
-/// whose stream goes on for longer is sound.
-constexpr Duration kSoundStreamTime = milliseconds(300);
-
 constexpr unsigned kFirstSuccess = 200;
 constexpr unsigned kFirstRedirect = 300;
 constexpr unsigned kFirstServerError = 500;
@@ -424,54 +420,6 @@
          aError.code != ErrorCode::kTimeout;
 }
 
-void
-RequestFlow::RecordStreamProgress(Instant aNow)
-{
-  if (!this->streamingSince) {
-    this->streamingSince = aNow;
-  } else if (!this->promptProvenSound &&
-             aNow - *this->streamingSince >= kSoundStreamTime) {
-    this->promptProvenSound = true;
-    this->everProvenSound = true;
-    this->context.crashRecorder.OnAnswered(this->crashKeys, aNow);
-  }
-}
-
-void
-RequestFlow::RecordLoss(const std::string& aTargetId,
-                        const TargetCall& aCall,
-                        Instant aNow)
-{
-  this->context.crashRecorder.OnLost(
-    aTargetId,
-    this->crashKeys,
-    { .attempt = this->caller.attemptId, .runTime = aNow - aCall.SentAt() },
-    aNow);
-}
-
-void
-RequestFlow::RecordForAttribution(const TargetCall& aCall, CallEnd aEnd)
-{
-  // A prompt that was proven sound is counted already, and has not caused a
-  // later loss.
-  if (this->promptProvenSound) {
-    return;
-  }
-  const Instant now = MonotonicNow();
-  if (aEnd == CallEnd::kAnswered) {
-    this->context.crashRecorder.OnAnswered(this->crashKeys, now);
-  } else if (this->connectionLost) {
-    this->RecordLoss(this->lastTargetId, aCall, now);
-  }
-}
-
-bool
-RequestFlow::MayCrashTargets() const
-{
-  return !this->everProvenSound &&
-         this->context.crashRecorder.IsUnansweredSuspect(this->identity);
-}
-
 bool
 RequestFlow::IsStream() const
 {
