--- a/src/limits/TargetLimits.h
+++ b/src/limits/TargetLimits.h
@@ -12,8 +12,8 @@
 
 namespace apricottrack {
 
-/// What a node knows of the demand that a target's limit is divided by. The
-/// unit of the demand cancels out.
+/// What a node knows of the demand, in requests per second, that a target's
+/// limit is divided by. Without any demand a limit is divided equally.
 struct DemandSplit
 {
   double own = 0;
