Log connections that end without a response

HttpServer now logs idle_connection_closed (idle time, requests served, unread bytes) and request_not_received (reason), and counts both as metrics of the serving node. A close by the caller is told apart by a look at the socket, not by the missing bytes alone.

--- a/src/http/HttpClient.cpp
+++ b/src/http/HttpClient.cpp
@@ -192,12 +192,7 @@
 bool
 HttpConnection::IsClosedOrHasUnreadBytes()
 {
-  char byte = 0;
-  beast::error_code error;
-  auto& socket = this->state->stream.socket();
-  socket.non_blocking(true, error);
-  socket.receive(asio::buffer(&byte, 1), tcp::socket::message_peek, error);
-  return error != asio::error::would_block;
+  return PeekReceived(this->state->stream.socket()) != ReceiveState::kNothing;
 }
 
 void
--- a/src/http/HttpExchange.cpp
+++ b/src/http/HttpExchange.cpp
@@ -1,17 +1,15 @@
 #include "http/HttpExchange.h"
 
-#include <array>
 #include <boost/beast/http.hpp>
 #include <fmt/format.h>
 
 namespace apricottrack {
 
 namespace asio = boost::asio;
-namespace beast = boost::beast;
 namespace http = boost::beast::http;
 using asio::ip::tcp;
 
-HttpExchange::HttpExchange(beast::tcp_stream& aStream,
+HttpExchange::HttpExchange(boost::beast::tcp_stream& aStream,
                            HttpRequest aRequest,
                            Duration aSendTimeout,
                            const bool& aServerCloses)
@@ -96,13 +94,7 @@
 bool
 HttpExchange::IsCallerConnected()
 {
-  std::array<char, 1> byte{};
-  beast::error_code error;
-  auto& socket = this->stream.socket();
-  socket.non_blocking(true, error);
-  const auto size =
-    socket.receive(asio::buffer(byte), tcp::socket::message_peek, error);
-  return error == asio::error::would_block || (!error && size > 0);
+  return PeekReceived(this->stream.socket()) != ReceiveState::kClosed;
 }
 
 void
--- a/src/http/HttpServer.cpp
+++ b/src/http/HttpServer.cpp
@@ -7,6 +7,7 @@
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/beast/http.hpp>
+#include <fmt/format.h>
 
 namespace apricottrack {
 
@@ -44,12 +45,27 @@
   {
   }
 
+  /// IP:PORT of the caller; 0.0.0.0:0 if the connection has failed.
+  std::string Caller() const
+  {
+    boost::system::error_code ignored;
+    const auto endpoint = this->stream.socket().remote_endpoint(ignored);
+    return fmt::format(
+      "{}:{}", endpoint.address().to_string(), endpoint.port());
+  }
+
   beast::tcp_stream stream;
   beast::flat_buffer buffer;
   /// True while a request is being handled or partly received.
   bool busy = false;
   /// True if the caller may expect that a further request is served.
   bool keptOpen = false;
+  /// True if the caller has closed the connection.
+  bool isClosedByCaller = false;
+  /// When the wait for the next request began.
+  Instant idleSince;
+  /// Requests that were received completely.
+  std::int64_t requestCount = 0;
   /// True if a request was rejected that its caller may still be sending.
   bool isRejected = false;
 };
@@ -168,10 +184,26 @@
     .With("over_limit", this->counts.overLimit)
     .With("closed_without_notice", this->counts.closedWithoutNotice)
     .With("closed_with_request", this->counts.closedWithRequest)
+    .With("failed_requests", this->counts.failedRequests)
     .With("failed_responses", this->counts.failedResponses)
     .Info();
 }
 
+void
+HttpServer::ExportCounts(Counters& aCounters) const
+{
+  const std::pair<std::string_view, std::int64_t> metrics[] = {
+    { "connections_over_limit", this->counts.overLimit },
+    { "idle_connections_closed", this->counts.closedWithoutNotice },
+    { "idle_connections_closed_with_request", this->counts.closedWithRequest },
+    { "requests_not_received", this->counts.failedRequests },
+    { "responses_not_written", this->counts.failedResponses },
+  };
+  for (const auto& [name, count] : metrics) {
+    aCounters.Set(name, {}, static_cast<double>(count));
+  }
+}
+
 Task<void>
 HttpServer::AcceptConnections()
 {
@@ -200,7 +232,7 @@
     mayFollow = co_await this->ServeRequest(*aSession);
     aSession->busy = false;
   }
-  this->CountClose(*aSession);
+  this->RecordClose(*aSession);
   boost::system::error_code ignored;
   tcp::socket& socket = aSession->stream.socket();
   if (aSession->isRejected || socket.available(ignored) > 0) {
@@ -214,17 +246,38 @@
 }
 
 void
-HttpServer::CountClose(const Session& aSession)
+HttpServer::RecordClose(const Session& aSession)
 {
-  if (!aSession.keptOpen || !this->stopping) {
+  if (!aSession.keptOpen || aSession.isClosedByCaller) {
     return;
   }
   boost::system::error_code ignored;
+  const auto unread =
+    aSession.buffer.size() + aSession.stream.socket().available(ignored);
   ++this->counts.closedWithoutNotice;
-  if (aSession.buffer.size() > 0 ||
-      aSession.stream.socket().available(ignored) > 0) {
-    ++this->counts.closedWithRequest;
-  }
+  this->counts.closedWithRequest += unread > 0 ? 1 : 0;
+  LogLine("idle_connection_closed")
+    .With("caller", aSession.Caller())
+    .With("stopping", std::int64_t{ this->stopping })
+    .With(
+      "idle_ms",
+      std::int64_t{ (MonotonicNow() - aSession.idleSince) / milliseconds(1) })
+    .With("requests", aSession.requestCount)
+    .With("unread_bytes", static_cast<std::int64_t>(unread))
+    .Info();
+}
+
+void
+HttpServer::RecordFailedRequest(const Session& aSession,
+                                const boost::system::error_code& aError)
+{
+  ++this->counts.failedRequests;
+  LogLine("request_not_received")
+    .With("caller", aSession.Caller())
+    .With("requests", aSession.requestCount)
+    .With("unread_bytes", static_cast<std::int64_t>(aSession.buffer.size()))
+    .With("detail", aError.message())
+    .Info();
 }
 
 Task<bool>
@@ -255,9 +308,11 @@
     }
   }
   if (error) {
+    this->RecordFailedRequest(aSession, error);
     co_await this->RejectRequest(aSession, error);
     co_return false;
   }
+  ++aSession.requestCount;
   HttpExchange exchange(aSession.stream,
                         parser.release(),
                         limits.sendTimeout,
@@ -273,12 +328,14 @@
 HttpServer::WaitForRequest(Session& aSession, Duration aTimeout)
 {
   tcp::socket& socket = aSession.stream.socket();
+  aSession.idleSince = MonotonicNow();
   ReadDeadline deadline(socket, aTimeout);
   co_await socket.async_wait(tcp::socket::wait_read, kAsTuple);
   // Also after the deadline: this process may have been delayed, and a request
   // that has arrived must be answered.
   boost::system::error_code error;
   if (socket.available(error) == 0 || error) {
+    aSession.isClosedByCaller = PeekReceived(socket) == ReceiveState::kClosed;
     co_return false;
   }
   const auto [readError, size] = co_await aSession.stream.async_read_some(
--- a/src/http/HttpServer.h
+++ b/src/http/HttpServer.h
@@ -2,6 +2,7 @@
 #define APRICOTTRACK_HTTP_HTTPSERVER_H
 
 #include "apricottrack/Time.h"
+#include "base/Counters.h"
 #include "http/HttpExchange.h"
 #include "http/HttpTypes.h"
 
@@ -40,11 +41,13 @@
 {
   /// Connections that were closed at once, because of the limit.
   std::int64_t overLimit = 0;
-  /// Connections that were closed while a request could still follow, without a
-  /// response that announced it.
+  /// Connections that this server closed while a request could still follow,
+  /// without a response that announced it.
   std::int64_t closedWithoutNotice = 0;
   /// Of these, connections on which bytes of a request had arrived.
   std::int64_t closedWithRequest = 0;
+  /// Connections that failed while a request was being received.
+  std::int64_t failedRequests = 0;
   /// Responses that could not be written completely.
   std::int64_t failedResponses = 0;
 
@@ -102,6 +105,8 @@
   const HttpServerCounts& Counts() const { return this->counts; }
   /// Logs the counts and the number of open connections.
   void LogCounts() const;
+  /// Sets the metrics of the counts.
+  void ExportCounts(Counters& aCounters) const;
 
   /// Sets the limits. A connection applies them once it starts to wait for its
   /// next request.
@@ -128,9 +133,12 @@
   /// Waits for the first bytes of a request and reads them. Returns false if
   /// none have arrived within `aTimeout`.
   Task<bool> WaitForRequest(Session& aSession, Duration aTimeout);
-  /// Counts a connection that is about to be closed, if its caller does not
-  /// expect that.
-  void CountClose(const Session& aSession);
+  /// Counts and logs a connection that is about to be closed, if its caller
+  /// does not expect that.
+  void RecordClose(const Session& aSession);
+  /// Counts and logs a request that was not received completely.
+  void RecordFailedRequest(const Session& aSession,
+                           const boost::system::error_code& aError);
   static Task<boost::system::error_code> ReceiveRequest(Session& aSession,
                                                         RequestParser& aParser);
   /// Runs the handler. An exception ends the request, but nothing else.
--- a/src/http/HttpTypes.cpp
+++ b/src/http/HttpTypes.cpp
@@ -1,5 +1,6 @@
 #include "http/HttpTypes.h"
 
+#include <array>
 #include <charconv>
 
 namespace apricottrack {
@@ -50,6 +51,21 @@
   return {};
 }
 
+ReceiveState
+PeekReceived(boost::asio::ip::tcp::socket& aSocket)
+{
+  std::array<char, 1> byte{};
+  boost::system::error_code error;
+  aSocket.non_blocking(true, error);
+  const auto size = aSocket.receive(boost::asio::buffer(byte),
+                                    boost::asio::ip::tcp::socket::message_peek,
+                                    error);
+  if (error == boost::asio::error::would_block) {
+    return ReceiveState::kNothing;
+  }
+  return !error && size > 0 ? ReceiveState::kBytes : ReceiveState::kClosed;
+}
+
 HttpResponse
 JsonResponse(unsigned aStatus, std::string aBody)
 {
--- a/src/http/HttpTypes.h
+++ b/src/http/HttpTypes.h
@@ -38,6 +38,19 @@
      const boost::asio::ip::tcp::endpoint& aEndpoint,
      std::string_view aStep);
 
+/// What a socket has received and not yet read.
+enum class ReceiveState
+{
+  kNothing,
+  kBytes,
+  /// The peer has closed the connection, or it has failed.
+  kClosed,
+};
+
+/// Looks at what a socket has received, without waiting or reading it.
+ReceiveState
+PeekReceived(boost::asio::ip::tcp::socket& aSocket);
+
 /// Returns a response with a JSON body.
 HttpResponse
 JsonResponse(unsigned aStatus, std::string aBody);
--- a/src/serving/ServingNode.cpp
+++ b/src/serving/ServingNode.cpp
@@ -369,12 +369,7 @@
     co_return;
   }
   this->context.counters.Set("requests_in_flight", {}, this->context.inFlight);
-  const HttpServerCounts& connections = this->callerServer->Counts();
-  this->context.counters.Set(
-    "connections_over_limit", {}, static_cast<double>(connections.overLimit));
-  this->context.counters.Set("responses_not_written",
-                             {},
-                             static_cast<double>(connections.failedResponses));
+  this->callerServer->ExportCounts(this->context.counters);
   this->context.counters.Set(
     "planner_leads", {}, this->planner.IsPlanner() ? 1 : 0);
   this->context.counters.Set(
