Announce how long an idle connection may be reused, and keep to it

Cause: a node closes a kept connection at its idle timeout, which no response stated, so callers reused connections until the instant of the close and a request could cross it. A change of configuration that lowers the timeout applied from the connection's next wait on, whatever its caller counted on; one that raises it did not apply to connections that were already waiting. A request that arrived between the last look at the socket and the close was read and discarded without a response.

Responses now carry Keep-Alive with four fifths of the idle timeout. A connection stays open for the timeout of its last response or the present one, whichever is longer; after a wake-up without bytes it goes on waiting. A connection that was idle to its end is closed without reading what arrives meanwhile, so that its caller sees that the request was not read. Both request flows use this server.

--- a/src/http/HttpExchange.cpp
+++ b/src/http/HttpExchange.cpp
@@ -1,6 +1,7 @@
 #include "http/HttpExchange.h"
 
 #include <boost/beast/http.hpp>
+#include <chrono>
 #include <fmt/format.h>
 
 namespace apricottrack {
@@ -9,27 +10,48 @@
 namespace http = boost::beast::http;
 using asio::ip::tcp;
 
+namespace {
+
+/// Announced share of the idle timeout. The rest is for the way of a caller's
+/// last request.
+constexpr double kAnnouncedIdleShare = 0.8;
+
+} // namespace
+
 HttpExchange::HttpExchange(boost::beast::tcp_stream& aStream,
                            HttpRequest aRequest,
-                           Duration aSendTimeout,
+                           const HttpServerLimits& aLimits,
                            const bool& aServerCloses)
   : stream(aStream)
   , request(std::move(aRequest))
-  , sendTimeout(aSendTimeout)
+  , limits(aLimits)
   , keepAlive(this->request.keep_alive())
   , serverCloses(aServerCloses)
 {
 }
 
+void
+HttpExchange::SetPersistence(http::fields& aHead)
+{
+  this->keepAlive = this->keepAlive && !this->serverCloses;
+  this->announcedIdleTimeout = this->limits.idleTimeout;
+  const auto announced = std::chrono::floor<std::chrono::seconds>(
+    this->limits.idleTimeout * kAnnouncedIdleShare);
+  if (this->keepAlive && announced > std::chrono::seconds::zero()) {
+    aHead.set(http::field::keep_alive,
+              fmt::format("timeout={}", announced.count()));
+  }
+}
+
 Task<bool>
 HttpExchange::Reply(HttpResponse aResponse)
 {
-  this->keepAlive = this->keepAlive && !this->serverCloses;
+  this->SetPersistence(aResponse);
   aResponse.version(this->request.version());
   aResponse.keep_alive(this->keepAlive);
   aResponse.prepare_payload();
   this->hasStartedResponse = true;
-  this->stream.expires_after(this->sendTimeout);
+  this->stream.expires_after(this->limits.sendTimeout);
   auto [error, size] =
     co_await http::async_write(this->stream, aResponse, kAsTuple);
   co_return this->CheckWritten(error);
@@ -38,7 +60,6 @@
 Task<bool>
 HttpExchange::BeginStream(unsigned aStatus, HttpHeaders aHeaders)
 {
-  this->keepAlive = this->keepAlive && !this->serverCloses;
   http::response<http::empty_body> head;
   head.result(aStatus);
   head.version(11);
@@ -46,10 +67,11 @@
     head.set(name, value);
   }
   head.chunked(true);
+  this->SetPersistence(head);
   head.keep_alive(this->keepAlive);
   this->hasStartedResponse = true;
   http::response_serializer<http::empty_body> serializer(head);
-  this->stream.expires_after(this->sendTimeout);
+  this->stream.expires_after(this->limits.sendTimeout);
   auto [error, size] =
     co_await http::async_write_header(this->stream, serializer, kAsTuple);
   co_return this->CheckWritten(error);
@@ -75,7 +97,7 @@
 Task<bool>
 HttpExchange::Write(std::string aBytes)
 {
-  this->stream.expires_after(this->sendTimeout);
+  this->stream.expires_after(this->limits.sendTimeout);
   auto [error, size] =
     co_await asio::async_write(this->stream, asio::buffer(aBytes), kAsTuple);
   co_return this->CheckWritten(error);
--- a/src/http/HttpExchange.h
+++ b/src/http/HttpExchange.h
@@ -2,6 +2,7 @@
 #define APRICOTTRACK_HTTP_HTTPEXCHANGE_H
 
 #include "apricottrack/Time.h"
+#include "http/HttpServerLimits.h"
 #include "http/HttpTypes.h"
 
 #include <boost/beast/core/tcp_stream.hpp>
@@ -19,7 +20,7 @@
 public:
   HttpExchange(boost::beast::tcp_stream& aStream,
                HttpRequest aRequest,
-               Duration aSendTimeout,
+               const HttpServerLimits& aLimits,
                const bool& aServerCloses);
 
   const HttpRequest& Request() const { return this->request; }
@@ -42,6 +43,10 @@
   /// Returns whether the connection stays open for a further request.
   bool KeepsConnectionOpen() const { return this->keepAlive; }
 
+  /// The idle timeout on which the announcement in the response is based; zero
+  /// before the response.
+  Duration AnnouncedIdleTimeout() const { return this->announcedIdleTimeout; }
+
   /// Why the response could not be written; empty if no write has failed.
   const std::string& WriteError() const { return this->writeError; }
 
@@ -54,13 +59,18 @@
   void NotifyOnDisconnect(std::function<void()> aOnDisconnect);
 
 private:
+  /// Decides whether the connection stays open after the response, and
+  /// announces for how long.
+  void SetPersistence(boost::beast::http::fields& aHead);
   Task<bool> Write(std::string aBytes);
   /// Returns whether a write has succeeded, and closes the connection if not.
   bool CheckWritten(const boost::system::error_code& aError);
 
   boost::beast::tcp_stream& stream;
   HttpRequest request;
-  Duration sendTimeout;
+  /// Those of the server, which may change.
+  const HttpServerLimits& limits;
+  Duration announcedIdleTimeout = Duration::zero();
   bool hasStartedResponse = false;
   bool keepAlive = true;
   /// True once the server closes connections after their next response.
--- a/src/http/HttpServer.cpp
+++ b/src/http/HttpServer.cpp
@@ -64,6 +64,10 @@
   bool isClosedByCaller = false;
   /// When the wait for the next request began.
   Instant idleSince;
+  /// No byte of the next request has been read yet.
+  bool isAwaitingRequest = false;
+  /// HttpExchange::AnnouncedIdleTimeout of the last response.
+  Duration announcedIdleTimeout = Duration::zero();
   /// Requests that were received completely.
   std::int64_t requestCount = 0;
   /// True if a request was rejected that its caller may still be sending.
@@ -235,7 +239,8 @@
   this->RecordClose(*aSession);
   boost::system::error_code ignored;
   tcp::socket& socket = aSession->stream.socket();
-  if (aSession->isRejected || socket.available(ignored) > 0) {
+  if (aSession->isRejected ||
+      (!aSession->isAwaitingRequest && socket.available(ignored) > 0)) {
     // Closing with unread bytes would reset the connection, and the caller
     // might not get the end of its response.
     aSession->busy = true;
@@ -290,11 +295,7 @@
   parser.body_limit(limits.bodyBytes);
   aSession.buffer.max_size(limits.headerBytes + kMaxUnparsedBodyBytes);
   aSession.stream.expires_never();
-  if (aSession.buffer.size() == 0 &&
-      !co_await this->WaitForRequest(
-        aSession,
-        this->stopping ? std::min(limits.idleTimeout, this->lastRequestWait)
-                       : limits.idleTimeout)) {
+  if (aSession.buffer.size() == 0 && !co_await this->WaitForRequest(aSession)) {
     co_return false;
   }
   aSession.busy = true;
@@ -315,32 +316,50 @@
   ++aSession.requestCount;
   HttpExchange exchange(aSession.stream,
                         parser.release(),
-                        limits.sendTimeout,
+                        this->options.limits,
                         this->closeAfterResponse);
   aSession.stream.expires_never();
   co_await this->HandleRequest(exchange);
   this->counts.failedResponses += exchange.WriteError().empty() ? 0 : 1;
   aSession.keptOpen = exchange.KeepsConnectionOpen();
+  aSession.announcedIdleTimeout = exchange.AnnouncedIdleTimeout();
   co_return aSession.keptOpen;
 }
 
+Duration
+HttpServer::IdleTimeoutOf(const Session& aSession) const
+{
+  const Duration timeout =
+    std::max(this->options.limits.idleTimeout, aSession.announcedIdleTimeout);
+  return this->stopping ? std::min(timeout, this->lastRequestWait) : timeout;
+}
+
 Task<bool>
-HttpServer::WaitForRequest(Session& aSession, Duration aTimeout)
+HttpServer::WaitForRequest(Session& aSession)
 {
   tcp::socket& socket = aSession.stream.socket();
   aSession.idleSince = MonotonicNow();
-  ReadDeadline deadline(socket, aTimeout);
-  co_await socket.async_wait(tcp::socket::wait_read, kAsTuple);
-  // Also after the deadline: this process may have been delayed, and a request
-  // that has arrived must be answered.
-  boost::system::error_code error;
-  if (socket.available(error) == 0 || error) {
-    aSession.isClosedByCaller = PeekReceived(socket) == ReceiveState::kClosed;
+  aSession.isAwaitingRequest = true;
+  const auto end = [&] {
+    return aSession.idleSince + this->IdleTimeoutOf(aSession);
+  };
+  ReceiveState state = ReceiveState::kNothing;
+  do {
+    ReadDeadline deadline(socket, end() - MonotonicNow());
+    co_await socket.async_wait(tcp::socket::wait_read, kAsTuple);
+    // Also after the deadline: this process may have been delayed, and a
+    // request that has arrived must be answered.
+    state = PeekReceived(socket);
+  } while (state == ReceiveState::kNothing && MonotonicNow() < end());
+  if (state != ReceiveState::kBytes) {
+    aSession.isClosedByCaller = state == ReceiveState::kClosed;
     co_return false;
   }
+  aSession.isAwaitingRequest = false;
   const auto [readError, size] = co_await aSession.stream.async_read_some(
     aSession.buffer.prepare(kFirstReadBytes), kAsTuple);
   aSession.buffer.commit(size);
+  aSession.isClosedByCaller = !!readError;
   co_return !readError;
 }
 
--- a/src/http/HttpServer.h
+++ b/src/http/HttpServer.h
@@ -17,24 +17,6 @@
 
 namespace apricottrack {
 
-/// Limits on the size and duration of callers' requests. They keep slow or
-/// faulty callers from exhausting memory and connections.
-struct HttpServerLimits
-{
-  /// Maximum size of a request's header.
-  std::uint32_t headerBytes = 16 * 1024;
-  /// Maximum size of a request's body.
-  std::uint64_t bodyBytes = std::uint64_t{ 1024 } * 1024;
-  /// Maximum number of open connections; further ones are closed.
-  std::size_t connections = 4096;
-  /// Maximum time that a connection waits for its next request.
-  Duration idleTimeout = seconds(30);
-  /// Maximum time to receive a complete request, from its first byte.
-  Duration receiveTimeout = seconds(30);
-  /// Maximum time for one write to the caller.
-  Duration sendTimeout = seconds(15);
-};
-
 /// Counts of connections and responses that ended otherwise than callers
 /// expect.
 struct HttpServerCounts
@@ -108,8 +90,8 @@
   /// Sets the metrics of the counts.
   void ExportCounts(Counters& aCounters) const;
 
-  /// Sets the limits. A connection applies them once it starts to wait for its
-  /// next request.
+  /// Sets the limits. A connection applies them from its next request on, but
+  /// stays open for as long as its last response has announced.
   void SetLimits(HttpServerLimits aLimits) { this->options.limits = aLimits; }
 
   /// Closes each connection after its next response, so that callers connect
@@ -131,8 +113,10 @@
   Task<void> ServeConnection(std::shared_ptr<Session> aSession);
   Task<bool> ServeRequest(Session& aSession);
   /// Waits for the first bytes of a request and reads them. Returns false if
-  /// none have arrived within `aTimeout`.
-  Task<bool> WaitForRequest(Session& aSession, Duration aTimeout);
+  /// none have arrived within the idle timeout.
+  Task<bool> WaitForRequest(Session& aSession);
+  /// How long the connection waits for its next request, at present.
+  Duration IdleTimeoutOf(const Session& aSession) const;
   /// Counts and logs a connection that is about to be closed, if its caller
   /// does not expect that.
   void RecordClose(const Session& aSession);
--- a/tests/HttpServerTest.cpp
+++ b/tests/HttpServerTest.cpp
@@ -348,6 +348,53 @@
   CHECK(server->ConnectionCount() == 0);
 }
 
+// Guards against requests that cross the close of an idle connection, because
+// their callers count on another idle timeout than the server.
+TEST_CASE("HttpServer keeps an idle connection for as long as it has announced "
+          "or its limits allow")
+{
+  asio::io_context io{ 1 };
+  HttpServer::Options options = OptionsFor(ServingHarness::FreeAddress(io));
+  const bool isLowered = GENERATE(true, false);
+  options.limits.idleTimeout = milliseconds(isLowered ? 1500 : 200);
+  HttpServer* server = nullptr;
+  options.handler = [&](HttpExchange& aExchange) -> Task<void> {
+    co_await aExchange.BeginStream(200, {});
+    if (isLowered) {
+      server->SetLimits({ .idleTimeout = milliseconds(100) });
+    }
+    co_await aExchange.EndStream();
+  };
+  const std::string address = options.address;
+  const auto owner = *HttpServer::Make(io.get_executor(), std::move(options));
+  server = owner.get();
+  std::string received;
+  asio::co_spawn(
+    io,
+    [&]() -> Task<void> {
+      tcp::socket socket(io);
+      co_await socket.async_connect(*ParseEndpoint(address), kAsTuple);
+      TargetConnection connection(std::move(socket));
+      const std::string request = "GET / HTTP/1.1\r\nHost: h\r\n\r\n";
+      co_await connection.Write(request);
+      co_await connection.ReadRequest();
+      const std::string body = co_await connection.ReadRequest();
+      CHECK(body == "0\r\n\r\n");
+      co_await connection.Wait(milliseconds(100));
+      if (!isLowered) {
+        server->SetLimits({ .idleTimeout = milliseconds(2000) });
+      }
+      co_await connection.Wait(milliseconds(500));
+      co_await connection.Write(request);
+      received = co_await connection.ReadRequest();
+      io.stop();
+    },
+    asio::detached);
+  io.run_for(seconds(5));
+  CHECK(StatusOf(received) == 200);
+  CHECK(server->Counts() == HttpServerCounts{});
+}
+
 // Guards against connections that end without a trace.
 TEST_CASE("HttpServer counts connections that it closes and responses that it "
           "cannot write")
