Use a connection no longer than its target has announced

A target that closes idle connections sooner than after 3 s, and says so in Keep-Alive, got requests that cross its close. One that must not run twice then ends with 502, as it may have run.

The pools of both request flows keep a connection for four fifths of the announced time at most.

--- a/src/http/HttpClient.cpp
+++ b/src/http/HttpClient.cpp
@@ -1,7 +1,9 @@
 #include "http/HttpClient.h"
 
+#include <algorithm>
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
+#include <charconv>
 #include <netinet/tcp.h>
 
 namespace apricottrack {
@@ -22,6 +24,10 @@
 
 /// The kernel closes a connection with unacknowledged data older than this.
 constexpr Duration kUnackedTimeout = seconds(5);
+/// Share of the idle time that a peer announces in which its connection is used
+/// again. The rest is for the way of the request.
+constexpr double kUsedIdleShare = 0.8;
+
 /// Idle time before the kernel's first keep-alive probe, and between probes.
 constexpr int kKeepAliveSeconds = 2;
 
@@ -189,6 +195,31 @@
          this->state->buffer.size() == 0;
 }
 
+std::optional<Duration>
+HttpConnection::AnnouncedIdleTime() const
+{
+  static constexpr std::string_view kTimeout = "timeout=";
+  // Longer ones have no effect on a pool.
+  static constexpr std::int64_t kMaxSeconds = 3600;
+  const auto& parser = this->state->parser;
+  const std::string_view value =
+    parser ? std::string_view(parser->get()[http::field::keep_alive])
+           : std::string_view();
+  const auto position = value.find(kTimeout);
+  if (position == std::string_view::npos) {
+    return std::nullopt;
+  }
+  const std::string_view number = value.substr(position + kTimeout.size());
+  std::int64_t announced = 0;
+  const auto parsed =
+    std::from_chars(number.data(), number.data() + number.size(), announced);
+  if (parsed.ec != std::errc{} || announced < 0) {
+    return std::nullopt;
+  }
+  return std::chrono::duration_cast<Duration>(
+    seconds(std::min(announced, kMaxSeconds)) * kUsedIdleShare);
+}
+
 bool
 HttpConnection::IsClosedOrHasUnreadBytes()
 {
@@ -226,8 +257,7 @@
        it != this->idleConnections.end();) {
     // The oldest connection is the first.
     auto& queue = it->second;
-    while (!queue.empty() &&
-           aNow - queue.front().idleSince > this->options.idleTimeout) {
+    while (!queue.empty() && aNow > queue.front().expiresAt) {
       queue.pop_front();
     }
     it = queue.empty() ? this->idleConnections.erase(it) : std::next(it);
@@ -243,12 +273,8 @@
   while (found != this->idleConnections.end() && !found->second.empty()) {
     IdleConnection newest = std::move(found->second.back());
     found->second.pop_back();
-    if (aNow - newest.idleSince > this->options.idleTimeout) {
-      // The remaining connections have been idle for even longer.
-      found->second.clear();
-      break;
-    }
-    if (!newest.connection->IsClosedOrHasUnreadBytes()) {
+    if (aNow <= newest.expiresAt &&
+        !newest.connection->IsClosedOrHasUnreadBytes()) {
       return std::move(newest.connection);
     }
   }
@@ -287,8 +313,11 @@
   if (queue.size() >= this->options.idlePerAddress) {
     queue.pop_front();
   }
-  queue.push_back(
-    IdleConnection{ .connection = std::move(aConnection), .idleSince = aNow });
+  const Duration idleTime =
+    std::min(this->options.idleTimeout,
+             aConnection->AnnouncedIdleTime().value_or(Duration::max()));
+  queue.push_back(IdleConnection{ .connection = std::move(aConnection),
+                                  .expiresAt = aNow + idleTime });
 }
 
 namespace {
--- a/src/http/HttpClient.h
+++ b/src/http/HttpClient.h
@@ -47,6 +47,10 @@
   /// another request.
   bool IsReusable() const;
 
+  /// How long the connection may be idle before it is used again, as the last
+  /// response announced it; nothing without an announcement.
+  std::optional<Duration> AnnouncedIdleTime() const;
+
   /// Returns whether an idle connection was closed by the peer or has unread
   /// bytes. Those belong to no request, and a later request would take them for
   /// its response, so the connection must not be used again.
@@ -73,8 +77,9 @@
   {
     /// Maximum number of idle connections per address.
     std::size_t idlePerAddress = 64;
-    /// A connection that was idle for longer is not used again, and closed
-    /// when the pool is next used for any address.
+    /// A connection that was idle for longer, or for longer than its peer has
+    /// announced, is not used again, and closed when the pool is next used for
+    /// any address.
     Duration idleTimeout = seconds(20);
     Duration connectTimeout = seconds(1);
   };
@@ -103,7 +108,7 @@
   struct IdleConnection
   {
     std::unique_ptr<HttpConnection> connection;
-    Instant idleSince;
+    Instant expiresAt;
   };
 
   /// Closes the connections to all addresses that were idle for too long.
