Probe a target on several connections before it counts as lost

Cause: after a missed report one more probe on a new connection decided, with a timeout below TCP's repetition of a lost packet. The planner then replaced the target and ordered the other members to join again, which ends their streams.

A missed report is now confirmed on three connections at once, without taking longer.

--- a/src/serving/PlannerCalls.cpp
+++ b/src/serving/PlannerCalls.cpp
@@ -1,4 +1,5 @@
 #include "base/Log.h"
+#include "http/ParallelFetch.h"
 #include "serving/PlannerTask.h"
 
 #include <algorithm>
@@ -155,11 +156,13 @@
   this->context.counters.Add("report_calls");
   if (aUrgent) {
     // A kept connection may have failed although the target has not.
-    reply =
-      co_await FetchOnNewConnection(this->pool,
-                                    aAddress,
-                                    std::move(request),
-                                    { .timeout = this->options.urgentTimeout });
+    const bool isConfirming = this->probes[aTarget].missedReports > 0;
+    reply = co_await FetchOnAnyConnection(
+      this->pool,
+      aAddress,
+      std::move(request),
+      { .timeout = this->options.urgentTimeout },
+      isConfirming ? this->options.confirmingConnections : 1);
   } else {
     reply = co_await Fetch(this->pool,
                            aAddress,
--- a/src/serving/PlannerTask.h
+++ b/src/serving/PlannerTask.h
@@ -45,6 +45,9 @@
     /// The same for a target that is suspected lost: its replica stays stalled
     /// until the loss is detected.
     Duration urgentTimeout = milliseconds(80);
+    /// Connections on which a target is probed at once after a missed report.
+    /// With one, a lost packet alone makes a sound target unresponsive.
+    int confirmingConnections = 3;
     /// Timeout of an order; targets reply before they carry it out.
     Duration orderTimeout = milliseconds(300);
     /// A report that fails this much later than its timeout indicates a delay
@@ -195,8 +198,8 @@
                   const std::string& aAddress,
                   bool aUrgent,
                   Instant aNow);
-  /// Requests a report from the target; an urgent one on a new connection and
-  /// with `urgentTimeout`.
+  /// Requests a report from the target; an urgent one on a new connection, or
+  /// several after a missed report, and with `urgentTimeout`.
   Task<Result<TargetReport>> FetchReport(std::string aTarget,
                                          std::string aAddress,
                                          bool aUrgent);
