Let members leave a replica that a late order may open again

Cause: an order without a reply may be carried out seconds later, after newer ones. An order to open names its list of members, in which the head still is after a close, so a late copy opens the closed replica again. The planner took one observation of the open head for the end of all copies, and did not look at donors of a conversion at all. Besides, an order on a pooled connection that gets no reply is sent again on a new connection, and the planner knew of the last reply only.

Change: OpenOrders counts, per list of members, the orders to open that were sent and replied to. Members of a list whose head may still be opened leave it before they join another replica; idle targets and donors go by the same rule. Orders are sent once per transmission, and order_sent_again logs the second one. Adopted lists count as open to earlier orders until the head has replied to an order of this planner. Replicas whose orders had replies are treated as before.

Result: the first two FleetLateOrderTest cases failed before the change (joins of members whose head was open) and pass now; the third fails if the second transmission is not recorded.

Run: the FleetPlanner, OpenOrders, HttpClient, HttpConnectionPool, RoundIndex and IssuedOrders tests. Not run: the other unit tests and the whole-path tests.

--- a/src/http/HttpClient.cpp
+++ b/src/http/HttpClient.cpp
@@ -348,25 +348,40 @@
 
 } // namespace
 
+Task<std::optional<Result<HttpResponse>>>
+FetchOnIdleConnection(HttpConnectionPool& aPool,
+                      std::string aAddress,
+                      HttpRequest aRequest,
+                      FetchLimits aLimits)
+{
+  aRequest.version(11);
+  aRequest.set(http::field::host, aAddress);
+  auto connection = aPool.TakeIdleConnection(aAddress, MonotonicNow());
+  if (connection == nullptr) {
+    co_return std::nullopt;
+  }
+  auto response =
+    co_await FetchOnConnection(*connection, std::move(aRequest), aLimits);
+  if (response) {
+    aPool.ReturnConnection(std::move(connection), MonotonicNow());
+  } else if (response.error().code == ErrorCode::kTimeout) {
+    // The cause, such as a lost route, probably affects the other idle
+    // connections to this address as well.
+    aPool.CloseIdleConnections(aAddress);
+  }
+  co_return response;
+}
+
 Task<Result<HttpResponse>>
 Fetch(HttpConnectionPool& aPool,
       std::string aAddress,
       HttpRequest aRequest,
       FetchLimits aLimits)
 {
-  aRequest.version(11);
-  aRequest.set(http::field::host, aAddress);
-  if (auto connection = aPool.TakeIdleConnection(aAddress, MonotonicNow())) {
-    auto response = co_await FetchOnConnection(*connection, aRequest, aLimits);
-    if (response) {
-      aPool.ReturnConnection(std::move(connection), MonotonicNow());
-      co_return response;
-    }
-    if (response.error().code == ErrorCode::kTimeout) {
-      // The cause, such as a lost route, probably affects the other idle
-      // connections to this address as well.
-      aPool.CloseIdleConnections(aAddress);
-    }
+  auto response =
+    co_await FetchOnIdleConnection(aPool, aAddress, aRequest, aLimits);
+  if (response && *response) {
+    co_return std::move(*response);
   }
   co_return co_await FetchOnNewConnection(
     aPool, std::move(aAddress), std::move(aRequest), aLimits);
--- a/src/http/HttpClient.h
+++ b/src/http/HttpClient.h
@@ -141,6 +141,15 @@
       HttpRequest aRequest,
       FetchLimits aLimits);
 
+/// Sends a request once, over a pooled connection, and receives the complete
+/// response, with the same limits as Fetch. Returns nullopt, with nothing sent,
+/// if the pool has none.
+Task<std::optional<Result<HttpResponse>>>
+FetchOnIdleConnection(HttpConnectionPool& aPool,
+                      std::string aAddress,
+                      HttpRequest aRequest,
+                      FetchLimits aLimits);
+
 /// Sends a request once, over a new connection, and receives the complete
 /// response, with the same limits as Fetch. The connection then joins the pool.
 Task<Result<HttpResponse>>
--- a/src/replicas/FleetConversions.cpp
+++ b/src/replicas/FleetConversions.cpp
@@ -30,17 +30,40 @@
                        return aEntry.second.recipient == aReplica.name &&
                               aEntry.second.phase == ReplicaPhase::kClosing &&
                               !aReplica.nextModel.empty() &&
-                              !this->HasStopped(aEntry.second);
+                              (!this->HasStopped(aEntry.second) ||
+                               this->MustBeLeft(aEntry.second));
                      });
 }
 
 bool
-FleetPlanningRound::HasReadyHead(const PlannedReplica& aReplica) const
+FleetPlanningRound::MustLeave(const PlannedReplica& aReplica,
+                              const std::string& aId) const
 {
-  const Membership* const head =
-    this->CurrentMembership(aReplica, aReplica.members.front());
-  return head != nullptr && head->state == MemberState::kReady &&
-         !this->FindTarget(aReplica.members.front())->unresponsive;
+  return this->IsUsable(aId) &&
+         this->CurrentMembership(aReplica, aId) != nullptr &&
+         this->planner.openOrders.MayTakeEffect(KeyOf(aReplica));
+}
+
+bool
+FleetPlanningRound::MustBeLeft(const PlannedReplica& aReplica) const
+{
+  return std::any_of(
+    aReplica.members.begin(), aReplica.members.end(), [&](const auto& aId) {
+      return this->MustLeave(aReplica, aId);
+    });
+}
+
+void
+FleetPlanningRound::OrderDonorToLeave(const PlannedReplica& aReplica)
+{
+  for (const std::string& id : aReplica.members) {
+    const auto preparation = this->planner.preparations.find(id);
+    const bool isOrdered = preparation != this->planner.preparations.end() &&
+                           preparation->second.leaves;
+    if (this->MustLeave(aReplica, id) && !isOrdered) {
+      this->OrderLeave(this->FindTarget(id)->record);
+    }
+  }
 }
 
 bool
@@ -187,9 +210,14 @@
   };
   addMembers(this->IdleTargetsIn(aReplica.domain, model->name));
   for (const auto& [name, donor] : this->planner.replicas) {
-    if (donor.recipient == aReplica.name && this->HasReadyHead(donor)) {
-      addMembers(this->UsableMembersFor(donor, *model));
+    if (donor.recipient != aReplica.name) {
+      continue;
     }
+    std::vector<std::string> donated = this->UsableMembersFor(donor, *model);
+    std::erase_if(donated, [&](const std::string& aId) {
+      return !this->MayJoinAnotherReplica(this->FindTarget(aId)->record);
+    });
+    addMembers(donated);
   }
   const auto size = static_cast<std::size_t>(model->size);
   if (members.size() < size) {
--- a/src/replicas/FleetPlanner.cpp
+++ b/src/replicas/FleetPlanner.cpp
@@ -7,6 +7,17 @@
 
 namespace apricottrack {
 
+namespace {
+
+/// Returns, as NAME/EPOCH, the list of members that the order names.
+std::string
+ListOf(const ReplicaOrder& aOrder)
+{
+  return ReplicaKey({ .replica = aOrder.replica, .epoch = aOrder.epoch });
+}
+
+} // namespace
+
 FleetPlanner::FleetPlanner(Options aOptions, EpochSource aNextEpoch)
   : options(aOptions)
   , nextEpoch(std::move(aNextEpoch))
@@ -19,6 +30,38 @@
   return FleetPlanningRound(*this, aView, aNow).Run();
 }
 
+void
+FleetPlanner::OnReply(const ReplicaOrder& aOrder, OrderReply aReply)
+{
+  const std::string list = ListOf(aOrder);
+  if (aOrder.kind == OrderKind::kOpen) {
+    this->openOrders.OnReply(list);
+  }
+  const bool isForHead = aOrder.kind == OrderKind::kOpen ||
+                         aOrder.kind == OrderKind::kCloseNow ||
+                         aOrder.kind == OrderKind::kCloseGently;
+  if (isForHead &&
+      (aReply == OrderReply::kAccepted || aReply == OrderReply::kUnfit)) {
+    this->openOrders.OnFenced(list);
+  }
+}
+
+void
+FleetPlanner::OnNotSent(const ReplicaOrder& aOrder)
+{
+  if (aOrder.kind == OrderKind::kOpen) {
+    this->openOrders.OnReply(ListOf(aOrder));
+  }
+}
+
+void
+FleetPlanner::OnSentAgain(const ReplicaOrder& aOrder)
+{
+  if (aOrder.kind == OrderKind::kOpen) {
+    this->openOrders.OnSent(ListOf(aOrder));
+  }
+}
+
 void
 FleetPlanner::OnNoReply(ReplicaOrder aOrder)
 {
--- a/src/replicas/FleetPlanner.h
+++ b/src/replicas/FleetPlanner.h
@@ -5,6 +5,7 @@
 #include "engine/ReplicaBudget.h"
 #include "fleet/TargetRecord.h"
 #include "replicas/LoadLimiter.h"
+#include "replicas/OpenOrders.h"
 #include "replicas/ReplicaOrder.h"
 
 #include <functional>
@@ -95,9 +96,6 @@
   ReplicaPhase phase = ReplicaPhase::kJoining;
   /// Start of the phase, or when its order was last repeated.
   Instant phaseSince;
-  /// The head was ordered to serve but has not been observed serving, so it may
-  /// still start.
-  bool openPending = false;
   /// Model that the replica serves after its conversion or its repair from
   /// donors; empty otherwise.
   std::string nextModel;
@@ -166,6 +164,16 @@
   std::vector<ReplicaOrder> PlanRound(const FleetPlannerView& aView,
                                       Instant aNow);
 
+  /// Records a target's reply other than `OrderReply::kUnknown`.
+  void OnReply(const ReplicaOrder& aOrder, OrderReply aReply);
+
+  /// Records that an order did not reach its target.
+  void OnNotSent(const ReplicaOrder& aOrder);
+
+  /// Records that an order without a reply was sent once more, so that the
+  /// target may carry it out twice.
+  void OnSentAgain(const ReplicaOrder& aOrder);
+
   /// Records that the target did not reply to an order, which it may or may not
   /// carry out. The next round repeats a join that the plan still needs; other
   /// orders are repeated after `Options::orderMargin`.
@@ -211,6 +219,7 @@
     Instant until;
     /// Model that the target will hold; empty for staging and leaving.
     std::string model;
+    bool leaves = false;
   };
   /// By target id. Members of serving replicas are included while they stage.
   std::map<std::string, Preparation, std::less<>> preparations;
@@ -219,8 +228,7 @@
   /// NAME/EPOCH of lists of members that this planner gave up, so that it does
   /// not adopt them as another planner's.
   std::set<std::string> retiredMemberLists;
-  /// The retired lists, as NAME/EPOCH, whose heads may still start to serve.
-  std::set<std::string> retiredListsWithPendingOpen;
+  OpenOrders openOrders;
   /// Model that a target last held. It joins a replica of that model quickly,
   /// unless its process has restarted since.
   struct LastModel
--- a/src/replicas/FleetPlanningRound.cpp
+++ b/src/replicas/FleetPlanningRound.cpp
@@ -106,7 +106,10 @@
     return !referencedKeys.contains(aKey);
   };
   std::erase_if(this->planner.retiredMemberLists, isUnreferenced);
-  std::erase_if(this->planner.retiredListsWithPendingOpen, isUnreferenced);
+  for (const auto& [name, replica] : this->planner.replicas) {
+    referencedKeys.insert(KeyOf(replica));
+  }
+  this->planner.openOrders.KeepOnly(referencedKeys);
   std::erase_if(this->planner.lastModels, [&](const auto& aEntry) {
     return !this->view.members.contains(aEntry.first);
   });
@@ -139,8 +142,7 @@
     const MemberState state = reported.head == nullptr
                                 ? MemberState::kNone
                                 : reported.head->membership->state;
-    // The previous planner may have ordered the head to serve already.
-    replica.openPending = state == MemberState::kReady;
+    this->planner.openOrders.OnAdopted(KeyOf(replica));
     // A broken replica is adopted as serving, so that AdvanceServing repairs
     // it.
     if (state == MemberState::kOpen || state == MemberState::kBroken) {
@@ -307,9 +309,7 @@
   }
   if (this->AreAllMembersReady(aReplica)) {
     aReplica.phase = ReplicaPhase::kOpening;
-    aReplica.phaseSince = this->now;
-    aReplica.openPending = true;
-    this->IssueOrder(OrderKind::kOpen, aReplica, aReplica.members.front());
+    this->OrderOpen(aReplica);
     return;
   }
   Duration expected = Duration::zero();
@@ -325,6 +325,14 @@
   }
 }
 
+void
+FleetPlanningRound::OrderOpen(PlannedReplica& aReplica)
+{
+  aReplica.phaseSince = this->now;
+  this->planner.openOrders.OnSent(KeyOf(aReplica));
+  this->IssueOrder(OrderKind::kOpen, aReplica, aReplica.members.front());
+}
+
 void
 FleetPlanningRound::RepeatUnansweredJoins()
 {
@@ -352,13 +360,12 @@
   const Membership* const head =
     this->CurrentMembership(aReplica, aReplica.members.front());
   if (head->state == MemberState::kOpen) {
-    aReplica.openPending = false;
+    this->planner.openOrders.OnObservedOpen(KeyOf(aReplica));
     aReplica.phase = ReplicaPhase::kServing;
     aReplica.phaseSince = this->now;
   } else if (this->now - aReplica.phaseSince >
              this->engine.openTime + this->planner.options.orderMargin) {
-    aReplica.phaseSince = this->now;
-    this->IssueOrder(OrderKind::kOpen, aReplica, aReplica.members.front());
+    this->OrderOpen(aReplica);
   }
 }
 
@@ -404,8 +411,11 @@
     this->HurryClosing(aReplica);
     return false;
   }
-  if (this->IsAwaitingDonors(aReplica) ||
-      this->IsAwaitedByRecipient(aReplica)) {
+  if (this->IsAwaitedByRecipient(aReplica)) {
+    this->OrderDonorToLeave(aReplica);
+    return false;
+  }
+  if (this->IsAwaitingDonors(aReplica)) {
     return false;
   }
   if (!aReplica.recipient.empty()) {
@@ -429,16 +439,14 @@
 void
 FleetPlanningRound::MarkBroken(const PlannedReplica& aReplica)
 {
-  const Membership list{ .replica = aReplica.name, .epoch = aReplica.epoch };
-  this->planner.brokenUntil[ReplicaKey(list)] =
+  this->planner.brokenUntil[KeyOf(aReplica)] =
     this->now + this->planner.options.brokenReportDuration;
 }
 
 void
 FleetPlanningRound::ClearBroken(const PlannedReplica& aReplica)
 {
-  this->planner.brokenUntil.erase(
-    ReplicaKey({ .replica = aReplica.name, .epoch = aReplica.epoch }));
+  this->planner.brokenUntil.erase(KeyOf(aReplica));
 }
 
 void
@@ -451,7 +459,6 @@
   aReplica.epoch = this->planner.nextEpoch();
   aReplica.phase = ReplicaPhase::kJoining;
   aReplica.phaseSince = this->now;
-  aReplica.openPending = false;
   this->OrderJoins(aReplica, false);
 }
 
--- a/src/replicas/FleetPlanningRound.h
+++ b/src/replicas/FleetPlanningRound.h
@@ -15,6 +15,13 @@
 /// which loads a model and never serves.
 inline constexpr std::string_view kSparePrefix = "spare-";
 
+/// Returns, as NAME/EPOCH, the current list of members.
+inline std::string
+KeyOf(const PlannedReplica& aReplica)
+{
+  return ReplicaKey({ .replica = aReplica.name, .epoch = aReplica.epoch });
+}
+
 /// One planning round of a FleetPlanner. Lives for one call of `Run`, reads the
 /// view and updates the planner's state.
 class FleetPlanningRound
@@ -103,6 +110,8 @@
   void AdvanceJoining(PlannedReplica& aReplica);
   void AdvanceOpening(PlannedReplica& aReplica);
   void AdvanceServing(PlannedReplica& aReplica);
+  /// Orders the head to serve.
+  void OrderOpen(PlannedReplica& aReplica);
   /// Repeats the joins without a reply whose replicas still wait for them.
   void RepeatUnansweredJoins();
   /// Returns true if the replica ended and is to be removed from the plan.
@@ -139,11 +148,16 @@
   bool IsIdle(const PlannerMember& aMember) const;
   /// Returns true if the target has joined, the head of its list of members
   /// reports kReady, which means that it does not serve, and no open order to
-  /// the head is outstanding.
+  /// the head may still take effect.
   bool HasReadyHead(const Membership& aMembership) const;
+  /// Returns true if the target is in no replica or HasReadyHead holds. A
+  /// target that joins another replica makes its former one unable to serve.
+  bool MayJoinAnotherReplica(const TargetRecord& aRecord) const;
   /// Orders targets to leave replicas that are no longer planned or that
   /// continue without them.
   void ReleaseOrphanedTargets();
+  /// Orders the target to leave its replica.
+  void OrderLeave(const TargetRecord& aRecord);
 
   /// Returns true if a new target appeared within the last
   /// `Options::arrivalQuietTime`; before traffic only. Records arrivals.
@@ -228,10 +242,15 @@
   /// requests in the current epoch, or is gone or, unless MustFinishWork,
   /// unresponsive.
   bool HasStopped(const PlannedReplica& aReplica) const;
-  /// Returns true if the head responds and reports kReady, which means that it
-  /// does not serve.
-  bool HasReadyHead(const PlannedReplica& aReplica) const;
-  /// Returns true while a donor of this replica has not stopped serving.
+  /// Returns true if the target is a usable member of the replica, whose head
+  /// may still start to serve by an order without a reply.
+  bool MustLeave(const PlannedReplica& aReplica, const std::string& aId) const;
+  /// Returns true if MustLeave holds for a member.
+  bool MustBeLeft(const PlannedReplica& aReplica) const;
+  /// Orders the members to leave for which MustLeave holds.
+  void OrderDonorToLeave(const PlannedReplica& aReplica);
+  /// Returns true while a donor of this replica has not stopped serving, or its
+  /// members must leave it first.
   bool IsAwaitingDonors(const PlannedReplica& aReplica) const;
   /// Returns true while the replica that receives the members of this one still
   /// waits for them.
--- a/src/replicas/FleetRepair.cpp
+++ b/src/replicas/FleetRepair.cpp
@@ -153,12 +153,7 @@
 void
 FleetPlanningRound::RetireMemberList(const PlannedReplica& aReplica)
 {
-  const std::string key =
-    ReplicaKey({ .replica = aReplica.name, .epoch = aReplica.epoch });
-  this->planner.retiredMemberLists.insert(key);
-  if (aReplica.openPending) {
-    this->planner.retiredListsWithPendingOpen.insert(key);
-  }
+  this->planner.retiredMemberLists.insert(KeyOf(aReplica));
 }
 
 } // namespace apricottrack
--- a/src/replicas/FleetSpares.cpp
+++ b/src/replicas/FleetSpares.cpp
@@ -10,18 +10,22 @@
 FleetPlanningRound::HasReadyHead(const Membership& aMembership) const
 {
   return aMembership.state != MemberState::kJoining &&
-         !this->planner.retiredListsWithPendingOpen.contains(
-           ReplicaKey(aMembership)) &&
+         !this->planner.openOrders.MayTakeEffect(ReplicaKey(aMembership)) &&
          this->index.HeadState(aMembership) == MemberState::kReady;
 }
 
+bool
+FleetPlanningRound::MayJoinAnotherReplica(const TargetRecord& aRecord) const
+{
+  return !aRecord.membership || this->HasReadyHead(*aRecord.membership);
+}
+
 bool
 FleetPlanningRound::IsIdle(const PlannerMember& aMember) const
 {
-  const auto& membership = aMember.record.membership;
   return aMember.IsUsable() && (aMember.reported || this->view.beforeTraffic) &&
          !this->index.IsPlanned(aMember.record.id) &&
-         (!membership || this->HasReadyHead(*membership));
+         this->MayJoinAnotherReplica(aMember.record);
 }
 
 void
@@ -39,18 +43,26 @@
         this->FinishesOrphanedWork(member)) {
       continue;
     }
-    const PlannedReplica orphaned{ .name = membership->replica,
-                                   .model = member.record.model,
-                                   .domain = member.record.fabricDomain,
-                                   .epoch = membership->epoch,
-                                   .members = { id } };
-    this->planner.preparations[id] = {
-      .until = this->now + this->planner.options.orderMargin, .model = {}
-    };
-    this->IssueOrder(OrderKind::kLeave, orphaned, id);
+    this->OrderLeave(member.record);
   }
 }
 
+void
+FleetPlanningRound::OrderLeave(const TargetRecord& aRecord)
+{
+  const PlannedReplica left{ .name = aRecord.membership->replica,
+                             .model = aRecord.model,
+                             .domain = aRecord.fabricDomain,
+                             .epoch = aRecord.membership->epoch,
+                             .members = { aRecord.id } };
+  this->planner.preparations[aRecord.id] = {
+    .until = this->now + this->planner.options.orderMargin,
+    .model = {},
+    .leaves = true
+  };
+  this->IssueOrder(OrderKind::kLeave, left, aRecord.id);
+}
+
 bool
 FleetPlanningRound::IsIdleFor(const PlannerMember& aMember,
                               std::string_view aModel) const
--- a/src/serving/PlannerCalls.cpp
+++ b/src/serving/PlannerCalls.cpp
@@ -216,14 +216,39 @@
   }
 }
 
+Task<Result<HttpResponse>>
+PlannerTask::SendOrder(ReplicaOrder aOrder)
+{
+  const HttpRequest request = this->context.protocol.MakeOrder(aOrder);
+  const FetchLimits limits{ .timeout = this->options.orderTimeout };
+  auto reply =
+    co_await FetchOnIdleConnection(this->pool, aOrder.address, request, limits);
+  if (reply && *reply) {
+    co_return std::move(*reply);
+  }
+  if (reply) {
+    this->context.counters.Add("orders_sent_again",
+                               { { "kind", OrderKindName(aOrder.kind) } });
+    LogLine("order_sent_again")
+      .With("kind", OrderKindName(aOrder.kind))
+      .With("target", aOrder.target)
+      .With("replica", aOrder.replica)
+      .With("epoch", aOrder.epoch)
+      .With(reply->error())
+      .Info();
+    for (const auto& [service, planner] : this->planners) {
+      planner->OnSentAgain(aOrder);
+    }
+  }
+  co_return co_await FetchOnNewConnection(
+    this->pool, aOrder.address, request, limits);
+}
+
 Task<void>
 PlannerTask::IssueOrder(ReplicaOrder aOrder)
 {
   this->issuedOrders.OnIssued(aOrder);
-  const auto reply = co_await Fetch(this->pool,
-                                    aOrder.address,
-                                    this->context.protocol.MakeOrder(aOrder),
-                                    { .timeout = this->options.orderTimeout });
+  const auto reply = co_await this->SendOrder(aOrder);
   const OrderReply orderReply =
     reply ? this->context.protocol.ReadOrderReply(*reply)
           : OrderReply::kUnknown;
@@ -243,8 +268,12 @@
   if (aOrder.fencingToken != this->fencingToken) {
     co_return;
   }
-  if (!reply && reply.error().code == ErrorCode::kTimeout) {
-    for (const auto& [service, planner] : this->planners) {
+  for (const auto& [service, planner] : this->planners) {
+    if (orderReply != OrderReply::kUnknown) {
+      planner->OnReply(aOrder, orderReply);
+    } else if (!reply && reply.error().code == ErrorCode::kUnreachable) {
+      planner->OnNotSent(aOrder);
+    } else if (!reply && reply.error().code == ErrorCode::kTimeout) {
       planner->OnNoReply(aOrder);
     }
   }
--- a/src/serving/PlannerTask.h
+++ b/src/serving/PlannerTask.h
@@ -208,8 +208,11 @@
   Task<void> ProbeTarget(std::string aTarget,
                          std::string aAddress,
                          bool aUrgent);
-  /// Sends the order and logs the reply. Stops planning if the target refused
-  /// it for a newer fencing token; without a reply, tells the FleetPlanner.
+  /// Sends the order, once more on a new connection if it has no reply on a
+  /// pooled one. The target may then carry out both, so tells the FleetPlanner.
+  Task<Result<HttpResponse>> SendOrder(ReplicaOrder aOrder);
+  /// Sends the order, logs the reply and tells the FleetPlanner of the outcome.
+  /// Stops planning if the target refused it for a newer fencing token.
   Task<void> IssueOrder(ReplicaOrder aOrder);
   /// Stops planning, because a target refused an order for a newer fencing
   /// token.
--- a/tests/FakeFleet.h
+++ b/tests/FakeFleet.h
@@ -70,6 +70,13 @@
     }
   }
 
+  /// Delays open orders that the targets may carry out once more.
+  void DelayOpens(const std::vector<ReplicaOrder>& aOrders)
+  {
+    this->delayedOpens.insert(
+      this->delayedOpens.end(), aOrders.begin(), aOrders.end());
+  }
+
   /// Executes the delayed open orders that still match the target's membership.
   void ExecuteDelayedOpens()
   {
--- /dev/null
+++ b/tests/FleetLateOrderTest.cpp
@@ -0,0 +1,157 @@
+#include "FakeFleet.h"
+
+#include <catch2/catch.hpp>
+
+using namespace apricottrack;
+
+namespace {
+
+/// Opens the replicas with a second order to each head; the first one has no
+/// effect yet.
+void
+OpenWithSecondOrder(FakeFleet& aFleet, FleetPlanner& aPlanner, Instant& aNow)
+{
+  const auto isAnyOpening = [&] {
+    return aPlanner.CountReplicas("large", ReplicaPhase::kOpening) +
+             aPlanner.CountReplicas("small", ReplicaPhase::kOpening) >
+           0;
+  };
+  aFleet.delayOpens = true;
+  for (int i = 0; i < 100 && !isAnyOpening(); ++i, aNow += milliseconds(50)) {
+    aFleet.Execute(aPlanner.PlanRound(aFleet.View(true), aNow));
+  }
+  aFleet.delayOpens = false;
+  aFleet.RunUntilIdle(aPlanner, aNow, true);
+}
+
+/// Runs planning rounds in which the delayed orders to open are carried out
+/// right before the joins of the same round.
+void
+RunWithLateOpens(FakeFleet& aFleet, FleetPlanner& aPlanner, Instant& aNow)
+{
+  for (int i = 0; i < 100; ++i, aNow += milliseconds(50)) {
+    auto orders = aPlanner.PlanRound(aFleet.View(), aNow);
+    const auto joins = std::stable_partition(
+      orders.begin(), orders.end(), [](const ReplicaOrder& aOrder) {
+        return aOrder.kind != OrderKind::kJoin;
+      });
+    aFleet.Execute({ orders.begin(), joins });
+    if (joins != orders.end()) {
+      aFleet.ExecuteDelayedOpens();
+    }
+    aFleet.Execute({ joins, orders.end() });
+  }
+}
+
+ModelDemand
+MakeDemand(double aRequestsPerSecond)
+{
+  return { .requests = aRequestsPerSecond,
+           .promptTokens = aRequestsPerSecond * 700,
+           .outputTokens = aRequestsPerSecond * 200 };
+}
+
+} // namespace
+
+// Guards against members that join another replica while their head serves
+// again by an order that was repeated before the head was closed.
+TEST_CASE("FleetPlanner moves no members of a closed replica whose head may "
+          "carry out an earlier order to open")
+{
+  FakeFleet fleet(7);
+  FleetPlanner planner = MakePlanner(1);
+  Instant now = kStart;
+  OpenWithSecondOrder(fleet, planner, now);
+  REQUIRE(CountServing(planner) == 2);
+  for (const auto& [name, replica] : planner.Replicas()) {
+    fleet.members.at(replica.members.back()).unresponsive = true;
+  }
+  RunWithLateOpens(fleet, planner, now);
+  CHECK(CountServing(planner) == 1);
+  CHECK(fleet.violations.empty());
+}
+
+TEST_CASE("FleetPlanner takes no members from a closed donor whose head may "
+          "carry out an earlier order to open")
+{
+  FakeFleet fleet(14);
+  fleet.service.engine->models = {
+    { .name = "large", .size = 8, .share = 0.5, .loadTime = seconds(16) },
+    { .name = "small", .size = 3, .share = 0.5, .loadTime = seconds(12) },
+  };
+  FleetPlanner planner = MakePlanner(1);
+  Instant now = kStart;
+  OpenWithSecondOrder(fleet, planner, now);
+  REQUIRE(planner.CountReplicas("large", ReplicaPhase::kServing) == 1);
+  REQUIRE(planner.CountReplicas("small", ReplicaPhase::kServing) == 2);
+  for (auto& [id, member] : fleet.members) {
+    member.record.stagedModels = { "large", "small" };
+  }
+  fleet.demands = { { "large", MakeDemand(60) }, { "small", MakeDemand(0.5) } };
+  for (const auto& [name, replica] : planner.Replicas()) {
+    if (replica.model == "large") {
+      fleet.members.at(replica.members.back()).unresponsive = true;
+    }
+  }
+  RunWithLateOpens(fleet, planner, now);
+  CHECK(planner.CountReplicas("large", ReplicaPhase::kServing) == 1);
+  CHECK(fleet.violations.empty());
+}
+
+// Guards against the same where the first transmission of an order had no reply
+// and only the second one did.
+TEST_CASE("FleetPlanner takes an order to open that was sent twice and replied "
+          "to once for outstanding")
+{
+  FakeFleet fleet(7);
+  FleetPlanner planner = MakePlanner(1);
+  Instant now = kStart;
+  std::vector<ReplicaOrder> opens;
+  for (int i = 0; i < 40; ++i, now += milliseconds(50)) {
+    const auto orders = planner.PlanRound(fleet.View(true), now);
+    fleet.Execute(orders);
+    for (const ReplicaOrder& order : orders) {
+      if (order.kind == OrderKind::kOpen) {
+        opens.push_back(order);
+        planner.OnSentAgain(order);
+        planner.OnReply(order, OrderReply::kAccepted);
+      }
+    }
+  }
+  REQUIRE(CountServing(planner) == 2);
+  fleet.DelayOpens(opens);
+  for (const auto& [name, replica] : planner.Replicas()) {
+    fleet.members.at(replica.members.back()).unresponsive = true;
+  }
+  RunWithLateOpens(fleet, planner, now);
+  CHECK(CountServing(planner) == 1);
+  CHECK(fleet.violations.empty());
+}
+
+TEST_CASE("FleetPlanner joins members of a closed replica at once if its "
+          "orders to open had replies")
+{
+  FakeFleet fleet(7);
+  FleetPlanner planner = MakePlanner(1);
+  Instant now = kStart;
+  for (int i = 0; i < 40; ++i, now += milliseconds(50)) {
+    for (const ReplicaOrder& order : planner.PlanRound(fleet.View(true), now)) {
+      fleet.Execute({ order });
+      planner.OnReply(order, OrderReply::kAccepted);
+    }
+  }
+  REQUIRE(CountServing(planner) == 2);
+  for (const auto& [name, replica] : planner.Replicas()) {
+    fleet.members.at(replica.members.back()).unresponsive = true;
+  }
+  bool joined = false;
+  for (int i = 0; i < 100; ++i, now += milliseconds(50)) {
+    for (const ReplicaOrder& order : planner.PlanRound(fleet.View(), now)) {
+      joined = joined || order.kind == OrderKind::kJoin;
+      CHECK((joined || order.kind != OrderKind::kLeave));
+      fleet.Execute({ order });
+    }
+  }
+  CHECK(CountServing(planner) == 1);
+  CHECK(fleet.violations.empty());
+}
--- a/tests/HttpClientTest.cpp
+++ b/tests/HttpClientTest.cpp
@@ -154,3 +154,63 @@
   CHECK(written > 0);
   CHECK(written < kMaxBufferedBytes);
 }
+
+// Guards against orders that a target carries out twice without notice.
+TEST_CASE("FetchOnIdleConnection sends a request at most once")
+{
+  asio::io_context io{ 1 };
+  tcp::acceptor acceptor(io,
+                         tcp::endpoint(asio::ip::make_address("127.0.0.1"), 0));
+  const std::string address =
+    fmt::format("127.0.0.1:{}", acceptor.local_endpoint().port());
+  HttpConnectionPool pool(io.get_executor(), {});
+  const FetchLimits limits{ .timeout = milliseconds(100) };
+  int requests = 0;
+  int connections = 0;
+  // Each connection replies to its first request only.
+  const auto serve = [&](tcp::socket aSocket) -> Task<void> {
+    TargetConnection connection(std::move(aSocket));
+    for (int i = 0; !(co_await connection.ReadRequest()).empty(); ++i) {
+      ++requests;
+      if (i == 0) {
+        co_await connection.Write(
+          "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n");
+      }
+    }
+  };
+  asio::co_spawn(
+    io,
+    [&]() -> Task<void> {
+      for (;;) {
+        auto [error, socket] = co_await acceptor.async_accept(kAsTuple);
+        if (error) {
+          co_return;
+        }
+        ++connections;
+        asio::co_spawn(io, serve(std::move(socket)), asio::detached);
+      }
+    },
+    asio::detached);
+  asio::co_spawn(
+    io,
+    [&]() -> Task<void> {
+      const auto unsent =
+        co_await FetchOnIdleConnection(pool, address, HttpRequest{}, limits);
+      CHECK_FALSE(unsent);
+      CHECK(connections == 0);
+      const auto first =
+        co_await FetchOnNewConnection(pool, address, HttpRequest{}, limits);
+      CHECK(first);
+      const auto unanswered =
+        co_await FetchOnIdleConnection(pool, address, HttpRequest{}, limits);
+      REQUIRE(unanswered);
+      REQUIRE_FALSE(*unanswered);
+      CHECK(unanswered->error().code == ErrorCode::kTimeout);
+      CHECK(requests == 2);
+      CHECK(connections == 1);
+      io.stop();
+    },
+    asio::detached);
+  io.run_for(kTestLimit);
+  CHECK(io.stopped());
+}
