Probe awaited targets on several connections as well

While a target is silent and its replica waits for it, one probe on a single connection still decided: a lost packet of its handshake ended the tolerance of 1.5 s at once, and the streams of a sound replica with it.

Every probe after a missed report now uses three connections, and a connection on which the peer was silent weighs more than one that was reset. ParallelFetchTest has the three kinds of failure.

--- a/src/http/ParallelFetch.cpp
+++ b/src/http/ParallelFetch.cpp
@@ -28,8 +28,10 @@
     if (this->result) {
       return;
     }
+    // A timeout shows that the peer has accepted a connection.
     const bool isMoreSpecific =
-      aResult || this->result.error().code == ErrorCode::kUnreachable;
+      aResult || aResult.error().code == ErrorCode::kTimeout ||
+      this->result.error().code == ErrorCode::kUnreachable;
     if (isMoreSpecific) {
       this->result = std::move(aResult);
     }
--- a/src/http/ParallelFetch.h
+++ b/src/http/ParallelFetch.h
@@ -11,9 +11,9 @@
 /// first response, so that the loss of a single packet is not taken for a peer
 /// that does not respond. Only for idempotent calls.
 ///
-/// Fails once all calls have failed, with kUnreachable only if none of them has
-/// opened a connection. The pool must outlive the calls, which may go on after
-/// the first response.
+/// Fails once all calls have failed: with kTimeout if any of them has timed out
+/// on an open connection, with kUnreachable only if none has opened one. The
+/// pool must outlive the calls, which may go on after the first response.
 Task<Result<HttpResponse>>
 FetchOnAnyConnection(HttpConnectionPool& aPool,
                      std::string aAddress,
--- a/src/serving/PlannerCalls.cpp
+++ b/src/serving/PlannerCalls.cpp
@@ -154,14 +154,15 @@
   HttpRequest request = this->context.protocol.MakeReportRequest(aTarget);
   Result<HttpResponse> reply;
   this->context.counters.Add("report_calls");
-  if (aUrgent) {
+  const bool isConfirming = this->probes[aTarget].missedReports > 0;
+  if (aUrgent || isConfirming) {
     // A kept connection may have failed although the target has not.
-    const bool isConfirming = this->probes[aTarget].missedReports > 0;
     reply = co_await FetchOnAnyConnection(
       this->pool,
       aAddress,
       std::move(request),
-      { .timeout = this->options.urgentTimeout },
+      { .timeout =
+          aUrgent ? this->options.urgentTimeout : this->options.reportTimeout },
       isConfirming ? this->options.confirmingConnections : 1);
   } else {
     reply = co_await Fetch(this->pool,
--- a/src/serving/PlannerTask.h
+++ b/src/serving/PlannerTask.h
@@ -198,8 +198,8 @@
                   const std::string& aAddress,
                   bool aUrgent,
                   Instant aNow);
-  /// Requests a report from the target; an urgent one on a new connection, or
-  /// several after a missed report, and with `urgentTimeout`.
+  /// Requests a report from the target, after a missed one on several new
+  /// connections; an urgent one on a new connection, with `urgentTimeout`.
   Task<Result<TargetReport>> FetchReport(std::string aTarget,
                                          std::string aAddress,
                                          bool aUrgent);
--- a/tests/ParallelFetchTest.cpp
+++ b/tests/ParallelFetchTest.cpp
@@ -55,16 +55,29 @@
   CHECK(waited < milliseconds(400));
 }
 
-TEST_CASE("FetchOnAnyConnection fails as unreachable only if no connection was "
-          "opened")
+TEST_CASE("FetchOnAnyConnection reports what the best connection has shown")
 {
   asio::io_context io{ 1 };
   tcp::acceptor acceptor(io,
                          tcp::endpoint(asio::ip::make_address("127.0.0.1"), 0));
   const std::string address =
     fmt::format("127.0.0.1:{}", acceptor.local_endpoint().port());
-  const bool isListening = GENERATE(true, false);
-  if (!isListening) {
+  const auto expected =
+    GENERATE(ErrorCode::kUnreachable, ErrorCode::kNoReply, ErrorCode::kTimeout);
+  // Two connections are closed without a response, the last one stays open.
+  std::optional<tcp::socket> silent;
+  asio::co_spawn(
+    io,
+    [&]() -> Task<void> {
+      for (int i = 0; i < kCalls; ++i) {
+        auto [error, socket] = co_await acceptor.async_accept(kAsTuple);
+        if (i == kCalls - 1 && expected == ErrorCode::kTimeout) {
+          silent.emplace(std::move(socket));
+        }
+      }
+    },
+    asio::detached);
+  if (expected == ErrorCode::kUnreachable) {
     acceptor.close();
   }
   HttpConnectionPool pool(io.get_executor(), {});
@@ -79,6 +92,5 @@
   io.run_for(seconds(2));
   REQUIRE(response);
   REQUIRE_FALSE(*response);
-  CHECK(response->error().code ==
-        (isListening ? ErrorCode::kTimeout : ErrorCode::kUnreachable));
+  CHECK(response->error().code == expected);
 }
