Apply changed limits to the next request of a waiting connection

A connection took its limits when it began to wait for a request, so after a change of the configuration the first request on each kept connection was judged by the limits before: 413 or 431 after they were raised, for up to the idle timeout.

The limits are now read when the request begins to arrive. The new case of HttpServerTest got 413 before.

--- a/src/http/HttpServer.cpp
+++ b/src/http/HttpServer.cpp
@@ -288,16 +288,16 @@
 Task<bool>
 HttpServer::ServeRequest(Session& aSession)
 {
-  // A copy, because SetLimits may be called during the waits below.
+  aSession.stream.expires_never();
+  if (aSession.buffer.size() == 0 && !co_await this->WaitForRequest(aSession)) {
+    co_return false;
+  }
+  // A copy, because SetLimits may be called while the request arrives.
   const HttpServerLimits limits = this->options.limits;
   RequestParser parser;
   parser.header_limit(limits.headerBytes);
   parser.body_limit(limits.bodyBytes);
   aSession.buffer.max_size(limits.headerBytes + kMaxUnparsedBodyBytes);
-  aSession.stream.expires_never();
-  if (aSession.buffer.size() == 0 && !co_await this->WaitForRequest(aSession)) {
-    co_return false;
-  }
   aSession.busy = true;
   aSession.keptOpen = false;
   boost::system::error_code error;
--- a/tests/HttpServerTest.cpp
+++ b/tests/HttpServerTest.cpp
@@ -395,6 +395,37 @@
   CHECK(server->Counts() == HttpServerCounts{});
 }
 
+// Guards against requests that are rejected by limits which no longer hold.
+TEST_CASE("HttpServer judges the next request of a waiting connection by the "
+          "present limits")
+{
+  asio::io_context io{ 1 };
+  HttpServer::Options options = OptionsFor(ServingHarness::FreeAddress(io));
+  options.limits.bodyBytes = 10;
+  options.errorResponder = [](unsigned aStatus, std::string_view) {
+    return TextResponse(aStatus, "rejected");
+  };
+  const std::string address = options.address;
+  const auto server = *HttpServer::Make(io.get_executor(), std::move(options));
+  std::string received;
+  asio::co_spawn(
+    io,
+    [&]() -> Task<void> {
+      tcp::socket socket(io);
+      co_await socket.async_connect(*ParseEndpoint(address), kAsTuple);
+      TargetConnection connection(std::move(socket));
+      co_await connection.Wait(milliseconds(50));
+      server->SetLimits({ .bodyBytes = 20 });
+      co_await connection.Write("POST / HTTP/1.1\r\nHost: h\r\n"
+                                "Content-Length: 15\r\n\r\nfifteen letters");
+      received = co_await connection.ReadRequest();
+      io.stop();
+    },
+    asio::detached);
+  io.run_for(seconds(5));
+  CHECK(StatusOf(received) == 200);
+}
+
 // Guards against connections that end without a trace.
 TEST_CASE("HttpServer counts connections that it closes and responses that it "
           "cannot write")
