Quarantine requests that crash targets on the own interface

A caller that repeated a request that ends the targets that run it got the request run again each time on the product's own interface: it was lost with up to three targets an attempt, through every node, without end.

Cause: nodes of that interface recorded no crashes and told each other of none. Only the platform's request flow did.

Evidence: wholepath.test_crashes, 22 late runs of ten repeats with three allowed, seen again before this change.

Change: - RequestRun records losses and answers, and checks the quarantine before admission, while it waits and before each attempt. A suspect is not sent on after a run and gets a new connection. - CrashTask reports them to two nodes that rendezvous hashing names, which return suspects and quarantine (CrashReport, CrashVerdict).

Result: wholepath.test_crashes passes, none of the ten late repeats ran; the verdict came 1.3 s after the first loss. All unit tests pass, and all of wholepath; after a last change of two lines test_crashes, test_faults, test_limits and test_soak were run again.

--- a/src/intake/Refusal.cpp
+++ b/src/intake/Refusal.cpp
@@ -20,6 +20,16 @@
                   .retryAfter = aRetryAfter };
 }
 
+Refusal
+MakeQuarantineRefusal(Duration aRemaining)
+{
+  return MakeNotRunRefusal(
+    503,
+    "prompt_quarantined",
+    "earlier attempts of this request crashed the targets that ran it",
+    aRemaining);
+}
+
 std::string
 RefusalBody(const Refusal& aRefusal, std::string_view aRequestId)
 {
--- a/src/intake/Refusal.h
+++ b/src/intake/Refusal.h
@@ -34,6 +34,10 @@
                   std::string_view aMessage,
                   std::optional<Duration> aRetryAfter = std::nullopt);
 
+/// Makes the refusal of a request that crashes targets.
+Refusal
+MakeQuarantineRefusal(Duration aRemaining);
+
 /// Returns the JSON body of a refusal.
 std::string
 RefusalBody(const Refusal& aRefusal, std::string_view aRequestId);
--- a/src/limits/AdmissionQueue.h
+++ b/src/limits/AdmissionQueue.h
@@ -18,6 +18,8 @@
 {
   TicketId id = 0;
   std::string account;
+  /// Keys under which the request may be quarantined.
+  std::vector<std::string> crashKeys;
   /// Share of dispatches relative to other accounts of the same priority.
   double weight = 1;
   Priority priority = Priority::kInteractive;
--- a/src/membership/FleetPacking.cpp
+++ b/src/membership/FleetPacking.cpp
@@ -365,6 +365,33 @@
     .Union();
 }
 
+flatbuffers::Offset<void>
+Pack(Builder& aBuilder, const CrashReport& aMessage)
+{
+  const auto lostRequests = PackLostRequests(aBuilder, aMessage.lostRequests);
+  const auto partAnswers = PackPartAnswers(aBuilder, aMessage.partAnswers);
+  const auto quarantinedParts =
+    PackQuarantinedParts(aBuilder, aMessage.quarantinedParts);
+  return wire::CreateCrashReportDirect(aBuilder,
+                                       aMessage.node.c_str(),
+                                       &lostRequests,
+                                       &partAnswers,
+                                       &quarantinedParts)
+    .Union();
+}
+
+flatbuffers::Offset<void>
+Pack(Builder& aBuilder, const CrashVerdict& aMessage)
+{
+  const TextOffsets suspectedParts =
+    PackTexts(aBuilder, aMessage.suspectedParts);
+  const auto quarantinedParts =
+    PackQuarantinedParts(aBuilder, aMessage.quarantinedParts);
+  return wire::CreateCrashVerdictDirect(
+           aBuilder, &suspectedParts, &quarantinedParts)
+    .Union();
+}
+
 FleetQuestion
 Unpack(const wire::FleetQuestion& aBody)
 {
@@ -421,4 +448,22 @@
                       .targets = TextsOf(aBody.targets()) };
 }
 
+CrashReport
+Unpack(const wire::CrashReport& aBody)
+{
+  return CrashReport{ .node = TextOf(aBody.node()),
+                      .lostRequests = UnpackLostRequests(aBody.lost_requests()),
+                      .partAnswers = UnpackPartAnswers(aBody.part_answers()),
+                      .quarantinedParts =
+                        UnpackQuarantinedParts(aBody.quarantined_parts()) };
+}
+
+CrashVerdict
+Unpack(const wire::CrashVerdict& aBody)
+{
+  return CrashVerdict{ .suspectedParts = TextsOf(aBody.suspected_parts()),
+                       .quarantinedParts =
+                         UnpackQuarantinedParts(aBody.quarantined_parts()) };
+}
+
 } // namespace apricottrack::detail
--- a/src/membership/NodeDirectory.cpp
+++ b/src/membership/NodeDirectory.cpp
@@ -5,6 +5,8 @@
 
 #include <algorithm>
 #include <boost/json.hpp>
+#include <functional>
+#include <utility>
 
 namespace apricottrack {
 
@@ -66,17 +68,30 @@
 std::string
 NodeDirectory::OwnerOf(std::string_view aAccount) const
 {
-  const std::uint64_t seed = StableHash(aAccount);
-  std::string owner = this->ownNode;
-  std::uint64_t highestWeight = StableHash(owner, seed);
+  return this->OwnersOf(aAccount, 1).front();
+}
+
+std::vector<std::string>
+NodeDirectory::OwnersOf(std::string_view aKey, std::size_t aCount) const
+{
+  const std::uint64_t seed = StableHash(aKey);
+  std::vector<std::pair<std::uint64_t, std::string_view>> nodes;
+  nodes.emplace_back(StableHash(this->ownNode, seed), this->ownNode);
   for (const auto& [node, record] : this->records) {
-    const std::uint64_t weight = StableHash(node, seed);
-    if (weight > highestWeight) {
-      highestWeight = weight;
-      owner = node;
+    if (node != this->ownNode) {
+      nodes.emplace_back(StableHash(node, seed), node);
     }
   }
-  return owner;
+  const std::size_t count = std::min(aCount, nodes.size());
+  std::partial_sort(nodes.begin(),
+                    nodes.begin() + static_cast<std::ptrdiff_t>(count),
+                    nodes.end(),
+                    std::greater<>());
+  std::vector<std::string> owners;
+  for (std::size_t i = 0; i < count; ++i) {
+    owners.emplace_back(nodes[i].second);
+  }
+  return owners;
 }
 
 const NodeRecord*
--- a/src/membership/NodeDirectory.h
+++ b/src/membership/NodeDirectory.h
@@ -47,6 +47,11 @@
   /// loss of a node moves only the accounts that it owned.
   std::string OwnerOf(std::string_view aAccount) const;
 
+  /// Returns the owner and the nodes that would own the key after its loss, in
+  /// this order; fewer than `aCount` if there are not as many nodes.
+  std::vector<std::string> OwnersOf(std::string_view aKey,
+                                    std::size_t aCount) const;
+
   /// Null if the node is not registered.
   const NodeRecord* Find(std::string_view aNode) const;
 
--- a/src/membership/PeerMessages.cpp
+++ b/src/membership/PeerMessages.cpp
@@ -114,6 +114,7 @@
     wire::Body::ConfigurationRequest, wire::Body::ConfigurationReply,
     wire::Body::FleetQuestion,        wire::Body::FleetAnswer,
     wire::Body::StallNotice,          wire::Body::Receipt,
+    wire::Body::CrashReport,          wire::Body::CrashVerdict,
   };
   Builder builder;
   const auto body = std::visit(
@@ -160,6 +161,12 @@
   if (const auto* const notice = frame.body_as_StallNotice()) {
     return detail::Unpack(*notice);
   }
+  if (const auto* const report = frame.body_as_CrashReport()) {
+    return detail::Unpack(*report);
+  }
+  if (const auto* const verdict = frame.body_as_CrashVerdict()) {
+    return detail::Unpack(*verdict);
+  }
   if (frame.body_as_Receipt() != nullptr) {
     return Receipt{};
   }
--- a/src/membership/PeerMessages.h
+++ b/src/membership/PeerMessages.h
@@ -53,7 +53,9 @@
                                  FleetQuestion,
                                  FleetAnswer,
                                  StallNotice,
-                                 Receipt>;
+                                 Receipt,
+                                 CrashReport,
+                                 CrashVerdict>;
 
 /// Maximum size of a message, in bytes.
 inline constexpr std::uint32_t kMaxPeerMessageBytes = 2 * 1024 * 1024;
--- a/src/membership/PeerTask.cpp
+++ b/src/membership/PeerTask.cpp
@@ -24,13 +24,13 @@
                    NodeDirectory& aDirectory,
                    AccountLimiter& aLimiter,
                    const ConfigurationHolder& aConfiguration,
-                   ConfigurationSink aSink)
+                   Hooks aHooks)
   : executor(std::move(aExecutor))
   , options(std::move(aOptions))
   , directory(aDirectory)
   , limiter(aLimiter)
   , configuration(aConfiguration)
-  , sink(std::move(aSink))
+  , hooks(std::move(aHooks))
   , ledger(this->options.interval * kReportLifetimeIntervals)
   , random(std::random_device{}())
 {
@@ -146,7 +146,7 @@
   const auto* const stored =
     response ? std::get_if<StoredConfiguration>(&*response) : nullptr;
   if (stored != nullptr) {
-    this->sink(*stored);
+    this->hooks.onConfiguration(*stored);
   }
 }
 
@@ -182,6 +182,9 @@
   if (std::holds_alternative<ConfigurationRequest>(aRequest)) {
     return this->configuration.Stored();
   }
+  if (const auto* const report = std::get_if<CrashReport>(&aRequest)) {
+    return this->hooks.onCrashReport(*report);
+  }
   return std::nullopt;
 }
 
--- a/src/membership/PeerTask.h
+++ b/src/membership/PeerTask.h
@@ -10,6 +10,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <random>
 #include <string>
 
@@ -36,13 +37,23 @@
 
   /// Called with a configuration that was fetched from another node.
   using ConfigurationSink = std::function<void(const StoredConfiguration&)>;
+  /// Handles another node's report of crashes; returns nothing if this node
+  /// does not collect them.
+  using CrashReportHandler =
+    std::function<std::optional<CrashVerdict>(const CrashReport&)>;
+
+  struct Hooks
+  {
+    ConfigurationSink onConfiguration;
+    CrashReportHandler onCrashReport;
+  };
 
   PeerTask(boost::asio::any_io_executor aExecutor,
            Options aOptions,
            NodeDirectory& aDirectory,
            AccountLimiter& aLimiter,
            const ConfigurationHolder& aConfiguration,
-           ConfigurationSink aSink);
+           Hooks aHooks);
 
   /// Starts to listen and to report; fails if the address cannot be bound.
   Result<void> Start();
@@ -67,7 +78,7 @@
   NodeDirectory& directory;
   AccountLimiter& limiter;
   const ConfigurationHolder& configuration;
-  ConfigurationSink sink;
+  Hooks hooks;
   DemandLedger ledger;
   /// Latest known demand of all other nodes, by account.
   Demands otherDemand;
--- a/src/node/Dispatcher.cpp
+++ b/src/node/Dispatcher.cpp
@@ -68,6 +68,7 @@
   }
   const TicketId id = this->nextTicket++;
   const Instant deadline = aTicket.deadline;
+  std::vector<std::string> crashKeys = aTicket.crashKeys;
   aTicket.id = id;
   aTicket.arrived = now;
   const AdmissionRefusal admission = this->queue.Add(std::move(aTicket), now);
@@ -83,6 +84,7 @@
   }
   Waiter waiter{ .timer = asio::steady_timer(this->executor, deadline),
                  .waitingSince = now,
+                 .crashKeys = std::move(crashKeys),
                  .refusal = std::nullopt };
   this->waiters[id] = &waiter;
   this->DispatchWaiting(now);
@@ -169,6 +171,21 @@
   }
 }
 
+void
+Dispatcher::RefuseQuarantined(const PromptQuarantine& aQuarantine, Instant aNow)
+{
+  for (const auto& [id, waiter] : this->waiters) {
+    if (waiter->admitted || waiter->refusal) {
+      continue;
+    }
+    if (const auto remaining =
+          aQuarantine.RemainingFor(waiter->crashKeys, aNow)) {
+      this->queue.Remove(id);
+      this->RefuseWaiter(id, MakeQuarantineRefusal(*remaining));
+    }
+  }
+}
+
 void
 Dispatcher::DispatchWaiting(Instant aNow)
 {
--- a/src/node/Dispatcher.h
+++ b/src/node/Dispatcher.h
@@ -3,6 +3,7 @@
 
 #include "intake/Refusal.h"
 #include "limits/AdmissionQueue.h"
+#include "quarantine/PromptQuarantine.h"
 #include "retry/RetryBudget.h"
 #include "routing/Router.h"
 
@@ -78,6 +79,9 @@
   /// each change that can free a slot.
   void DispatchWaiting(Instant aNow);
 
+  /// Refuses the waiting requests that the quarantine holds.
+  void RefuseQuarantined(const PromptQuarantine& aQuarantine, Instant aNow);
+
   RetryBudget& Budget() { return this->budget; }
   const Router& TargetRouter() const { return this->router; }
   int WaitingRequests() const { return this->queue.Size(); }
@@ -90,6 +94,7 @@
     /// admitted or refused.
     boost::asio::steady_timer timer;
     Instant waitingSince;
+    std::vector<std::string> crashKeys;
     bool admitted = false;
     std::optional<Refusal> refusal;
   };
--- a/src/node/Node.cpp
+++ b/src/node/Node.cpp
@@ -5,6 +5,7 @@
 #include "http/HttpServer.h"
 #include "kv/EtcdStore.h"
 #include "kv/PlatformKeys.h"
+#include "membership/CrashTask.h"
 #include "membership/PeerTask.h"
 #include "node/AdminEndpoint.h"
 #include "node/GroupPlannerTask.h"
@@ -66,6 +67,7 @@
 private:
   void OnVmList(VmList aVms);
   void RefreshTargets();
+  void RefuseQuarantined();
   Task<void> RefreshTargetsPeriodically();
   Task<void> DispatchWaitingPeriodically();
   Task<void> MeasureFleetPeriodically();
@@ -86,6 +88,7 @@
   LeaseTask nodeLease;
   LeaseTask plannerLease;
   GroupPlannerTask groupPlanner;
+  CrashTask crashes;
   PeerTask peers;
 };
 
@@ -150,16 +153,29 @@
            this->store,
            GroupPlanner::Options{},
            [this](Instant aNow) { return this->plannerLease.HoldsKey(aNow); })
+  , crashes(aExecutor,
+            CrashTask::Options{ .node = this->settings.node },
+            CrashTask::State{ .directory = this->context.directory,
+                              .recorder = this->context.crashRecorder,
+                              .quarantine = this->context.quarantine,
+                              .counters = this->context.counters },
+            [this] { this->RefuseQuarantined(); })
   , peers(aExecutor,
           PeerTask::Options{ .node = this->settings.node,
                              .listen = this->settings.peerListen },
           this->context.directory,
           this->context.limiter,
           this->context.configuration,
-          [this](const StoredConfiguration& aStored) {
-            this->state.ApplyConfiguration(aStored);
-            this->RefreshTargets();
-          })
+          PeerTask::Hooks{
+            .onConfiguration =
+              [this](const StoredConfiguration& aStored) {
+                this->state.ApplyConfiguration(aStored);
+                this->RefreshTargets();
+              },
+            .onCrashReport =
+              [this](const CrashReport& aReport) {
+                return this->crashes.HandleReport(aReport, MonotonicNow());
+              } })
 {
 }
 
@@ -241,6 +257,7 @@
   this->nodeLease.Start();
   this->plannerLease.Start();
   this->groupPlanner.Start();
+  this->crashes.Start();
   asio::co_spawn(
     this->context.executor,
     [this]() -> Task<void> { co_await this->RefreshTargetsPeriodically(); },
@@ -291,6 +308,14 @@
   }
 }
 
+void
+Node::Impl::RefuseQuarantined()
+{
+  for (const auto& [name, dispatcher] : this->context.dispatchers) {
+    dispatcher->RefuseQuarantined(this->context.quarantine, MonotonicNow());
+  }
+}
+
 Task<void>
 Node::Impl::MeasureFleetPeriodically()
 {
--- a/src/node/NodeContext.h
+++ b/src/node/NodeContext.h
@@ -11,6 +11,8 @@
 #include "node/Dispatcher.h"
 #include "node/JournalTask.h"
 #include "node/NodeView.h"
+#include "quarantine/CrashRecorder.h"
+#include "quarantine/PromptQuarantine.h"
 #include "report/BurnLedger.h"
 #include "retry/RetryPolicy.h"
 
@@ -41,6 +43,8 @@
   /// Keyed by service name.
   std::map<std::string, std::unique_ptr<Dispatcher>, std::less<>> dispatchers;
   std::vector<std::unique_ptr<JournalTask>> journals;
+  CrashRecorder crashRecorder{ CrashRecorder::Options{} };
+  PromptQuarantine quarantine;
   /// Number of callers' requests being handled.
   int requestsInFlight = 0;
   /// True once the node was asked to stop; its health check then fails.
--- a/src/node/RequestRun.cpp
+++ b/src/node/RequestRun.cpp
@@ -4,6 +4,7 @@
 #include "base/Log.h"
 #include "http/HopByHop.h"
 #include "node/TargetAttempt.h"
+#include "quarantine/RequestIdentity.h"
 
 #include <boost/json.hpp>
 
@@ -52,6 +53,9 @@
   }
   if (!result.refusal) {
     result = co_await this->Execute();
+  } else if (this->limitCharged && !this->spec.idempotent &&
+             this->QuarantineRefusal()) {
+    result = co_await this->RefuseAfterJournal(*result.refusal);
   }
   co_await this->SendResponse(result);
   this->ReconcileCharge(result);
@@ -70,6 +74,9 @@
     return read.error();
   }
   this->spec = std::move(*read);
+  this->identity =
+    HostlessRequestIdentity(this->exchange.Request(), this->spec.account->name);
+  this->crashKeys = { this->identity };
   const auto wait = this->context.limiter.Admit(
     *this->spec.account, this->spec.estimatedTokens, this->arrivedAt);
   if (wait) {
@@ -91,7 +98,11 @@
                                 seconds(1));
   }
   this->dispatcher = found->second.get();
+  if (auto refusal = this->QuarantineRefusal()) {
+    co_return refusal;
+  }
   Ticket ticket;
+  ticket.crashKeys = this->crashKeys;
   ticket.account = this->spec.account->name;
   ticket.weight = this->spec.account->weight;
   ticket.priority = this->spec.kind->priority;
@@ -249,6 +260,11 @@
 RequestRun::RunAttempts()
 {
   for (;;) {
+    if (auto refusal = this->QuarantineRefusal()) {
+      const Outcome outcome = refusal->outcome;
+      co_return RequestResult{ .outcome = outcome,
+                               .refusal = std::move(refusal) };
+    }
     const RouteKey key{ .prefix = this->spec.prefixHash };
     const auto target =
       this->dispatcher->Choose(key, this->triedTargetIds, MonotonicNow());
@@ -271,6 +287,7 @@
       .attempts = this->attempts,
       .maxAttempts = this->spec.service->maxAttempts,
       .mayHaveRun = this->mayHaveRun,
+      .mayCrashTargets = this->MayCrashTargets(),
       .streamStarted = this->relay.StreamStarted(),
       .canResume = this->spec.service->resumesStreams,
       .deadline = this->spec.deadline,
@@ -352,14 +369,17 @@
     // response belongs. A non-idempotent request always gets a new connection,
     // because a reused one may turn out to be closed after the request was
     // sent. A retry gets one too, to rule out that only the reused connection
-    // failed.
-    .mayReuseConnection =
-      service.echoesRequestId && this->spec.idempotent && this->attempts == 1,
+    // failed; so does a request that may crash its target, as it would be sent
+    // twice if a reused connection is lost.
+    .mayReuseConnection = service.echoesRequestId && this->spec.idempotent &&
+                          this->attempts == 1 && !this->MayCrashTargets(),
     .mayKeepConnection = service.echoesRequestId,
     .firstByteTimeout = service.firstByteTimeout,
     .stallTimeout = service.stallTimeout,
     .deadline = this->spec.deadline,
+    .onProgress = [this](Instant aNow) { this->OnStreamProgress(aNow); },
   };
+  this->soundness = {};
   TargetAttempt attempt(this->context.targetPool,
                         this->relay,
                         this->context.targetLimits,
@@ -375,9 +395,11 @@
   const bool failed =
     end != AttemptEnd::kAnswered && end != AttemptEnd::kCallerGone;
   this->dispatcher->OnEnd(aTarget, failed, now - start, now);
+  this->RecordForAttribution(attempt, end, now);
   if (failed) {
     LogLine("attempt_failed")
       .With("request", this->spec.requestId)
+      .With("identity", this->identity)
       .With("target", aTarget.id)
       .With("end", AttemptEndName(end))
       .With(attempt.Failure())
--- a/src/node/RequestRun.h
+++ b/src/node/RequestRun.h
@@ -5,13 +5,17 @@
 #include "journal/JournalRecord.h"
 #include "node/NodeContext.h"
 #include "node/ResponseRelay.h"
+#include "quarantine/StreamSoundness.h"
 
 #include <optional>
 #include <set>
 #include <string>
+#include <vector>
 
 namespace apricottrack {
 
+class TargetAttempt;
+
 /// Handles one caller's request: parses it, applies the account's limit, waits
 /// for a slot, journals a non-idempotent request, makes attempts at targets
 /// and responds. Lives as long as the exchange.
@@ -54,6 +58,17 @@
                             AttemptEnd aEnd) const;
   HttpRequest BuildTargetRequest(const Target& aTarget,
                                  const std::string& aAttemptId) const;
+  void OnStreamProgress(Instant aNow);
+  void RecordForAttribution(const TargetAttempt& aAttempt,
+                            AttemptEnd aEnd,
+                            Instant aNow);
+  /// True if the request is suspected to crash the targets that run it.
+  bool MayCrashTargets() const;
+  /// Returns the refusal of a request in quarantine.
+  std::optional<Refusal> QuarantineRefusal() const;
+  /// Returns what the journal holds of a non-idempotent request that is in
+  /// quarantine, otherwise the refusal.
+  Task<RequestResult> RefuseAfterJournal(Refusal aRefusal);
   Task<void> SendResponse(const RequestResult& aResult);
   void RecordMetrics(const RequestResult& aResult);
   /// Replaces the estimated tokens charged to the account's limit by those that
@@ -74,6 +89,15 @@
   std::string nonce;
   std::string journalKey;
   std::string lastTargetId;
+  std::string identity;
+  /// Keys of the request in attribution and quarantine.
+  std::vector<std::string> crashKeys;
+  /// Identifies this run in attribution. Callers may repeat their request id.
+  std::string runId;
+  /// Of the current attempt's response.
+  StreamSoundness soundness;
+  /// The response of any attempt has shown the request to be sound.
+  bool provenSound = false;
   /// Time from arrival to the first byte of the last response; zero if none.
   Duration firstByteDelay = Duration::zero();
   int attempts = 0;
--- a/src/node/TargetAttempt.cpp
+++ b/src/node/TargetAttempt.cpp
@@ -111,6 +111,7 @@
   if (!this->mayHaveSent) {
     return AttemptEnd::kNotSent;
   }
+  this->connectionLost = aError.code != ErrorCode::kTimeout;
   return aError.code == ErrorCode::kBadReply ? AttemptEnd::kTruncated
                                              : AttemptEnd::kNoAnswer;
 }
@@ -134,11 +135,13 @@
       this->BoundByDeadline(this->options.stallTimeout));
     if (!chunk) {
       this->failure = chunk.error();
+      this->connectionLost = chunk.error().code != ErrorCode::kTimeout;
       co_return AttemptEnd::kTruncated;
     }
     if (chunk->empty()) {
       break;
     }
+    this->options.onProgress(MonotonicNow());
     callerConnected = co_await this->relay.OnBodyChunk(std::move(*chunk));
     if (this->relay.IsEventTooLarge()) {
       this->failure = Error{ .code = ErrorCode::kBadReply,
--- a/src/node/TargetAttempt.h
+++ b/src/node/TargetAttempt.h
@@ -30,6 +30,8 @@
   Duration stallTimeout = seconds(2);
   /// All timeouts are shortened to end by it.
   Instant deadline;
+  /// Called whenever a part of the response's body has arrived.
+  std::function<void(Instant)> onProgress = [](Instant) {};
   /// Maximum response body in bytes.
   std::uint64_t bodyLimit = std::uint64_t{ 16 } * 1024 * 1024;
 };
@@ -49,6 +51,13 @@
   /// received.
   Duration FirstByteDelay() const { return this->firstByteDelay; }
 
+  /// True if the connection broke after sending began, before the response was
+  /// complete.
+  bool IsConnectionLost() const { return this->connectionLost; }
+
+  /// When sending last began.
+  Instant SentAt() const { return this->sentAt; }
+
   /// Why the attempt failed; unset if it was answered or the caller
   /// disconnected.
   const Error& Failure() const { return this->failure; }
@@ -73,7 +82,7 @@
   std::unique_ptr<HttpConnection> connection;
   /// True once any byte of the request may have been sent.
   bool mayHaveSent = false;
-  /// When sending last began.
+  bool connectionLost = false;
   Instant sentAt;
   Duration firstByteDelay = Duration::zero();
   Error failure;
--- a/src/quarantine/CrashReports.h
+++ b/src/quarantine/CrashReports.h
@@ -6,8 +6,8 @@
 #include <string>
 #include <vector>
 
-/// What nodes report to the planner's node about crashed targets, and what they
-/// receive from it.
+/// What nodes report about crashed targets to the node that attributes the
+/// crashes, and what they receive from it.
 namespace apricottrack {
 
 /// A request whose target broke the connection before the response was
@@ -52,6 +52,31 @@
                          const QuarantinedParts&) = default;
 };
 
+/// What a node reports to one that collects reports of crashes.
+struct CrashReport
+{
+  std::string node;
+  /// Since the last report that the collector has answered; all recent ones for
+  /// a new collector.
+  std::vector<LostRequest> lostRequests;
+  /// Numbers of the sender's answers for its suspected parts.
+  std::vector<PartAnswers> partAnswers;
+  /// The sender's quarantine, for a new collector.
+  std::vector<QuarantinedParts> quarantinedParts;
+
+  friend bool operator==(const CrashReport&, const CrashReport&) = default;
+};
+
+/// Reply to a CrashReport.
+struct CrashVerdict
+{
+  /// Parts whose answers the receiver should count.
+  std::vector<std::string> suspectedParts;
+  std::vector<QuarantinedParts> quarantinedParts;
+
+  friend bool operator==(const CrashVerdict&, const CrashVerdict&) = default;
+};
+
 } // namespace apricottrack
 
 #endif
--- a/src/quarantine/RequestIdentity.cpp
+++ b/src/quarantine/RequestIdentity.cpp
@@ -10,15 +10,15 @@
 
 constexpr std::string_view kPrefix = "request:";
 
-} // namespace
-
 std::string
-RequestIdentity(const HttpRequest& aRequest, std::string_view aAccount)
+IdentityOf(const HttpRequest& aRequest,
+           std::string_view aHost,
+           std::string_view aAccount)
 {
   std::uint64_t hash = 0;
   for (const std::string_view text :
        { std::string_view(aRequest.method_string()),
-         std::string_view(aRequest[boost::beast::http::field::host]),
+         aHost,
          std::string_view(aRequest.target()),
          aAccount,
          std::string_view(aRequest.body()) }) {
@@ -27,6 +27,21 @@
   return fmt::format("{}{:016x}", kPrefix, hash);
 }
 
+} // namespace
+
+std::string
+RequestIdentity(const HttpRequest& aRequest, std::string_view aAccount)
+{
+  return IdentityOf(
+    aRequest, aRequest[boost::beast::http::field::host], aAccount);
+}
+
+std::string
+HostlessRequestIdentity(const HttpRequest& aRequest, std::string_view aAccount)
+{
+  return IdentityOf(aRequest, {}, aAccount);
+}
+
 bool
 IsRequestIdentity(std::string_view aKey)
 {
--- a/src/quarantine/RequestIdentity.h
+++ b/src/quarantine/RequestIdentity.h
@@ -14,6 +14,11 @@
 std::string
 RequestIdentity(const HttpRequest& aRequest, std::string_view aAccount);
 
+/// The same without the host, for an interface at which callers reach the nodes
+/// by different names.
+std::string
+HostlessRequestIdentity(const HttpRequest& aRequest, std::string_view aAccount);
+
 /// True for the result of RequestIdentity, false for the id of a prompt part.
 bool
 IsRequestIdentity(std::string_view aKey);
--- a/src/retry/RetryPolicy.cpp
+++ b/src/retry/RetryPolicy.cpp
@@ -55,8 +55,11 @@
     return {};
   }
   const bool mayRunAgain = aState.idempotent || ProvesNotRun(aState.end);
+  const bool mayCrashAnother =
+    aState.mayCrashTargets && !ProvesNotRun(aState.end);
   const bool continuable = !aState.streamStarted || aState.canResume;
-  if (aState.end == AttemptEnd::kCallerGone || !mayRunAgain || !continuable ||
+  if (aState.end == AttemptEnd::kCallerGone || !mayRunAgain ||
+      mayCrashAnother || !continuable ||
       aState.attempts >= aState.maxAttempts || aNow >= aState.deadline ||
       !aBudget.TryConsume()) {
     return GiveUpDecision(aState);
--- a/src/retry/RetryPolicy.h
+++ b/src/retry/RetryPolicy.h
@@ -49,6 +49,8 @@
   int maxAttempts = 3;
   /// True if an earlier attempt may have run the request.
   bool mayHaveRun = false;
+  /// True if the request is suspected to crash the targets that run it.
+  bool mayCrashTargets = false;
   /// True if bytes of a streamed response were already sent to the caller.
   bool streamStarted = false;
   /// True if the engine can resume a stream after a given event.
--- a/src/serving/QuarantineTask.cpp
+++ b/src/serving/QuarantineTask.cpp
@@ -9,7 +9,6 @@
 #include <boost/asio/detached.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/json.hpp>
-#include <fmt/format.h>
 
 namespace apricottrack {
 
@@ -94,6 +93,7 @@
   , store(aStore)
   , options(aOptions)
   , hooks(std::move(aHooks))
+  , collector(aContext.settings.node)
 {
 }
 
@@ -126,8 +126,11 @@
 QuarantineTask::RecordReports(const FleetQuestion& aQuestion, Instant aNow)
 {
   if (this->hooks.isPlanner()) {
-    this->attribution.RecordLosses(aQuestion.lostRequests, aNow);
-    this->attribution.RecordAnswers(aQuestion.node, aQuestion.partAnswers);
+    this->collector.RecordReport({ .node = aQuestion.node,
+                                   .lostRequests = aQuestion.lostRequests,
+                                   .partAnswers = aQuestion.partAnswers,
+                                   .quarantinedParts = {} },
+                                 aNow);
   }
   if (this->context.quarantine.Add(aQuestion.quarantinedParts, aNow)) {
     this->hooks.onChange();
@@ -137,24 +140,12 @@
 bool
 QuarantineTask::Attribute(Instant aNow)
 {
-  this->attribution.Adopt(this->context.quarantine.Combinations(aNow), aNow);
-  this->attribution.RecordLosses(
-    this->context.crashRecorder.LostSince(this->ownLossesRecordedUntil, aNow),
-    aNow);
-  this->ownLossesRecordedUntil = aNow;
-  this->attribution.RecordAnswers(
-    this->context.settings.node,
-    this->context.crashRecorder.SuspectAnswers(aNow));
-  const std::vector<QuarantinedParts> started = this->attribution.Update(aNow);
-  for (const QuarantinedParts& item : started) {
-    LogLine("prompt_part_quarantined")
-      .With("part", fmt::format("{}", fmt::join(item.parts, "+")))
-      .With("for_s", std::int64_t{ item.remaining / seconds(1) })
-      .Warn();
-    this->context.counters.Add("prompt_parts_quarantined");
-  }
-  this->context.crashRecorder.SetSuspects(this->attribution.Suspects());
-  return this->context.quarantine.Add(started, aNow);
+  const std::vector<QuarantinedParts> started = this->collector.Attribute(
+    this->context.crashRecorder, this->context.quarantine, aNow);
+  this->context.counters.Add(
+    "prompt_parts_quarantined", {}, static_cast<std::int64_t>(started.size()));
+  this->context.crashRecorder.SetSuspects(this->collector.Suspects());
+  return !started.empty();
 }
 
 Task<void>
--- a/src/serving/QuarantineTask.h
+++ b/src/serving/QuarantineTask.h
@@ -3,7 +3,7 @@
 
 #include "apricottrack/KeyValueStore.h"
 #include "fleet/FleetMessages.h"
-#include "quarantine/CrashAttribution.h"
+#include "quarantine/CrashCollector.h"
 #include "serving/ServingContext.h"
 
 #include <functional>
@@ -71,9 +71,7 @@
   KeyValueStore& store;
   Options options;
   Hooks hooks;
-  CrashAttribution attribution{ CrashAttribution::Options{} };
-  /// This node's own losses until then have been attributed.
-  Instant ownLossesRecordedUntil;
+  CrashCollector collector;
   /// The stored parts were read once, or there cannot be any.
   bool isLoaded = false;
   /// They were read since this node became the planner.
--- a/src/serving/RequestFlow.cpp
+++ b/src/serving/RequestFlow.cpp
@@ -209,8 +209,7 @@
   this->targetAbandoned = false;
   this->connectionLost = false;
   this->responseStarted = false;
-  this->streamingSince.reset();
-  this->promptProvenSound = false;
+  this->soundness = {};
   this->runningEntry = this->context.running.emplace(aTarget.id, this);
 }
 
--- a/src/serving/RequestFlow.h
+++ b/src/serving/RequestFlow.h
@@ -2,6 +2,7 @@
 #define APRICOTTRACK_SERVING_REQUESTFLOW_H
 
 #include "http/HttpServer.h"
+#include "quarantine/StreamSoundness.h"
 #include "serving/EventSplitter.h"
 #include "serving/HedgeCall.h"
 #include "serving/Intake.h"
@@ -237,10 +238,8 @@
   bool connectionLost = false;
   /// Part of the current target's response has arrived.
   bool responseStarted = false;
-  /// When the first bytes of the current target's event stream arrived.
-  std::optional<Instant> streamingSince;
-  /// The current target's response has shown the prompt to be sound.
-  bool promptProvenSound = false;
+  /// Of the current target's event stream.
+  StreamSoundness soundness;
   /// The response of any target so far has shown the prompt to be sound.
   bool everProvenSound = false;
   /// A target has sent a response that must not be passed on.
--- a/src/serving/RequestFlowAttribution.cpp
+++ b/src/serving/RequestFlowAttribution.cpp
@@ -4,22 +4,10 @@
 // prompt parts that crash targets.
 namespace apricottrack {
 
-namespace {
-
-/// A prompt that crashes its target does so as soon as the response begins. One
-/// whose stream goes on for longer is sound.
-constexpr Duration kSoundStreamTime = milliseconds(300);
-
-} // namespace
-
 void
 RequestFlow::RecordStreamProgress(Instant aNow)
 {
-  if (!this->streamingSince) {
-    this->streamingSince = aNow;
-  } else if (!this->promptProvenSound &&
-             aNow - *this->streamingSince >= kSoundStreamTime) {
-    this->promptProvenSound = true;
+  if (this->soundness.OnProgress(aNow)) {
     this->everProvenSound = true;
     this->context.crashRecorder.OnAnswered(this->crashKeys, aNow);
   }
@@ -42,7 +30,7 @@
 {
   // A prompt that was proven sound is counted already, and has not caused a
   // later loss.
-  if (this->promptProvenSound) {
+  if (this->soundness.IsProven()) {
     return;
   }
   const Instant now = MonotonicNow();
--- a/src/serving/RequestFlowHedging.cpp
+++ b/src/serving/RequestFlowHedging.cpp
@@ -147,7 +147,7 @@
 void
 RequestFlow::CancelIfQuarantined()
 {
-  if (this->promptProvenSound ||
+  if (this->soundness.IsProven() ||
       !this->context.quarantine.RemainingFor(this->crashKeys, MonotonicNow())) {
     return;
   }
--- a/tests/PeerMessagesTest.cpp
+++ b/tests/PeerMessagesTest.cpp
@@ -28,6 +28,18 @@
                   { .target = "u",
                     .limit = std::nullopt,
                     .age = milliseconds(50) } } },
+    CrashReport{
+      .node = "n",
+      .lostRequests = { { .target = "t",
+                          .parts = { "p", "q" },
+                          .attempt = "a",
+                          .runTime = milliseconds(60),
+                          .age = milliseconds(70) } },
+      .partAnswers = { { .part = "p", .count = 8 } },
+      .quarantinedParts = { { .parts = { "r" }, .remaining = seconds(9) } } },
+    CrashVerdict{ .suspectedParts = { "p", "s" },
+                  .quarantinedParts = { { .parts = { "p", "q" },
+                                          .remaining = seconds(10) } } },
   };
   for (const PeerMessage& message : messages) {
     const auto parsed = ParsePeerMessage(EncodePeerMessage(message), "p");
@@ -87,3 +99,21 @@
   CHECK(ledger.DemandOfOthers("n2", "a", Instant{ seconds(4) }).requests == 5);
   CHECK(ledger.DemandOfOthers("n3", "a", Instant{ seconds(6) }).requests == 7);
 }
+
+// Guards against a collector whose loss leaves no node that had its reports.
+TEST_CASE("NodeDirectory names the next owner of a key beside the present one")
+{
+  NodeDirectory directory("n0");
+  CHECK(directory.OwnersOf("k", 2) == std::vector<std::string>{ "n0" });
+  for (int i = 1; i < 20; ++i) {
+    directory.Set({ .node = "n" + std::to_string(i) });
+  }
+  const std::vector<std::string> owners = directory.OwnersOf("k", 2);
+  REQUIRE(owners.size() == 2);
+  CHECK(owners[0] != owners[1]);
+  CHECK(owners[0] == directory.OwnerOf("k"));
+  if (owners[0] != "n0") {
+    directory.Remove(owners[0]);
+    CHECK(directory.OwnerOf("k") == owners[1]);
+  }
+}
--- a/tests/QuarantineTaskTest.cpp
+++ b/tests/QuarantineTaskTest.cpp
@@ -39,7 +39,7 @@
 
 /// Three crashes with a common part, as another node reports them.
 FleetQuestion
-CrashReport()
+CrashQuestion()
 {
   FleetQuestion report{ .node = "n2" };
   for (int i = 0; i < 3; ++i) {
@@ -59,7 +59,7 @@
   QuarantineNode planner(store);
   planner.isPlanner = true;
   planner.harness.io.run_for(milliseconds(50));
-  planner.task.RecordReports(CrashReport(), MonotonicNow());
+  planner.task.RecordReports(CrashQuestion(), MonotonicNow());
   planner.harness.io.run_for(milliseconds(20));
   planner.task.RecordReports(
     FleetQuestion{ .node = "n2",
@@ -166,7 +166,7 @@
 {
   QuarantineStore store;
   QuarantineNode node(store);
-  node.task.RecordReports(CrashReport(), MonotonicNow());
+  node.task.RecordReports(CrashQuestion(), MonotonicNow());
   node.isPlanner = true;
   node.harness.io.run_for(milliseconds(1200));
   CHECK_FALSE(node.Refuses("deadly"));
--- a/tests/RequestIdentityTest.cpp
+++ b/tests/RequestIdentityTest.cpp
@@ -43,3 +43,21 @@
   const HttpRequest request = MakeRequest(http::verb::get, "/", "");
   CHECK(RequestIdentity(request, "").find(':') != std::string::npos);
 }
+
+// Guards against a request with one identity for each node's address.
+TEST_CASE(
+  "HostlessRequestIdentity is the same by whatever name a node is called")
+{
+  HttpRequest request(boost::beast::http::verb::post, "/path", 11);
+  request.body() = "body";
+  request.set(boost::beast::http::field::host, "node-0");
+  const std::string identity = HostlessRequestIdentity(request, "account");
+  const std::string withHost = RequestIdentity(request, "account");
+  request.set(boost::beast::http::field::host, "node-1");
+  CHECK(HostlessRequestIdentity(request, "account") == identity);
+  CHECK(RequestIdentity(request, "account") != withHost);
+  CHECK(HostlessRequestIdentity(request, "other") != identity);
+  CHECK(IsRequestIdentity(identity));
+  request.body() = "other";
+  CHECK(HostlessRequestIdentity(request, "account") != identity);
+}
--- a/tests/RetryPolicyTest.cpp
+++ b/tests/RetryPolicyTest.cpp
@@ -46,6 +46,18 @@
   }
 }
 
+// Guards against one attempt of a caller that takes several targets.
+TEST_CASE("SafeRetryPolicy sends a suspect to no other target after a run")
+{
+  RetryState state = MakeState(AttemptEnd::kNoAnswer, true);
+  CHECK(Decide(state).action == RetryAction::kRetry);
+  state.mayCrashTargets = true;
+  CHECK(Decide(state) == RetryDecision{ .action = RetryAction::kGiveUp,
+                                        .outcome = Outcome::kUnknown });
+  state.end = AttemptEnd::kRefusedNotRun;
+  CHECK(Decide(state).action == RetryAction::kRetry);
+}
+
 TEST_CASE("RetryOnErrorPolicy retries a request that may have run")
 {
   RetryBudget budget{ RetryBudget::Options{} };
