Send nothing to a target that has asked for a pause

A target that rejects a request with 503 may ask, by Retry-After, that this node sends it nothing for so long. Callers of a busy target were sent to it again at once and rejected again; the target got more work at the time when it could do least.

Cause: Retry-After of a target was not read by either interface.

Choosing a target leaves paused ones out, for first sends, retries, hedges and streams that resume or return; in the product's own interface Router does the same, and TargetAttempt checks again once it has connected. A request waits for the first end if that is within its latency objective. If all targets are paused for longer, it is refused at once, with a Retry-After spread from the end of the first pause on. Probes and reports are not affected.

--- a/src/node/Dispatcher.cpp
+++ b/src/node/Dispatcher.cpp
@@ -11,13 +11,17 @@
 /// Longest wait that a refusal states because targets limit their requests.
 constexpr double kMaxLimitWaitSeconds = 60;
 
+/// Range over which callers come back after the end of a pause.
+constexpr double kPauseSpreadSeconds = 2;
+
 } // namespace
 
 Dispatcher::Dispatcher(asio::any_io_executor aExecutor, Options aOptions)
   : executor(std::move(aExecutor))
   , options(std::move(aOptions))
   , router(Router::Options{ .availabilityZone = this->options.availabilityZone,
-                            .limits = this->options.limits },
+                            .limits = this->options.limits,
+                            .pauses = this->options.pauses },
            MakeAffinityStrategy())
   , queue(AdmissionQueue::Options{ .limit = this->options.queueLimit })
   , budget(RetryBudget::Options{})
@@ -54,10 +58,28 @@
                                : kMaxLimitWaitSeconds);
 }
 
+std::optional<Refusal>
+Dispatcher::PauseRefusal(Instant aNow)
+{
+  const std::optional<Instant> end = this->router.PauseEnd(aNow);
+  if (!end) {
+    return std::nullopt;
+  }
+  std::uniform_real_distribution<double> spread(0, kPauseSpreadSeconds);
+  return MakeNotRunRefusal(503,
+                           "target_paused",
+                           "the targets of this service have asked for a pause",
+                           *end - aNow + FromSeconds(spread(this->random)));
+}
+
 Task<std::optional<Refusal>>
 Dispatcher::Admit(Ticket aTicket)
 {
   const Instant now = MonotonicNow();
+  if (const auto end = this->router.PauseEnd(now);
+      end && *end >= aTicket.deadline) {
+    co_return this->PauseRefusal(now);
+  }
   if (const auto wait = this->WaitForLimits(now);
       wait && now + *wait >= aTicket.deadline) {
     co_return MakeNotRunRefusal(
--- a/src/node/Dispatcher.h
+++ b/src/node/Dispatcher.h
@@ -30,6 +30,8 @@
     Duration maxWaitWithoutTargets = seconds(3);
     /// The request limits of targets; outlives the dispatcher.
     TargetLimits* limits = nullptr;
+    /// The pauses that targets ask for; outlives the dispatcher.
+    TargetPauses* pauses = nullptr;
   };
 
   Dispatcher(boost::asio::any_io_executor aExecutor, Options aOptions);
@@ -82,6 +84,11 @@
   /// Refuses the waiting requests that the quarantine holds.
   void RefuseQuarantined(const PromptQuarantine& aQuarantine, Instant aNow);
 
+  /// Returns the refusal of a request for which no target may be chosen because
+  /// all have asked for a pause; none otherwise. Its Retry-After is spread, so
+  /// that callers do not come back in one wave.
+  std::optional<Refusal> PauseRefusal(Instant aNow);
+
   RetryBudget& Budget() { return this->budget; }
   const Router& TargetRouter() const { return this->router; }
   int WaitingRequests() const { return this->queue.Size(); }
--- a/src/node/Node.cpp
+++ b/src/node/Node.cpp
@@ -109,6 +109,7 @@
     .targetPool = HttpConnectionPool(aExecutor, HttpConnectionPool::Options{}),
     .targetLimits =
       TargetLimits(TargetLimits::Options{}, std::random_device{}()),
+    .targetPauses = TargetPauses(TargetPauses::Options{}),
     .retryPolicy = std::make_unique<SafeRetryPolicy>(),
     .dispatchers = {},
     .journals = {},
@@ -300,7 +301,8 @@
         Dispatcher::Options{ .availabilityZone =
                                this->settings.availabilityZone,
                              .queueLimit = service.queueLimit,
-                             .limits = &this->context.targetLimits });
+                             .limits = &this->context.targetLimits,
+                             .pauses = &this->context.targetPauses });
     }
     dispatcher->SetNodeCount(this->context.directory.Count());
     dispatcher->SetQueueLimit(service.queueLimit);
--- a/src/node/NodeContext.h
+++ b/src/node/NodeContext.h
@@ -7,6 +7,7 @@
 #include "http/HttpClient.h"
 #include "limits/AccountLimiter.h"
 #include "limits/TargetLimits.h"
+#include "limits/TargetPauses.h"
 #include "membership/NodeDirectory.h"
 #include "node/Dispatcher.h"
 #include "node/JournalTask.h"
@@ -39,6 +40,7 @@
   NodeView view;
   HttpConnectionPool targetPool;
   TargetLimits targetLimits;
+  TargetPauses targetPauses;
   std::unique_ptr<RetryPolicy> retryPolicy;
   /// Keyed by service name.
   std::map<std::string, std::unique_ptr<Dispatcher>, std::less<>> dispatchers;
--- a/src/node/RequestRun.cpp
+++ b/src/node/RequestRun.cpp
@@ -269,6 +269,10 @@
     const auto target =
       this->dispatcher->Choose(key, this->triedTargetIds, MonotonicNow());
     if (!target) {
+      if (auto refusal = this->PauseRefusal()) {
+        co_return RequestResult{ .outcome = Outcome::kNotRun,
+                                 .refusal = std::move(refusal) };
+      }
       co_return RequestResult{
         .outcome = this->mayHaveRun ? Outcome::kUnknown : Outcome::kNotRun,
         .refusal = Refusal{ .status = 503,
@@ -310,6 +314,12 @@
     return RequestResult{ .outcome = Outcome::kAnswered,
                           .refusal = std::nullopt };
   }
+  if (aDecision.outcome == Outcome::kNotRun) {
+    if (auto refusal = this->PauseRefusal()) {
+      return RequestResult{ .outcome = Outcome::kNotRun,
+                            .refusal = std::move(refusal) };
+    }
+  }
   const bool deadlinePassed = MonotonicNow() >= this->spec.deadline;
   return RequestResult{ .outcome = aDecision.outcome,
                         .refusal = Refusal{
@@ -324,6 +334,13 @@
                           .retryAfter = seconds(1) } };
 }
 
+std::optional<Refusal>
+RequestRun::PauseRefusal() const
+{
+  return this->mayHaveRun ? std::nullopt
+                          : this->dispatcher->PauseRefusal(MonotonicNow());
+}
+
 HttpRequest
 RequestRun::BuildTargetRequest(const Target& aTarget,
                                const std::string& aAttemptId) const
@@ -383,6 +400,7 @@
   TargetAttempt attempt(this->context.targetPool,
                         this->relay,
                         this->context.targetLimits,
+                        this->context.targetPauses,
                         std::move(options));
   const Instant start = MonotonicNow();
   this->dispatcher->OnStart(aTarget, start);
@@ -392,6 +410,9 @@
     this->dispatcher->OnFirstByte(aTarget, attempt.FirstByteDelay());
     this->firstByteDelay = start + attempt.FirstByteDelay() - this->arrivedAt;
   }
+  if (attempt.HasBegunPause()) {
+    this->context.counters.Add("target_pauses");
+  }
   const bool failed =
     end != AttemptEnd::kAnswered && end != AttemptEnd::kCallerGone;
   this->dispatcher->OnEnd(aTarget, failed, now - start, now);
--- a/src/node/RequestRun.h
+++ b/src/node/RequestRun.h
@@ -56,6 +56,9 @@
   /// Returns the result if no further attempt is made.
   RequestResult ResultAfter(const RetryDecision& aDecision,
                             AttemptEnd aEnd) const;
+  /// Returns the refusal of a request that no target may have run, if all
+  /// targets have asked for a pause.
+  std::optional<Refusal> PauseRefusal() const;
   HttpRequest BuildTargetRequest(const Target& aTarget,
                                  const std::string& aAttemptId) const;
   void OnStreamProgress(Instant aNow);
--- a/src/node/TargetAttempt.cpp
+++ b/src/node/TargetAttempt.cpp
@@ -16,10 +16,12 @@
 TargetAttempt::TargetAttempt(HttpConnectionPool& aPool,
                              ResponseRelay& aRelay,
                              TargetLimits& aLimits,
+                             TargetPauses& aPauses,
                              AttemptOptions aOptions)
   : pool(aPool)
   , relay(aRelay)
   , limits(aLimits)
+  , pauses(aPauses)
   , options(std::move(aOptions))
 {
 }
@@ -65,6 +67,7 @@
                           ReadRequestLimit((*head)["X-Request-Limit"]),
                           this->sentAt,
                           MonotonicNow());
+  this->RecordPause(*head);
   if ((*head)["X-Request-Outcome"] == "not_run") {
     this->failure =
       Error{ .code = ErrorCode::kRefused,
@@ -87,6 +90,13 @@
     }
     this->connection = std::move(*newConnection);
   }
+  if (this->IsTargetPaused()) {
+    // Another request was rejected while this one connected.
+    co_return apricottrack::Failure(ErrorCode::kRefused,
+                                    "target.pause",
+                                    this->options.address,
+                                    "the target has asked for a pause");
+  }
   this->mayHaveSent = true;
   this->sentAt = MonotonicNow();
   const auto written = co_await this->connection->Send(
@@ -104,6 +114,27 @@
   co_return head;
 }
 
+bool
+TargetAttempt::IsTargetPaused() const
+{
+  const Instant now = MonotonicNow();
+  return this->pauses.EarliestSend(this->options.targetId, now) > now;
+}
+
+void
+TargetAttempt::RecordPause(const HttpResponse& aHead)
+{
+  if (aHead.result() != boost::beast::http::status::service_unavailable) {
+    return;
+  }
+  const auto pause =
+    ReadPauseRequest(aHead[boost::beast::http::field::retry_after]);
+  if (pause) {
+    this->hasBegunPause =
+      this->pauses.OnPause(this->options.targetId, *pause, MonotonicNow());
+  }
+}
+
 AttemptEnd
 TargetAttempt::ClassifyFailure(const Error& aError)
 {
--- a/src/node/TargetAttempt.h
+++ b/src/node/TargetAttempt.h
@@ -3,6 +3,7 @@
 
 #include "http/HttpClient.h"
 #include "limits/TargetLimits.h"
+#include "limits/TargetPauses.h"
 #include "retry/RetryPolicy.h"
 
 #include <functional>
@@ -43,6 +44,7 @@
   TargetAttempt(HttpConnectionPool& aPool,
                 ResponseRelay& aRelay,
                 TargetLimits& aLimits,
+                TargetPauses& aPauses,
                 AttemptOptions aOptions);
 
   Task<AttemptEnd> Run();
@@ -58,6 +60,9 @@
   /// When sending last began.
   Instant SentAt() const { return this->sentAt; }
 
+  /// True if the target has asked for a pause and was not paused before.
+  bool HasBegunPause() const { return this->hasBegunPause; }
+
   /// Why the attempt failed; unset if it was answered or the caller
   /// disconnected.
   const Error& Failure() const { return this->failure; }
@@ -67,6 +72,10 @@
   /// response head.
   Task<Result<HttpResponse>> SendAndReceiveHead();
   Task<AttemptEnd> RelayResponse(const HttpResponse& aHead);
+  /// True if the target has asked for a pause that has not ended.
+  bool IsTargetPaused() const;
+  /// Records the pause that a 503 asks for.
+  void RecordPause(const HttpResponse& aHead);
   /// Records the error and classifies it by whether the request was sent.
   AttemptEnd ClassifyFailure(const Error& aError);
   /// Returns the timeout, shortened to end by the deadline.
@@ -78,6 +87,7 @@
   HttpConnectionPool& pool;
   ResponseRelay& relay;
   TargetLimits& limits;
+  TargetPauses& pauses;
   AttemptOptions options;
   std::unique_ptr<HttpConnection> connection;
   /// True once any byte of the request may have been sent.
@@ -85,6 +95,7 @@
   bool connectionLost = false;
   Instant sentAt;
   Duration firstByteDelay = Duration::zero();
+  bool hasBegunPause = false;
   Error failure;
 };
 
--- a/src/routing/Router.cpp
+++ b/src/routing/Router.cpp
@@ -75,6 +75,27 @@
            aNow;
 }
 
+bool
+Router::IsPaused(const Entry& aEntry, Instant aNow) const
+{
+  return this->options.pauses != nullptr &&
+         this->options.pauses->EarliestSend(aEntry.target.id, aNow) > aNow;
+}
+
+std::optional<Instant>
+Router::PauseEnd(Instant aNow) const
+{
+  std::optional<Instant> first;
+  for (const auto& [id, entry] : this->targets) {
+    if (!this->IsPaused(entry, aNow)) {
+      return std::nullopt;
+    }
+    const Instant end = this->options.pauses->EarliestSend(id, aNow);
+    first = std::min(first.value_or(end), end);
+  }
+  return first;
+}
+
 std::optional<double>
 Router::LimitedRate(Instant aNow) const
 {
@@ -95,7 +116,8 @@
 bool
 Router::CanAccept(const Entry& aEntry, Instant aNow) const
 {
-  if (aNow < aEntry.backoffUntil || !this->HasTurn(aEntry, aNow)) {
+  if (aNow < aEntry.backoffUntil || this->IsPaused(aEntry, aNow) ||
+      !this->HasTurn(aEntry, aNow)) {
     return false;
   }
   if (aEntry.isStraggler) {
@@ -159,6 +181,9 @@
     if (this->options.limits != nullptr) {
       this->options.limits->TakeTurn(aId, this->demand, aNow);
     }
+    if (this->options.pauses != nullptr) {
+      this->options.pauses->OnSend(aId, aNow);
+    }
     ++found->second.inFlight;
     found->second.recentStarts.push_back(aNow);
   }
--- a/src/routing/Router.h
+++ b/src/routing/Router.h
@@ -3,6 +3,7 @@
 
 #include "apricottrack/Time.h"
 #include "limits/TargetLimits.h"
+#include "limits/TargetPauses.h"
 #include "routing/RoutingStrategy.h"
 
 #include <cstdint>
@@ -66,6 +67,9 @@
     double overcommitFactor = 1.0;
     /// The request limits of targets; outlives the router. Null without limits.
     TargetLimits* limits = nullptr;
+    /// The pauses that targets ask for; outlives the router. Null without
+    /// pauses.
+    TargetPauses* pauses = nullptr;
   };
 
   Router(Options aOptions, std::unique_ptr<RoutingStrategy> aStrategy);
@@ -102,6 +106,9 @@
   /// Returns the requests per second that this node may send to all targets
   /// together; none unless all are limited.
   std::optional<double> LimitedRate(Instant aNow) const;
+  /// Returns when the first target accepts requests again; none unless all
+  /// targets have asked for a pause.
+  std::optional<Instant> PauseEnd(Instant aNow) const;
   /// Sum of the slots of all targets, free or not.
   int TotalSlots() const;
   bool IsStraggler(const std::string& aId) const;
@@ -134,10 +141,12 @@
   double EstimatedRequests(const Entry& aEntry) const;
   /// True unless the target's limit leaves this node no turn now.
   bool HasTurn(const Entry& aEntry, Instant aNow) const;
-  /// True if the target may get a request now: it is not in backoff, this node
-  /// has a turn, and it holds
-  /// fewer requests than `Options::overcommitFactor` allows, or is a straggler
-  /// that is due for a request and has none of this node in flight.
+  /// True if the target has asked this node for a pause that has not ended.
+  bool IsPaused(const Entry& aEntry, Instant aNow) const;
+  /// True if the target may get a request now: it is not in backoff, has not
+  /// asked for a pause, this node has a turn, and it holds fewer requests than
+  /// `Options::overcommitFactor` allows, or is a straggler that is due for a
+  /// request and has none of this node in flight.
   bool CanAccept(const Entry& aEntry, Instant aNow) const;
   /// Updates the straggler state of all targets.
   void UpdateStragglers();
--- a/src/serving/PlatformProtocol.h
+++ b/src/serving/PlatformProtocol.h
@@ -5,6 +5,7 @@
 #include "catalog/Catalog.h"
 #include "fleet/TargetRecord.h"
 #include "http/HttpTypes.h"
+#include "limits/PauseRequest.h"
 #include "replicas/ReplicaOrder.h"
 #include "replicas/TargetReport.h"
 
@@ -79,6 +80,9 @@
   /// Requests per second that the target accepts from all nodes together, for
   /// as long as its responses say so.
   std::optional<double> requestLimit;
+  /// The target has rejected the request and wants no other one from this node
+  /// for some time.
+  std::optional<PauseRequest> pause;
   /// Replica member that caused the refusal; empty if none is named.
   std::string memberAtFault;
 
--- a/src/serving/Refusals.cpp
+++ b/src/serving/Refusals.cpp
@@ -20,11 +20,12 @@
 
 void
 SetRetryAfter(HttpResponse& aResponse,
+              double aMinSeconds,
               double aMaxSeconds,
               std::mt19937_64& aRandom)
 {
-  std::uniform_real_distribution<double> retryAfterDistribution(
-    kMinRetryAfterSeconds, aMaxSeconds);
+  std::uniform_real_distribution<double> retryAfterDistribution(aMinSeconds,
+                                                                aMaxSeconds);
   aResponse.set(http::field::retry_after,
                 fmt::format("{:.2f}", retryAfterDistribution(aRandom)));
 }
@@ -39,7 +40,8 @@
   HttpResponse response =
     JsonResponse(aStatus, fmt::format(R"({{"error":"{}"}})", aReason));
   if (aStatus == kUnavailable) {
-    SetRetryAfter(response, kMaxRetryAfterSeconds, aRandom);
+    SetRetryAfter(
+      response, kMinRetryAfterSeconds, kMaxRetryAfterSeconds, aRandom);
   }
   if (aStatus == kUnauthorized) {
     response.set(http::field::www_authenticate, "Bearer");
@@ -54,8 +56,25 @@
 {
   HttpResponse response =
     JsonResponse(kUnavailable, fmt::format(R"({{"error":"{}"}})", aReason));
-  SetRetryAfter(
-    response, std::max(kMaxRetryAfterSeconds, ToSeconds(aLongest)), aRandom);
+  SetRetryAfter(response,
+                kMinRetryAfterSeconds,
+                std::max(kMaxRetryAfterSeconds, ToSeconds(aLongest)),
+                aRandom);
+  return response;
+}
+
+HttpResponse
+MakeRefusalAfter(std::string_view aReason,
+                 Duration aEarliest,
+                 std::mt19937_64& aRandom)
+{
+  HttpResponse response =
+    JsonResponse(kUnavailable, fmt::format(R"({{"error":"{}"}})", aReason));
+  const double earliest = ToSeconds(aEarliest);
+  SetRetryAfter(response,
+                earliest + kMinRetryAfterSeconds,
+                earliest + kMaxRetryAfterSeconds,
+                aRandom);
   return response;
 }
 
--- a/src/serving/Refusals.h
+++ b/src/serving/Refusals.h
@@ -24,6 +24,13 @@
                   Duration aLongest,
                   std::mt19937_64& aRandom);
 
+/// Makes a 503 for callers that are to come back after `aEarliest`. Retry-After
+/// is spread from then on, as MakeRefusal does from now on.
+HttpResponse
+MakeRefusalAfter(std::string_view aReason,
+                 Duration aEarliest,
+                 std::mt19937_64& aRandom);
+
 /// Makes the 503 of a request that will be refused until `aRetryAfter` has
 /// passed; sent as Retry-After, rounded up to whole seconds.
 HttpResponse
--- a/src/serving/RequestFlow.cpp
+++ b/src/serving/RequestFlow.cpp
@@ -122,7 +122,8 @@
     const TargetChoice choice = this->ChooseTarget(now);
     const PlacementChoice& placement = choice.placement;
     if (placement.refusal != PlacementRefusal::kNone) {
-      if (co_await this->WaitForTurn(choice) ||
+      if (co_await this->WaitForPauseEnd(choice) ||
+          co_await this->WaitForTurn(choice) ||
           co_await this->WaitForContinuation()) {
         continue;
       }
@@ -197,6 +198,10 @@
     this->context.limits.OnResponse(
       aTargetId, head.requestLimit, aCall.SentAt(), aNow);
   }
+  if (head.pause &&
+      this->context.pauses.OnPause(aTargetId, *head.pause, aNow)) {
+    this->context.counters.Add("target_pauses");
+  }
   return head;
 }
 
--- a/src/serving/RequestFlow.h
+++ b/src/serving/RequestFlow.h
@@ -83,6 +83,8 @@
     PlacementChoice placement;
     /// The earliest turn at the targets that were left out for their limits.
     std::optional<Turn> nextTurn;
+    /// The earliest end of the pauses for which targets were left out.
+    std::optional<Instant> pauseEnd;
 
     friend bool operator==(const TargetChoice&, const TargetChoice&) = default;
   };
@@ -96,6 +98,21 @@
     const std::vector<Candidate>& aCandidates,
     std::set<std::string>& aExcluded,
     Instant aNow) const;
+  /// Adds the targets that have asked for a pause, and returns when the first
+  /// of these accepts requests again.
+  std::optional<Instant> ExcludePausedTargets(
+    const std::vector<Candidate>& aCandidates,
+    std::set<std::string>& aExcluded,
+    Instant aNow) const;
+  /// Waits for the end of a pause. Returns false without waiting if the
+  /// response would be late.
+  Task<bool> WaitForPauseEnd(const TargetChoice& aChoice);
+  /// Returns when the first target that may serve the request ends its pause;
+  /// none unless all are paused.
+  std::optional<Instant> AllPausedUntil(Instant aNow) const;
+  /// Latest time at which a request that waits for a target is sent. Targets
+  /// that become available later are left to requests that are in time then.
+  Instant LatestSend() const;
   /// Takes the choice's next turn and waits for it. Returns false without
   /// waiting if the response would be late.
   Task<bool> WaitForTurn(const TargetChoice& aChoice);
@@ -183,6 +200,9 @@
   /// Sends an error response; if a stream has started, closes the connection
   /// instead.
   Task<void> Refuse(unsigned aStatus, std::string_view aReason);
+  /// Refuses a request that no target has run, until the first target accepts
+  /// requests again if all have asked for a pause.
+  Task<void> RefuseNotRun();
   Task<void> RefuseAtIntake(IntakeRefusal aRefusal);
   /// Logs the end of a call, unless that is kAnswered, and what follows it.
   void LogCall(std::string_view aTargetId,
--- a/src/serving/RequestFlowEnds.cpp
+++ b/src/serving/RequestFlowEnds.cpp
@@ -70,7 +70,7 @@
       this->exchange.CloseAfterHandler();
       co_return;
     case NextStep::kRefuse:
-      co_await this->Refuse(503, "not_run");
+      co_await this->RefuseNotRun();
       co_return;
     case NextStep::kFail:
       co_await this->Refuse(502, "outcome_unknown");
@@ -108,6 +108,20 @@
   this->LogEnd(aReason, aStatus);
 }
 
+Task<void>
+RequestFlow::RefuseNotRun()
+{
+  const Instant now = MonotonicNow();
+  const std::optional<Instant> pausedUntil = this->AllPausedUntil(now);
+  if (this->streamStarted || !pausedUntil) {
+    co_await this->Refuse(503, "not_run");
+    co_return;
+  }
+  co_await this->exchange.Reply(MakeRefusalAfter(
+    "target_paused", *pausedUntil - now, this->context.random));
+  this->LogEnd("target_paused", 503);
+}
+
 Task<void>
 RequestFlow::RefuseAtIntake(IntakeRefusal aRefusal)
 {
--- a/src/serving/RequestFlowPlacement.cpp
+++ b/src/serving/RequestFlowPlacement.cpp
@@ -33,6 +33,8 @@
   const std::vector<Candidate>& candidates = this->context.candidates.Find(
     *this->admittedRequest.service, this->caller.model);
   std::set<std::string> excluded = this->ExcludedTargets(candidates, aNow);
+  const std::optional<Instant> pauseEnd =
+    this->ExcludePausedTargets(candidates, excluded, aNow);
   const std::optional<Turn> nextTurn =
     this->ExcludeTargetsOutOfTurn(candidates, excluded, aNow);
   return { .placement =
@@ -43,7 +45,8 @@
                                 : demand->second.requests,
                               aNow,
                               this->context.random),
-           .nextTurn = nextTurn };
+           .nextTurn = nextTurn,
+           .pauseEnd = pauseEnd };
 }
 
 const std::string&
@@ -121,11 +124,7 @@
 Task<bool>
 RequestFlow::WaitForTurn(const TargetChoice& aChoice)
 {
-  // A turn that comes later is left to requests that are still in time then.
-  const Instant latest =
-    std::min(this->arrivedAt + this->admittedRequest.route->latencyObjective,
-             this->Deadline() - kMinCallTime);
-  if (!aChoice.nextTurn || aChoice.nextTurn->at > latest) {
+  if (!aChoice.nextTurn || aChoice.nextTurn->at > this->LatestSend()) {
     co_return false;
   }
   const Instant now = MonotonicNow();
@@ -146,6 +145,7 @@
   this->calledTargets[aTargetId].reset();
   this->context.loads.OnSent(aTargetId);
   this->context.stalls.OnSent(aTargetId, aNow);
+  this->context.pauses.OnSend(aTargetId, aNow);
   const bool hasTurn =
     std::exchange(this->reservedTarget, std::string{}) == aTargetId;
   if (!hasTurn && this->context.limits.LimitOf(aTargetId, aNow)) {
--- a/src/serving/ServingContext.h
+++ b/src/serving/ServingContext.h
@@ -8,6 +8,7 @@
 #include "http/ByteBudget.h"
 #include "http/HttpClient.h"
 #include "limits/TargetLimits.h"
+#include "limits/TargetPauses.h"
 #include "placement/CandidateDirectory.h"
 #include "placement/DemandMeter.h"
 #include "placement/LoadTracker.h"
@@ -49,6 +50,7 @@
   LoadTracker loads;
   StallDetector stalls;
   TargetLimits limits;
+  TargetPauses pauses;
   /// Demand at this node.
   DemandMeter demand;
   /// Demand at all nodes together; empty while unknown.
--- a/src/serving/ServingNode.cpp
+++ b/src/serving/ServingNode.cpp
@@ -126,6 +126,7 @@
     .stalls = StallDetector(StallDetector::Options{}),
     .limits =
       TargetLimits(TargetLimits::Options{}, std::random_device{}()),
+    .pauses = TargetPauses(TargetPauses::Options{}),
     .demand = DemandMeter(DemandMeter::Options{}),
     .fleetDemands = {},
     .targetPool =
--- a/tests/PlatformProtocolTest.cpp
+++ b/tests/PlatformProtocolTest.cpp
@@ -110,6 +110,17 @@
   CHECK_FALSE(limitOf(text));
 }
 
+TEST_CASE("WireProtocol reads a pause from a 503 only")
+{
+  HttpResponse response(http::status::service_unavailable, 11);
+  CHECK_FALSE(WireProtocol().ReadHead(response).pause);
+  response.set("Retry-After", "1.5");
+  CHECK(WireProtocol().ReadHead(response).pause ==
+        PauseRequest{ .duration = milliseconds(1500) });
+  response.result(http::status::too_many_requests);
+  CHECK_FALSE(WireProtocol().ReadHead(response).pause);
+}
+
 TEST_CASE("WireProtocol rejects target entries with missing or invalid fields")
 {
   CHECK_FALSE(ReadEntry(""));
--- a/tests/RestoredStoreHarness.h
+++ b/tests/RestoredStoreHarness.h
@@ -29,6 +29,7 @@
                .loads = LoadTracker(LoadTracker::Options{}),
                .stalls = StallDetector(StallDetector::Options{}),
                .limits = TargetLimits(TargetLimits::Options{}, 1),
+               .pauses = TargetPauses(TargetPauses::Options{}),
                .demand = DemandMeter(DemandMeter::Options{}),
                .fleetDemands = {},
                .targetPool = HttpConnectionPool(this->io.get_executor(), {}),
--- a/tests/RouterTest.cpp
+++ b/tests/RouterTest.cpp
@@ -165,3 +165,27 @@
   }
   CHECK(router.FreeSlots(later) == 0);
 }
+
+TEST_CASE("Router sends nothing to a target that has asked for a pause")
+{
+  TargetPauses pauses(TargetPauses::Options{});
+  Router router({ .availabilityZone = "a", .pauses = &pauses },
+                MakeAffinityStrategy());
+  router.SetTargets(Targets(2, 4));
+  Random random(1);
+  pauses.OnPause("group-0#1", { .duration = seconds(3) }, kNow);
+  CHECK(router.FreeSlots(kNow) == 4);
+  CHECK_FALSE(router.PauseEnd(kNow));
+  for (std::uint64_t prefix = 0; prefix < 20; ++prefix) {
+    const auto target = router.Choose({ .prefix = prefix }, {}, kNow, random);
+    REQUIRE(target);
+    CHECK(target->id == "group-1#1");
+  }
+  pauses.OnPause("group-1#1", { .duration = seconds(2) }, kNow);
+  CHECK(router.FreeSlots(kNow) == 0);
+  CHECK(router.PauseEnd(kNow) == kNow + seconds(2));
+  CHECK_FALSE(router.Choose({ .prefix = 1 }, { "group-0#1" }, kNow, random));
+  const Instant later = kNow + seconds(2);
+  CHECK_FALSE(router.PauseEnd(later));
+  CHECK(router.Choose({ .prefix = 1 }, {}, later, random)->id == "group-1#1");
+}
--- a/tests/ServingHarness.h
+++ b/tests/ServingHarness.h
@@ -69,7 +69,8 @@
              .notRun = aHead.count("X-Not-Run") > 0,
              .isSigned = aHead.count("X-Signed") > 0,
              .isEventStream = aHead["Content-Type"] == "text/event-stream",
-             .requestLimit = ReadRequestLimit(aHead["X-Limit"]) };
+             .requestLimit = ReadRequestLimit(aHead["X-Limit"]),
+             .pause = ReadPauseRequest(aHead["X-Pause"]) };
   }
   HttpHeaders ResponseHeaders(const HttpResponse& aHead) const override
   {
@@ -161,6 +162,7 @@
                .loads = LoadTracker(LoadTracker::Options{}),
                .stalls = StallDetector(StallDetector::Options{}),
                .limits = TargetLimits(TargetLimits::Options{}, 1),
+               .pauses = TargetPauses(TargetPauses::Options{}),
                .demand = DemandMeter(DemandMeter::Options{}),
                .fleetDemands = {},
                .targetPool = HttpConnectionPool(this->io.get_executor(), {}),
--- /dev/null
+++ b/tests/TargetAttemptTest.cpp
@@ -0,0 +1,88 @@
+#include "node/TargetAttempt.h"
+
+#include "ServingHarness.h"
+#include "TargetResponses.h"
+#include "node/ResponseRelay.h"
+
+using namespace apricottrack;
+
+namespace {
+
+constexpr Duration kTestLimit = seconds(10);
+
+/// Runs one attempt at a target that answers with these bytes, and returns
+/// until when the target is paused after it.
+Duration
+PauseAfterResponse(const std::string& aResponse)
+{
+  asio::io_context io(1);
+  TargetLimits limits(TargetLimits::Options{}, 1);
+  TargetPauses pauses(TargetPauses::Options{});
+  HttpConnectionPool pool(io.get_executor(), HttpConnectionPool::Options{});
+  tcp::acceptor acceptor(io,
+                         tcp::endpoint(asio::ip::make_address("127.0.0.1"), 0));
+  const std::string targetAddress =
+    fmt::format("127.0.0.1:{}", acceptor.local_endpoint().port());
+  asio::co_spawn(
+    io,
+    [&]() -> Task<void> {
+      auto [error, socket] = co_await acceptor.async_accept(kAsTuple);
+      TargetConnection connection(std::move(socket));
+      co_await connection.ReadRequest();
+      co_await connection.Write(aResponse);
+    },
+    asio::detached);
+  Duration pause = Duration::zero();
+  const std::string address = ServingHarness::FreeAddress(io);
+  const auto server = *HttpServer::Make(
+    io.get_executor(),
+    { .address = address,
+      .handler = [&](HttpExchange& aExchange) -> Task<void> {
+        ResponseRelay relay(aExchange, "r");
+        HttpRequest message(boost::beast::http::verb::get, "/", 11);
+        message.set(boost::beast::http::field::host, targetAddress);
+        TargetAttempt attempt(pool,
+                              relay,
+                              limits,
+                              pauses,
+                              { .targetId = "t",
+                                .address = targetAddress,
+                                .message = message,
+                                .deadline = MonotonicNow() + seconds(5) });
+        co_await attempt.Run();
+        const Instant now = MonotonicNow();
+        pause = pauses.EarliestSend("t", now) - now;
+        io.stop();
+      },
+      .errorResponder =
+        [](unsigned aStatus, std::string_view) {
+          return JsonResponse(aStatus, "{}");
+        } });
+  asio::co_spawn(
+    io,
+    [&]() -> Task<void> {
+      tcp::socket socket(io);
+      co_await socket.async_connect(*ParseEndpoint(address), kAsTuple);
+      const std::string request = "GET / HTTP/1.1\r\nHost: h\r\n\r\n";
+      co_await asio::async_write(socket, asio::buffer(request), kAsTuple);
+      std::string response;
+      co_await asio::async_read(
+        socket, asio::dynamic_buffer(response), kAsTuple);
+    },
+    asio::detached);
+  io.run_for(kTestLimit);
+  return pause;
+}
+
+} // namespace
+
+TEST_CASE("TargetAttempt records the pause that a target's 503 asks for")
+{
+  const std::string pause = "Retry-After: 20\r\n";
+  const std::string notRun = pause + "X-Request-Outcome: not_run\r\n";
+  CHECK(PauseAfterResponse(PlainResponse(503, notRun, "full")) > seconds(15));
+  CHECK(PauseAfterResponse(PlainResponse(503, pause, "full")) > seconds(15));
+  CHECK(PauseAfterResponse(PlainResponse(503, "", "full")) == Duration::zero());
+  CHECK(PauseAfterResponse(PlainResponse(429, notRun, "slow")) ==
+        Duration::zero());
+}
--- a/tests/TruncatedResponseTest.cpp
+++ b/tests/TruncatedResponseTest.cpp
@@ -65,10 +65,12 @@
       .handler = [&](HttpExchange& aExchange) -> Task<void> {
         ResponseRelay relay(aExchange, "a");
         TargetLimits limits(TargetLimits::Options{}, 1);
+        TargetPauses pauses(TargetPauses::Options{});
         TargetAttempt attempt(
           harness.context.targetPool,
           relay,
           limits,
+          pauses,
           { .address = harness.context.fleet.Find("t")->address,
             .message = HttpRequest(boost::beast::http::verb::get, "/", 11),
             .attemptId = "a",
