Send nothing to a target whose answers say that it leaves

A target that leaves says so in its answers. A node that had passed on such an answer kept sending new requests there until the store's entry said the same, and for as long as that could not be read.

Cause: Server-Leaving was not read.

Now TargetHead holds it, unless another target gave the answer (421), and TargetPauses treats it as a pause without an end, for the start of the process that the request was sent to. Only a later start ends it, not an older entry. Running requests and streams go on; a head that leaves takes no new requests of its replica at this node. If all targets leave, the refusal's detail is target_leaving. Other nodes and the planner are not told.

--- a/src/limits/TargetPauses.cpp
+++ b/src/limits/TargetPauses.cpp
@@ -40,8 +40,31 @@
   return true;
 }
 
+bool
+TargetPauses::OnLeaving(const std::string& aTarget,
+                        UnixMillis aStartedAt,
+                        Instant aNow)
+{
+  Entry& entry = this->EntryOf(aTarget, aNow);
+  entry.heardAt = aNow;
+  if (entry.leavingStart && aStartedAt <= *entry.leavingStart) {
+    return false;
+  }
+  entry.leavingStart = aStartedAt;
+  entry.leavingSince = aNow;
+  LogLine("target_leaving")
+    .With("target", aTarget)
+    .With("state", "start")
+    .With("source", "response")
+    .With("started_at", aStartedAt)
+    .Info();
+  return true;
+}
+
 void
-TargetPauses::OnSend(const std::string& aTarget, Instant aNow)
+TargetPauses::OnSend(const std::string& aTarget,
+                     UnixMillis aStartedAt,
+                     Instant aNow)
 {
   const auto found = this->entries.find(aTarget);
   if (found == this->entries.end()) {
@@ -57,6 +80,16 @@
       .Info();
     entry.pausedSince = Instant{};
   }
+  if (entry.leavingStart && aStartedAt > *entry.leavingStart) {
+    LogLine("target_leaving")
+      .With("target", aTarget)
+      .With("state", "end")
+      .With("source", "restart")
+      .With("after_ms",
+            std::int64_t{ (aNow - entry.leavingSince) / milliseconds(1) })
+      .Info();
+    entry.leavingStart.reset();
+  }
 }
 
 Instant
@@ -68,6 +101,19 @@
            : std::max(aNow, found->second.pausedUntil);
 }
 
+Instant
+TargetPauses::EarliestSend(const std::string& aTarget,
+                           UnixMillis aStartedAt,
+                           Instant aNow) const
+{
+  const auto found = this->entries.find(aTarget);
+  if (found != this->entries.end() && found->second.leavingStart &&
+      aStartedAt <= *found->second.leavingStart) {
+    return Instant::max();
+  }
+  return this->EarliestSend(aTarget, aNow);
+}
+
 TargetPauses::Entry&
 TargetPauses::EntryOf(const std::string& aTarget, Instant aNow)
 {
@@ -82,7 +128,7 @@
 TargetPauses::RemoveOne(Instant aNow)
 {
   std::erase_if(this->entries, [&](const auto& aItem) {
-    return aItem.second.pausedUntil <= aNow;
+    return aItem.second.pausedUntil <= aNow && !aItem.second.leavingStart;
   });
   if (this->entries.size() >= this->options.maxTargets) {
     this->entries.erase(
--- a/src/limits/TargetPauses.h
+++ b/src/limits/TargetPauses.h
@@ -11,8 +11,9 @@
 namespace apricottrack {
 
 /// Keeps this node's requests away from targets that have asked this node to
-/// pause. Every request to a target is subject to it, whichever attempt of
-/// whichever call it is. Each node has one.
+/// pause, and from those that have announced that they leave. Every request to
+/// a target is subject to it, whichever attempt of whichever call it is. Each
+/// node has one.
 class TargetPauses
 {
 public:
@@ -33,19 +34,36 @@
                const PauseRequest& aRequest,
                Instant aNow);
 
-  /// Records a request that is about to be sent.
-  void OnSend(const std::string& aTarget, Instant aNow);
+  /// Records that the target, as started at `aStartedAt`, has announced that it
+  /// leaves. Only a later start ends that. Returns true if that was not known.
+  bool OnLeaving(const std::string& aTarget,
+                 UnixMillis aStartedAt,
+                 Instant aNow);
 
-  /// Returns when this node may send a request to the target: at once if the
-  /// result is not after `aNow`.
+  /// Records a request that is about to be sent. `aStartedAt` is zero for
+  /// targets that do not announce their leaving.
+  void OnSend(const std::string& aTarget, UnixMillis aStartedAt, Instant aNow);
+
+  /// Returns when the target's pause ends: not after `aNow` if it has none.
   Instant EarliestSend(const std::string& aTarget, Instant aNow) const;
 
+  /// Returns when this node may send a request to the target, as started at
+  /// `aStartedAt`: at once if the result is not after `aNow`, never if it is
+  /// Instant::max().
+  Instant EarliestSend(const std::string& aTarget,
+                       UnixMillis aStartedAt,
+                       Instant aNow) const;
+
 private:
   struct Entry
   {
     Instant heardAt;
     Instant pausedSince;
     Instant pausedUntil;
+    /// Start of the target that has announced that it leaves; none if it has
+    /// not.
+    std::optional<UnixMillis> leavingStart;
+    Instant leavingSince;
     /// The target's last value that was out of range has been logged.
     bool isRangeLogged = false;
   };
--- a/src/placement/Candidate.h
+++ b/src/placement/Candidate.h
@@ -1,6 +1,8 @@
 #ifndef APRICOTTRACK_PLACEMENT_CANDIDATE_H
 #define APRICOTTRACK_PLACEMENT_CANDIDATE_H
 
+#include "apricottrack/Time.h"
+
 #include <string>
 
 namespace apricottrack {
@@ -17,6 +19,8 @@
   /// ReplicaKey of the replica that the target heads; empty for a target of a
   /// service without replicas.
   std::string replica;
+  /// Start of the target's process.
+  UnixMillis startedAt = 0;
 
   friend bool operator==(const Candidate&, const Candidate&) = default;
 };
--- a/src/placement/CandidateDirectory.cpp
+++ b/src/placement/CandidateDirectory.cpp
@@ -20,8 +20,8 @@
            .address = aRecord.address,
            .availabilityZone = aRecord.availabilityZone,
            .slots = aRecord.slots,
-           .replica =
-             aRecord.membership ? ReplicaKey(*aRecord.membership) : "" };
+           .replica = aRecord.membership ? ReplicaKey(*aRecord.membership) : "",
+           .startedAt = aRecord.startedAt };
 }
 
 } // namespace
--- a/src/routing/Router.cpp
+++ b/src/routing/Router.cpp
@@ -182,7 +182,7 @@
       this->options.limits->TakeTurn(aId, this->demand, aNow);
     }
     if (this->options.pauses != nullptr) {
-      this->options.pauses->OnSend(aId, aNow);
+      this->options.pauses->OnSend(aId, 0, aNow);
     }
     ++found->second.inFlight;
     found->second.recentStarts.push_back(aNow);
--- a/src/serving/PlatformProtocol.h
+++ b/src/serving/PlatformProtocol.h
@@ -80,6 +80,8 @@
   /// Requests per second that the target accepts from all nodes together, for
   /// as long as its responses say so.
   std::optional<double> requestLimit;
+  /// The target has announced that it leaves and wants no more requests.
+  bool isLeaving = false;
   /// The target has rejected the request and wants no other one from this node
   /// for some time.
   std::optional<PauseRequest> pause;
--- a/src/serving/RequestFlow.cpp
+++ b/src/serving/RequestFlow.cpp
@@ -169,7 +169,8 @@
            .mayReuse = this->admittedRequest.route->IsRepeatable() &&
                        !this->caller.attemptId.empty() &&
                        !this->calledTargets.contains(aTarget.id),
-           .deadline = this->Deadline() };
+           .deadline = this->Deadline(),
+           .targetStartedAt = aTarget.startedAt };
 }
 
 Task<CallEnd>
@@ -180,7 +181,7 @@
     this->context.targetPool,
     this->context.protocol,
     this->MakeCallOptions(aTarget, this->history.sendCount > 0, now));
-  this->RecordSend(aTarget.id, now);
+  this->RecordSend(aTarget, now);
   this->BeginCall(newCall, aTarget);
   auto head = co_await newCall.Start();
   co_return co_await this->CompleteCall(std::move(head));
@@ -198,6 +199,10 @@
     this->context.limits.OnResponse(
       aTargetId, head.requestLimit, aCall.SentAt(), aNow);
   }
+  if (head.isLeaving && this->context.pauses.OnLeaving(
+                          aTargetId, aCall.TargetStartedAt(), aNow)) {
+    this->context.counters.Add("targets_leaving");
+  }
   if (head.pause &&
       this->context.pauses.OnPause(aTargetId, *head.pause, aNow)) {
     this->context.counters.Add("target_pauses");
--- a/src/serving/RequestFlow.h
+++ b/src/serving/RequestFlow.h
@@ -83,7 +83,8 @@
     PlacementChoice placement;
     /// The earliest turn at the targets that were left out for their limits.
     std::optional<Turn> nextTurn;
-    /// The earliest end of the pauses for which targets were left out.
+    /// The earliest end of the pauses for which targets were left out;
+    /// Instant::max() if those targets leave.
     std::optional<Instant> pauseEnd;
 
     friend bool operator==(const TargetChoice&, const TargetChoice&) = default;
@@ -98,8 +99,8 @@
     const std::vector<Candidate>& aCandidates,
     std::set<std::string>& aExcluded,
     Instant aNow) const;
-  /// Adds the targets that have asked for a pause, and returns when the first
-  /// of these accepts requests again.
+  /// Adds the targets that have asked for a pause or leave, and returns when
+  /// the first of these accepts requests again, or Instant::max().
   std::optional<Instant> ExcludePausedTargets(
     const std::vector<Candidate>& aCandidates,
     std::set<std::string>& aExcluded,
@@ -107,8 +108,8 @@
   /// Waits for the end of a pause. Returns false without waiting if the
   /// response would be late.
   Task<bool> WaitForPauseEnd(const TargetChoice& aChoice);
-  /// Returns when the first target that may serve the request ends its pause;
-  /// none unless all are paused.
+  /// Returns when the first target that may serve the request ends its pause,
+  /// or Instant::max(); none unless all are paused or leave.
   std::optional<Instant> AllPausedUntil(Instant aNow) const;
   /// Latest time at which a request that waits for a target is sent. Targets
   /// that become available later are left to requests that are in time then.
@@ -134,7 +135,7 @@
                                       Instant aNow) const;
   /// Records a request that is about to be sent, by whatever call, and takes a
   /// turn at a target that is limited.
-  void RecordSend(const std::string& aTargetId, Instant aNow);
+  void RecordSend(const Candidate& aTarget, Instant aNow);
   /// Decodes the head of a response and records what the target says of itself.
   TargetHead RecordHead(const std::string& aTargetId,
                         const TargetCall& aCall,
--- a/src/serving/RequestFlowEnds.cpp
+++ b/src/serving/RequestFlowEnds.cpp
@@ -113,7 +113,7 @@
 {
   const Instant now = MonotonicNow();
   const std::optional<Instant> pausedUntil = this->AllPausedUntil(now);
-  if (this->streamStarted || !pausedUntil) {
+  if (this->streamStarted || !pausedUntil || pausedUntil == Instant::max()) {
     co_await this->Refuse(503, "not_run");
     co_return;
   }
--- a/src/serving/RequestFlowHedging.cpp
+++ b/src/serving/RequestFlowHedging.cpp
@@ -39,10 +39,9 @@
     this->context.counters.Add("hedges_denied");
     return;
   }
-  const std::string& id = choice.target.id;
   TargetCall::Options callOptions =
     this->MakeCallOptions(choice.target, true, now);
-  this->RecordSend(id, now);
+  this->RecordSend(choice.target, now);
   this->context.counters.Add("hedges");
   this->hedgeReason = aReason;
   this->hedge = std::make_shared<HedgeCall>(
--- a/src/serving/RequestFlowPauses.cpp
+++ b/src/serving/RequestFlowPauses.cpp
@@ -4,7 +4,7 @@
 #include <boost/asio/steady_timer.hpp>
 
 // The part of RequestFlow that keeps requests away from targets that have asked
-// this node to send them nothing.
+// for a pause or announced that they leave.
 namespace apricottrack {
 
 std::optional<Instant>
@@ -14,7 +14,8 @@
 {
   std::optional<Instant> first;
   for (const Candidate& candidate : aCandidates) {
-    const Instant end = this->context.pauses.EarliestSend(candidate.id, aNow);
+    const Instant end = this->context.pauses.EarliestSend(
+      candidate.id, candidate.startedAt, aNow);
     if (end > aNow && aExcluded.insert(candidate.id).second) {
       first = std::min(first.value_or(end), end);
     }
@@ -31,7 +32,8 @@
   std::optional<Instant> first;
   for (const Candidate& candidate : this->context.candidates.Find(
          *this->admittedRequest.service, this->caller.model)) {
-    const Instant end = this->context.pauses.EarliestSend(candidate.id, aNow);
+    const Instant end = this->context.pauses.EarliestSend(
+      candidate.id, candidate.startedAt, aNow);
     if (end <= aNow) {
       return std::nullopt;
     }
--- a/src/serving/RequestFlowPlacement.cpp
+++ b/src/serving/RequestFlowPlacement.cpp
@@ -140,16 +140,16 @@
 }
 
 void
-RequestFlow::RecordSend(const std::string& aTargetId, Instant aNow)
+RequestFlow::RecordSend(const Candidate& aTarget, Instant aNow)
 {
-  this->calledTargets[aTargetId].reset();
-  this->context.loads.OnSent(aTargetId);
-  this->context.stalls.OnSent(aTargetId, aNow);
-  this->context.pauses.OnSend(aTargetId, aNow);
-  const bool hasTurn =
-    std::exchange(this->reservedTarget, std::string{}) == aTargetId;
-  if (!hasTurn && this->context.limits.LimitOf(aTargetId, aNow)) {
-    this->context.limits.TakeTurn(aTargetId, this->SplitDemand(aNow), aNow);
+  const std::string& id = aTarget.id;
+  this->calledTargets[id].reset();
+  this->context.loads.OnSent(id);
+  this->context.stalls.OnSent(id, aNow);
+  this->context.pauses.OnSend(id, aTarget.startedAt, aNow);
+  const bool hasTurn = std::exchange(this->reservedTarget, std::string{}) == id;
+  if (!hasTurn && this->context.limits.LimitOf(id, aNow)) {
+    this->context.limits.TakeTurn(id, this->SplitDemand(aNow), aNow);
   }
 }
 
@@ -160,6 +160,7 @@
   this->lastError.detail =
     isLimited                                              ? "target_limit"
     : aChoice.placement.refusal == PlacementRefusal::kFull ? "full"
+    : aChoice.pauseEnd == Instant::max()                   ? "target_leaving"
                                                            : "no_target";
   if (this->history.possibleRunCount > 0 || this->streamStarted || !isLimited) {
     co_await this->Finish(
--- a/src/serving/TargetCall.h
+++ b/src/serving/TargetCall.h
@@ -24,6 +24,8 @@
     bool mayReuse = true;
     /// Deadline of the request.
     Instant deadline;
+    /// Start of the target's process.
+    UnixMillis targetStartedAt = 0;
   };
 
   TargetCall(HttpConnectionPool& aPool,
@@ -52,6 +54,7 @@
   bool WasSent() const { return this->sent; }
   /// When sending began; only if WasSent.
   Instant SentAt() const { return this->sentAt; }
+  UnixMillis TargetStartedAt() const { return this->options.targetStartedAt; }
   /// True if the connection came from the pool.
   bool HasReusedConnection() const { return this->reusedConnection; }
 
--- a/tests/PlatformProtocolTest.cpp
+++ b/tests/PlatformProtocolTest.cpp
@@ -121,6 +121,23 @@
   CHECK_FALSE(WireProtocol().ReadHead(response).pause);
 }
 
+TEST_CASE("WireProtocol reads that a target leaves unless another one answered")
+{
+  HttpResponse response(http::status::ok, 11);
+  CHECK_FALSE(WireProtocol().ReadHead(response).isLeaving);
+  response.set("Server-Leaving", "1");
+  CHECK(WireProtocol().ReadHead(response).isLeaving);
+  response.result(http::status::service_unavailable);
+  CHECK(WireProtocol().ReadHead(response).isLeaving);
+  response.result(http::status::misdirected_request);
+  CHECK_FALSE(WireProtocol().ReadHead(response).isLeaving);
+  response.result(http::status::ok);
+  const std::string text = GENERATE("", "0", "yes", "11");
+  CAPTURE(text);
+  response.set("Server-Leaving", text);
+  CHECK_FALSE(WireProtocol().ReadHead(response).isLeaving);
+}
+
 TEST_CASE("WireProtocol rejects target entries with missing or invalid fields")
 {
   CHECK_FALSE(ReadEntry(""));
--- a/tests/ServingHarness.h
+++ b/tests/ServingHarness.h
@@ -70,6 +70,7 @@
              .isSigned = aHead.count("X-Signed") > 0,
              .isEventStream = aHead["Content-Type"] == "text/event-stream",
              .requestLimit = ReadRequestLimit(aHead["X-Limit"]),
+             .isLeaving = aHead.count("X-Leaving") > 0,
              .pause = ReadPauseRequest(aHead["X-Pause"]) };
   }
   HttpHeaders ResponseHeaders(const HttpResponse& aHead) const override
--- a/tests/TargetPausesTest.cpp
+++ b/tests/TargetPausesTest.cpp
@@ -44,7 +44,7 @@
   TargetPauses pauses(TargetPauses::Options{});
   pauses.OnPause("t", PauseOf(seconds(1)), kStart);
   const Instant later = kStart + seconds(3);
-  pauses.OnSend("t", later);
+  pauses.OnSend("t", 0, later);
   CHECK(pauses.EarliestSend("t", later) == later);
   CHECK(pauses.OnPause("t", PauseOf(seconds(1)), later));
   CHECK(pauses.EarliestSend("t", later) == later + seconds(1));
@@ -72,3 +72,30 @@
   CHECK(held == 4);
   CHECK(pauses.EarliestSend("t9", now) > now);
 }
+
+TEST_CASE(
+  "TargetPauses keeps requests from a leaving target until a later start")
+{
+  TargetPauses pauses(TargetPauses::Options{});
+  CHECK(pauses.EarliestSend("t", 100, kStart) == kStart);
+  CHECK(pauses.OnLeaving("t", 100, kStart));
+  CHECK_FALSE(pauses.OnLeaving("t", 100, kStart));
+  const Instant later = kStart + seconds(3600);
+  CHECK(pauses.EarliestSend("t", 100, later) == Instant::max());
+  CHECK(pauses.EarliestSend("t", 99, later) == Instant::max());
+  CHECK(pauses.EarliestSend("t", 101, later) == later);
+  CHECK(pauses.EarliestSend("other", 100, later) == later);
+  pauses.OnSend("t", 101, later);
+  CHECK(pauses.EarliestSend("t", 101, later) == later);
+}
+
+TEST_CASE("TargetPauses knows a leaving target also after its pause")
+{
+  TargetPauses pauses(TargetPauses::Options{ .maxTargets = 2 });
+  pauses.OnLeaving("t", 100, kStart);
+  pauses.OnPause("t", PauseOf(seconds(1)), kStart);
+  const Instant later = kStart + seconds(2);
+  pauses.OnPause("u", PauseOf(seconds(1)), later);
+  pauses.OnPause("v", PauseOf(seconds(1)), later + seconds(2));
+  CHECK(pauses.EarliestSend("t", 100, later + seconds(2)) == Instant::max());
+}
