Log how many serving replicas are limited by their heads

The planner's view of a target now has the limit that it has stated, and planner_view the number of limited replicas. No decision changes.

--- a/src/replicas/FleetPlanner.cpp
+++ b/src/replicas/FleetPlanner.cpp
@@ -134,6 +134,20 @@
     }));
 }
 
+int
+FleetPlanner::CountLimitedReplicas(std::string_view aModel,
+                                   const PlannerMembers& aMembers) const
+{
+  return static_cast<int>(std::count_if(
+    this->replicas.begin(), this->replicas.end(), [&](const auto& aEntry) {
+      const PlannedReplica& replica = aEntry.second;
+      const auto head = aMembers.find(replica.members.front());
+      return replica.model == aModel &&
+             replica.phase == ReplicaPhase::kServing &&
+             head != aMembers.end() && head->second.requestLimit;
+    }));
+}
+
 std::set<std::string>
 FleetPlanner::TargetsChangingState() const
 {
--- a/src/replicas/FleetPlanner.h
+++ b/src/replicas/FleetPlanner.h
@@ -10,6 +10,7 @@
 
 #include <functional>
 #include <map>
+#include <optional>
 #include <set>
 #include <string>
 #include <string_view>
@@ -40,6 +41,9 @@
   bool slow = false;
   /// The store lists its entry. Nodes send requests to listed targets only.
   bool listed = true;
+  /// Requests per second that it accepts from all nodes together; none if it
+  /// has stated no limit.
+  std::optional<double> requestLimit;
 
   bool IsUsable() const { return !this->unresponsive && !this->record.leaving; }
 };
@@ -195,6 +199,11 @@
   /// Returns the number of the model's replicas in the phase.
   int CountReplicas(std::string_view aModel, ReplicaPhase aPhase) const;
 
+  /// Returns the number of the model's serving replicas whose heads have stated
+  /// a request limit.
+  int CountLimitedReplicas(std::string_view aModel,
+                           const PlannerMembers& aMembers) const;
+
   /// Returns the ids of joining members and of heads that start or stop
   /// serving. They are queried for reports more often.
   std::set<std::string> TargetsChangingState() const;
--- a/src/serving/PlannerCalls.cpp
+++ b/src/serving/PlannerCalls.cpp
@@ -61,11 +61,12 @@
     using enum ReplicaPhase;
     line.With(model.name,
               fmt::format("serving:{},opening:{},joining:{},closing:{},"
-                          "strain:{:.2f}",
+                          "limited:{},strain:{:.2f}",
                           planner.CountReplicas(model.name, kServing),
                           planner.CountReplicas(model.name, kOpening),
                           planner.CountReplicas(model.name, kJoining),
                           planner.CountReplicas(model.name, kClosing),
+                          planner.CountLimitedReplicas(model.name, aMembers),
                           saturation(model)));
   }
   line.Info();
--- a/src/serving/PlannerTask.cpp
+++ b/src/serving/PlannerTask.cpp
@@ -364,6 +364,7 @@
       member.slow = report && report->startedAt == member.record.startedAt &&
                     report->pace >= this->options.slowTimeFactor;
     }
+    member.requestLimit = this->context.limits.LimitOf(id, aNow);
     members.emplace(id, std::move(member));
   }
   MarkDisplacedTargets(this->context.fleet, members);
