Choose heads that accept the requests of their replica

Cause: only the head of a replica receives requests, and the planner chose heads without regard to the limits that targets state. After a crash a target that accepts 1.0 requests a second could head a replica that answers some 22.

Change: the usable member with the highest limit becomes the head. A serving replica whose head accepts less than a quarter of its share of the demand closes gently and gets another head, while all other replicas of the model serve.

--- a/src/replicas/FleetPlanner.h
+++ b/src/replicas/FleetPlanner.h
@@ -148,6 +148,10 @@
     /// Minimum time between two conversions, so that the effect of the first is
     /// visible in the saturation.
     Duration conversionInterval = milliseconds(1500);
+    /// A head is replaced by a member without a request limit if its own limit
+    /// is below this fraction of the replica's share of the demand. A replica
+    /// that accepts more would lose more while it stops than it gains.
+    double minHeadShare = 0.25;
     /// How long a broken list of members is reported to nodes; afterwards they
     /// know the list that replaced it.
     Duration brokenReportDuration = seconds(4);
--- a/src/replicas/FleetPlanningRound.cpp
+++ b/src/replicas/FleetPlanningRound.cpp
@@ -398,7 +398,8 @@
     }
     return;
   }
-  if (this->HasLeavingMember(aReplica) && !this->CanKeepServing(aReplica)) {
+  if ((this->HasLeavingMember(aReplica) && !this->CanKeepServing(aReplica)) ||
+      this->CanReplaceLimitedHead(aReplica)) {
     // Running requests finish first; the replacement joins afterwards.
     this->CloseGently(aReplica);
   }
@@ -454,6 +455,7 @@
                               std::vector<std::string> aMembers)
 {
   this->index.RemovePlanned(aReplica.members);
+  this->PutLeastLimitedFirst(aMembers);
   aReplica.members = std::move(aMembers);
   this->index.AddPlanned(aReplica.members);
   aReplica.epoch = this->planner.nextEpoch();
--- a/src/replicas/FleetPlanningRound.h
+++ b/src/replicas/FleetPlanningRound.h
@@ -127,6 +127,13 @@
   bool CanReplaceSlowMembers(const PlannedReplica& aReplica) const;
   /// Replaces the slow members by idle targets, as CanReplaceSlowMembers.
   void ReplaceSlowMembers(PlannedReplica& aReplica);
+  /// Returns true if the limit of the head of this serving replica is below
+  /// `Options::minHeadShare`, a usable member has none, and all other replicas
+  /// of the model are serving.
+  bool CanReplaceLimitedHead(const PlannedReplica& aReplica) const;
+  /// Puts the usable member with the highest request limit first, so that it
+  /// becomes the head: only the head receives requests.
+  void PutLeastLimitedFirst(std::vector<std::string>& aMembers) const;
   /// Orders the head, if it responds, to stop immediately and moves the replica
   /// to kClosing; its members are released once the head has stopped.
   void Dissolve(PlannedReplica& aReplica);
--- a/src/replicas/FleetRepair.cpp
+++ b/src/replicas/FleetRepair.cpp
@@ -1,6 +1,7 @@
 #include "replicas/FleetPlanningRound.h"
 
 #include <algorithm>
+#include <limits>
 
 // The part of FleetPlanningRound that repairs replicas which lost a member, or
 // dissolves them.
@@ -110,6 +111,50 @@
   this->BeginJoin(aReplica, std::move(members));
 }
 
+bool
+FleetPlanningRound::CanReplaceLimitedHead(const PlannedReplica& aReplica) const
+{
+  const std::optional<double> limit =
+    this->FindTarget(aReplica.members.front())->requestLimit;
+  const auto demand = this->view.demands.find(aReplica.model);
+  if (!limit || demand == this->view.demands.end()) {
+    return false;
+  }
+  const int serving =
+    this->planner.CountReplicas(aReplica.model, ReplicaPhase::kServing);
+  const double share = demand->second.requests / serving;
+  return *limit < this->planner.options.minHeadShare * share &&
+         serving == this->CountReplicasOf(aReplica.model) &&
+         std::any_of(aReplica.members.begin(),
+                     aReplica.members.end(),
+                     [&](const auto& aId) {
+                       return this->IsUsable(aId) &&
+                              !this->FindTarget(aId)->requestLimit;
+                     });
+}
+
+void
+FleetPlanningRound::PutLeastLimitedFirst(
+  std::vector<std::string>& aMembers) const
+{
+  const auto acceptedRate = [&](const std::string& aId) {
+    const PlannerMember* const member = this->FindTarget(aId);
+    return member == nullptr || !member->IsUsable()
+             ? -1.0
+             : member->requestLimit.value_or(
+                 std::numeric_limits<double>::infinity());
+  };
+  const auto head =
+    std::max_element(aMembers.begin(),
+                     aMembers.end(),
+                     [&](const std::string& aLeft, const std::string& aRight) {
+                       return acceptedRate(aLeft) < acceptedRate(aRight);
+                     });
+  if (head != aMembers.end()) {
+    std::rotate(aMembers.begin(), head, head + 1);
+  }
+}
+
 bool
 FleetPlanningRound::RepairFromDonors(PlannedReplica& aReplica)
 {
