Replace a limited head once, and not that of the only replica

The limit of a member becomes known only once it is the head and gets requests. If several members of a replica are limited, the planner replaced one head after the other: the replica stopped each time, and its model's only replica as well, so that callers were refused for the time of each repair.

A replica's head is now replaced at most once in 60 s, and only while another replica of the model serves. The new case of FleetLimitTest has two replacements without this, in one of two replicas and in the only one; now one and none.

--- a/src/replicas/FleetPlanner.h
+++ b/src/replicas/FleetPlanner.h
@@ -152,6 +152,10 @@
     /// is below this fraction of the replica's share of the demand. A replica
     /// that accepts more would lose more while it stops than it gains.
     double minHeadShare = 0.25;
+    /// Minimum time between two such replacements in one replica. The limit of
+    /// a member becomes known only once it is the head, so the next one may be
+    /// limited as well.
+    Duration headReplacementInterval = seconds(60);
     /// How long a broken list of members is reported to nodes; afterwards they
     /// know the list that replaced it.
     Duration brokenReportDuration = seconds(4);
@@ -253,6 +257,8 @@
   /// By target id.
   std::map<std::string, LastModel, std::less<>> lastModels;
   Instant lastConversionAt;
+  /// By replica name: when its limited head was last replaced.
+  std::map<std::string, Instant, std::less<>> headReplacedAt;
   /// Joins without a reply since the last round.
   std::vector<ReplicaOrder> unansweredJoins;
   /// Highest number of targets seen, and when it last grew. Both are updated
--- a/src/replicas/FleetPlanningRound.cpp
+++ b/src/replicas/FleetPlanningRound.cpp
@@ -398,8 +398,8 @@
     }
     return;
   }
-  if ((this->HasLeavingMember(aReplica) && !this->CanKeepServing(aReplica)) ||
-      this->CanReplaceLimitedHead(aReplica)) {
+  if (this->MustReplaceLimitedHead(aReplica) ||
+      (this->HasLeavingMember(aReplica) && !this->CanKeepServing(aReplica))) {
     // Running requests finish first; the replacement joins afterwards.
     this->CloseGently(aReplica);
   }
--- a/src/replicas/FleetPlanningRound.h
+++ b/src/replicas/FleetPlanningRound.h
@@ -129,8 +129,11 @@
   void ReplaceSlowMembers(PlannedReplica& aReplica);
   /// Returns true if the limit of the head of this serving replica is below
   /// `Options::minHeadShare`, a usable member has none, and all other replicas
-  /// of the model are serving.
+  /// of the model, at least one, are serving.
   bool CanReplaceLimitedHead(const PlannedReplica& aReplica) const;
+  /// Returns true if CanReplaceLimitedHead holds and the head was not replaced
+  /// within `Options::headReplacementInterval`; records the replacement.
+  bool MustReplaceLimitedHead(const PlannedReplica& aReplica);
   /// Puts the usable member with the highest request limit first, so that it
   /// becomes the head: only the head receives requests.
   void PutLeastLimitedFirst(std::vector<std::string>& aMembers) const;
--- a/src/replicas/FleetRepair.cpp
+++ b/src/replicas/FleetRepair.cpp
@@ -122,6 +122,9 @@
   }
   const int serving =
     this->planner.CountReplicas(aReplica.model, ReplicaPhase::kServing);
+  if (serving < 2) {
+    return false;
+  }
   const double share = demand->second.requests / serving;
   return *limit < this->planner.options.minHeadShare * share &&
          serving == this->CountReplicasOf(aReplica.model) &&
@@ -133,6 +136,22 @@
                      });
 }
 
+bool
+FleetPlanningRound::MustReplaceLimitedHead(const PlannedReplica& aReplica)
+{
+  const auto replacedAt = this->planner.headReplacedAt.find(aReplica.name);
+  if (replacedAt != this->planner.headReplacedAt.end() &&
+      this->now - replacedAt->second <
+        this->planner.options.headReplacementInterval) {
+    return false;
+  }
+  const bool canReplace = this->CanReplaceLimitedHead(aReplica);
+  if (canReplace) {
+    this->planner.headReplacedAt.insert_or_assign(aReplica.name, this->now);
+  }
+  return canReplace;
+}
+
 void
 FleetPlanningRound::PutLeastLimitedFirst(
   std::vector<std::string>& aMembers) const
@@ -199,6 +218,7 @@
 FleetPlanningRound::RetireMemberList(const PlannedReplica& aReplica)
 {
   this->planner.retiredMemberLists.insert(KeyOf(aReplica));
+  this->planner.headReplacedAt.erase(aReplica.name);
 }
 
 } // namespace apricottrack
--- a/tests/FleetLimitTest.cpp
+++ b/tests/FleetLimitTest.cpp
@@ -10,9 +10,9 @@
 constexpr double kDemand = 40;
 
 FakeFleet
-MakeFleetWithDemand()
+MakeFleetWithDemand(int aTargetCount = 18)
 {
-  FakeFleet fleet(18);
+  FakeFleet fleet(aTargetCount);
   fleet.demands["small"] = { .requests = kDemand,
                              .promptTokens = kDemand * 100,
                              .outputTokens = kDemand * 300 };
@@ -150,3 +150,34 @@
   CHECK(fleet.RunUntilIdle(planner, now) == 0);
   CHECK(planner.Replicas() == replicas);
 }
+
+// Guards against a replica that stops again and again, because the limit of a
+// member becomes known only once it is the head.
+TEST_CASE("FleetPlanner replaces a limited head once, and not that of the only "
+          "replica")
+{
+  const bool isOnlyReplica = GENERATE(false, true);
+  FakeFleet fleet = MakeFleetWithDemand(isOnlyReplica ? 7 : 18);
+  fleet.demands["large"] = fleet.demands["small"];
+  FleetPlanner planner = MakePlanner(1);
+  Instant now = kStart;
+  fleet.RunUntilIdle(planner, now, true);
+  fleet.RunUntilIdle(planner, now);
+  const std::vector<PlannedReplica> replicas = ReplicasOf(planner, "small");
+  REQUIRE((replicas.size() == 1) == isOnlyReplica);
+  int closes = 0;
+  for (int i = 0; i < 200; ++i, now += milliseconds(50)) {
+    const auto& current = planner.Replicas().at(replicas.front().name);
+    if (current.phase == ReplicaPhase::kServing) {
+      fleet.members.at(current.members.front()).requestLimit = 1;
+    }
+    const auto orders = planner.PlanRound(fleet.View(), now);
+    closes += static_cast<int>(
+      std::count_if(orders.begin(), orders.end(), [](const auto& aOrder) {
+        return aOrder.kind == OrderKind::kCloseGently;
+      }));
+    fleet.Execute(orders);
+  }
+  CHECK(closes == (isOnlyReplica ? 0 : 1));
+  CHECK(fleet.violations.empty());
+}
