Do not wait for a target's pause while another one may accept sooner

A request waited for the end of a pause although the turn of a limited target came sooner, others were only full, or its interrupted stream could return to a target; it was then served later, or refused after it had waited. A turn that it had taken at the target that then paused was kept, so that such turns could be used together at the end of the pause. No test of its own: the tests of pauses and of limits pass as before.

--- a/src/serving/RequestFlowPauses.cpp
+++ b/src/serving/RequestFlowPauses.cpp
@@ -53,9 +53,15 @@
 Task<bool>
 RequestFlow::WaitForPauseEnd(const TargetChoice& aChoice)
 {
-  if (!aChoice.pauseEnd || *aChoice.pauseEnd > this->LatestSend()) {
+  // Another target may accept the request sooner.
+  if (!aChoice.pauseEnd || *aChoice.pauseEnd > this->LatestSend() ||
+      this->streamStarted ||
+      aChoice.placement.refusal == PlacementRefusal::kFull ||
+      (aChoice.nextTurn && aChoice.nextTurn->at <= *aChoice.pauseEnd)) {
     co_return false;
   }
+  // Turns that fall into the pause must not be taken together at its end.
+  this->reservedTarget.clear();
   this->context.counters.Add("target_pause_waits");
   boost::asio::steady_timer timer(
     this->context.executor,
