Log for how long a catalog can have been waiting

Cause: not known. The logs could not tell a planner that stops reading from a large catalog or from a rejected version.

Change: catalog_in_force states an upper bound of the delay and whether the store or the planner's node sent the document, and the histogram catalog_delay_seconds sums that up.

--- a/src/serving/CatalogTask.cpp
+++ b/src/serving/CatalogTask.cpp
@@ -116,8 +116,10 @@
     // Another node relayed a newer document while this read was in flight.
     co_return true;
   }
-  this->Apply(
-    change->value->revision, change->value->value, this->ProvenAt(readSentAt));
+  this->Apply(change->value->revision,
+              change->value->value,
+              this->ProvenAt(readSentAt),
+              Source::kStore);
   co_return true;
 }
 
@@ -135,14 +137,15 @@
                           Instant aVerifiedAt)
 {
   if (aRevision > this->SeenRevision()) {
-    this->Apply(aRevision, aDocument, aVerifiedAt);
+    this->Apply(aRevision, aDocument, aVerifiedAt, Source::kPlanner);
   }
 }
 
 void
 CatalogTask::Apply(Revision aRevision,
                    std::string aDocument,
-                   Instant aVerifiedAt)
+                   Instant aVerifiedAt,
+                   Source aSource)
 {
   auto catalog = this->context.protocol.ReadCatalog(aDocument);
   const CatalogPointer& inForce = this->context.catalog.Current();
@@ -171,15 +174,35 @@
     return;
   }
   this->document = std::move(aDocument);
+  std::optional<Duration> delay;
+  if (inForce != nullptr) {
+    delay = this->context.catalog.VerificationAge(MonotonicNow());
+  }
   if (this->context.catalog.Apply(std::move(*catalog), aVerifiedAt)) {
-    const Catalog& contents = this->context.catalog.Current()->Contents();
-    LogLine("catalog_in_force")
-      .With("version", contents.version)
-      .With("revision", aRevision)
-      .With("routes", static_cast<std::int64_t>(contents.routes.size()))
-      .Info();
+    this->RecordInForce(aRevision, aSource, delay);
     this->onChange();
   }
 }
 
+void
+CatalogTask::RecordInForce(Revision aRevision,
+                           Source aSource,
+                           std::optional<Duration> aDelay)
+{
+  const Catalog& contents = this->context.catalog.Current()->Contents();
+  const std::string_view source =
+    aSource == Source::kStore ? "store" : "planner";
+  LogLine line("catalog_in_force");
+  line.With("version", contents.version)
+    .With("revision", aRevision)
+    .With("routes", static_cast<std::int64_t>(contents.routes.size()))
+    .With("source", source);
+  if (aDelay) {
+    line.With("delay_ms_at_most", std::int64_t{ *aDelay / milliseconds(1) });
+    this->context.counters.Observe(
+      "catalog_delay_seconds", { { "source", source } }, ToSeconds(*aDelay));
+  }
+  line.Info();
+}
+
 } // namespace apricottrack
--- a/src/serving/CatalogTask.h
+++ b/src/serving/CatalogTask.h
@@ -78,7 +78,23 @@
 
 private:
   Task<void> Run();
-  void Apply(Revision aRevision, std::string aDocument, Instant aVerifiedAt);
+  /// How a document reached this node.
+  enum class Source
+  {
+    kStore,
+    kPlanner,
+  };
+
+  void Apply(Revision aRevision,
+             std::string aDocument,
+             Instant aVerifiedAt,
+             Source aSource);
+  /// Logs that a newer catalog has come into force. `aDelay`: time since the
+  /// previous one was last verified to be the newest, so the longest for which
+  /// the store can have held the newer one; none at the first catalog.
+  void RecordInForce(Revision aRevision,
+                     Source aSource,
+                     std::optional<Duration> aDelay);
   /// Returns the mean time from a read to the next one.
   Duration ReadInterval(bool aSucceeded, Instant aNow) const;
   /// Returns up to when a read, sent at `aReadSentAt`, proves that what it
--- a/tests/RestoredStoreTasksTest.cpp
+++ b/tests/RestoredStoreTasksTest.cpp
@@ -201,6 +201,22 @@
   CHECK(node.Version() == 4);
 }
 
+TEST_CASE("CatalogTask counts for how long a change can have been waiting")
+{
+  CatalogNode node;
+  node.Put(1);
+  node.Read();
+  CHECK(node.context.counters.Text().find("catalog_delay_seconds") ==
+        std::string::npos);
+  node.RunFor(milliseconds(60));
+  node.Put(2);
+  node.Read();
+  REQUIRE(node.Version() == 2);
+  const std::string text = node.context.counters.Text();
+  CHECK(text.find(R"(catalog_delay_seconds_count{source="store"} 1)") !=
+        std::string::npos);
+}
+
 // A revocation of a key may be among what the operator has to write again.
 TEST_CASE("CatalogTask verifies an unchanged catalog only some time after a "
           "restore")
