Log and count the outcomes of requests by size

Cause: not known. Neither logs nor counters had a request's size.

Change: request_end has the expected output tokens, and the counter requests_by_size the outcomes by route and size.

--- a/src/serving/RequestFlowEnds.cpp
+++ b/src/serving/RequestFlowEnds.cpp
@@ -9,6 +9,25 @@
 // logs its calls and its end.
 namespace apricottrack {
 
+namespace {
+
+/// Name of the range that a request's tokens fall into, for metrics.
+std::string_view
+TokenRange(int aTokens)
+{
+  static constexpr std::pair<int, std::string_view> kRanges[] = {
+    { 1000, "1000" }, { 2000, "2000" }, { 4000, "4000" }, { 8000, "8000" }
+  };
+  for (const auto& [bound, name] : kRanges) {
+    if (aTokens <= bound) {
+      return name;
+    }
+  }
+  return "+Inf";
+}
+
+} // namespace
+
 Instant
 RequestFlow::Deadline() const
 {
@@ -177,8 +196,19 @@
   const std::string_view service = this->admittedRequest.service == nullptr
                                      ? std::string_view("none")
                                      : this->admittedRequest.service->name;
+  const std::string_view route = this->admittedRequest.route == nullptr
+                                   ? std::string_view()
+                                   : this->admittedRequest.route->name;
   this->context.counters.Add(
     "requests", { { "service", service }, { "outcome", aOutcome } });
+  if (!this->caller.model.empty()) {
+    this->context.counters.Add(
+      "requests_by_size",
+      { { "route", route },
+        { "tokens_up_to",
+          TokenRange(this->caller.promptTokens + this->caller.outputTokens) },
+        { "outcome", aOutcome } });
+  }
   this->context.counters.Observe("request_seconds",
                                  { { "service", service } },
                                  ToSeconds(now - this->arrivedAt));
@@ -191,12 +221,10 @@
     .With("request", this->caller.attemptId)
     .With("outcome", aOutcome)
     .With("status", std::int64_t{ aStatus })
-    .With("route",
-          this->admittedRequest.route == nullptr
-            ? ""
-            : this->admittedRequest.route->name)
+    .With("route", route)
     .With("model", this->caller.model)
     .With("prompt", std::int64_t{ this->caller.promptTokens })
+    .With("output", std::int64_t{ this->caller.outputTokens })
     .With("target", this->lastTargetId)
     .With("load", static_cast<std::int64_t>(std::lround(this->estimatedLoad)))
     .With("sends", std::int64_t{ this->history.sendCount })
