Forward requests of a node that reaches no target to one that does

Cause: a connection that cannot be opened was taken for the target's failure. No node asked whether the fault was its own, and there was no way through another node.

Change: after a failed connection a node connects to four other targets. If one accepts, the target is at fault; if none does, the node is isolated (TargetReach, ReachTask). A request that no reachable target may serve is forwarded once, with the time and the number of targets that are left, to a node that has reported to the planner's node that it reaches targets. That node handles it as its own callers' requests and marks its own refusals; whatever else fails may have run, and is not called not run. A call that opened no connection uses up no retry budget. The search for stalled targets moves from ServingNode to StallTask, the servers to RequestServers.

RequestFlowForwardingTest runs the cases on sockets; the old code has nothing that it could call.

--- a/include/apricottrack/Settings.h
+++ b/include/apricottrack/Settings.h
@@ -17,6 +17,9 @@
 {
   /// IP:port at which the platform probes whether this node accepts requests.
   std::string readyListen;
+  /// IP:port for requests that other nodes forward because they reach no
+  /// target; empty to accept and forward none.
+  std::string forwardListen;
   /// Longest time for which a revoked API key may still be accepted.
   Duration revokeBound = seconds(5);
   /// Retry budget of a service, in retries per request.
--- a/src/config/Settings.cpp
+++ b/src/config/Settings.cpp
@@ -8,9 +8,12 @@
 namespace {
 
 std::string
-ReadAddress(TomlReader& aReader, std::string_view aKey)
+ReadAddress(TomlReader& aReader,
+            std::string_view aKey,
+            std::optional<std::string_view> aDefault = std::nullopt)
 {
-  std::string address = aReader.String(aKey);
+  std::string address =
+    aDefault ? aReader.String(aKey, *aDefault) : aReader.String(aKey);
   if (!address.empty() && !ParseEndpoint(address)) {
     aReader.AddMistake(
       aKey, "is not IP:port", "write it as \"127.0.0.1:8080\"");
@@ -38,6 +41,7 @@
 {
   ServingSettings serving;
   serving.readyListen = ReadAddress(aReader, "ready_listen");
+  serving.forwardListen = ReadAddress(aReader, "forward_listen", "");
   serving.revokeBound = ReadMilliseconds(
     aReader, "revoke_bound_ms", 500, 600'000, serving.revokeBound);
   serving.retryRatio = aReader.Number(
--- a/src/fleet/FleetMessages.h
+++ b/src/fleet/FleetMessages.h
@@ -45,6 +45,9 @@
   /// What targets' responses to the sender since its previous query said about
   /// their limits.
   std::vector<LimitSample> limits;
+  /// IP:port where the sender accepts forwarded requests; empty while it
+  /// reaches no targets or stops.
+  std::string forwardAddress;
 
   friend bool operator==(const FleetQuestion&, const FleetQuestion&) = default;
 };
@@ -92,6 +95,8 @@
   std::vector<QuarantinedParts> quarantinedParts;
   /// What any node has heard about targets' limits a short time ago.
   std::vector<LimitSample> limits;
+  /// Some nodes to which the receiver may forward requests, as IP:port.
+  std::vector<std::string> forwardAddresses;
 
   friend bool operator==(const FleetAnswer&, const FleetAnswer&) = default;
 };
--- a/src/membership/FleetPacking.cpp
+++ b/src/membership/FleetPacking.cpp
@@ -312,7 +312,8 @@
            &lostRequests,
            &partAnswers,
            &quarantinedParts,
-           &limits)
+           &limits,
+           aMessage.forwardAddress.c_str())
     .Union();
 }
 
@@ -333,6 +334,8 @@
     PackTexts(aBuilder, aMessage.suspectedParts);
   const auto quarantinedParts =
     PackQuarantinedParts(aBuilder, aMessage.quarantinedParts);
+  const TextOffsets forwardAddresses =
+    PackTexts(aBuilder, aMessage.forwardAddresses);
   return wire::CreateFleetAnswerDirect(
            aBuilder,
            aMessage.source.c_str(),
@@ -352,7 +355,8 @@
            &demands,
            &suspectedParts,
            &quarantinedParts,
-           &limits)
+           &limits,
+           &forwardAddresses)
     .Union();
 }
 
@@ -408,7 +412,8 @@
                         .partAnswers = UnpackPartAnswers(aBody.part_answers()),
                         .quarantinedParts =
                           UnpackQuarantinedParts(aBody.quarantined_parts()),
-                        .limits = UnpackLimits(aBody.request_limits()) };
+                        .limits = UnpackLimits(aBody.request_limits()),
+                        .forwardAddress = TextOf(aBody.forward_address()) };
 }
 
 FleetAnswer
@@ -432,7 +437,8 @@
                       .suspectedParts = TextsOf(aBody.suspected_parts()),
                       .quarantinedParts =
                         UnpackQuarantinedParts(aBody.quarantined_parts()),
-                      .limits = UnpackLimits(aBody.request_limits()) };
+                      .limits = UnpackLimits(aBody.request_limits()),
+                      .forwardAddresses = TextsOf(aBody.forward_addresses()) };
   if (aBody.targets() != nullptr) {
     for (const wire::TargetState* const target : *aBody.targets()) {
       answer.targets.push_back(UnpackTarget(*target));
--- a/src/serving/FleetRelay.cpp
+++ b/src/serving/FleetRelay.cpp
@@ -34,6 +34,9 @@
 /// that cannot reach the store receive.
 constexpr Duration kLargeCatalogInterval = milliseconds(60);
 
+/// Nodes that one node may forward requests to, until its next query.
+constexpr std::size_t kForwardingNodes = 6;
+
 } // namespace
 
 FleetRelay::FleetRelay(ServingContext& aContext,
@@ -181,6 +184,7 @@
   this->planner.RecordDemands(
     aQuestion.node, std::move(aQuestion.demands), now);
   this->quarantine.RecordReports(aQuestion, now);
+  this->UpdateForwardingNodes(aQuestion, now);
   for (const LoadSample& sample : aQuestion.loads) {
     this->context.loads.OnForwardedReport(sample, now);
   }
@@ -197,6 +201,19 @@
   co_return this->BuildAnswer(aQuestion, MonotonicNow());
 }
 
+void
+FleetRelay::UpdateForwardingNodes(const FleetQuestion& aQuestion, Instant aNow)
+{
+  const std::string& ownName = this->context.settings.node;
+  this->forwardingNodes.OnReport(
+    aQuestion.node, aQuestion.forwardAddress, aNow);
+  this->forwardingNodes.OnReport(ownName, this->context.ForwardAddress(), aNow);
+  if (this->planner.IsPlanner()) {
+    this->context.forwardingNodes = this->forwardingNodes.Sample(
+      ownName, kForwardingNodes, aNow, this->context.random);
+  }
+}
+
 bool
 FleetRelay::TryReserveCatalogSend(const FleetQuestion& aQuestion, Instant aNow)
 {
@@ -231,6 +248,8 @@
   answer.limits =
     this->context.limits.SamplesSince(aNow - kMaxLimitAge, true, aNow);
   answer.demands = this->context.fleetDemands;
+  answer.forwardAddresses = this->forwardingNodes.Sample(
+    aQuestion.node, kForwardingNodes, aNow, this->context.random);
   answer.suspectedParts = this->context.crashRecorder.Suspects();
   answer.quarantinedParts = this->context.quarantine.Combinations(aNow);
   if (aQuestion.catalogRevision < answer.catalogRevision &&
--- a/src/serving/FleetRelay.h
+++ b/src/serving/FleetRelay.h
@@ -1,6 +1,7 @@
 #ifndef APRICOTTRACK_SERVING_FLEETRELAY_H
 #define APRICOTTRACK_SERVING_FLEETRELAY_H
 
+#include "fleet/ForwardingNodes.h"
 #include "membership/PeerLink.h"
 #include "serving/CatalogTask.h"
 #include "serving/FleetTask.h"
@@ -56,6 +57,9 @@
   /// returns the answer.
   Task<FleetAnswer> HandleFleetQuestion(FleetQuestion aQuestion);
   FleetAnswer BuildAnswer(const FleetQuestion& aQuestion, Instant aNow);
+  /// Records whether the querying node and this one accept forwarded requests,
+  /// and chooses the nodes to which this one may forward its own.
+  void UpdateForwardingNodes(const FleetQuestion& aQuestion, Instant aNow);
   /// Returns true if this answer may include the catalog document. For a large
   /// one this starts the interval until the next large one may be sent.
   bool TryReserveCatalogSend(const FleetQuestion& aQuestion, Instant aNow);
@@ -72,6 +76,7 @@
   /// of the broken replicas.
   Fleet published{ Fleet::Options{} };
   std::set<std::string> publishedBroken;
+  ForwardingNodes forwardingNodes{ ForwardingNodes::Options{} };
   /// Fencing token under which the fleet was last published.
   std::int64_t publishedFencingToken = 0;
   /// Random id of this process, sent as `source` with each answer; sequence
--- a/src/serving/FollowTask.cpp
+++ b/src/serving/FollowTask.cpp
@@ -161,7 +161,8 @@
     .demands = this->context.demand.Demands(now),
     .wantsCatalog = this->wantsCatalog,
     .loads = this->context.loads.SamplesSince(this->querySentAt, false, now),
-    .limits = this->context.limits.SamplesSince(this->querySentAt, false, now)
+    .limits = this->context.limits.SamplesSince(this->querySentAt, false, now),
+    .forwardAddress = this->context.ForwardAddress()
   };
   this->AddCrashReports(question, now);
   this->querySentAt = now;
@@ -262,6 +263,10 @@
     this->context.nodeCount = aAnswer.nodes;
   }
   this->context.fleetDemands = aAnswer.demands;
+  // A new planner has had no reports of the other nodes yet.
+  if (!aAnswer.forwardAddresses.empty()) {
+    this->context.forwardingNodes = aAnswer.forwardAddresses;
+  }
   for (const LoadSample& sample : aAnswer.loads) {
     this->context.loads.OnForwardedReport(sample, aNow);
   }
--- a/src/serving/PlatformProtocol.h
+++ b/src/serving/PlatformProtocol.h
@@ -113,6 +113,11 @@
   virtual HttpRequest MakeRequest(
     const HttpRequest& aCallerRequest,
     const TargetInstructions& aInstructions) const = 0;
+  /// The caller's request for another node, which handles it as its own
+  /// caller's. Only `timeLeft` and `resumeAfter` are used.
+  virtual HttpRequest MakeForwarded(
+    const HttpRequest& aCallerRequest,
+    const TargetInstructions& aInstructions) const = 0;
   virtual TargetHead ReadHead(const HttpResponse& aHead) const = 0;
   /// Headers of a target's response that are passed on to the caller.
   virtual HttpHeaders ResponseHeaders(const HttpResponse& aHead) const = 0;
--- a/src/serving/RequestFlow.cpp
+++ b/src/serving/RequestFlow.cpp
@@ -36,9 +36,12 @@
 
 } // namespace
 
-RequestFlow::RequestFlow(ServingContext& aContext, HttpExchange& aExchange)
+RequestFlow::RequestFlow(ServingContext& aContext,
+                         HttpExchange& aExchange,
+                         std::optional<ForwardedRequest> aForwarded)
   : context(aContext)
   , exchange(aExchange)
+  , forwarded(aForwarded)
   , arrivedAt(MonotonicNow())
   , caller(aContext.protocol.ReadCaller(aExchange.Request()))
   , eventSplitter(this->caller.resumeAfter)
@@ -89,11 +92,9 @@
     co_await this->Refuse(503, "node_stopping");
     co_return;
   }
-  this->Budget().OnFirstAttempt();
-  this->context.demand.OnRequest(this->DemandKey(),
-                                 this->caller.promptTokens,
-                                 this->caller.outputTokens,
-                                 this->arrivedAt);
+  if (this->forwarded) {
+    this->history.targetLimit = this->forwarded->maxTargets;
+  }
   this->exchange.NotifyOnDisconnect([this] {
     this->callerDisconnected = true;
     this->CancelHedge();
@@ -121,7 +122,11 @@
     }
     const TargetChoice choice = this->ChooseTarget(now);
     const PlacementChoice& placement = choice.placement;
-    if (placement.refusal != PlacementRefusal::kNone) {
+    const auto node = this->ChooseNode(choice, now);
+    if (!node) {
+      this->CountArrival();
+    }
+    if (!node && placement.refusal != PlacementRefusal::kNone) {
       if (co_await this->WaitForPauseEnd(choice) ||
           co_await this->WaitForTurn(choice) ||
           co_await this->WaitForContinuation()) {
@@ -131,7 +136,7 @@
       co_return;
     }
     this->estimatedLoad = placement.load;
-    CallEnd end = co_await this->CallTarget(placement.target);
+    CallEnd end = co_await this->CallTarget(node ? *node : placement.target);
     while (this->hedge != nullptr) {
       end = co_await this->ContinueWithHedge(end);
     }
@@ -159,6 +164,17 @@
     .resumeAfter = this->eventSplitter.LastId(),
     .isRetry = aIsRetry,
   };
+  if (IsNodeCandidate(aTarget.id)) {
+    HttpRequest message = this->context.protocol.MakeForwarded(
+      this->exchange.Request(), instructions);
+    SetForwarded(message, { .maxTargets = this->TargetsLeft() });
+    return { .address = aTarget.address,
+             .message = std::move(message),
+             .attemptId = this->caller.attemptId,
+             .expectsAttemptId = false,
+             .mayReuse = this->admittedRequest.route->IsRepeatable(),
+             .deadline = this->Deadline() };
+  }
   return { .address = aTarget.address,
            .message = this->context.protocol.MakeRequest(
              this->exchange.Request(), instructions),
@@ -194,17 +210,28 @@
                         Instant aNow)
 {
   TargetHead head = this->context.protocol.ReadHead(aHead);
+  std::string target = aTargetId;
+  UnixMillis targetStartedAt = aCall.TargetStartedAt();
+  if (IsNodeCandidate(aTargetId)) {
+    head.notRun = IsRefusedByNode(aHead);
+    head.load.reset();
+    target = TargetOf(aHead);
+    const TargetRecord* const record = this->context.fleet.Find(target);
+    if (record == nullptr) {
+      return head;
+    }
+    targetStartedAt = record->startedAt;
+  }
   // Bytes that a target has not signed do not prove that a limit has ended.
   if (head.requestLimit || head.isSigned) {
     this->context.limits.OnResponse(
-      aTargetId, head.requestLimit, aCall.SentAt(), aNow);
+      target, head.requestLimit, aCall.SentAt(), aNow);
   }
-  if (head.isLeaving && this->context.pauses.OnLeaving(
-                          aTargetId, aCall.TargetStartedAt(), aNow)) {
+  if (head.isLeaving &&
+      this->context.pauses.OnLeaving(target, targetStartedAt, aNow)) {
     this->context.counters.Add("targets_leaving");
   }
-  if (head.pause &&
-      this->context.pauses.OnPause(aTargetId, *head.pause, aNow)) {
+  if (head.pause && this->context.pauses.OnPause(target, *head.pause, aNow)) {
     this->context.counters.Add("target_pauses");
   }
   return head;
@@ -238,10 +265,8 @@
   this->context.loads.OnEnded(id);
   this->context.stalls.OnEnded(id, this->responseStarted);
   this->call = nullptr;
-  if (!this->targetAbandoned &&
-      (end == CallEnd::kNotSent || end == CallEnd::kNoAnswer ||
-       end == CallEnd::kTruncated)) {
-    this->context.stalls.OnFailure(id, MonotonicNow());
+  if (!this->targetAbandoned) {
+    this->RecordAvailability(id, current, end);
   }
   this->RecordForAttribution(current, end);
   this->CountCall(id, current, end);
@@ -260,11 +285,13 @@
   const bool mayHaveRun =
     aCall.WasSent() && aEnd != CallEnd::kNotRun && aEnd != CallEnd::kNotSent;
   this->history.sendCount += aCall.WasSent() ? 1 : 0;
-  if (mayHaveRun) {
-    this->possibleRunners.insert(aTargetId);
+  if (mayHaveRun && this->possibleRunners.insert(aTargetId).second) {
+    const auto granted = this->grantedTargets.find(aTargetId);
+    this->extraRuns +=
+      granted == this->grantedTargets.end() ? 0 : granted->second - 1;
   }
   this->history.possibleRunCount =
-    static_cast<int>(this->possibleRunners.size());
+    static_cast<int>(this->possibleRunners.size()) + this->extraRuns;
   this->calledTargets[aTargetId] = MonotonicNow();
 }
 
@@ -322,7 +349,7 @@
   if (!this->streamStarted) {
     this->streamStarted = true;
     const bool callerConnected = co_await this->exchange.BeginStream(
-      aHead.result_int(), this->context.protocol.ResponseHeaders(aHead));
+      aHead.result_int(), this->ResponseHeaders(aHead));
     if (!callerConnected) {
       co_return CallEnd::kCallerGone;
     }
@@ -379,8 +406,7 @@
   }
   this->heldResponse = std::make_unique<HttpResponse>();
   this->heldResponse->result(aHead.result_int());
-  for (const auto& [name, value] :
-       this->context.protocol.ResponseHeaders(aHead)) {
+  for (const auto& [name, value] : this->ResponseHeaders(aHead)) {
     this->heldResponse->insert(name, value);
   }
   this->heldResponse->body() = std::move(*body);
@@ -401,8 +427,9 @@
 {
   const CallEnd end = this->ClassifyFailure(aCall, aError);
   this->lastError = aError;
-  this->connectionLost =
-    !this->targetAbandoned && IsConnectionLost(end, aError);
+  this->connectionLost = !this->targetAbandoned &&
+                         !IsNodeCandidate(this->lastTargetId) &&
+                         IsConnectionLost(end, aError);
   return end;
 }
 
--- a/src/serving/RequestFlow.h
+++ b/src/serving/RequestFlow.h
@@ -4,6 +4,7 @@
 #include "http/HttpServer.h"
 #include "quarantine/StreamSoundness.h"
 #include "serving/EventSplitter.h"
+#include "serving/Forwarding.h"
 #include "serving/HedgeCall.h"
 #include "serving/Intake.h"
 #include "serving/Refusals.h"
@@ -24,7 +25,11 @@
 class RequestFlow
 {
 public:
-  RequestFlow(ServingContext& aContext, HttpExchange& aExchange);
+  /// `aForwarded` is set if another node has forwarded the request; it then
+  /// states what that node allows.
+  RequestFlow(ServingContext& aContext,
+              HttpExchange& aExchange,
+              std::optional<ForwardedRequest> aForwarded = std::nullopt);
   ~RequestFlow();
   RequestFlow(const RequestFlow&) = delete;
   RequestFlow& operator=(const RequestFlow&) = delete;
@@ -61,6 +66,8 @@
   static constexpr Duration kMinCallTime = milliseconds(20);
   /// Bounds the search for a target that accepts a hedge.
   static constexpr int kMaxRefusedHedges = 2;
+  /// Nodes that a request is forwarded to, one after the other.
+  static constexpr int kMaxForwards = 3;
 
   /// Calls one target after another until the request has ended.
   Task<void> Run();
@@ -86,10 +93,30 @@
     /// The earliest end of the pauses for which targets were left out;
     /// Instant::max() if those targets leave.
     std::optional<Instant> pauseEnd;
+    /// Targets were left out because this node cannot connect to them.
+    bool hasUnreachable = false;
 
     friend bool operator==(const TargetChoice&, const TargetChoice&) = default;
   };
   TargetChoice ChooseTarget(Instant aNow) const;
+  /// Returns another node that may reach targets, if this node has found none
+  /// that it reaches.
+  std::optional<Candidate> ChooseNode(const TargetChoice& aChoice,
+                                      Instant aNow) const;
+  /// Adds the targets that this node cannot connect to. Returns whether there
+  /// are any.
+  bool ExcludeUnreachableTargets(const std::vector<Candidate>& aCandidates,
+                                 std::set<std::string>& aExcluded) const;
+  /// Targets that may run the request in all.
+  int MaxTargets() const;
+  /// Targets that may still run the request besides those that may have run it
+  /// or are running it.
+  int TargetsLeft() const;
+  /// Counts the request at this node unless it was counted, or is counted at
+  /// the node that it is forwarded to.
+  void CountArrival();
+  /// Headers of a target's response for the caller.
+  HttpHeaders ResponseHeaders(const HttpResponse& aHead) const;
   /// Demand at this node and at the others for the targets that may run the
   /// request.
   DemandSplit SplitDemand(Instant aNow) const;
@@ -145,6 +172,10 @@
   void BeginCall(TargetCall& aCall, const Candidate& aTarget);
   /// Handles the response of the current call and records its end.
   Task<CallEnd> CompleteCall(Result<HttpResponse> aHead);
+  /// Records what the end of a call shows of the target's availability.
+  void RecordAvailability(const std::string& aTargetId,
+                          const TargetCall& aCall,
+                          CallEnd aEnd);
   /// Counts a call that has ended among those of the request.
   void CountCall(const std::string& aTargetId,
                  const TargetCall& aCall,
@@ -193,6 +224,9 @@
   /// True if the request has probably crashed targets, so that it should not go
   /// on to another one.
   bool MayCrashTargets() const;
+  /// Returns whether the last call may have reached a target. If not, calling
+  /// another one adds to no target's load.
+  bool HasReachedTarget(CallEnd aEnd) const;
   Task<NextStep> DecideNextStep(CallEnd aEnd);
   /// Sends the final response, or closes the connection if the caller is gone.
   Task<void> Finish(NextStep aStep);
@@ -201,6 +235,8 @@
   /// Sends an error response; if a stream has started, closes the connection
   /// instead.
   Task<void> Refuse(unsigned aStatus, std::string_view aReason);
+  /// Sends a response that is this node's own.
+  Task<void> ReplyOwn(HttpResponse aResponse);
   /// Refuses a request that no target has run, until the first target accepts
   /// requests again if all have asked for a pause.
   Task<void> RefuseNotRun();
@@ -217,6 +253,7 @@
 
   ServingContext& context;
   HttpExchange& exchange;
+  std::optional<ForwardedRequest> forwarded;
   Instant arrivedAt;
   CallerHead caller;
   AdmittedRequest admittedRequest;
@@ -228,8 +265,15 @@
   CallHistory history;
   /// When the last call of each called target ended; nothing while it goes on.
   std::map<std::string, std::optional<Instant>> calledTargets;
-  /// Targets that may have started to run the request.
+  /// Targets, and nodes that it was forwarded to, that may have started to run
+  /// the request.
   std::set<std::string> possibleRunners;
+  /// How many targets each node that it was forwarded to may use.
+  std::map<std::string, int> grantedTargets;
+  /// Targets beyond the first that those nodes may have used.
+  int extraRuns = 0;
+  /// The request is counted in this node's budget and demand.
+  bool isCounted = false;
   /// The call in progress, or null.
   TargetCall* call = nullptr;
   /// The entry of that call in ServingContext::running.
--- a/src/serving/RequestFlowAttribution.cpp
+++ b/src/serving/RequestFlowAttribution.cpp
@@ -9,7 +9,9 @@
 {
   if (this->soundness.OnProgress(aNow)) {
     this->everProvenSound = true;
-    this->context.crashRecorder.OnAnswered(this->crashKeys, aNow);
+    if (!IsNodeCandidate(this->lastTargetId)) {
+      this->context.crashRecorder.OnAnswered(this->crashKeys, aNow);
+    }
   }
 }
 
@@ -29,8 +31,8 @@
 RequestFlow::RecordForAttribution(const TargetCall& aCall, CallEnd aEnd)
 {
   // A prompt that was proven sound is counted already, and has not caused a
-  // later loss.
-  if (this->soundness.IsProven()) {
+  // later loss. What a forwarded request shows is recorded by the other node.
+  if (this->soundness.IsProven() || IsNodeCandidate(this->lastTargetId)) {
     return;
   }
   const Instant now = MonotonicNow();
--- a/src/serving/RequestFlowEnds.cpp
+++ b/src/serving/RequestFlowEnds.cpp
@@ -108,8 +108,7 @@
     co_await this->Finish(NextStep::kFail);
     co_return;
   }
-  co_await this->exchange.Reply(
-    MakeRefusalUntil("prompt_quarantined", aRemaining));
+  co_await this->ReplyOwn(MakeRefusalUntil("prompt_quarantined", aRemaining));
   this->LogEnd("prompt_quarantined", 503);
 }
 
@@ -122,8 +121,7 @@
     this->exchange.CloseAfterHandler();
     co_return;
   }
-  co_await this->exchange.Reply(
-    MakeRefusal(aStatus, aReason, this->context.random));
+  co_await this->ReplyOwn(MakeRefusal(aStatus, aReason, this->context.random));
   this->LogEnd(aReason, aStatus);
 }
 
@@ -136,7 +134,7 @@
     co_await this->Refuse(503, "not_run");
     co_return;
   }
-  co_await this->exchange.Reply(MakeRefusalAfter(
+  co_await this->ReplyOwn(MakeRefusalAfter(
     "target_paused", *pausedUntil - now, this->context.random));
   this->LogEnd("target_paused", 503);
 }
--- a/src/serving/RequestFlowHedging.cpp
+++ b/src/serving/RequestFlowHedging.cpp
@@ -7,15 +7,10 @@
 bool
 RequestFlow::MayHedge(Instant aNow) const
 {
-  // The current call is not counted in the history yet, but an earlier one of
-  // the same target may be.
-  const int possibleRuns =
-    this->history.possibleRunCount +
-    (this->possibleRunners.contains(this->lastTargetId) ? 0 : 1);
   return this->call != nullptr && this->hedge == nullptr &&
          !this->callerDisconnected && !this->targetAbandoned &&
          this->admittedRequest.route->IsRepeatable() &&
-         possibleRuns < this->admittedRequest.route->maxTargets &&
+         this->TargetsLeft() > 0 &&
          this->history.sendCount < kMaxRefusedHedges &&
          aNow + kMinCallTime < this->Deadline() && !this->MayCrashTargets() &&
          !this->context.quarantine.RemainingFor(this->crashKeys, aNow);
@@ -31,7 +26,11 @@
   if (!this->MayHedge(now)) {
     return;
   }
-  const PlacementChoice choice = this->ChooseTarget(now).placement;
+  const TargetChoice targetChoice = this->ChooseTarget(now);
+  PlacementChoice choice = targetChoice.placement;
+  if (const auto node = this->ChooseNode(targetChoice, now)) {
+    choice = { .refusal = PlacementRefusal::kNone, .target = *node };
+  }
   // The retry is consumed here, not once the current call has failed: several
   // requests of one target are hedged at the same time.
   if (choice.refusal != PlacementRefusal::kNone ||
@@ -95,7 +94,7 @@
   CallEnd end = CallEnd::kTargetFailed;
   if (!ended->Head()) {
     end = this->ClassifyFailure(ended->Call(), ended->Head().error());
-    if (IsConnectionLost(end, ended->Head().error())) {
+    if (!IsNodeCandidate(id) && IsConnectionLost(end, ended->Head().error())) {
       this->RecordLoss(id, ended->Call(), now);
     }
   } else if (this->RecordHead(id, ended->Call(), *ended->Head(), now).notRun) {
@@ -103,10 +102,7 @@
   }
   this->context.loads.OnEnded(id);
   this->context.stalls.OnEnded(id, false);
-  if (end == CallEnd::kNotSent || end == CallEnd::kNoAnswer ||
-      end == CallEnd::kTruncated) {
-    this->context.stalls.OnFailure(id, now);
-  }
+  this->RecordAvailability(id, ended->Call(), end);
   this->CountCall(id, ended->Call(), end);
   this->LogCall(id, end, "none");
 }
--- a/src/serving/RequestFlowPlacement.cpp
+++ b/src/serving/RequestFlowPlacement.cpp
@@ -33,6 +33,8 @@
   const std::vector<Candidate>& candidates = this->context.candidates.Find(
     *this->admittedRequest.service, this->caller.model);
   std::set<std::string> excluded = this->ExcludedTargets(candidates, aNow);
+  const bool hasUnreachable =
+    this->ExcludeUnreachableTargets(candidates, excluded);
   const std::optional<Instant> pauseEnd =
     this->ExcludePausedTargets(candidates, excluded, aNow);
   const std::optional<Turn> nextTurn =
@@ -46,7 +48,8 @@
                               aNow,
                               this->context.random),
            .nextTurn = nextTurn,
-           .pauseEnd = pauseEnd };
+           .pauseEnd = pauseEnd,
+           .hasUnreachable = hasUnreachable };
 }
 
 const std::string&
@@ -68,7 +71,7 @@
     }
   }
   const int runCount = this->history.possibleRunCount;
-  if (runCount > 0 && runCount >= this->admittedRequest.route->maxTargets) {
+  if (runCount > 0 && runCount >= this->MaxTargets()) {
     for (const Candidate& candidate : aCandidates) {
       if (!this->possibleRunners.contains(candidate.id)) {
         excluded.insert(candidate.id);
@@ -146,6 +149,10 @@
   this->calledTargets[id].reset();
   this->context.loads.OnSent(id);
   this->context.stalls.OnSent(id, aNow);
+  if (IsNodeCandidate(id)) {
+    this->grantedTargets[id] = this->TargetsLeft();
+    return;
+  }
   this->context.pauses.OnSend(id, aTarget.startedAt, aNow);
   const bool hasTurn = std::exchange(this->reservedTarget, std::string{}) == id;
   if (!hasTurn && this->context.limits.LimitOf(id, aNow)) {
@@ -168,7 +175,7 @@
     co_return;
   }
   const Instant now = MonotonicNow();
-  co_await this->exchange.Reply(
+  co_await this->ReplyOwn(
     MakeSpreadRefusal("target_limit",
                       aChoice.nextTurn->at == Instant::max()
                         ? Duration::zero()
--- a/src/serving/RequestFlowRetry.cpp
+++ b/src/serving/RequestFlowRetry.cpp
@@ -40,6 +40,13 @@
   co_return true;
 }
 
+bool
+RequestFlow::HasReachedTarget(CallEnd aEnd) const
+{
+  return aEnd != CallEnd::kNotSent &&
+         (aEnd != CallEnd::kNotRun || !IsNodeCandidate(this->lastTargetId));
+}
+
 Task<NextStep>
 RequestFlow::DecideNextStep(CallEnd aEnd)
 {
@@ -56,7 +63,8 @@
         this->MayCrashTargets()) {
       co_return NextStep::kFail;
     }
-    if (step != NextStep::kTryElsewhere || this->Budget().TryConsume()) {
+    if (step != NextStep::kTryElsewhere || !this->HasReachedTarget(aEnd) ||
+        this->Budget().TryConsume()) {
       co_return step;
     }
     this->history.budgetLeft = false;
--- a/src/serving/RetryRules.cpp
+++ b/src/serving/RetryRules.cpp
@@ -1,5 +1,7 @@
 #include "serving/RetryRules.h"
 
+#include <algorithm>
+
 namespace apricottrack {
 
 namespace {
@@ -38,7 +40,9 @@
   if (aHistory.mayReturn) {
     return aHistory.sendCount < kMaxSendsOfStream;
   }
-  return aHistory.possibleRunCount < aRoute.maxTargets;
+  return aHistory.possibleRunCount <
+         std::min(aRoute.maxTargets,
+                  aHistory.targetLimit.value_or(aRoute.maxTargets));
 }
 
 } // namespace
--- a/src/serving/RetryRules.h
+++ b/src/serving/RetryRules.h
@@ -3,6 +3,7 @@
 
 #include "catalog/Catalog.h"
 
+#include <optional>
 #include <string_view>
 
 namespace apricottrack {
@@ -66,6 +67,9 @@
   /// The request is a started stream, which a target that may have run it may
   /// continue.
   bool mayReturn = false;
+  /// Targets that may run the request, if these are fewer than the route
+  /// allows.
+  std::optional<int> targetLimit = std::nullopt;
 };
 
 /// Decides what follows the end of a call; the counts of the history include
--- a/src/serving/ServingContext.h
+++ b/src/serving/ServingContext.h
@@ -14,6 +14,7 @@
 #include "placement/LoadTracker.h"
 #include "placement/Placement.h"
 #include "placement/StallDetector.h"
+#include "placement/TargetReach.h"
 #include "quarantine/CrashRecorder.h"
 #include "quarantine/PromptQuarantine.h"
 #include "retry/RetryBudget.h"
@@ -27,6 +28,7 @@
 #include <random>
 #include <set>
 #include <string>
+#include <vector>
 
 namespace apricottrack {
 
@@ -49,6 +51,9 @@
   std::set<std::string> vouched;
   LoadTracker loads;
   StallDetector stalls;
+  TargetReach reach{ TargetReach::Options{} };
+  /// Where other nodes accept requests from this one, as IP:port.
+  std::vector<std::string> forwardingNodes;
   TargetLimits limits;
   TargetPauses pauses;
   /// Demand at this node.
@@ -76,6 +81,16 @@
   /// Number of nodes that share budgets, as last counted by a planner; none
   /// before the first count.
   std::optional<int> nodeCount;
+
+  /// Returns where this node accepts requests from other nodes; empty while it
+  /// reaches no target or stops.
+  std::string ForwardAddress() const
+  {
+    return this->draining || this->reach.IsIsolated()
+             ? std::string{}
+             : this->settings.serving->forwardListen;
+  }
+
   CrashRecorder crashRecorder{ CrashRecorder::Options{} };
   PromptQuarantine quarantine;
 };
--- a/src/serving/ServingNode.cpp
+++ b/src/serving/ServingNode.cpp
@@ -8,8 +8,10 @@
 #include "serving/FollowTask.h"
 #include "serving/PlannerTask.h"
 #include "serving/QuarantineTask.h"
-#include "serving/Refusals.h"
+#include "serving/ReachTask.h"
 #include "serving/RequestFlow.h"
+#include "serving/RequestServers.h"
+#include "serving/StallTask.h"
 
 #include <algorithm>
 #include <boost/asio/co_spawn.hpp>
@@ -28,8 +30,6 @@
 /// How long a small VM that restarts waits for a planner. A large one takes the
 /// lease and lists the fleet within this time.
 constexpr Duration kSmallVmRestartDelay = milliseconds(1500);
-/// Between two checks for stalled targets.
-constexpr Duration kStallCheckInterval = milliseconds(25);
 /// Time for which a stopping node still accepts connections: the platform sends
 /// them until it removes the node after two failed probes one second apart.
 constexpr Duration kLeaveDuration = milliseconds(2600);
@@ -70,16 +70,12 @@
   void Stop(std::function<void()> aOnDone);
 
 private:
-  Result<std::shared_ptr<HttpServer>> Listen(const std::string& aAddress,
-                                             HttpHandler aHandler);
   void OnCatalogChange();
   void OnFleetChange();
   /// Hedges the running requests of replicas that lost a member.
   void HedgeCallsToBrokenReplicas();
   /// Cancels the running requests that have a prompt part in quarantine.
   void CancelQuarantinedRequests();
-  /// Hedges this node's running requests of a target.
-  void HedgeCallsTo(const std::string& aTarget);
   /// True if the entries that the store lists are complete: expired ones have
   /// had the time to return.
   bool EntriesSettled() const;
@@ -88,7 +84,6 @@
   bool FollowedSettledPlanner() const;
   bool IsReady() const;
   Task<void> HandleAdminRequest(HttpExchange& aExchange);
-  Task<void> DetectStalls();
   Task<void> Drain(std::function<void()> aOnDone);
 
   Settings settings;
@@ -101,9 +96,11 @@
   FollowTask follower;
   QuarantineTask quarantineTask;
   FleetRelay relay;
+  ReachTask reachTask;
+  StallTask stallTask;
   /// This node is the planner and had followed the previous one until then.
   bool entriesTrustedAtTakeover = false;
-  std::shared_ptr<HttpServer> callerServer;
+  RequestServers servers;
   std::shared_ptr<HttpServer> readyServer;
   std::shared_ptr<HttpServer> adminServer;
 };
@@ -204,54 +201,38 @@
           this->fleetTask,
           this->planner,
           this->quarantineTask)
+  , reachTask(this->context,
+              ReachTask::Options{},
+              [] {})
+  , stallTask(this->context, this->planner, this->follower, this->reachTask)
+  , servers(this->context)
 {
 }
 
-Result<std::shared_ptr<HttpServer>>
-ServingNode::Impl::Listen(const std::string& aAddress, HttpHandler aHandler)
-{
-  return HttpServer::Make(
-    this->context.executor,
-    HttpServer::Options{
-      .address = aAddress,
-      .limits = HttpServerLimits{ .connections = static_cast<std::size_t>(
-                                    this->settings.maxConnections) },
-      .handler = std::move(aHandler),
-      .errorResponder =
-        [this](unsigned aStatus, std::string_view aReason) {
-          return MakeRefusal(aStatus, aReason, this->context.random);
-        },
-    });
-}
-
 Result<void>
 ServingNode::Impl::Start()
 {
-  auto newCallerServer = this->Listen(
-    this->settings.listen, [this](HttpExchange& aExchange) -> Task<void> {
-      this->context.requestsSeen = true;
-      RequestFlow flow(this->context, aExchange);
-      co_await flow.Serve();
-    });
-  if (!newCallerServer) {
-    return tl::unexpected(newCallerServer.error());
+  if (const auto listening = this->servers.Start(); !listening) {
+    return tl::unexpected(listening.error());
   }
-  this->callerServer = *newCallerServer;
-  auto newReadyServer =
-    this->Listen(this->settings.serving->readyListen,
-                 [this](HttpExchange& aExchange) -> Task<void> {
-                   const bool isReady = this->IsReady();
-                   co_await aExchange.Reply(TextResponse(
-                     isReady ? 200 : 503, isReady ? "ready\n" : "not ready\n"));
-                 });
+  auto newReadyServer = ListenForRequests(
+    this->context,
+    this->settings.serving->readyListen,
+    [this](HttpExchange& aExchange) -> Task<void> {
+      const bool isReady = this->IsReady();
+      co_await aExchange.Reply(
+        TextResponse(isReady ? 200 : 503, isReady ? "ready\n" : "not ready\n"));
+    });
   if (!newReadyServer) {
     return tl::unexpected(newReadyServer.error());
   }
   this->readyServer = *newReadyServer;
-  auto newAdminServer = this->Listen(
-    this->settings.adminListen, [this](HttpExchange& aExchange) -> Task<void> {
-      co_await this->HandleAdminRequest(aExchange);
-    });
+  auto newAdminServer =
+    ListenForRequests(this->context,
+                      this->settings.adminListen,
+                      [this](HttpExchange& aExchange) -> Task<void> {
+                        co_await this->HandleAdminRequest(aExchange);
+                      });
   if (!newAdminServer) {
     return tl::unexpected(newAdminServer.error());
   }
@@ -265,10 +246,7 @@
   this->planner.Start();
   this->follower.Start();
   this->quarantineTask.Start();
-  asio::co_spawn(
-    this->context.executor,
-    [this]() -> Task<void> { co_await this->DetectStalls(); },
-    asio::detached);
+  this->stallTask.Start();
   LogLine("node_started")
     .With("node", this->settings.node)
     .With("listen", this->settings.listen)
@@ -280,15 +258,7 @@
 void
 ServingNode::Impl::OnCatalogChange()
 {
-  const CallerLimits& limits =
-    this->context.catalog.Current()->Contents().limits;
-  this->callerServer->SetLimits(HttpServerLimits{
-    .headerBytes = limits.headerBytes,
-    .bodyBytes = limits.bodyBytes,
-    .connections = static_cast<std::size_t>(this->settings.maxConnections),
-    .idleTimeout = limits.idleTimeout,
-    .receiveTimeout = limits.headerTimeout,
-  });
+  this->servers.SetLimits(this->context.catalog.Current()->Contents().limits);
   this->OnFleetChange();
   this->relay.NotifyWaitingNodes();
 }
@@ -329,15 +299,6 @@
   }
 }
 
-void
-ServingNode::Impl::HedgeCallsTo(const std::string& aTarget)
-{
-  const auto [first, last] = this->context.running.equal_range(aTarget);
-  for (auto it = first; it != last; ++it) {
-    it->second->HedgeCurrentCall(RequestFlow::HedgeReason::kTargetStalled);
-  }
-}
-
 bool
 ServingNode::Impl::EntriesSettled() const
 {
@@ -370,7 +331,7 @@
     co_return;
   }
   this->context.counters.Set("requests_in_flight", {}, this->context.inFlight);
-  this->callerServer->ExportCounts(this->context.counters);
+  this->servers.ExportCounts();
   this->context.counters.Set(
     "planner_leads", {}, this->planner.IsPlanner() ? 1 : 0);
   this->context.counters.Set(
@@ -380,34 +341,6 @@
   co_await aExchange.Reply(TextResponse(200, this->context.counters.Text()));
 }
 
-Task<void>
-ServingNode::Impl::DetectStalls()
-{
-  for (;;) {
-    asio::steady_timer timer(this->context.executor, kStallCheckInterval);
-    co_await timer.async_wait(kAsTuple);
-    const auto findings = this->context.stalls.Check(MonotonicNow());
-    for (const std::string& target : findings.suspected) {
-      this->planner.ProbeSuspectedTarget(target);
-    }
-    if (!findings.suspected.empty()) {
-      this->follower.ReportStalls(findings.suspected);
-    }
-    for (const auto& stall : findings.stalled) {
-      LogLine("target_stalled")
-        .With("target", stall.target)
-        .With("own_requests",
-              std::int64_t{ this->context.loads.OwnRequests(stall.target) })
-        .With("streams", std::int64_t{ stall.startedResponses })
-        .With("silent_ms", stall.silence / milliseconds(1))
-        .With("check_interval_ms", findings.checkInterval / milliseconds(1))
-        .Info();
-      this->context.counters.Add("targets_stalled");
-      this->HedgeCallsTo(stall.target);
-    }
-  }
-}
-
 void
 ServingNode::Impl::Reload(Settings aSettings)
 {
@@ -438,7 +371,7 @@
     now + this->settings.serving->stopLimit - kStopMargin - kLastResponseTime;
   this->planner.Release();
   this->relay.NotifyWaitingNodes();
-  this->callerServer->CloseAfterNextResponse();
+  this->servers.CloseAfterNextResponse();
   LogLine("node_draining")
     .With("in_flight", std::int64_t{ this->context.inFlight })
     .Info();
@@ -456,19 +389,20 @@
   const Instant requestsEndAt = *this->context.requestsEndAt;
   asio::steady_timer timer(this->context.executor, kLeaveDuration);
   co_await timer.async_wait(kAsTuple);
-  this->callerServer->Stop();
-  co_await this->callerServer->WaitForConnections(requestsEndAt);
+  this->servers.Stop();
+  co_await this->servers.WaitForConnections(requestsEndAt);
   for (const auto& [target, flow] : this->context.running) {
     flow->CancelForStop();
   }
-  this->callerServer->CloseIdleConnections();
   // This node may have been delayed, and its callers wait for the responses.
-  co_await this->callerServer->WaitForConnections(std::max(
-    requestsEndAt + kLastResponseTime, MonotonicNow() + kMinLastResponseTime));
+  const Instant responsesEndAt = std::max(
+    requestsEndAt + kLastResponseTime, MonotonicNow() + kMinLastResponseTime);
+  this->servers.CloseIdleConnections();
+  co_await this->servers.WaitForConnections(responsesEndAt);
   LogLine("node_stopped")
     .With("in_flight", std::int64_t{ this->context.inFlight })
     .Info();
-  this->callerServer->LogCounts();
+  this->servers.LogCounts();
   aOnDone();
 }
 
--- a/src/serving/TargetCall.cpp
+++ b/src/serving/TargetCall.cpp
@@ -54,6 +54,7 @@
     auto newConnection =
       co_await this->pool.OpenNewConnection(this->options.address);
     if (!newConnection) {
+      this->connectFailed = true;
       co_return tl::unexpected(newConnection.error());
     }
     this->connection = std::move(*newConnection);
@@ -100,6 +101,9 @@
 bool
 TargetCall::IsOwnResponse(const HttpResponse& aHead) const
 {
+  if (!this->options.expectsAttemptId) {
+    return true;
+  }
   const std::string attemptId = this->protocol.ReadHead(aHead).attemptId;
   // On a reused connection, a response without an id may be a late copy of the
   // one to the previous request.
--- a/src/serving/TargetCall.h
+++ b/src/serving/TargetCall.h
@@ -20,6 +20,9 @@
     HttpRequest message;
     /// The response to this request names this id.
     std::string attemptId;
+    /// False for another node, whose own responses name no attempt. It sends
+    /// one response per request.
+    bool expectsAttemptId = true;
     /// Allows an idle connection of the pool; otherwise a new one is opened.
     bool mayReuse = true;
     /// Deadline of the request.
@@ -52,6 +55,8 @@
 
   /// True if bytes of the request may have reached the target.
   bool WasSent() const { return this->sent; }
+  /// True if no connection could be opened.
+  bool HasConnectFailed() const { return this->connectFailed; }
   /// When sending began; only if WasSent.
   Instant SentAt() const { return this->sentAt; }
   UnixMillis TargetStartedAt() const { return this->options.targetStartedAt; }
@@ -79,6 +84,7 @@
   bool sent = false;
   Instant sentAt;
   bool reusedConnection = false;
+  bool connectFailed = false;
   bool cancelled = false;
 };
 
--- a/tests/PeerMessagesTest.cpp
+++ b/tests/PeerMessagesTest.cpp
@@ -21,13 +21,15 @@
                          .text = "firm = \"f\"" },
     FleetQuestion{
       .node = "n",
-      .limits = { { .target = "t", .limit = 0, .age = milliseconds(30) } } },
+      .limits = { { .target = "t", .limit = 0, .age = milliseconds(30) } },
+      .forwardAddress = "f" },
     FleetAnswer{
       .source = "s",
       .limits = { { .target = "t", .limit = 2.5, .age = milliseconds(40) },
                   { .target = "u",
                     .limit = std::nullopt,
-                    .age = milliseconds(50) } } },
+                    .age = milliseconds(50) } },
+      .forwardAddresses = { "g", "h" } },
     CrashReport{
       .node = "n",
       .lostRequests = { { .target = "t",
--- a/tests/PlatformProtocolTest.cpp
+++ b/tests/PlatformProtocolTest.cpp
@@ -1,6 +1,7 @@
 #include "platform/CatalogReader.h"
 #include "platform/TargetReader.h"
 #include "platform/WireProtocol.h"
+#include "serving/Forwarding.h"
 
 #include <boost/json.hpp>
 #include <catch2/catch.hpp>
@@ -392,3 +393,39 @@
   CHECK(body.at("fence") == 5);
   CHECK(body.at("members").as_array().size() == 2);
 }
+
+TEST_CASE("WireProtocol forwards a request to a node as the caller sent it")
+{
+  const HttpRequest request = WireProtocol().MakeForwarded(
+    MakeCallerRequest(),
+    { .targetId = "i-9", .timeLeft = milliseconds(1200), .resumeAfter = 15 });
+  CHECK(request.method() == http::verb::post);
+  CHECK(request.target() == "/p/1?q=2");
+  CHECK(request[http::field::host] == "h");
+  CHECK(request[http::field::authorization] == "Token k1");
+  CHECK(request["Request-Attempt-Id"] == "abc");
+  CHECK(request["Deadline-Ms"] == "1200");
+  CHECK(request["Last-Event-Id"] == "15");
+  CHECK(request["X-Other"] == "2");
+  CHECK(request.body() == "body");
+  for (const std::string_view name :
+       { "Tenant-Id", "Expect-Instance", "Request-Priority", "X-Hop" }) {
+    CAPTURE(name);
+    CHECK(request.count(name) == 0);
+  }
+}
+
+TEST_CASE("WireProtocol keeps headers between nodes from targets")
+{
+  HttpRequest request = WireProtocol().MakeForwarded(
+    MakeCallerRequest(), { .targetId = "i-9", .timeLeft = milliseconds(1200) });
+  SetForwarded(request, { .maxTargets = 2 });
+  CHECK(ReadForwarded(request) == ForwardedRequest{ .maxTargets = 2 });
+  const HttpRequest sent = WireProtocol().MakeRequest(
+    request, { .targetId = "i-9", .timeLeft = milliseconds(1200) });
+  for (const auto& field : sent) {
+    CHECK_FALSE(field.name_string().starts_with("Apricottrack"));
+  }
+  CHECK(sent.count(http::field::authorization) == 0);
+  CHECK(sent["X-Other"] == "2");
+}
--- a/tests/RetryRulesTest.cpp
+++ b/tests/RetryRulesTest.cpp
@@ -119,3 +119,14 @@
                    CallEnd::kCallerGone,
                    { .possibleRunCount = 1 }) == NextStep::kAbort);
 }
+
+TEST_CASE("RetryRules keeps to fewer targets than the route allows")
+{
+  const CallHistory history{ .possibleRunCount = 1, .sendCount = 1 };
+  CallHistory limited = history;
+  limited.targetLimit = 1;
+  CHECK(DecideNext(kIdempotentRoute, CallEnd::kNoAnswer, history) ==
+        NextStep::kTryElsewhere);
+  CHECK(DecideNext(kIdempotentRoute, CallEnd::kNoAnswer, limited) ==
+        NextStep::kFail);
+}
--- a/tests/ServingHarness.h
+++ b/tests/ServingHarness.h
@@ -63,6 +63,15 @@
     }
     return request;
   }
+  HttpRequest MakeForwarded(
+    const HttpRequest& aCallerRequest,
+    const TargetInstructions& aInstructions) const override
+  {
+    HttpRequest request = this->MakeRequest(aCallerRequest, aInstructions);
+    request.set("X-Timeout",
+                std::to_string(aInstructions.timeLeft / milliseconds(1)));
+    return request;
+  }
   TargetHead ReadHead(const HttpResponse& aHead) const override
   {
     return { .attemptId = std::string(aHead["X-Attempt"]),
@@ -192,36 +201,58 @@
                .services = { { .name = "app" } } },
       MonotonicNow());
     this->context.startGate.Open();
-    const std::string address = FreeAddress(this->io);
-    this->callerEndpoint = *ParseEndpoint(address);
-    this->server = *HttpServer::Make(
-      this->io.get_executor(),
-      { .address = address,
-        .handler = [this](HttpExchange& aExchange) -> Task<void> {
-          RequestFlow flow(this->context, aExchange);
-          co_await flow.Serve();
-        },
-        .errorResponder =
-          [this](unsigned aStatus, std::string_view aReason) {
-            return MakeRefusal(aStatus, aReason, this->context.random);
-          } });
+    this->server = this->Listen(
+      [this](HttpExchange& aExchange) -> Task<void> {
+        RequestFlow flow(this->context, aExchange);
+        co_await flow.Serve();
+      },
+      this->callerEndpoint);
+    this->forwardServer = this->Listen(
+      [this](HttpExchange& aExchange) -> Task<void> {
+        RequestFlow flow(
+          this->context, aExchange, ReadForwarded(aExchange.Request()));
+        co_await flow.Serve();
+      },
+      this->forwardEndpoint);
   }
 
   /// Adds a target that runs the script for each connection.
   void AddTarget(std::string aId, Script aScript)
   {
-    auto acceptor = std::make_shared<tcp::acceptor>(
-      this->io, tcp::endpoint(asio::ip::make_address("127.0.0.1"), 0));
-    this->context.fleet.Put(
-      { .id = std::move(aId),
-        .service = "app",
-        .address =
-          fmt::format("127.0.0.1:{}", acceptor->local_endpoint().port()),
-        .availabilityZone = "a",
-        .slots = 8 },
-      MonotonicNow());
+    this->AddTargetAt(std::move(aId), this->StartScript(std::move(aScript)));
+  }
+
+  /// Adds a target that accepts no connections.
+  void AddUnreachableTarget(std::string aId)
+  {
+    this->AddTargetAt(std::move(aId), FreeAddress(this->io));
+  }
+
+  /// Adds a node that requests may be forwarded to, which runs the script for
+  /// each connection.
+  void AddNode(Script aScript)
+  {
+    this->context.forwardingNodes.push_back(
+      this->StartScript(std::move(aScript)));
+  }
+
+  void AddTargetAt(std::string aId, std::string aAddress)
+  {
+    this->context.fleet.Put({ .id = std::move(aId),
+                              .service = "app",
+                              .address = std::move(aAddress),
+                              .availabilityZone = "a",
+                              .slots = 8 },
+                            MonotonicNow());
     this->context.candidates.Rebuild(
       this->context.catalog.Current()->Contents(), this->context.fleet, {}, {});
+  }
+
+  /// Returns the address at which the script runs for each connection.
+  std::string StartScript(Script aScript)
+  {
+    auto acceptor = std::make_shared<tcp::acceptor>(
+      this->io, tcp::endpoint(asio::ip::make_address("127.0.0.1"), 0));
     asio::co_spawn(
       this->io,
       [acceptor, script = std::move(aScript), this]() -> Task<void> {
@@ -235,6 +266,7 @@
         }
       },
       asio::detached);
+    return fmt::format("127.0.0.1:{}", acceptor->local_endpoint().port());
   }
 
   /// Sends a request and returns the bytes of the response up to the close of
@@ -245,16 +277,23 @@
                          Duration aTimeout,
                          std::string aParts = "own")
   {
-    tcp::socket socket(this->io);
-    co_await socket.async_connect(this->callerEndpoint, kAsTuple);
-    const std::string request = fmt::format(
+    std::string request = fmt::format(
       "GET {} HTTP/1.1\r\nHost: h\r\nConnection: close\r\nX-Attempt: "
       "{}\r\nX-Timeout: {}\r\nX-Parts: {}\r\n\r\n",
       aPath,
       aAttemptId,
       aTimeout / milliseconds(1),
       aParts);
-    co_await asio::async_write(socket, asio::buffer(request), kAsTuple);
+    co_return co_await this->Exchange(this->callerEndpoint, std::move(request));
+  }
+
+  /// Sends the bytes and returns those of the response, up to the close of the
+  /// connection.
+  Task<std::string> Exchange(tcp::endpoint aEndpoint, std::string aRequest)
+  {
+    tcp::socket socket(this->io);
+    co_await socket.async_connect(aEndpoint, kAsTuple);
+    co_await asio::async_write(socket, asio::buffer(aRequest), kAsTuple);
     std::string response;
     co_await asio::async_read(socket, asio::dynamic_buffer(response), kAsTuple);
     co_return response;
@@ -290,8 +329,25 @@
   ServingContext context;
   std::shared_ptr<HttpServer> server;
   tcp::endpoint callerEndpoint;
+  /// Serves what other nodes forward.
+  std::shared_ptr<HttpServer> forwardServer;
+  tcp::endpoint forwardEndpoint;
 
 private:
+  std::shared_ptr<HttpServer> Listen(HttpHandler aHandler,
+                                     tcp::endpoint& aEndpoint)
+  {
+    const std::string address = FreeAddress(this->io);
+    aEndpoint = *ParseEndpoint(address);
+    return *HttpServer::Make(
+      this->io.get_executor(),
+      { .address = address,
+        .handler = std::move(aHandler),
+        .errorResponder = [this](unsigned aStatus, std::string_view aReason) {
+          return MakeRefusal(aStatus, aReason, this->context.random);
+        } });
+  }
+
   static Task<void> Serve(tcp::socket aSocket, Script aScript, int aNumber)
   {
     TargetConnection connection(std::move(aSocket));
--- a/tests/SettingsTest.cpp
+++ b/tests/SettingsTest.cpp
@@ -57,3 +57,20 @@
   REQUIRE(settings);
   CHECK(settings->serving->retryReserve == 134.5);
 }
+
+TEST_CASE("ParseSettings checks the address for forwarded requests")
+{
+  const std::string text = "node = \"n\"\navailability_zone = \"z\"\n"
+                           "listen = \"127.0.0.1:1\"\n"
+                           "admin_listen = \"127.0.0.1:2\"\n"
+                           "peer_listen = \"127.0.0.1:3\"\n"
+                           "platform = \"127.0.0.1:4\"\n"
+                           "[serving]\nready_listen = \"127.0.0.1:5\"\n";
+  REQUIRE(ParseSettings(text));
+  CHECK(ParseSettings(text)->serving->forwardListen.empty());
+  const auto settings =
+    ParseSettings(text + "forward_listen = \"127.0.0.1:6\"\n");
+  REQUIRE(settings);
+  CHECK(settings->serving->forwardListen == "127.0.0.1:6");
+  CHECK_FALSE(ParseSettings(text + "forward_listen = \"here\"\n"));
+}
