Leave planning to nodes that reach targets

Cause: the planner gave up only when the store refused its lease. It took targets that it could not reach for lost, one after the other, until most were silent.

Change: no orders are issued while it is being attributed whether a target or the node has failed, nor while the node is isolated. After 0.3 s of that the planner gives up the lease if other nodes reach targets, and takes it again only after 3 s without a planner. Reports that were missed because of the node are forgotten.

PlannerSuccessionTest, LeaseTaskTest and TargetProbeTest test what the old code has no call for.

--- a/src/node/LeaseTask.cpp
+++ b/src/node/LeaseTask.cpp
@@ -124,6 +124,12 @@
 LeaseTask::Release()
 {
   this->released = true;
+  this->Resign();
+}
+
+void
+LeaseTask::Resign()
+{
   this->leaseExpiresAt = Instant{};
   const LeaseId held = std::exchange(this->lease, 0);
   if (held != 0) {
--- a/src/node/LeaseTask.h
+++ b/src/node/LeaseTask.h
@@ -71,6 +71,10 @@
   /// Makes no call to the service.
   void ClearLease();
 
+  /// Revokes the lease, so that another node can acquire the key. This node
+  /// acquires it again only if `mayAcquire` allows that.
+  void Resign();
+
   /// Stops renewing and revokes the lease, so that another node can acquire
   /// the key without waiting for the lease to expire.
   void Release();
--- a/src/replicas/PlannerSuccession.cpp
+++ b/src/replicas/PlannerSuccession.cpp
@@ -38,6 +38,10 @@
 bool
 PlannerSuccession::MayAcquire(const View& aView, Instant aNow) const
 {
+  if (aView.isIsolated &&
+      aNow - this->noPlannerSince < this->options.isolatedTakeoverDelay) {
+    return false;
+  }
   if (this->ContinuesTerm(aNow)) {
     return true;
   }
@@ -60,7 +64,7 @@
 bool
 PlannerSuccession::ContinuesTerm(Instant aNow) const
 {
-  return this->isLastHolder && this->termEndedAt &&
+  return this->isLastHolder && this->termEndedAt && !this->hasResigned &&
          aNow - *this->termEndedAt < this->options.returnTime;
 }
 
--- a/src/replicas/PlannerSuccession.h
+++ b/src/replicas/PlannerSuccession.h
@@ -34,6 +34,10 @@
     /// may take its expired lease again. It needs up to the timeout of a call
     /// and the interval between two calls to notice that the store is back.
     Duration returnTime = milliseconds(2000);
+    /// Time without a planner after which an isolated node may take the lease:
+    /// then probably no node reaches a target, and one has to relay what the
+    /// store lists.
+    Duration isolatedTakeoverDelay = milliseconds(3000);
   };
 
   /// What the node knows when it may take the lease.
@@ -43,6 +47,8 @@
     bool entriesUsable = false;
     /// The last planner's node still responds as the planner.
     bool plannerResponds = false;
+    /// The node reaches no target, so it cannot plan.
+    bool isIsolated = false;
   };
 
   explicit PlannerSuccession(Options aOptions)
@@ -59,7 +65,17 @@
   /// Records that the store did not return the lease holder.
   void OnStoreFailure(Instant aNow) { this->storeFailedAt = aNow; }
   /// Records that this node has taken the lease.
-  void OnTermStarted() { this->isLastHolder = true; }
+  void OnTermStarted()
+  {
+    this->isLastHolder = true;
+    this->hasResigned = false;
+  }
+  /// Records that this node gives up its lease, so that another one takes it.
+  void OnResigned(Instant aNow)
+  {
+    this->hasResigned = true;
+    this->noPlannerSince = aNow;
+  }
   /// Records that this node has lost its lease.
   void OnTermEnded(Instant aNow) { this->termEndedAt = aNow; }
 
@@ -82,6 +98,8 @@
   Instant storeFailedAt;
   /// This node has held the lease, and no other one since, as far as known.
   bool isLastHolder = false;
+  /// This node has given up its last lease.
+  bool hasResigned = false;
   /// When this node last lost its lease.
   std::optional<Instant> termEndedAt;
 };
--- a/src/replicas/TargetProbe.cpp
+++ b/src/replicas/TargetProbe.cpp
@@ -20,6 +20,13 @@
   this->hasTimedOut = aTimedOut;
 }
 
+void
+TargetProbe::ForgetMissed()
+{
+  this->missedReports = 0;
+  this->probeSentAt = Instant{};
+}
+
 bool
 TargetProbe::IsUnresponsive(const Options& aOptions) const
 {
--- a/src/replicas/TargetProbe.h
+++ b/src/replicas/TargetProbe.h
@@ -30,6 +30,10 @@
   /// `aTimedOut` is false if the target accepted no connection or reset it.
   void OnMissed(Instant aSentAt, bool aTimedOut);
 
+  /// Forgets the missed reports, which this node's own failure explains, and
+  /// makes the next probe due.
+  void ForgetMissed();
+
   bool IsUnresponsive(const Options& aOptions) const;
 
   /// True if the target is unresponsive, but was silent for less than
--- a/src/serving/PlannerCalls.cpp
+++ b/src/serving/PlannerCalls.cpp
@@ -204,6 +204,10 @@
     this->context.counters.Add("reports_judged_late");
     co_return;
   }
+  if (report.error().code == ErrorCode::kUnreachable) {
+    this->context.reach.OnConnectFailed(aTarget, now);
+    this->hooks.onConnectFailed();
+  }
   // A sound target that is silent still accepts connections.
   probe.OnMissed(probeSentAt, report.error().code == ErrorCode::kTimeout);
   if (!probe.IsUnresponsive(this->options.probes)) {
--- a/src/serving/PlannerTask.cpp
+++ b/src/serving/PlannerTask.cpp
@@ -123,7 +123,8 @@
           [this] {
             return this->succession.MayAcquire(
               { .entriesUsable = this->hooks.mayAcquire(),
-                .plannerResponds = this->hooks.plannerResponds() },
+                .plannerResponds = this->hooks.plannerResponds(),
+                .isIsolated = this->context.reach.IsIsolated() },
               MonotonicNow());
           },
         .onOtherHolder =
@@ -198,6 +199,7 @@
 void
 PlannerTask::RunRound(Instant aNow)
 {
+  this->ResignIfIsolated(aNow);
   const bool holdsLease = this->lease.HasLease() && !this->context.draining;
   if (holdsLease && this->fencingToken != this->lease.AcquiredRevision()) {
     this->BecomePlanner(aNow);
@@ -465,8 +467,10 @@
     return;
   }
   this->ProbeTargets(aService, members, aNow);
-  // If most targets are unresponsive, the fault is probably at this node.
-  if (this->AreMostUnresponsive(members)) {
+  // What a node sees that reaches no target, or may reach none, says nothing
+  // about the targets.
+  if (this->context.reach.IsIsolated() || this->context.reach.IsInDoubt() ||
+      this->AreMostUnresponsive(members)) {
     return;
   }
   if (!view.beforeTraffic &&
--- a/src/serving/PlannerTask.h
+++ b/src/serving/PlannerTask.h
@@ -57,6 +57,9 @@
     /// Reported factor on the times of the engine from which a target counts as
     /// slow. Replacing a member interrupts its replica for less than a second.
     double slowTimeFactor = 1.6;
+    /// Time without a target that this node reaches after which another node
+    /// should be the planner.
+    Duration resignDelay = milliseconds(300);
   };
 
   /// What the task needs from its node.
@@ -82,6 +85,8 @@
     std::function<bool()> entriesSettled;
     /// When this node itself last read the fleet from the store.
     std::function<Instant()> fleetLastContactAt;
+    /// Called when no connection to a target could be opened.
+    std::function<void()> onConnectFailed;
   };
 
   PlannerTask(ServingContext& aContext,
@@ -120,6 +125,10 @@
   /// Fencing token of the lease that this node last took.
   std::int64_t FencingToken() const { return this->fencingToken; }
 
+  /// Plans a round if this node is the planner, after it has become known
+  /// whether a target or this node has failed.
+  void OnReachJudged(Instant aNow);
+
   /// Ends the lease, so that another node can become the planner.
   void Release();
 
@@ -141,6 +150,9 @@
   /// node is the planner, plans all services that have an engine.
   void RunRound(Instant aNow);
   void BecomePlanner(Instant aNow);
+  /// Gives up the lease if this node has reached no target for some time, but
+  /// others do.
+  void ResignIfIsolated(Instant aNow);
   /// Forgets the plan and what is known of targets, for a term that does not
   /// continue the previous one.
   void StartAfresh(Instant aNow);
@@ -248,6 +260,8 @@
   /// delayed.
   Instant localDelayUntil;
   bool isPlanner = false;
+  /// As of the last OnReachJudged.
+  bool wasIsolated = false;
   /// This node held the lease before, lost it a short time ago and has kept its
   /// plan and its fleet.
   bool continuesTerm = false;
--- a/src/serving/ServingNode.cpp
+++ b/src/serving/ServingNode.cpp
@@ -173,6 +173,7 @@
               .onReplicaChange = [this] { this->OnFleetChange(); },
               .entriesSettled = [this] { return this->EntriesSettled(); },
               .fleetLastContactAt = [this] { return this->fleetTask.LastContactAt(); },
+              .onConnectFailed = [this] { this->reachTask.CheckNow(); },
             })
   , follower(this->context,
              this->catalogTask,
@@ -203,7 +204,7 @@
           this->quarantineTask)
   , reachTask(this->context,
               ReachTask::Options{},
-              [] {})
+              [this] { this->planner.OnReachJudged(MonotonicNow()); })
   , stallTask(this->context, this->planner, this->follower, this->reachTask)
   , servers(this->context)
 {
--- a/tests/LeaseTaskTest.cpp
+++ b/tests/LeaseTaskTest.cpp
@@ -124,6 +124,32 @@
   CHECK(store.leases.size() == 1);
 }
 
+TEST_CASE("LeaseTask::Resign leaves the key to others and may acquire it later")
+{
+  boost::asio::io_context context(1);
+  OneKeyStore store;
+  bool mayAcquire = true;
+  LeaseTask holder(context.get_executor(),
+                   store,
+                   { .key = "k",
+                     .value = "first",
+                     .ttlSeconds = 60,
+                     .renewInterval = milliseconds(10),
+                     .mayAcquire = [&] { return mayAcquire; } });
+  holder.Start();
+  context.run_for(milliseconds(50));
+  REQUIRE(holder.HasLease());
+  mayAcquire = false;
+  holder.Resign();
+  CHECK_FALSE(holder.HasLease());
+  context.run_for(milliseconds(50));
+  CHECK_FALSE(holder.HasLease());
+  CHECK(store.revision == 0);
+  mayAcquire = true;
+  context.run_for(milliseconds(50));
+  CHECK(holder.HasLease());
+}
+
 // Guards against a change of planners after each outage of the store.
 TEST_CASE("LeaseTask replaces an expired lease before other nodes try")
 {
--- a/tests/PlannerSuccessionTest.cpp
+++ b/tests/PlannerSuccessionTest.cpp
@@ -107,3 +107,19 @@
   planner.OnPlannerFollowed(end + milliseconds(100));
   CHECK_FALSE(planner.ContinuesTerm(end + milliseconds(200)));
 }
+
+// Guards against replicas broken up by a planner that reaches no target.
+TEST_CASE("PlannerSuccession leaves the lease to nodes that reach targets")
+{
+  constexpr PlannerSuccession::View kIsolated{ .entriesUsable = true,
+                                               .isIsolated = true };
+  const Instant end = kStart + seconds(9);
+  PlannerSuccession planner = MakeSuccession();
+  planner.OnTermStarted();
+  planner.OnResigned(end);
+  planner.OnTermEnded(end);
+  CHECK_FALSE(planner.MayAcquire(kIsolated, end + milliseconds(2900)));
+  CHECK(planner.MayAcquire(kIsolated, end + milliseconds(3000)));
+  CHECK(planner.MayAcquire(kUsable, end + milliseconds(100)));
+  CHECK_FALSE(planner.ContinuesTerm(end + milliseconds(100)));
+}
--- a/tests/TargetProbeTest.cpp
+++ b/tests/TargetProbeTest.cpp
@@ -44,3 +44,18 @@
   CHECK(probe.IsUnresponsive(kOptions));
   CHECK_FALSE(probe.IsBrieflySilent(kOptions));
 }
+
+// Guards against replicas broken up after the planner's own cut has ended.
+TEST_CASE("TargetProbe forgets reports that were missed because of this node")
+{
+  TargetProbe probe;
+  probe.OnReport({}, kStart);
+  probe.probeSentAt = kStart;
+  probe.OnMissed(kStart + milliseconds(100), false);
+  probe.OnMissed(kStart + milliseconds(200), false);
+  REQUIRE(probe.IsUnresponsive(kOptions));
+  probe.ForgetMissed();
+  CHECK_FALSE(probe.IsUnresponsive(kOptions));
+  CHECK(probe.report);
+  CHECK(probe.probeSentAt == Instant{});
+}
