Forward requests of a node without targets on the product's own interface

What callers saw: a node that hears no target lets each request wait for 3 s and answers 503 no_target, although other nodes have targets.

Change: such a node sends the request, before it charges or records anything, to up to three other nodes, whose addresses for callers are in their registrations. A node that got the request and sends no complete response may have run it (502, outcome_unknown). A forwarded request is not forwarded again, and refused at once by a node without targets.

--- a/src/membership/NodeDirectory.cpp
+++ b/src/membership/NodeDirectory.cpp
@@ -20,7 +20,8 @@
                   { "incarnation", aRecord.incarnation },
                   { "availability_zone", aRecord.availabilityZone },
                   { "admin", aRecord.admin },
-                  { "peer", aRecord.peerAddress } });
+                  { "peer", aRecord.peerAddress },
+                  { "callers", aRecord.callerAddress } });
 }
 
 std::optional<NodeRecord>
@@ -34,7 +35,8 @@
                      .incarnation = JsonText(*object, "incarnation"),
                      .availabilityZone = JsonText(*object, "availability_zone"),
                      .admin = JsonText(*object, "admin"),
-                     .peerAddress = JsonText(*object, "peer") };
+                     .peerAddress = JsonText(*object, "peer"),
+                     .callerAddress = JsonText(*object, "callers") };
 }
 
 NodeDirectory::NodeDirectory(std::string aOwnNode)
--- a/src/membership/NodeDirectory.h
+++ b/src/membership/NodeDirectory.h
@@ -19,6 +19,8 @@
   /// IP:port of the admin endpoint and of the endpoint for other nodes.
   std::string admin;
   std::string peerAddress;
+  /// IP:port for callers; empty in the record of an older node.
+  std::string callerAddress;
 
   friend bool operator==(const NodeRecord&, const NodeRecord&) = default;
 };
--- a/src/node/Node.cpp
+++ b/src/node/Node.cpp
@@ -50,7 +50,8 @@
                      .incarnation = aContext.incarnation,
                      .availabilityZone = aContext.settings.availabilityZone,
                      .admin = aContext.settings.adminListen,
-                     .peerAddress = aContext.settings.peerListen };
+                     .peerAddress = aContext.settings.peerListen,
+                     .callerAddress = aContext.settings.listen };
 }
 
 } // namespace
--- a/src/node/RequestRun.cpp
+++ b/src/node/RequestRun.cpp
@@ -3,9 +3,11 @@
 #include "base/Hash.h"
 #include "base/Log.h"
 #include "http/HopByHop.h"
+#include "node/NodeForward.h"
 #include "node/TargetAttempt.h"
 #include "quarantine/RequestIdentity.h"
 
+#include <algorithm>
 #include <boost/json.hpp>
 
 namespace apricottrack {
@@ -46,6 +48,10 @@
 RequestRun::Serve()
 {
   ++this->context.requestsInFlight;
+  if (co_await this->TryForward()) {
+    --this->context.requestsInFlight;
+    co_return;
+  }
   RequestResult result;
   result.refusal = this->ParseAndCharge();
   if (!result.refusal) {
@@ -63,6 +69,39 @@
   --this->context.requestsInFlight;
 }
 
+bool
+RequestRun::HearsNoTarget(std::string_view aService) const
+{
+  const auto found = this->context.dispatchers.find(aService);
+  return found != this->context.dispatchers.end() &&
+         found->second->TargetRouter().TargetCount() == 0;
+}
+
+Task<bool>
+RequestRun::TryForward()
+{
+  const HttpRequest& request = this->exchange.Request();
+  const bool mayForward =
+    !NodeForward::IsForwarded(request) &&
+    std::any_of(
+      this->context.dispatchers.begin(),
+      this->context.dispatchers.end(),
+      [this](const auto& aEntry) { return this->HearsNoTarget(aEntry.first); });
+  if (!mayForward) {
+    co_return false;
+  }
+  const auto read = ReadRequest(request,
+                                this->context.configuration.Current(),
+                                this->spec.requestId,
+                                this->arrivedAt);
+  if (!read || !this->HearsNoTarget(read->service->name)) {
+    co_return false;
+  }
+  NodeForward forward(this->context, this->exchange, *read);
+  const auto outcome = co_await forward.Run();
+  co_return outcome.has_value();
+}
+
 std::optional<Refusal>
 RequestRun::ParseAndCharge()
 {
@@ -101,6 +140,12 @@
   if (auto refusal = this->QuarantineRefusal()) {
     co_return refusal;
   }
+  if (NodeForward::IsForwarded(this->exchange.Request()) &&
+      this->HearsNoTarget(this->spec.service->name)) {
+    // Another node may have targets.
+    co_return MakeNotRunRefusal(
+      503, "no_target", "the service has no target", seconds(2));
+  }
   Ticket ticket;
   ticket.crashKeys = this->crashKeys;
   ticket.account = this->spec.account->name;
--- a/src/node/RequestRun.h
+++ b/src/node/RequestRun.h
@@ -38,6 +38,11 @@
     bool CountsForObjective() const;
   };
 
+  /// Returns whether this node knows the service but none of its targets.
+  bool HearsNoTarget(std::string_view aService) const;
+  /// Returns true once another node has served the request, because this one
+  /// hears no target of its service.
+  Task<bool> TryForward();
   /// Parses the request and charges its account's limit.
   std::optional<Refusal> ParseAndCharge();
   /// Waits for a slot of the service.
