Check a suspected target only if all responses at the node have stopped

Cause: each suspected stall was checked by a connection, to notice a node whose kept connections hang. Under load, suspicions of single targets are frequent.

Change: such a check is made only if no byte of any response has arrived at the node for 0.1 s.

--- a/src/placement/StallDetector.cpp
+++ b/src/placement/StallDetector.cpp
@@ -52,6 +52,7 @@
 void
 StallDetector::OnProgress(const std::string& aTarget, bool aFirst, Instant aNow)
 {
+  this->lastProgressAt = aNow;
   Entry& entry = this->entries[aTarget];
   if (entry.startedResponses > 0) {
     const double gap = ToSeconds(aNow - entry.lastProgressAt);
--- a/src/placement/StallDetector.h
+++ b/src/placement/StallDetector.h
@@ -98,6 +98,9 @@
   /// and are not avoided.
   Findings Check(Instant aNow);
 
+  /// When bytes of any response last arrived at this node.
+  Instant LastProgressAt() const { return this->lastProgressAt; }
+
   /// True if the target is suspected: new requests should prefer other
   /// targets.
   bool IsSuspected(const std::string& aTarget, Instant aNow) const;
@@ -138,6 +141,7 @@
 
   Options options;
   std::unordered_map<std::string, Entry> entries;
+  Instant lastProgressAt;
   /// Time of the last Check.
   Instant checkedAt;
 };
--- a/src/serving/StallTask.cpp
+++ b/src/serving/StallTask.cpp
@@ -16,6 +16,9 @@
 
 /// Between two checks for stalled targets.
 constexpr Duration kCheckInterval = milliseconds(25);
+/// A node that has received bytes of a response within this time reaches some
+/// target.
+constexpr Duration kMaxSilence = milliseconds(100);
 
 } // namespace
 
@@ -82,9 +85,13 @@
       targets.push_back(target);
     }
   }
+  const bool isSilent =
+    aNow - this->context.stalls.LastProgressAt() >= kMaxSilence;
   for (const std::string& target : targets) {
     this->planner.ProbeSuspectedTarget(target);
-    this->reach.CheckSuspected(target, aNow);
+    if (isSilent) {
+      this->reach.CheckSuspected(target, aNow);
+    }
   }
   if (!targets.empty()) {
     this->follower.ReportStalls(std::move(targets));
--- a/src/serving/StallTask.h
+++ b/src/serving/StallTask.h
@@ -23,8 +23,8 @@
 private:
   Task<void> Run();
   void CheckOnce(Instant aNow);
-  /// Has the targets probed, by the planner's node and by a connection of this
-  /// node.
+  /// Has the targets probed by the planner's node. Connects to one of them if
+  /// all of this node's responses have stopped.
   void ReportSuspected(const std::vector<std::string>& aSuspected,
                        Instant aNow);
   /// Hedges this node's running requests of a target.
--- a/tests/StallDetectorTest.cpp
+++ b/tests/StallDetectorTest.cpp
@@ -135,3 +135,15 @@
   CHECK(detector.Check(now + kTick).stalled.empty());
   CHECK_FALSE(detector.IsAvoided("t", now + kTick));
 }
+
+TEST_CASE("StallDetector tells when any response has last gone on")
+{
+  StallDetector detector(StallDetector::Options{});
+  const Instant start{ seconds(100) };
+  detector.OnSent("a", start);
+  detector.OnSent("b", start);
+  detector.OnProgress("a", true, start + milliseconds(10));
+  detector.OnProgress("b", true, start + milliseconds(20));
+  detector.OnEnded("b", true);
+  CHECK(detector.LastProgressAt() == start + milliseconds(20));
+}
