Derive the port for forwarded requests from the peer port

What was seen: wholepath.test_delayed_stop failed, as its stand-in for the platform fills in the settings template and knows one internal port only.

Cause: the template named a second internal port for forwarded requests.

Change: forward_port_offset states by how much that port follows the one of peer_listen. The platform's range of internal ports covers both.

--- a/src/config/Settings.cpp
+++ b/src/config/Settings.cpp
@@ -8,12 +8,9 @@
 namespace {
 
 std::string
-ReadAddress(TomlReader& aReader,
-            std::string_view aKey,
-            std::optional<std::string_view> aDefault = std::nullopt)
+ReadAddress(TomlReader& aReader, std::string_view aKey)
 {
-  std::string address =
-    aDefault ? aReader.String(aKey, *aDefault) : aReader.String(aKey);
+  std::string address = aReader.String(aKey);
   if (!address.empty() && !ParseEndpoint(address)) {
     aReader.AddMistake(
       aKey, "is not IP:port", "write it as \"127.0.0.1:8080\"");
@@ -36,12 +33,36 @@
     defaultMs));
 }
 
+/// Reads by how much the port for forwarded requests follows that of
+/// `aPeerListen`, and returns its address; empty for zero.
+std::string
+ReadForwardAddress(TomlReader& aReader, const std::string& aPeerListen)
+{
+  constexpr int kMaxOffset = 1000;
+  constexpr int kMaxPort = 65'535;
+  const int offset =
+    aReader.Integer("forward_port_offset",
+                    { .minimum = 0, .maximum = kMaxOffset, .unit = "ports" },
+                    0);
+  const auto peer = ParseEndpoint(aPeerListen);
+  if (offset == 0 || !peer) {
+    return {};
+  }
+  const int port = peer->port() + offset;
+  if (port > kMaxPort) {
+    aReader.AddMistake("forward_port_offset",
+                       "the port is above 65535",
+                       "choose a smaller offset or peer port");
+    return {};
+  }
+  return peer->address().to_string() + ":" + std::to_string(port);
+}
+
 ServingSettings
 ReadServing(TomlReader& aReader)
 {
   ServingSettings serving;
   serving.readyListen = ReadAddress(aReader, "ready_listen");
-  serving.forwardListen = ReadAddress(aReader, "forward_listen", "");
   serving.revokeBound = ReadMilliseconds(
     aReader, "revoke_bound_ms", 500, 600'000, serving.revokeBound);
   serving.retryRatio = aReader.Number(
@@ -89,6 +110,8 @@
   settings.platform = ReadAddress(reader, "platform");
   reader.VisitTable("serving", [&](TomlReader& aServing) {
     settings.serving = ReadServing(aServing);
+    settings.serving->forwardListen =
+      ReadForwardAddress(aServing, settings.peerListen);
   });
   if (!settings.serving) {
     settings.vmList = ReadAddress(reader, "vm_list");
