--- a/src/placement/TargetReach.cpp
+++ b/src/placement/TargetReach.cpp
@@ -27,7 +27,8 @@
     this->lastConnectedAt &&
     aNow - *this->lastConnectedAt < this->options.recentTime;
   if (!this->isolatedSince && !this->sampling && !hasConnected) {
-    this->sampling.emplace();
+    this->sampling =
+      Sampling{ .hasStarted = false, .pending = {}, .failed = 0 };
   }
 }
 
