Let test servers try another port if theirs was taken

Cause: the harness looks for a free port and binds it later. Another process may take it in between; the failed result was then used as a server. A second server for each harness, new with the forwarding tests, made that frequent.

Change: the harness tries up to 20 ports and fails the test otherwise, and starts the server for forwarded requests only where a test needs it. No check is changed.

--- a/tests/RequestFlowForwardingTest.cpp
+++ b/tests/RequestFlowForwardingTest.cpp
@@ -172,7 +172,7 @@
   std::string response;
   const bool ended = harness.Run(
     [&]() -> Task<void> {
-      response = co_await harness.Exchange(harness.forwardEndpoint,
+      response = co_await harness.Exchange(harness.StartForwardServer(),
                                            ForwardedHead("/idempotent/x", 2));
     },
     kTestLimit);
@@ -198,8 +198,9 @@
   std::string response;
   const bool ended = harness.Run(
     [&]() -> Task<void> {
-      response = co_await harness.Exchange(
-        harness.forwardEndpoint, ForwardedHead("/idempotent/x", maxTargets));
+      response =
+        co_await harness.Exchange(harness.StartForwardServer(),
+                                  ForwardedHead("/idempotent/x", maxTargets));
     },
     kTestLimit);
   REQUIRE(ended);
@@ -219,7 +220,7 @@
   std::string response;
   const bool ended = harness.Run(
     [&]() -> Task<void> {
-      response = co_await harness.Exchange(harness.forwardEndpoint,
+      response = co_await harness.Exchange(harness.StartForwardServer(),
                                            ForwardedHead("/idempotent/x", 2));
     },
     kTestLimit);
--- a/tests/ServingHarness.h
+++ b/tests/ServingHarness.h
@@ -207,13 +207,20 @@
         co_await flow.Serve();
       },
       this->callerEndpoint);
+  }
+
+  /// Starts to serve what other nodes forward, and returns where.
+  tcp::endpoint StartForwardServer()
+  {
+    tcp::endpoint endpoint;
     this->forwardServer = this->Listen(
       [this](HttpExchange& aExchange) -> Task<void> {
         RequestFlow flow(
           this->context, aExchange, ReadForwarded(aExchange.Request()));
         co_await flow.Serve();
       },
-      this->forwardEndpoint);
+      endpoint);
+    return endpoint;
   }
 
   /// Adds a target that runs the script for each connection.
@@ -329,23 +336,29 @@
   ServingContext context;
   std::shared_ptr<HttpServer> server;
   tcp::endpoint callerEndpoint;
-  /// Serves what other nodes forward.
   std::shared_ptr<HttpServer> forwardServer;
-  tcp::endpoint forwardEndpoint;
 
 private:
-  std::shared_ptr<HttpServer> Listen(HttpHandler aHandler,
+  std::shared_ptr<HttpServer> Listen(const HttpHandler& aHandler,
                                      tcp::endpoint& aEndpoint)
   {
-    const std::string address = FreeAddress(this->io);
-    aEndpoint = *ParseEndpoint(address);
-    return *HttpServer::Make(
-      this->io.get_executor(),
-      { .address = address,
-        .handler = std::move(aHandler),
-        .errorResponder = [this](unsigned aStatus, std::string_view aReason) {
-          return MakeRefusal(aStatus, aReason, this->context.random);
-        } });
+    // Another process may take the free port before it is bound.
+    for (int attempt = 0; attempt < 20; ++attempt) {
+      const std::string address = FreeAddress(this->io);
+      auto listening = HttpServer::Make(
+        this->io.get_executor(),
+        { .address = address,
+          .handler = aHandler,
+          .errorResponder = [this](unsigned aStatus, std::string_view aReason) {
+            return MakeRefusal(aStatus, aReason, this->context.random);
+          } });
+      if (listening) {
+        aEndpoint = *ParseEndpoint(address);
+        return *listening;
+      }
+    }
+    FAIL("no port could be bound");
+    return nullptr;
   }
 
   static Task<void> Serve(tcp::socket aSocket, Script aScript, int aNumber)
