Satisfy the linter in RequestFlowForwardingTest

Callers saw nothing. clang-tidy 14 rejects structured bindings in lambdas and vectors that grow in loops. No check is changed; the linter accepts the file, and its tests pass.

--- a/tests/RequestFlowForwardingTest.cpp
+++ b/tests/RequestFlowForwardingTest.cpp
@@ -68,9 +68,11 @@
   harness.AddUnreachableTarget("t1");
   harness.AddUnreachableTarget("t2");
   harness.AddNode(Answer(SignedResponse(), heads.first));
-  const auto [path, maxTargets] =
+  const std::pair<std::string, std::string> sample =
     GENERATE(std::pair<std::string, std::string>{ "/idempotent/x", "2" },
              std::pair<std::string, std::string>{ "/once/x", "1" });
+  const std::string& path = sample.first;
+  const std::string& maxTargets = sample.second;
   std::string response;
   const bool ended = harness.Run(
     [&]() -> Task<void> {
@@ -291,6 +293,7 @@
   CHECK(harness.context.ForwardAddress().empty());
   CHECK(judged == 1);
   std::vector<tcp::acceptor> acceptors;
+  acceptors.reserve(addresses.size());
   for (const std::string& address : addresses) {
     acceptors.emplace_back(harness.io, *ParseEndpoint(address));
   }
