--- a/src/serving/CatalogTask.cpp
+++ b/src/serving/CatalogTask.cpp
@@ -10,6 +10,13 @@
 
 namespace asio = boost::asio;
 
+namespace {
+
+/// Reads that take longer are logged.
+constexpr Duration kSlowRead = milliseconds(300);
+
+} // namespace
+
 CatalogTask::CatalogTask(ServingContext& aContext,
                          KeyValueStore& aStore,
                          Options aOptions,
@@ -74,6 +81,7 @@
   const Instant readSentAt = MonotonicNow();
   const auto change = co_await this->store.GetIfChanged(
     this->context.protocol.CatalogKey(), this->checkedRevision);
+  this->RecordRead(MonotonicNow() - readSentAt, change.has_value());
   if (!change) {
     if (this->isStoreReachable) {
       LogLine("catalog_unreachable").With(change.error()).Warn();
@@ -123,6 +131,20 @@
   co_return true;
 }
 
+void
+CatalogTask::RecordRead(Duration aDuration, bool aSucceeded)
+{
+  const std::string_view result = aSucceeded ? "ok" : "failed";
+  this->context.counters.Observe(
+    "catalog_read_seconds", { { "result", result } }, ToSeconds(aDuration));
+  if (aDuration >= kSlowRead) {
+    LogLine("catalog_read_slow")
+      .With("result", result)
+      .With("took_ms", std::int64_t{ aDuration / milliseconds(1) })
+      .Info();
+  }
+}
+
 Instant
 CatalogTask::ProvenAt(Instant aReadSentAt) const
 {
--- a/src/serving/CatalogTask.h
+++ b/src/serving/CatalogTask.h
@@ -95,6 +95,8 @@
   void RecordInForce(Revision aRevision,
                      Source aSource,
                      std::optional<Duration> aDelay);
+  /// Counts a read of the store, and logs it if it was slow.
+  void RecordRead(Duration aDuration, bool aSucceeded);
   /// Returns the mean time from a read to the next one.
   Duration ReadInterval(bool aSucceeded, Instant aNow) const;
   /// Returns up to when a read, sent at `aReadSentAt`, proves that what it
--- a/src/serving/RequestFlow.h
+++ b/src/serving/RequestFlow.h
@@ -241,6 +241,9 @@
   /// requests again if all have asked for a pause.
   Task<void> RefuseNotRun();
   Task<void> RefuseAtIntake(IntakeRefusal aRefusal);
+  /// Logs the catalog by which a request is refused, and how recently it was
+  /// verified to be the newest.
+  void LogCatalog() const;
   /// Logs the end of a call, unless that is kAnswered, and what follows it.
   void LogCall(std::string_view aTargetId,
                CallEnd aEnd,
--- a/src/serving/RequestFlowEnds.cpp
+++ b/src/serving/RequestFlowEnds.cpp
@@ -142,6 +142,7 @@
 Task<void>
 RequestFlow::RefuseAtIntake(IntakeRefusal aRefusal)
 {
+  this->LogCatalog();
   switch (aRefusal) {
     case IntakeRefusal::kNoRoute:
       co_await this->Refuse(404, "no_route");
@@ -159,6 +160,23 @@
   }
 }
 
+void
+RequestFlow::LogCatalog() const
+{
+  const CatalogHolder& holder = this->context.catalog;
+  if (holder.Current() == nullptr) {
+    return;
+  }
+  LogLine("refused_by_catalog")
+    .With("request", this->caller.attemptId)
+    .With("version", holder.Current()->Contents().version)
+    .With("verified_ms_ago",
+          std::int64_t{ holder.VerificationAge(MonotonicNow()) /
+                        milliseconds(1) })
+    .With("forwarded", std::int64_t{ this->forwarded.has_value() })
+    .Info();
+}
+
 void
 RequestFlow::LogCall(std::string_view aTargetId,
                      CallEnd aEnd,
