Send store calls again soon if an idle connection is silent

Callers: a route or key that was added could be refused, as a node read the change late. Cause: connections may fall silent without a reset. A call over such an idle connection waited 1.2 s (own interface: 2 s) before it was sent on a new one, in addition to all other delays of a change; the pool keeps idle connections for 20 s. Change: a call that may be repeated waits 0.5 s for the header over an idle connection; its timeout over a new one stays.

--- a/src/http/HttpClient.cpp
+++ b/src/http/HttpClient.cpp
@@ -322,17 +322,19 @@
 
 namespace {
 
+/// `aHeadTimeout` limits the sending and the header separately.
 Task<Result<HttpResponse>>
 FetchOnConnection(HttpConnection& aConnection,
                   HttpRequest aRequest,
-                  FetchLimits aLimits)
+                  FetchLimits aLimits,
+                  Duration aHeadTimeout)
 {
-  auto sent = co_await aConnection.Send(std::move(aRequest), aLimits.timeout);
+  auto sent = co_await aConnection.Send(std::move(aRequest), aHeadTimeout);
   if (!sent) {
     co_return tl::unexpected(sent.error());
   }
   auto response =
-    co_await aConnection.ReceiveHead(aLimits.timeout, aLimits.bodyBytes);
+    co_await aConnection.ReceiveHead(aHeadTimeout, aLimits.bodyBytes);
   while (response) {
     auto chunk = co_await aConnection.ReceiveBodyChunk(aLimits.timeout);
     if (!chunk) {
@@ -360,8 +362,11 @@
   if (connection == nullptr) {
     co_return std::nullopt;
   }
-  auto response =
-    co_await FetchOnConnection(*connection, std::move(aRequest), aLimits);
+  auto response = co_await FetchOnConnection(
+    *connection,
+    std::move(aRequest),
+    aLimits,
+    aLimits.idleConnectionTimeout.value_or(aLimits.timeout));
   if (response) {
     aPool.ReturnConnection(std::move(connection), MonotonicNow());
   } else if (response.error().code == ErrorCode::kTimeout) {
@@ -399,8 +404,8 @@
   if (!newConnection) {
     co_return tl::unexpected(newConnection.error());
   }
-  auto response =
-    co_await FetchOnConnection(**newConnection, std::move(aRequest), aLimits);
+  auto response = co_await FetchOnConnection(
+    **newConnection, std::move(aRequest), aLimits, aLimits.timeout);
   if (response) {
     aPool.ReturnConnection(std::move(*newConnection), MonotonicNow());
   }
--- a/src/http/HttpClient.h
+++ b/src/http/HttpClient.h
@@ -129,6 +129,9 @@
   /// Maximum size of the response's body, in bytes. Calls run concurrently, so
   /// each call states what its response needs.
   std::uint64_t bodyBytes = std::uint64_t{ 64 } * 1024;
+  /// Limits sending and the header over an idle connection instead, as that may
+  /// have been lost without a sign; `timeout` if absent.
+  std::optional<Duration> idleConnectionTimeout;
 };
 
 /// Sends a request and receives the complete response over a pooled or new
--- a/src/kv/EtcdStore.cpp
+++ b/src/kv/EtcdStore.cpp
@@ -55,7 +55,9 @@
     this->pool,
     this->options.address,
     PostRequest(aPath, std::move(aBody)),
-    { .timeout = this->options.callTimeout, .bodyBytes = kCallBodyLimit });
+    { .timeout = this->options.callTimeout,
+      .bodyBytes = kCallBodyLimit,
+      .idleConnectionTimeout = this->options.idleConnectionTimeout });
   if (!response) {
     Error error = response.error();
     error.step = "kv" + aPath;
--- a/src/kv/EtcdStore.h
+++ b/src/kv/EtcdStore.h
@@ -20,6 +20,9 @@
     std::string address;
     /// Limit for sending a call, and for each read of its response.
     Duration callTimeout = seconds(2);
+    /// Timeout of a call over an idle connection. After that it is sent again
+    /// on a new one.
+    Duration idleConnectionTimeout = milliseconds(500);
     /// A watch that receives nothing for longer fails, and its caller opens it
     /// again. The service's progress notifications arrive more often than this
     /// on an intact watch.
--- a/tests/PlatformStoreTest.cpp
+++ b/tests/PlatformStoreTest.cpp
@@ -1,5 +1,5 @@
 #include "platform/PlatformStore.h"
-#include "ServingHarness.h"
+#include "SilencingProxy.h"
 
 using namespace apricottrack;
 
@@ -155,3 +155,32 @@
   CHECK(standin.Ask(revision).value);
   CHECK(standin.store.RestoreCount() == 1);
 }
+
+// Guards against a change that is read late because an idle connection to the
+// store was lost without a sign.
+TEST_CASE("PlatformStore reads without delay after its idle connections have "
+          "fallen silent")
+{
+  StoreStandin standin;
+  SilencingProxy proxy(standin.io, standin.address);
+  platform::PlatformStore store(standin.io.get_executor(),
+                                standin.counters,
+                                { .address = proxy.Address() });
+  Duration took = Duration::zero();
+  bool isRead = false;
+  asio::co_spawn(
+    standin.io,
+    [&]() -> Task<void> {
+      co_await store.GetIfChanged("op/c", 0);
+      proxy.SilenceOpenConnections();
+      const Instant startedAt = MonotonicNow();
+      isRead = (co_await store.GetIfChanged("op/c", 0)).has_value();
+      took = MonotonicNow() - startedAt;
+      standin.io.stop();
+    },
+    asio::detached);
+  standin.io.run_for(seconds(5));
+  CHECK(isRead);
+  CHECK(proxy.Connections() == 2);
+  CHECK(took < milliseconds(800));
+}
