--- a/tests/PlatformStoreTest.cpp
+++ b/tests/PlatformStoreTest.cpp
@@ -19,6 +19,10 @@
             this->calls.push_back(target);
             HttpResponse response;
             const bool isWatch = target.starts_with("/kv-watch");
+            if (isWatch && this->watchDelay > Duration::zero()) {
+              asio::steady_timer timer(this->io, this->watchDelay);
+              co_await timer.async_wait(kAsTuple);
+            }
             response.result(isWatch ? this->watchStatus : 200);
             response.body() = isWatch ? this->watchBody : this->keyBody;
             if (!this->era.empty()) {
@@ -62,6 +66,7 @@
   /// Stated in responses, unless it is empty.
   std::string era;
   unsigned watchStatus = 200;
+  Duration watchDelay = Duration::zero();
   std::string watchBody = R"({"events":[],"store_revision":30})";
   std::string keyBody =
     R"({"key":"op/c","value":"bmV3","revision":7,"store_revision":20})";
@@ -184,3 +189,16 @@
   CHECK(proxy.Connections() == 2);
   CHECK(took < milliseconds(800));
 }
+
+// Guards against a change that is read late because watches hear nothing while
+// the store drops its history.
+TEST_CASE("PlatformStore::GetIfChanged reads the value while watches hang")
+{
+  StoreStandin standin;
+  standin.watchDelay = seconds(3);
+  const Instant startedAt = MonotonicNow();
+  const KeyChange change = standin.Ask(10);
+  CHECK(MonotonicNow() - startedAt < milliseconds(700));
+  REQUIRE(change.value);
+  CHECK(change.value->value == "new");
+}
