Bound the age of a node's catalog whatever the planner's node does

Cause: a node relied on the planner's node until its reads were 1.3 s old and one more query had timed out; a slowed planner's node goes on answering. The time-outs add up. Change: a node reads the store itself once its verification is 1.2 s old; the planner's node reads each 0.45 s; a first failed read is repeated after 0.1 s; answers state the age at the arrival of the query, so that the time for which it was held does not count twice.

--- a/src/catalog/CatalogHolder.h
+++ b/src/catalog/CatalogHolder.h
@@ -43,6 +43,9 @@
   /// accept API keys.
   bool MayAcceptKeys(Instant aNow) const;
 
+  /// When the catalog was last verified; the clock's epoch before the first.
+  Instant VerifiedAt() const { return this->verifiedAt; }
+
   /// Time since the last verification.
   Duration VerificationAge(Instant aNow) const
   {
--- a/src/fleet/FleetMessages.h
+++ b/src/fleet/FleetMessages.h
@@ -64,9 +64,11 @@
   std::uint64_t sequence = 0;
   /// Store revision of the sender's catalog; zero without one.
   std::int64_t catalogRevision = 0;
-  /// Time from the last confirmation by the store that the sender's catalog,
-  /// or its fleet, was up to date until this answer.
+  /// Time from the last confirmation by the store that the sender's catalog was
+  /// up to date until the query arrived; negative if it was confirmed while the
+  /// query was held.
   Duration catalogAge = Duration::zero();
+  /// The same for its fleet, until this answer.
   Duration fleetAge = Duration::zero();
   /// `targets` is the complete fleet rather than the changes to it.
   bool complete = false;
--- a/src/serving/CatalogTask.cpp
+++ b/src/serving/CatalogTask.cpp
@@ -42,45 +42,86 @@
 CatalogTask::SetActive(bool aActive)
 {
   if (aActive && !this->active) {
+    this->nextPeriodicReadAt = Instant{};
     this->readTimer.cancel();
   }
   this->active = aActive;
 }
 
+void
+CatalogTask::SetIsPlanner(bool aIsPlanner)
+{
+  this->isPlanner = aIsPlanner;
+}
+
 Task<void>
 CatalogTask::Run()
 {
-  std::uniform_real_distribution<double> pauseFactorDistribution(0.85, 1.15);
+  std::uniform_real_distribution<double> factorDistribution(0.85, 1.15);
   for (;;) {
-    bool succeeded = false;
-    if (this->active) {
-      succeeded = co_await this->ReadOnce();
+    if (this->NextReadAt() <= MonotonicNow()) {
+      // SetActive may ask for another read during this one.
+      this->nextPeriodicReadAt = Instant::max();
+      const bool succeeded = co_await this->ReadOnce();
+      const Instant now = MonotonicNow();
+      this->intervalFactor = factorDistribution(this->context.random);
+      this->nextPeriodicReadAt = std::min(
+        this->nextPeriodicReadAt,
+        now + FromSeconds(this->intervalFactor *
+                          ToSeconds(this->ReadInterval(succeeded, now))));
     }
-    const Duration pause = this->ReadInterval(succeeded, MonotonicNow());
-    this->readTimer.expires_after(FromSeconds(
-      ToSeconds(pause) * pauseFactorDistribution(this->context.random)));
+    this->readTimer.expires_after(this->NextReadAt() - MonotonicNow());
     co_await this->readTimer.async_wait(kAsTuple);
   }
 }
 
+Instant
+CatalogTask::NextReadAt() const
+{
+  if (this->active) {
+    return this->nextPeriodicReadAt;
+  }
+  const Instant verifiedUntil =
+    this->context.catalog.VerifiedAt() +
+    FromSeconds(std::min(1.0, this->intervalFactor) *
+                ToSeconds(this->options.maxVerificationAge));
+  return std::max(this->nextPeriodicReadAt, verifiedUntil);
+}
+
 Duration
 CatalogTask::ReadInterval(bool aSucceeded, Instant aNow) const
 {
   if (!aSucceeded) {
-    return this->options.retryInterval;
+    return this->failures <= 1 ? this->options.firstRetryInterval
+                               : this->options.retryInterval;
   }
   const bool isSettling = this->restoredAt && aNow - *this->restoredAt <
                                                 this->options.restoreSettleTime;
-  return isSettling ? this->options.restoreSettleTime
-                    : this->options.readInterval;
+  if (isSettling) {
+    return this->options.restoreSettleTime;
+  }
+  return this->isPlanner ? this->options.plannerReadInterval
+                         : this->options.readInterval;
 }
 
 Task<bool>
 CatalogTask::ReadOnce()
+{
+  co_return co_await this->ReadIfChanged(this->checkedRevision);
+}
+
+Task<bool>
+CatalogTask::ReadChanged()
+{
+  co_return co_await this->ReadIfChanged(0);
+}
+
+Task<bool>
+CatalogTask::ReadIfChanged(Revision aCheckedRevision)
 {
   const Instant readSentAt = MonotonicNow();
   const auto change = co_await this->store.GetIfChanged(
-    this->context.protocol.CatalogKey(), this->checkedRevision);
+    this->context.protocol.CatalogKey(), aCheckedRevision);
   this->RecordRead(MonotonicNow() - readSentAt, change.has_value());
   if (!change) {
     if (this->isStoreReachable) {
@@ -88,6 +129,7 @@
     }
     this->isStoreReachable = false;
     this->hasReadFailed = true;
+    ++this->failures;
     co_return false;
   }
   if (!this->isStoreReachable) {
@@ -96,6 +138,7 @@
       .Info();
   }
   this->isStoreReachable = true;
+  this->failures = 0;
   const Instant now = MonotonicNow();
   if (std::exchange(this->hasReadFailed, false)) {
     this->recoveredAt = now;
--- a/src/serving/CatalogTask.h
+++ b/src/serving/CatalogTask.h
@@ -11,8 +11,8 @@
 namespace apricottrack {
 
 /// Keeps the catalog in force up to date and its last verification time recent.
-/// Asks the store at `readInterval`, randomly spread by 15 percent, because a
-/// watch without events does not prove that the catalog is still the newest
+/// Asks the store periodically, at times randomly spread by 15 percent, because
+/// a watch without events does not prove that the catalog is still the newest
 /// one. Only a changed document is transferred: while there is no planner all
 /// nodes ask, and a large document for each of them would saturate the store's
 /// link.
@@ -21,12 +21,18 @@
 public:
   struct Options
   {
-    /// Between two reads; well below the bound within which a change has to be
-    /// in force.
-    Duration readInterval = milliseconds(900);
-    /// After a failed read, and between two checks of an inactive task whether
-    /// it has become active. Not shorter, because store calls are charged for
-    /// and a verification stays valid for several retries.
+    /// Between two reads of an active task; well below the bound within which a
+    /// change has to be in force.
+    Duration readInterval = milliseconds(800);
+    /// The same at the planner's node, as the other nodes rely on its reads.
+    Duration plannerReadInterval = milliseconds(450);
+    /// Age of the last verification at which an inactive task reads the store
+    /// itself. Bounds the delay of a change whatever the planner's node does.
+    Duration maxVerificationAge = milliseconds(1200);
+    /// After the first failed read; the connection may have been the cause.
+    Duration firstRetryInterval = milliseconds(100);
+    /// After further failed reads. Not shorter, because store calls are charged
+    /// for and a verification stays valid for several retries.
     Duration retryInterval = milliseconds(800);
     /// After a restore of the store, time for the operator to write again what
     /// was lost. Until then a read does not prove that the catalog is still the
@@ -42,14 +48,20 @@
 
   void Start();
 
-  /// Starts or stops the periodic reads. An inactive task makes no store calls
-  /// except by ReadOnce, as another node then verifies the catalog.
+  /// Starts or stops the periodic reads. While another node verifies the
+  /// catalog, an inactive task makes no store calls except by ReadOnce.
   void SetActive(bool aActive);
 
-  /// Reads the catalog once, whether active or not. Returns false if the store
-  /// call failed.
+  /// Sets whether other nodes rely on the reads of this one.
+  void SetIsPlanner(bool aIsPlanner);
+
+  /// Reads the catalog once, whether active or not, if it has changed. Returns
+  /// false if the store call failed.
   Task<bool> ReadOnce();
 
+  /// The same where a change is known, so that no check for one is made.
+  Task<bool> ReadChanged();
+
   /// Applies a newer document that another node read from the store;
   /// `aVerifiedAt` is when it was last verified to be the newest. Serves nodes
   /// that cannot reach the store, and saves one store read per node and change.
@@ -78,6 +90,9 @@
 
 private:
   Task<void> Run();
+  /// Reads the catalog unless it is known not to have changed since
+  /// `aCheckedRevision`.
+  Task<bool> ReadIfChanged(Revision aCheckedRevision);
   /// How a document reached this node.
   enum class Source
   {
@@ -99,6 +114,8 @@
   void RecordRead(Duration aDuration, bool aSucceeded);
   /// Returns the mean time from a read to the next one.
   Duration ReadInterval(bool aSucceeded, Instant aNow) const;
+  /// Returns when the store is to be read next.
+  Instant NextReadAt() const;
   /// Returns up to when a read, sent at `aReadSentAt`, proves that what it
   /// returned is the newest document.
   Instant ProvenAt(Instant aReadSentAt) const;
@@ -125,6 +142,13 @@
   std::optional<Instant> restoredAt;
   std::string document;
   bool active = false;
+  bool isPlanner = false;
+  /// No periodic read is made before.
+  Instant nextPeriodicReadAt;
+  /// Random part of the interval to the next read, from 0.85 to 1.15.
+  double intervalFactor = 1;
+  /// Failed reads since the last one that succeeded.
+  int failures = 0;
   /// The last read of the store succeeded.
   bool isStoreReachable = false;
   bool hasReadFailed = false;
--- a/src/serving/FleetRelay.cpp
+++ b/src/serving/FleetRelay.cpp
@@ -198,7 +198,7 @@
     co_await timer.async_wait(kAsTuple);
     this->waitingQueries.erase(&timer);
   }
-  co_return this->BuildAnswer(aQuestion, MonotonicNow());
+  co_return this->BuildAnswer(aQuestion, now, MonotonicNow());
 }
 
 void
@@ -228,7 +228,9 @@
 }
 
 FleetAnswer
-FleetRelay::BuildAnswer(const FleetQuestion& aQuestion, Instant aNow)
+FleetRelay::BuildAnswer(const FleetQuestion& aQuestion,
+                        Instant aAskedAt,
+                        Instant aNow)
 {
   const bool leads = this->MayAnswer(aNow);
   FleetAnswer answer{
@@ -236,7 +238,7 @@
     .leads = leads,
     .sequence = this->published.Sequence(),
     .catalogRevision = this->catalog.KnownRevision(),
-    .catalogAge = this->context.catalog.VerificationAge(aNow),
+    .catalogAge = this->context.catalog.VerificationAge(aAskedAt),
     .fleetAge = aNow - this->fleet.LastContactAt(),
   };
   if (!answer.leads) {
--- a/src/serving/FleetRelay.h
+++ b/src/serving/FleetRelay.h
@@ -56,7 +56,10 @@
   /// reports, then waits for a change or the end of the query's wait, and
   /// returns the answer.
   Task<FleetAnswer> HandleFleetQuestion(FleetQuestion aQuestion);
-  FleetAnswer BuildAnswer(const FleetQuestion& aQuestion, Instant aNow);
+  /// `aAskedAt`: when the query arrived.
+  FleetAnswer BuildAnswer(const FleetQuestion& aQuestion,
+                          Instant aAskedAt,
+                          Instant aNow);
   /// Records whether the querying node and this one accept forwarded requests,
   /// and chooses the nodes to which this one may forward its own.
   void UpdateForwardingNodes(const FleetQuestion& aQuestion, Instant aNow);
--- a/src/serving/FollowTask.cpp
+++ b/src/serving/FollowTask.cpp
@@ -63,6 +63,7 @@
 {
   this->leads = aIsPlanner;
   this->fleet.SetIsPlanner(aIsPlanner);
+  this->catalog.SetIsPlanner(aIsPlanner);
   this->plannerAddress.clear();
   this->SetFollowsPlanner(false);
 }
@@ -192,9 +193,9 @@
     this->ApplyTargets(*answer, MonotonicNow());
   }
   this->ApplyAnswer(*answer, MonotonicNow());
-  // The planner built the answer after the query was sent, so the age that it
-  // states is counted back from the sending time. The verification then never
-  // appears more recent than it is, whatever the network delay was.
+  // The query arrived at the planner's node after it was sent, so the age that
+  // the answer states is counted back from the sending time. The verification
+  // then never appears more recent than it is, whatever the network delay was.
   if (!answer->catalog.empty()) {
     this->catalog.ApplyRelayed(answer->catalogRevision,
                                answer->catalog,
@@ -230,7 +231,7 @@
   if (MonotonicNow() < this->nextCatalogReadAt) {
     co_return false;
   }
-  this->wantsCatalog = !co_await this->catalog.ReadOnce();
+  this->wantsCatalog = !co_await this->catalog.ReadChanged();
   if (this->wantsCatalog) {
     this->nextCatalogReadAt =
       MonotonicNow() + this->options.catalogRetryInterval;
