Refuse unknown routes and keys by a recently verified catalog only

Cause: nothing compared the age of the catalog with the decision; only revoked keys had a bound. Change: with a verification older than a second, requests that the catalog does not allow wait for one read of the store, which they share (SharedCall), and are decided again; without a read they get 503 with Retry-After, at once while the store is unreachable. A caller of nonsense paths causes one read a second at most.

--- a/src/catalog/CatalogHolder.cpp
+++ b/src/catalog/CatalogHolder.cpp
@@ -33,4 +33,11 @@
          aNow - this->verifiedAt < this->options.maxVerificationAge;
 }
 
+bool
+CatalogHolder::MayRefuse(Instant aNow) const
+{
+  return this->current != nullptr &&
+         aNow - this->verifiedAt < this->options.maxRefusalAge;
+}
+
 } // namespace apricottrack
--- a/src/catalog/CatalogHolder.h
+++ b/src/catalog/CatalogHolder.h
@@ -16,6 +16,9 @@
     /// Maximum age of the last verification at which API keys are accepted, and
     /// so the maximum time that a revoked key remains valid.
     Duration maxVerificationAge = milliseconds(4700);
+    /// Maximum age at which a route or key that the catalog lacks is taken not
+    /// to exist; below the time within which a change has to be in force.
+    Duration maxRefusalAge = milliseconds(1000);
   };
 
   explicit CatalogHolder(Options aOptions)
@@ -43,6 +46,10 @@
   /// accept API keys.
   bool MayAcceptKeys(Instant aNow) const;
 
+  /// True if there is a catalog and its last verification is recent enough to
+  /// conclude that a route or key does not exist.
+  bool MayRefuse(Instant aNow) const;
+
   /// When the catalog was last verified; the clock's epoch before the first.
   Instant VerifiedAt() const { return this->verifiedAt; }
 
--- a/src/serving/CatalogTask.cpp
+++ b/src/serving/CatalogTask.cpp
@@ -25,6 +25,10 @@
   , store(aStore)
   , options(aOptions)
   , readTimer(aContext.executor)
+  , confirmation(
+      aContext.executor,
+      {},
+      [this]() -> Task<bool> { co_return co_await this->ReadOnce(); })
   , onChange(std::move(aOnChange))
 {
 }
@@ -75,6 +79,15 @@
   }
 }
 
+Task<bool>
+CatalogTask::Confirm(Instant aUntil)
+{
+  if (this->failures > 1) {
+    co_return false;
+  }
+  co_return co_await this->confirmation.Join(aUntil);
+}
+
 Instant
 CatalogTask::NextReadAt() const
 {
--- a/src/serving/CatalogTask.h
+++ b/src/serving/CatalogTask.h
@@ -1,6 +1,7 @@
 #ifndef APRICOTTRACK_SERVING_CATALOGTASK_H
 #define APRICOTTRACK_SERVING_CATALOGTASK_H
 
+#include "http/SharedCall.h"
 #include "serving/ServingContext.h"
 
 #include <algorithm>
@@ -49,7 +50,8 @@
   void Start();
 
   /// Starts or stops the periodic reads. While another node verifies the
-  /// catalog, an inactive task makes no store calls except by ReadOnce.
+  /// catalog, an inactive task makes no store calls except by ReadOnce and
+  /// Confirm.
   void SetActive(bool aActive);
 
   /// Sets whether other nodes rely on the reads of this one.
@@ -62,6 +64,11 @@
   /// The same where a change is known, so that no check for one is made.
   Task<bool> ReadChanged();
 
+  /// Waits for a read of the catalog, which all that wait at the same time
+  /// share. Returns false if it fails or does not end by `aUntil`, and at once
+  /// while the store is unreachable.
+  Task<bool> Confirm(Instant aUntil);
+
   /// Applies a newer document that another node read from the store;
   /// `aVerifiedAt` is when it was last verified to be the newest. Serves nodes
   /// that cannot reach the store, and saves one store read per node and change.
@@ -126,6 +133,7 @@
   /// Runs until the next read; cancelled when the task becomes active, so that
   /// it reads without delay.
   boost::asio::steady_timer readTimer;
+  SharedCall confirmation;
   std::function<void()> onChange;
   /// Revision of the last decoded document; zero after a document that could
   /// not be decoded.
--- a/src/serving/Intake.cpp
+++ b/src/serving/Intake.cpp
@@ -23,6 +23,13 @@
 
 } // namespace
 
+bool
+DependsOnVerification(IntakeRefusal aRefusal)
+{
+  return aRefusal == IntakeRefusal::kKeyNotVerified ||
+         aRefusal == IntakeRefusal::kCatalogNotVerified;
+}
+
 IntakeResult
 Admit(const CatalogHolder& aHolder,
       const CallerHead& aCaller,
@@ -35,9 +42,14 @@
   if (catalog == nullptr) {
     return { .refusal = IntakeRefusal::kNoCatalog };
   }
+  const auto refuseUnknown = [&](IntakeRefusal aRefusal) {
+    return IntakeResult{ .refusal = aHolder.MayRefuse(aNow)
+                                      ? aRefusal
+                                      : IntakeRefusal::kCatalogNotVerified };
+  };
   const CatalogRoute* const route = catalog->FindRoute(aHost, aPath);
   if (route == nullptr) {
-    return { .refusal = IntakeRefusal::kNoRoute };
+    return refuseUnknown(IntakeRefusal::kNoRoute);
   }
   std::string account;
   if (catalog->RequiresKeys() && !route->isPublic) {
@@ -46,7 +58,7 @@
     }
     const CatalogAccount* const owner = catalog->FindAccount(aCaller.key);
     if (owner == nullptr) {
-      return { .refusal = IntakeRefusal::kUnknownKey };
+      return refuseUnknown(IntakeRefusal::kUnknownKey);
     }
     account = owner->name;
   }
--- a/src/serving/Intake.h
+++ b/src/serving/Intake.h
@@ -37,6 +37,9 @@
   /// The catalog was not verified recently enough to rule out that the key has
   /// been revoked.
   kKeyNotVerified,
+  /// The catalog lacks the route or key, but was not verified recently enough
+  /// to rule out that a newer one has it.
+  kCatalogNotVerified,
 };
 
 /// The admitted request, or why it is refused.
@@ -47,6 +50,10 @@
   AdmittedRequest request;
 };
 
+/// Returns whether verifying the catalog may lead to another decision.
+bool
+DependsOnVerification(IntakeRefusal aRefusal);
+
 /// Checks a request against the catalog in force and, if it is allowed, picks
 /// its service by weight. `aNow` is when the request arrived.
 IntakeResult
--- a/src/serving/RequestFlow.cpp
+++ b/src/serving/RequestFlow.cpp
@@ -69,19 +69,14 @@
   if (!this->context.startGate.IsOpen()) {
     co_await this->context.startGate.Wait(this->arrivedAt + kMaxStartWait);
   }
-  const HttpRequest& request = this->exchange.Request();
-  IntakeResult admission = Admit(this->context.catalog,
-                                 this->caller,
-                                 request[http::field::host],
-                                 request.target(),
-                                 this->arrivedAt,
-                                 this->context.random);
+  IntakeResult admission = co_await this->AdmitVerified();
   if (admission.refusal != IntakeRefusal::kNone) {
     co_await this->RefuseAtIntake(admission.refusal);
     co_return;
   }
   this->admittedRequest = std::move(admission.request);
-  this->identity = RequestIdentity(request, this->admittedRequest.account);
+  this->identity =
+    RequestIdentity(this->exchange.Request(), this->admittedRequest.account);
   this->crashKeys = this->caller.sharedPromptParts;
   this->crashKeys.push_back(this->identity);
   if (this->admittedRequest.service == nullptr) {
--- a/src/serving/RequestFlow.h
+++ b/src/serving/RequestFlow.h
@@ -64,11 +64,19 @@
 private:
   /// No call is made with less time left before the request's deadline.
   static constexpr Duration kMinCallTime = milliseconds(20);
+  /// Reading the catalog takes a few milliseconds, or the timeout of an idle
+  /// connection longer.
+  static constexpr Duration kMaxConfirmWait = milliseconds(700);
   /// Bounds the search for a target that accepts a hedge.
   static constexpr int kMaxRefusedHedges = 2;
   /// Nodes that a request is forwarded to, one after the other.
   static constexpr int kMaxForwards = 3;
 
+  /// Checks the request against the catalog in force.
+  IntakeResult AdmitByCatalog();
+  /// Decides on the request by a catalog that is recent enough for the
+  /// decision.
+  Task<IntakeResult> AdmitVerified();
   /// Calls one target after another until the request has ended.
   Task<void> Run();
   /// Key that demand is counted under: the model or, without one, the service.
--- a/src/serving/RequestFlowEnds.cpp
+++ b/src/serving/RequestFlowEnds.cpp
@@ -139,44 +139,6 @@
   this->LogEnd("target_paused", 503);
 }
 
-Task<void>
-RequestFlow::RefuseAtIntake(IntakeRefusal aRefusal)
-{
-  this->LogCatalog();
-  switch (aRefusal) {
-    case IntakeRefusal::kNoRoute:
-      co_await this->Refuse(404, "no_route");
-      co_return;
-    case IntakeRefusal::kUnknownKey:
-      co_await this->Refuse(401, "unknown_key");
-      co_return;
-    case IntakeRefusal::kNoCatalog:
-      co_await this->Refuse(503, "no_catalog");
-      co_return;
-    case IntakeRefusal::kKeyNotVerified:
-    case IntakeRefusal::kNone:
-      co_await this->Refuse(503, "key_not_proven");
-      co_return;
-  }
-}
-
-void
-RequestFlow::LogCatalog() const
-{
-  const CatalogHolder& holder = this->context.catalog;
-  if (holder.Current() == nullptr) {
-    return;
-  }
-  LogLine("refused_by_catalog")
-    .With("request", this->caller.attemptId)
-    .With("version", holder.Current()->Contents().version)
-    .With("verified_ms_ago",
-          std::int64_t{ holder.VerificationAge(MonotonicNow()) /
-                        milliseconds(1) })
-    .With("forwarded", std::int64_t{ this->forwarded.has_value() })
-    .Info();
-}
-
 void
 RequestFlow::LogCall(std::string_view aTargetId,
                      CallEnd aEnd,
--- a/src/serving/ServingContext.h
+++ b/src/serving/ServingContext.h
@@ -93,6 +93,9 @@
 
   CrashRecorder crashRecorder{ CrashRecorder::Options{} };
   PromptQuarantine quarantine;
+  /// Waits until the catalog has been read from the store, but not after the
+  /// given time; returns whether it has.
+  std::function<Task<bool>(Instant)> confirmCatalog;
 };
 
 } // namespace apricottrack
--- a/src/serving/ServingNode.cpp
+++ b/src/serving/ServingNode.cpp
@@ -242,6 +242,9 @@
   if (!relayStarted) {
     return tl::unexpected(relayStarted.error());
   }
+  this->context.confirmCatalog = [this](Instant aUntil) -> Task<bool> {
+    co_return co_await this->catalogTask.Confirm(aUntil);
+  };
   this->catalogTask.Start();
   this->fleetTask.Start();
   this->planner.Start();
--- a/tests/CatalogTaskTest.cpp
+++ b/tests/CatalogTaskTest.cpp
@@ -89,6 +89,36 @@
   CHECK((node.Reads() > 5) == isPlanner);
 }
 
+TEST_CASE("CatalogTask confirms the catalog by one read, and by none while the "
+          "store is unreachable")
+{
+  FollowingNode node;
+  const int before = node.Reads();
+  int confirmed = 0;
+  const auto confirm = [&]() -> Task<void> {
+    confirmed +=
+      co_await node.task.Confirm(MonotonicNow() + milliseconds(300)) ? 1 : 0;
+  };
+  node.Put(2);
+  for (int i = 0; i < 3; ++i) {
+    asio::co_spawn(node.io, confirm(), asio::detached);
+  }
+  node.RunFor(milliseconds(100));
+  CHECK(confirmed == 3);
+  CHECK(node.Reads() == before + 1);
+  CHECK(node.Version() == 2);
+
+  node.standin.SetUp(false);
+  node.task.SetActive(true);
+  node.RunFor(milliseconds(1000));
+  REQUIRE(node.task.HasReadFailed());
+  const int failed = node.Reads();
+  const Instant startedAt = MonotonicNow();
+  CHECK_FALSE(node.Await(node.task.Confirm(startedAt + milliseconds(300))));
+  CHECK(MonotonicNow() - startedAt < milliseconds(100));
+  CHECK(node.Reads() == failed);
+}
+
 // Guards against a change that is late because the connection over which it is
 // read was lost without a sign.
 TEST_CASE("CatalogTask reads a change in time over a silent connection")
--- a/tests/IntakeTest.cpp
+++ b/tests/IntakeTest.cpp
@@ -88,3 +88,16 @@
     CHECK(AdmitRequest(MakeHolder(), {}, "/o/").request.service->name == "t");
   }
 }
+
+// Guards against a refusal of a route or key that a newer catalog has.
+TEST_CASE(
+  "Intake refuses no unknown route or key without a recent verification")
+{
+  const Instant late = kStart + milliseconds(1100);
+  CHECK(AdmitRequest(MakeHolder(), { .key = "key" }, "/z/", late).refusal ==
+        IntakeRefusal::kCatalogNotVerified);
+  CHECK(AdmitRequest(MakeHolder(), { .key = "no" }, "/k/", late).refusal ==
+        IntakeRefusal::kCatalogNotVerified);
+  CHECK(AdmitRequest(MakeHolder(), { .key = "key" }, "/k/", late).refusal ==
+        IntakeRefusal::kNone);
+}
