Handle a forwarded request by no older catalog than its sender's

Callers of a node without targets could be refused, or served, as by an older version than that of the node which they had asked, and by an older one again after a newer one had taken effect. Cause: the receiving node decided by its own catalog, whatever its version. Change: both nodes state their versions; the receiving node reads the catalog first if it is older, or refuses, so that the sender tries another one; the sender reads it if the response is by a newer one. Evidence: by reading, and the tests.

--- a/src/serving/Forwarding.cpp
+++ b/src/serving/Forwarding.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <boost/beast/core/string.hpp>
 #include <charconv>
+#include <fmt/format.h>
 
 namespace apricottrack {
 
@@ -16,6 +17,8 @@
 constexpr std::string_view kRefused = "Apricottrack-Refused";
 /// Id of the target that a response comes from.
 constexpr std::string_view kTarget = "Apricottrack-Target";
+/// Version of the sender's catalog; on requests and responses.
+constexpr std::string_view kCatalogVersion = "Apricottrack-Catalog-Version";
 
 /// Distinguishes nodes from targets where both are named by an id.
 constexpr std::string_view kNodePrefix = "node ";
@@ -28,24 +31,35 @@
                                 : std::string_view(found->value());
 }
 
+/// Returns zero if the text is no number.
+template<typename T>
+T
+NumberIn(std::string_view aText)
+{
+  T number = 0;
+  std::from_chars(aText.data(), aText.data() + aText.size(), number);
+  return number;
+}
+
 } // namespace
 
 void
 SetForwarded(HttpRequest& aRequest, const ForwardedRequest& aTerms)
 {
   aRequest.set(kMaxTargets, std::to_string(aTerms.maxTargets));
-  // Keeps the receiving node from passing the header on.
-  aRequest.set(http::field::connection, kMaxTargets);
+  aRequest.set(kCatalogVersion, std::to_string(aTerms.catalogVersion));
+  // Keeps the receiving node from passing the headers on.
+  aRequest.set(http::field::connection,
+               fmt::format("{}, {}", kMaxTargets, kCatalogVersion));
 }
 
 ForwardedRequest
 ReadForwarded(const HttpRequest& aRequest)
 {
-  const std::string_view text = ValueOf(aRequest, kMaxTargets);
-  ForwardedRequest terms;
-  std::from_chars(text.data(), text.data() + text.size(), terms.maxTargets);
-  terms.maxTargets = std::max(1, terms.maxTargets);
-  return terms;
+  return { .maxTargets =
+             std::max(1, NumberIn<int>(ValueOf(aRequest, kMaxTargets))),
+           .catalogVersion =
+             NumberIn<std::int64_t>(ValueOf(aRequest, kCatalogVersion)) };
 }
 
 void
@@ -60,6 +74,19 @@
   return !ValueOf(aResponse, kRefused).empty();
 }
 
+HttpHeaders
+WithCatalogVersion(HttpHeaders aHeaders, std::int64_t aVersion)
+{
+  aHeaders.emplace_back(kCatalogVersion, std::to_string(aVersion));
+  return aHeaders;
+}
+
+std::int64_t
+CatalogVersionOf(const HttpResponse& aResponse)
+{
+  return NumberIn<std::int64_t>(ValueOf(aResponse, kCatalogVersion));
+}
+
 HttpHeaders
 WithTarget(HttpHeaders aHeaders, std::string_view aTargetId)
 {
@@ -78,7 +105,8 @@
 {
   std::erase_if(aHeaders, [](const auto& aHeader) {
     return boost::beast::iequals(aHeader.first, kTarget) ||
-           boost::beast::iequals(aHeader.first, kRefused);
+           boost::beast::iequals(aHeader.first, kRefused) ||
+           boost::beast::iequals(aHeader.first, kCatalogVersion);
   });
   return aHeaders;
 }
--- a/src/serving/Forwarding.h
+++ b/src/serving/Forwarding.h
@@ -4,6 +4,7 @@
 #include "http/HttpTypes.h"
 #include "placement/Candidate.h"
 
+#include <cstdint>
 #include <optional>
 #include <string>
 #include <string_view>
@@ -18,6 +19,9 @@
 {
   /// Number of targets that may run the request.
   int maxTargets = 1;
+  /// Version of the catalog by which the sending node has admitted the request;
+  /// zero if not stated.
+  std::int64_t catalogVersion = 0;
 
   friend bool operator==(const ForwardedRequest&,
                          const ForwardedRequest&) = default;
@@ -40,6 +44,16 @@
 bool
 IsRefusedByNode(const HttpResponse& aResponse);
 
+/// States the version of the catalog by which this node has decided on a
+/// forwarded request.
+HttpHeaders
+WithCatalogVersion(HttpHeaders aHeaders, std::int64_t aVersion);
+
+/// Returns the version of the catalog that another node's response states; zero
+/// if none is stated.
+std::int64_t
+CatalogVersionOf(const HttpResponse& aResponse);
+
 /// Names the target that a response to another node comes from.
 HttpHeaders
 WithTarget(HttpHeaders aHeaders, std::string_view aTargetId);
--- a/src/serving/RequestFlow.cpp
+++ b/src/serving/RequestFlow.cpp
@@ -162,7 +162,10 @@
   if (IsNodeCandidate(aTarget.id)) {
     HttpRequest message = this->context.protocol.MakeForwarded(
       this->exchange.Request(), instructions);
-    SetForwarded(message, { .maxTargets = this->TargetsLeft() });
+    SetForwarded(
+      message,
+      { .maxTargets = this->TargetsLeft(),
+        .catalogVersion = this->admittedRequest.catalog->Contents().version });
     return { .address = aTarget.address,
              .message = std::move(message),
              .attemptId = this->caller.attemptId,
@@ -210,6 +213,7 @@
   if (IsNodeCandidate(aTargetId)) {
     head.notRun = IsRefusedByNode(aHead);
     head.load.reset();
+    this->NoteCatalogVersion(CatalogVersionOf(aHead));
     target = TargetOf(aHead);
     const TargetRecord* const record = this->context.fleet.Find(target);
     if (record == nullptr) {
--- a/src/serving/RequestFlow.h
+++ b/src/serving/RequestFlow.h
@@ -243,6 +243,12 @@
   /// Sends an error response; if a stream has started, closes the connection
   /// instead.
   Task<void> Refuse(unsigned aStatus, std::string_view aReason);
+  /// True if another node has forwarded the request and has admitted it by a
+  /// newer catalog.
+  bool HasOlderCatalogThanSender() const;
+  /// Reads the catalog if the version, by which another node has decided on the
+  /// request, is newer than the one in force.
+  void NoteCatalogVersion(std::int64_t aVersion);
   /// Sends a response that is this node's own.
   Task<void> ReplyOwn(HttpResponse aResponse);
   /// Refuses a request that no target has run, until the first target accepts
--- a/src/serving/RequestFlowAdmission.cpp
+++ b/src/serving/RequestFlowAdmission.cpp
@@ -1,6 +1,9 @@
 #include "base/Log.h"
 #include "serving/RequestFlow.h"
 
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+
 // The part of RequestFlow that decides on a request by the catalog, and makes
 // sure that the catalog is recent enough for the decision.
 namespace apricottrack {
@@ -23,14 +26,42 @@
 RequestFlow::AdmitVerified()
 {
   IntakeResult admission = this->AdmitByCatalog();
-  if (DependsOnVerification(admission.refusal) &&
-      this->context.confirmCatalog) {
+  const bool isOutdated = this->HasOlderCatalogThanSender();
+  if (!DependsOnVerification(admission.refusal) && !isOutdated) {
+    co_return admission;
+  }
+  if (this->context.confirmCatalog) {
     co_await this->context.confirmCatalog(this->arrivedAt + kMaxConfirmWait);
     admission = this->AdmitByCatalog();
   }
+  if (this->HasOlderCatalogThanSender()) {
+    admission.refusal = IntakeRefusal::kCatalogNotVerified;
+  }
   co_return admission;
 }
 
+bool
+RequestFlow::HasOlderCatalogThanSender() const
+{
+  const CatalogPointer& catalog = this->context.catalog.Current();
+  return this->forwarded && catalog != nullptr &&
+         catalog->Contents().version < this->forwarded->catalogVersion;
+}
+
+void
+RequestFlow::NoteCatalogVersion(std::int64_t aVersion)
+{
+  if (aVersion <= this->context.catalog.Current()->Contents().version ||
+      !this->context.confirmCatalog) {
+    return;
+  }
+  // The other node's catalog has taken effect for this node's callers.
+  boost::asio::co_spawn(
+    this->context.executor,
+    this->context.confirmCatalog(MonotonicNow() + kMaxConfirmWait),
+    boost::asio::detached);
+}
+
 Task<void>
 RequestFlow::RefuseAtIntake(IntakeRefusal aRefusal)
 {
--- a/src/serving/RequestFlowForwarding.cpp
+++ b/src/serving/RequestFlowForwarding.cpp
@@ -96,8 +96,11 @@
   if (IsNodeCandidate(this->lastTargetId)) {
     return WithoutNodeHeaders(std::move(headers));
   }
-  return this->forwarded ? WithTarget(std::move(headers), this->lastTargetId)
-                         : headers;
+  if (!this->forwarded) {
+    return headers;
+  }
+  return WithCatalogVersion(WithTarget(std::move(headers), this->lastTargetId),
+                            this->admittedRequest.catalog->Contents().version);
 }
 
 Task<void>
--- a/tests/RequestFlowCatalogTest.cpp
+++ b/tests/RequestFlowCatalogTest.cpp
@@ -51,6 +51,7 @@
   std::string CallPath(std::string aPath)
   {
     std::string response;
+    this->io.restart();
     REQUIRE(this->Run(
       [&]() -> Task<void> {
         response = co_await this->Call(aPath, "a", kTimeout);
@@ -59,6 +60,27 @@
     return response;
   }
 
+  std::string Forward(std::string_view aPath, std::int64_t aVersion)
+  {
+    std::string response;
+    this->io.restart();
+    REQUIRE(this->Run(
+      [&]() -> Task<void> {
+        response = co_await this->Exchange(
+          this->StartForwardServer(),
+          fmt::format("GET {} HTTP/1.1\r\nHost: h\r\nConnection: close, "
+                      "Apricottrack-Max-Targets, "
+                      "Apricottrack-Catalog-Version\r\nX-Attempt: "
+                      "a\r\nX-Timeout: 5000\r\nX-Parts: own\r\n"
+                      "Apricottrack-Max-Targets: 1\r\n"
+                      "Apricottrack-Catalog-Version: {}\r\n\r\n",
+                      aPath,
+                      aVersion));
+      },
+      kTestLimit));
+    return response;
+  }
+
   Catalog known;
   std::optional<Catalog> stored;
   bool isStoreUp = true;
@@ -102,3 +124,58 @@
   CHECK(response.find("Retry-After") != std::string::npos);
   CHECK(StatusOf(harness.CallPath("/once/x")) == 200);
 }
+
+// Guards against a forwarded request that is handled as by an older catalog
+// than that of the node which its caller has asked.
+TEST_CASE(
+  "RequestFlow handles a forwarded request by no older catalog than its "
+  "sender's")
+{
+  CatalogHarness harness(milliseconds(100));
+  SECTION("and reads the newer one")
+  {
+    harness.stored = WithRoute(2, harness.known);
+    CHECK(StatusOf(harness.Forward("/new/x", 2)) == 200);
+    CHECK(harness.reads == 1);
+  }
+  SECTION("or refuses it if it cannot")
+  {
+    harness.isStoreUp = false;
+    const std::string response = harness.Forward("/once/x", 2);
+    CHECK(StatusOf(response) == 503);
+    CHECK(response.find("Apricottrack-Refused: 1") != std::string::npos);
+  }
+  SECTION("and without a read if its own is as new")
+  {
+    CHECK(StatusOf(harness.Forward("/once/x", 1)) == 200);
+    CHECK(StatusOf(harness.Forward("/once/x", 0)) == 200);
+    CHECK(harness.reads == 0);
+  }
+}
+
+// Guards against a node that falls back to its older catalog after a newer one
+// of another node has served its caller.
+TEST_CASE("RequestFlow reads the catalog after a forwarded response by a newer "
+          "one")
+{
+  CatalogHarness harness(milliseconds(100));
+  harness.stored = WithRoute(2, harness.known);
+  harness.context.fleet.RemoveNow("t1");
+  harness.AddUnreachableTarget("t2");
+  harness.AddNode([](TargetConnection& aConnection, int) -> Task<void> {
+    const std::string head = co_await aConnection.ReadRequest();
+    CHECK(head.find("Apricottrack-Catalog-Version: 1") != std::string::npos);
+    co_await aConnection.Write(
+      PlainResponse(200,
+                    "X-Signed: 1\r\nX-Attempt: a\r\nApricottrack-Target: "
+                    "t9\r\nApricottrack-Catalog-Version: 2\r\n",
+                    "b"));
+  });
+  const std::string response = harness.CallPath("/once/x");
+  CHECK(StatusOf(response) == 200);
+  CHECK(response.find("Apricottrack") == std::string::npos);
+  CHECK(harness.reads == 1);
+  harness.io.restart();
+  harness.io.run_for(milliseconds(50));
+  CHECK(harness.context.catalog.Current()->Contents().version == 2);
+}
