Refuse by a recently verified configuration on the own interface too

The same fault as in the platform's request flow: 401, 403 and 404 by a configuration of any age, up to 15 s with a silent watch, and by an older one than that of a node which has forwarded the request. The configuration is read, once for all that wait, before such a refusal; 503 not_run if that fails.

--- a/src/intake/RequestIntake.cpp
+++ b/src/intake/RequestIntake.cpp
@@ -270,6 +270,16 @@
   return spec;
 }
 
+bool
+DependsOnConfiguration(const Refusal& aRefusal)
+{
+  static constexpr std::string_view kCodes[] = {
+    "unknown_account", "account_not_allowed", "unknown_service", "unknown_kind"
+  };
+  return std::find(std::begin(kCodes), std::end(kCodes), aRefusal.code) !=
+         std::end(kCodes);
+}
+
 std::string
 RequestFingerprint(const HttpRequest& aRequest)
 {
--- a/src/intake/RequestIntake.h
+++ b/src/intake/RequestIntake.h
@@ -50,6 +50,11 @@
             std::string aRequestId,
             Instant aNow);
 
+/// Returns whether another configuration could have allowed a request that
+/// ReadRequest has refused.
+bool
+DependsOnConfiguration(const Refusal& aRefusal);
+
 /// Returns a hash of method, path, query and body as 16 hex digits. It
 /// distinguishes a retry of a request from a different request with the same
 /// idempotency key.
--- a/src/node/Node.cpp
+++ b/src/node/Node.cpp
@@ -254,6 +254,12 @@
       this->context.executor, this->store, std::move(options)));
     this->context.journals.back()->Start();
   }
+  this->context.confirmConfiguration = [this](Instant aUntil) -> Task<bool> {
+    co_return co_await this->platform.ConfirmConfiguration(aUntil);
+  };
+  this->context.configurationVerifiedAt = [this] {
+    return this->platform.ConfigurationVerifiedAt();
+  };
   this->platform.Start();
   this->vmList.Start();
   this->nodeLease.Start();
--- a/src/node/NodeContext.h
+++ b/src/node/NodeContext.h
@@ -17,6 +17,7 @@
 #include "report/BurnLedger.h"
 #include "retry/RetryPolicy.h"
 
+#include <functional>
 #include <map>
 #include <memory>
 #include <string>
@@ -47,6 +48,11 @@
   std::vector<std::unique_ptr<JournalTask>> journals;
   CrashRecorder crashRecorder{ CrashRecorder::Options{} };
   PromptQuarantine quarantine;
+  /// Waits until the configuration has been read from the platform, but not
+  /// after the given time; returns whether it has.
+  std::function<Task<bool>(Instant)> confirmConfiguration;
+  /// When the latest read was sent that has shown the newest configuration.
+  std::function<Instant()> configurationVerifiedAt;
   /// Number of callers' requests being handled.
   int requestsInFlight = 0;
   /// True once the node was asked to stop; its health check then fails.
--- a/src/node/NodeForward.cpp
+++ b/src/node/NodeForward.cpp
@@ -5,6 +5,7 @@
 #include "intake/Refusal.h"
 
 #include <algorithm>
+#include <charconv>
 #include <random>
 
 namespace apricottrack {
@@ -15,6 +16,8 @@
 
 /// Names the node that forwards, so that the other one does not forward again.
 constexpr std::string_view kForwardedBy = "X-Forwarded-By-Node";
+/// Version of the configuration by which that node has admitted the request.
+constexpr std::string_view kConfigurationVersion = "X-Configuration-Version";
 /// Nodes that are tried, one after the other.
 constexpr std::size_t kMaxNodes = 3;
 constexpr std::uint64_t kMaxBodyBytes = std::uint64_t{ 16 } * 1024 * 1024;
@@ -45,6 +48,17 @@
   return aRequest.find(kForwardedBy) != aRequest.end();
 }
 
+std::uint64_t
+NodeForward::ConfigurationVersion(const HttpRequest& aRequest)
+{
+  const std::string_view text = aRequest[kConfigurationVersion];
+  std::uint64_t version = 0;
+  if (IsForwarded(aRequest)) {
+    std::from_chars(text.data(), text.data() + text.size(), version);
+  }
+  return version;
+}
+
 Task<std::optional<Outcome>>
 NodeForward::Run()
 {
@@ -137,6 +151,8 @@
               std::to_string(
                 std::max<std::int64_t>(1, this->TimeLeft() / milliseconds(1))));
   message.set(kForwardedBy, this->context.settings.node);
+  message.set(kConfigurationVersion,
+              std::to_string(this->context.configuration.Stored().version));
   message.body() = original.body();
   return message;
 }
--- a/src/node/NodeForward.h
+++ b/src/node/NodeForward.h
@@ -26,6 +26,10 @@
   /// Returns whether another node has forwarded the request.
   static bool IsForwarded(const HttpRequest& aRequest);
 
+  /// Returns the version of the configuration by which the node that has
+  /// forwarded the request has admitted it; zero if none is stated.
+  static std::uint64_t ConfigurationVersion(const HttpRequest& aRequest);
+
   /// Returns the outcome once the caller has a response or has disconnected;
   /// nothing, with nothing sent, if no node has accepted the request, which has
   /// then not run.
--- a/src/node/PlatformTask.cpp
+++ b/src/node/PlatformTask.cpp
@@ -4,6 +4,7 @@
 #include "http/HttpTypes.h"
 #include "kv/PlatformKeys.h"
 
+#include <algorithm>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/steady_timer.hpp>
@@ -20,6 +21,10 @@
   , store(aStore)
   , options(aOptions)
   , sink(std::move(aSink))
+  , confirmation(
+      this->executor,
+      {},
+      [this]() -> Task<bool> { co_return co_await this->ReadConfiguration(); })
   , random(std::random_device{}())
 {
 }
@@ -41,6 +46,7 @@
 PlatformTask::ListAll()
 {
   Revision revision = 0;
+  const Instant sentAt = MonotonicNow();
   auto values =
     co_await this->store.List(std::string(keys::kStatePrefix), revision);
   if (!values) {
@@ -49,9 +55,29 @@
   }
   this->lastContactAt = MonotonicNow();
   this->sink(*values, true);
+  this->configurationVerifiedAt =
+    std::max(this->configurationVerifiedAt, sentAt);
   co_return revision;
 }
 
+Task<bool>
+PlatformTask::ReadConfiguration()
+{
+  const Instant sentAt = MonotonicNow();
+  const auto value =
+    co_await this->store.Get(std::string(keys::kConfigurationKey));
+  if (!value) {
+    LogLine("configuration_unreachable").With(value.error()).Warn();
+    co_return false;
+  }
+  if (value->revision != 0) {
+    this->sink({ *value }, false);
+  }
+  this->configurationVerifiedAt =
+    std::max(this->configurationVerifiedAt, sentAt);
+  co_return true;
+}
+
 Task<void>
 PlatformTask::WaitWithJitter(Duration aMean)
 {
--- a/src/node/PlatformTask.h
+++ b/src/node/PlatformTask.h
@@ -3,6 +3,7 @@
 
 #include "apricottrack/KeyValueStore.h"
 #include "apricottrack/Time.h"
+#include "http/SharedCall.h"
 
 #include <boost/asio/any_io_executor.hpp>
 #include <functional>
@@ -38,6 +39,20 @@
 
   void Start();
 
+  /// Waits for a read of the configuration, which all that wait at the same
+  /// time share. Returns false if it fails or does not end by `aUntil`.
+  Task<bool> ConfirmConfiguration(Instant aUntil)
+  {
+    return this->confirmation.Join(aUntil);
+  }
+
+  /// When the latest read was sent that has shown the newest configuration. A
+  /// watch without events proves nothing.
+  Instant ConfigurationVerifiedAt() const
+  {
+    return this->configurationVerifiedAt;
+  }
+
   /// Time of the service's last list response or watch report.
   Instant LastContactAt() const { return this->lastContactAt; }
 
@@ -46,6 +61,8 @@
   Task<void> ListPeriodically();
   /// Returns the revision of the listed state, or zero on failure.
   Task<Revision> ListAll();
+  /// Reads the configuration alone. Returns false on failure.
+  Task<bool> ReadConfiguration();
   /// Waits for a random time of half to one and a half of the mean.
   Task<void> WaitWithJitter(Duration aMean);
 
@@ -54,6 +71,8 @@
   Options options;
   ChangeSink sink;
   Instant lastContactAt;
+  Instant configurationVerifiedAt;
+  SharedCall confirmation;
   std::mt19937_64 random;
 };
 
--- a/src/node/RequestRun.cpp
+++ b/src/node/RequestRun.cpp
@@ -53,7 +53,7 @@
     co_return;
   }
   RequestResult result;
-  result.refusal = this->ParseAndCharge();
+  result.refusal = co_await this->ParseByNewestConfiguration();
   if (!result.refusal) {
     result.refusal = co_await this->Admit();
   }
--- a/src/node/RequestRun.h
+++ b/src/node/RequestRun.h
@@ -45,6 +45,12 @@
   Task<bool> TryForward();
   /// Parses the request and charges its account's limit.
   std::optional<Refusal> ParseAndCharge();
+  /// Does the same by a configuration that is recent enough for a refusal, and
+  /// not older than that of the node that has forwarded the request.
+  Task<std::optional<Refusal>> ParseByNewestConfiguration();
+  /// True if another node has forwarded the request and has admitted it by a
+  /// newer configuration.
+  bool HasOlderConfigurationThanSender() const;
   /// Waits for a slot of the service.
   Task<std::optional<Refusal>> Admit();
   /// Runs an admitted request. If it is not idempotent, records its intent in
