--- a/include/apricottrack/Settings.h
+++ b/include/apricottrack/Settings.h
@@ -79,9 +79,10 @@
 };
 
 /// Parses and validates a settings file. Returns all mistakes, not only the
-/// first.
+/// first. Unknown keys are mistakes unless `aUnknownKeys` is given, to which
+/// they are then added: a file may be meant for a later version as well.
 tl::expected<Settings, Mistakes>
-ParseSettings(std::string_view aText);
+ParseSettings(std::string_view aText, Mistakes* aUnknownKeys = nullptr);
 
 } // namespace apricottrack
 
--- a/src/config/Settings.cpp
+++ b/src/config/Settings.cpp
@@ -90,7 +90,7 @@
 } // namespace
 
 tl::expected<Settings, Mistakes>
-ParseSettings(std::string_view aText)
+ParseSettings(std::string_view aText, Mistakes* aUnknownKeys)
 {
   Mistakes mistakes;
   const auto table = ParseToml(aText, mistakes);
@@ -100,7 +100,7 @@
   static const std::vector<std::string_view> kLevels{
     "info", "debug", "warn", "error"
   };
-  TomlReader reader(*table, "", mistakes);
+  TomlReader reader(*table, "", mistakes, aUnknownKeys);
   Settings settings;
   settings.node = reader.String("node");
   settings.availabilityZone = reader.String("availability_zone");
--- a/src/config/TomlReader.cpp
+++ b/src/config/TomlReader.cpp
@@ -37,10 +37,12 @@
 
 TomlReader::TomlReader(const toml::table& aTable,
                        std::string aPath,
-                       Mistakes& aMistakes)
+                       Mistakes& aMistakes,
+                       Mistakes* aUnknownKeys)
   : table(aTable)
   , path(std::move(aPath))
   , mistakes(aMistakes)
+  , unknownKeys(aUnknownKeys)
 {
 }
 
@@ -62,15 +64,24 @@
 TomlReader::AddMistake(std::string_view aKey,
                        std::string aCause,
                        std::string aRemedy)
+{
+  this->mistakes.push_back(
+    this->MakeMistake(aKey, std::move(aCause), std::move(aRemedy)));
+}
+
+Mistake
+TomlReader::MakeMistake(std::string_view aKey,
+                        std::string aCause,
+                        std::string aRemedy) const
 {
   const toml::node* const node = this->table.get(aKey);
   const auto position =
     node == nullptr ? this->table.source().begin : node->source().begin;
-  this->mistakes.push_back(Mistake{ .line = static_cast<int>(position.line),
-                                    .column = static_cast<int>(position.column),
-                                    .path = this->PathOf(aKey),
-                                    .cause = std::move(aCause),
-                                    .remedy = std::move(aRemedy) });
+  return Mistake{ .line = static_cast<int>(position.line),
+                  .column = static_cast<int>(position.column),
+                  .path = this->PathOf(aKey),
+                  .cause = std::move(aCause),
+                  .remedy = std::move(aRemedy) };
 }
 
 std::string
@@ -215,8 +226,10 @@
                        fmt::format("write each item as a [[{}]] table", aKey));
       continue;
     }
-    TomlReader reader(
-      *item, fmt::format("{}[{}]", this->PathOf(aKey), i), this->mistakes);
+    TomlReader reader(*item,
+                      fmt::format("{}[{}]", this->PathOf(aKey), i),
+                      this->mistakes,
+                      this->unknownKeys);
     aVisitor(reader);
     reader.ReportUnknownKeys();
   }
@@ -235,7 +248,8 @@
       aKey, "is not a table", fmt::format("write it as a [{}] table", aKey));
     return;
   }
-  TomlReader reader(*node->as_table(), this->PathOf(aKey), this->mistakes);
+  TomlReader reader(
+    *node->as_table(), this->PathOf(aKey), this->mistakes, this->unknownKeys);
   aVisitor(reader);
   reader.ReportUnknownKeys();
 }
@@ -243,13 +257,15 @@
 void
 TomlReader::ReportUnknownKeys()
 {
+  Mistakes& target =
+    this->unknownKeys == nullptr ? this->mistakes : *this->unknownKeys;
   for (const auto& [key, node] : this->table) {
     if (!this->knownKeys.contains(std::string_view(key.str()))) {
-      this->AddMistake(
+      target.push_back(this->MakeMistake(
         key.str(),
         "is not a known key",
         fmt::format("remove it, or use one of the known keys: {}",
-                    fmt::join(this->knownKeys, ", ")));
+                    fmt::join(this->knownKeys, ", "))));
     }
   }
 }
--- a/src/config/TomlReader.h
+++ b/src/config/TomlReader.h
@@ -29,8 +29,12 @@
 class TomlReader
 {
 public:
-  /// `aPath` is the dotted path of the table, empty for the root.
-  TomlReader(const toml::table& aTable, std::string aPath, Mistakes& aMistakes);
+  /// `aPath` is the dotted path of the table, empty for the root. Unknown keys
+  /// go to `aUnknownKeys` instead if that is not null.
+  TomlReader(const toml::table& aTable,
+             std::string aPath,
+             Mistakes& aMistakes,
+             Mistakes* aUnknownKeys = nullptr);
 
   /// Returns a required, non-empty string.
   std::string String(std::string_view aKey);
@@ -72,11 +76,16 @@
 private:
   /// Marks the key as known and returns its node, or null if absent.
   const toml::node* FindKey(std::string_view aKey);
+  Mistake MakeMistake(std::string_view aKey,
+                      std::string aCause,
+                      std::string aRemedy) const;
   std::string PathOf(std::string_view aKey) const;
 
   const toml::table& table;
   std::string path;
   Mistakes& mistakes;
+  /// Where unknown keys are reported; null for `mistakes`.
+  Mistakes* unknownKeys;
   /// Keys read so far.
   std::set<std::string, std::less<>> knownKeys;
 };
--- a/tests/SettingsTest.cpp
+++ b/tests/SettingsTest.cpp
@@ -77,3 +77,18 @@
   highest.replace(highest.find("127.0.0.1:3"), 11, "127.0.0.1:65535");
   CHECK_FALSE(ParseSettings(highest));
 }
+
+// Guards against a node that does not start with the settings of a later
+// version while VMs are upgraded one by one.
+TEST_CASE(
+  "ParseSettings sets keys of a later version apart where it is asked to")
+{
+  const std::string text = kValid + "later_key = 1\n[later_table]\nx = 1\n";
+  CHECK_FALSE(ParseSettings(text));
+  Mistakes unknownKeys;
+  CHECK(ParseSettings(text, &unknownKeys) == ParseSettings(kValid));
+  REQUIRE(unknownKeys.size() == 2);
+  CHECK(unknownKeys[0].path == "later_key");
+  CHECK(unknownKeys[1].path == "later_table");
+  CHECK_FALSE(ParseSettings("node = 1\n" + text, &unknownKeys));
+}
--- a/tools/apricottrackd.cpp
+++ b/tools/apricottrackd.cpp
@@ -26,8 +26,10 @@
 constexpr int kExitBadSettings = 2;
 constexpr int kExitNotStarted = 3;
 
+/// Unknown keys are mistakes unless `aUnknownKeys` is given, to which they are
+/// then added.
 tl::expected<Settings, Mistakes>
-ReadSettings(const std::string& aPath)
+ReadSettings(const std::string& aPath, Mistakes* aUnknownKeys)
 {
   std::ifstream file(aPath);
   if (!file) {
@@ -37,7 +39,15 @@
   }
   std::stringstream text;
   text << file.rdbuf();
-  return ParseSettings(text.str());
+  return ParseSettings(text.str(), aUnknownKeys);
+}
+
+void
+LogUnknownKeys(const Mistakes& aUnknownKeys)
+{
+  for (const Mistake& key : aUnknownKeys) {
+    LogLine("settings_key_ignored").With("key", key.path).Warn();
+  }
 }
 
 /// A Node, unlike a ServingNode, reads its settings only at start.
@@ -90,7 +100,9 @@
   });
   boost::asio::signal_set hangUpSignals(aContext, SIGHUP);
   OnHangUp(hangUpSignals, [&] {
-    const auto settings = ReadSettings(aPath);
+    Mistakes unknownKeys;
+    const auto settings = ReadSettings(aPath, &unknownKeys);
+    LogUnknownKeys(unknownKeys);
     if (settings) {
       Reload(**aNode, *settings);
     } else {
@@ -148,10 +160,14 @@
   app.add_option("settings", path, "TOML settings file")
     ->envname("APRICOTTRACK_NODE_FILE")
     ->required();
-  app.add_flag("--check", checkOnly, "check the settings and exit");
+  app.add_flag("--check",
+               checkOnly,
+               "check the settings, also for unknown keys, and exit");
   CLI11_PARSE(app, argc, argv);
 
-  const auto settings = ReadSettings(path);
+  // While VMs are upgraded one by one, a file may have keys of a later version.
+  Mistakes unknownKeys;
+  const auto settings = ReadSettings(path, checkOnly ? nullptr : &unknownKeys);
   if (!settings) {
     std::cerr << Describe(settings.error(), path);
     return kExitBadSettings;
@@ -161,5 +177,6 @@
     return 0;
   }
   StartLogging(settings->logLevel);
+  LogUnknownKeys(unknownKeys);
   return RunNode(*settings, path, heldSignals);
 }
