Take a status outside of the range of HTTP for no response

Callers: a response with status 600 or 999 of a target in trouble was passed on as an answer on the platform's flow; the own interface had no check at all. Cause: no place limits the status. Change: HttpConnection accepts 200 to 599 as final and skips interim responses other than 101, for all clients; the interim loop of TargetCall moves there.

--- a/src/http/HttpClient.cpp
+++ b/src/http/HttpClient.cpp
@@ -4,6 +4,7 @@
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
 #include <charconv>
+#include <fmt/format.h>
 #include <netinet/tcp.h>
 
 namespace apricottrack {
@@ -28,6 +29,16 @@
 /// again. The rest is for the way of the request.
 constexpr double kUsedIdleShare = 0.8;
 
+/// Interim (1xx) responses after which a call fails.
+constexpr int kMaxInterimResponses = 16;
+/// Timeout of a read for which no time is left.
+constexpr Duration kMinTimeout = milliseconds(1);
+
+constexpr unsigned kFirstStatus = 100;
+constexpr unsigned kSwitchingProtocols = 101;
+constexpr unsigned kFirstFinalStatus = 200;
+constexpr unsigned kLastStatus = 599;
+
 /// Idle time before the kernel's first keep-alive probe, and between probes.
 constexpr int kKeepAliveSeconds = 2;
 
@@ -132,6 +143,35 @@
 
 Task<Result<HttpResponse>>
 HttpConnection::ReceiveHead(Duration aTimeout, std::uint64_t aBodyLimit)
+{
+  const Instant end = MonotonicNow() + aTimeout;
+  for (int interim = 0; interim <= kMaxInterimResponses; ++interim) {
+    // A server that sends without end never lets a read time out.
+    auto head = co_await this->ReceiveAnyHead(
+      std::max(kMinTimeout, Duration(end - MonotonicNow())), aBodyLimit);
+    if (!head) {
+      co_return head;
+    }
+    const unsigned status = head->result_int();
+    if (status >= kFirstFinalStatus && status <= kLastStatus) {
+      co_return head;
+    }
+    if (status < kFirstStatus || status > kLastStatus ||
+        status == kSwitchingProtocols) {
+      co_return Failure(ErrorCode::kBadReply,
+                        "http.receive_head",
+                        this->address,
+                        fmt::format("status {:03} is no response", status));
+    }
+  }
+  co_return Failure(ErrorCode::kBadReply,
+                    "http.receive_head",
+                    this->address,
+                    "too many interim responses");
+}
+
+Task<Result<HttpResponse>>
+HttpConnection::ReceiveAnyHead(Duration aTimeout, std::uint64_t aBodyLimit)
 {
   auto& parser = this->state->parser.emplace();
   parser.body_limit(aBodyLimit);
--- a/src/http/HttpClient.h
+++ b/src/http/HttpClient.h
@@ -33,9 +33,11 @@
   /// Accepts responses without a length, whose body ends with the connection.
   void AcceptCloseDelimited() { this->acceptsCloseDelimited = true; }
 
-  /// Receives the header of the response to the last request sent. `aBodyLimit`
-  /// is the maximum body size in bytes. Fails with kBadReply if the header, or
-  /// later the framing of the body, exceeds a fixed size.
+  /// Receives the header of the final response to the last request sent, after
+  /// any interim ones. `aTimeout` limits all of them, `aBodyLimit` is the
+  /// maximum body size in bytes. Fails with kBadReply if the header, or later
+  /// the framing of the body, exceeds a fixed size, or if the status is outside
+  /// the range of HTTP.
   Task<Result<HttpResponse>> ReceiveHead(Duration aTimeout,
                                          std::uint64_t aBodyLimit);
 
@@ -62,6 +64,10 @@
   const std::string& Address() const { return this->address; }
 
 private:
+  /// Receives one header, of an interim or a final response.
+  Task<Result<HttpResponse>> ReceiveAnyHead(Duration aTimeout,
+                                            std::uint64_t aBodyLimit);
+
   struct State;
   std::string address;
   std::unique_ptr<State> state;
--- a/src/serving/TargetCall.cpp
+++ b/src/serving/TargetCall.cpp
@@ -12,9 +12,6 @@
 /// Discarded responses to earlier requests after which the call fails.
 constexpr int kMaxForeignResponses = 3;
 
-/// Interim (1xx) responses after which the call fails.
-constexpr int kMaxInterimResponses = 16;
-
 /// Maximum body size of a response, in bytes; above that of any response that
 /// targets send.
 constexpr std::uint64_t kMaxBodyBytes = std::uint64_t{ 64 } * 1024 * 1024;
@@ -22,8 +19,6 @@
 /// Maximum body size of a response to another request that is read to its end.
 constexpr std::size_t kMaxForeignBodyBytes = std::size_t{ 1024 } * 1024;
 
-constexpr unsigned kFirstFinalStatus = 200;
-
 } // namespace
 
 TargetCall::TargetCall(HttpConnectionPool& aPool,
@@ -114,10 +109,8 @@
 Task<Result<HttpResponse>>
 TargetCall::ReceiveOwnHead()
 {
-  int interimResponses = 0;
   int foreignResponses = 0;
-  while (interimResponses < kMaxInterimResponses &&
-         foreignResponses < kMaxForeignResponses) {
+  while (foreignResponses < kMaxForeignResponses) {
     // A target that sends without end never lets a read time out.
     if (auto expired = this->DeadlineError("target.head")) {
       co_return tl::unexpected(std::move(*expired));
@@ -127,10 +120,6 @@
     if (!head) {
       co_return head;
     }
-    if (head->result_int() < kFirstFinalStatus) {
-      ++interimResponses;
-      continue;
-    }
     if (this->IsOwnResponse(*head)) {
       co_return head;
     }
@@ -143,7 +132,7 @@
   co_return Failure(ErrorCode::kBadReply,
                     "target.head",
                     this->options.address,
-                    "too many interim responses or responses to others");
+                    "too many responses to others");
 }
 
 Task<Result<void>>
--- a/tests/HttpClientTest.cpp
+++ b/tests/HttpClientTest.cpp
@@ -1,4 +1,4 @@
-#include "ServingHarness.h"
+#include "TargetResponses.h"
 
 using namespace apricottrack;
 
@@ -214,3 +214,51 @@
   io.run_for(kTestLimit);
   CHECK(io.stopped());
 }
+
+// Guards against a status that HTTP does not allow being passed on.
+TEST_CASE("Fetch fails on a status outside of the range of HTTP")
+{
+  const std::string status = GENERATE("000", "099", "101", "0", "600", "999");
+  CAPTURE(status);
+  ServingHarness harness;
+  const std::string address =
+    harness.StartScript([&](TargetConnection& aConnection, int) -> Task<void> {
+      co_await aConnection.ReadRequest();
+      co_await aConnection.Write(
+        fmt::format("HTTP/1.1 {} X\r\nContent-Length: 2\r\n\r\nno", status));
+      co_await aConnection.Wait(seconds(2));
+    });
+  HttpConnectionPool pool(harness.io.get_executor(), {});
+  Result<HttpResponse> response;
+  REQUIRE(harness.Run(
+    [&]() -> Task<void> {
+      response = co_await FetchOnNewConnection(
+        pool, address, HttpRequest{}, { .timeout = seconds(1) });
+    },
+    kTestLimit));
+  REQUIRE_FALSE(response);
+  CHECK(response.error().code == ErrorCode::kBadReply);
+}
+
+TEST_CASE("Fetch returns the final response after interim ones")
+{
+  ServingHarness harness;
+  const std::string address =
+    harness.StartScript([](TargetConnection& aConnection, int) -> Task<void> {
+      co_await aConnection.ReadRequest();
+      co_await aConnection.Write("HTTP/1.1 100 Continue\r\n\r\n"
+                                 "HTTP/1.1 103 Early Hints\r\nX: y\r\n\r\n" +
+                                 PlainResponse(201, "", "done"));
+    });
+  HttpConnectionPool pool(harness.io.get_executor(), {});
+  Result<HttpResponse> response;
+  REQUIRE(harness.Run(
+    [&]() -> Task<void> {
+      response = co_await FetchOnNewConnection(
+        pool, address, HttpRequest{}, { .timeout = seconds(1) });
+    },
+    kTestLimit));
+  REQUIRE(response);
+  CHECK(response->result_int() == 201);
+  CHECK(response->body() == "done");
+}
--- a/tests/RequestFlowTest.cpp
+++ b/tests/RequestFlowTest.cpp
@@ -282,3 +282,76 @@
   CHECK(received.find("Content-Length: 2\r\n") != std::string::npos);
   CHECK(harness.context.running.empty());
 }
+
+// Guards against the callers of a target in trouble getting a status that HTTP
+// does not allow.
+TEST_CASE("RequestFlow passes on no status outside of the range of HTTP")
+{
+  const std::string status = GENERATE("000", "099", "101", "600", "999");
+  const std::pair<std::string, int> sample =
+    GENERATE(std::pair<std::string, int>{ "/once/x", 502 },
+             std::pair<std::string, int>{ "/idempotent/x", 200 },
+             std::pair<std::string, int>{ "/stream/x", 200 });
+  CAPTURE(status, sample.first);
+  ServingHarness harness;
+  auto calls = std::make_shared<int>(0);
+  const ServingHarness::Script script = [&](TargetConnection& aConnection,
+                                            int) -> Task<void> {
+    while (!(co_await aConnection.ReadRequest()).empty()) {
+      std::string bytes =
+        fmt::format("HTTP/1.1 {} X\r\nX-Signed: 1\r\nX-Attempt: a\r\n"
+                    "Content-Length: 3\r\n\r\nodd",
+                    status);
+      if (++*calls > 1) {
+        bytes =
+          sample.first == "/stream/x"
+            ? StreamHead("a") + Event(1) + Chunk("")
+            : PlainResponse(200, "X-Signed: 1\r\nX-Attempt: a\r\n", "whole");
+      }
+      co_await aConnection.Write(std::move(bytes));
+    }
+  };
+  harness.AddTarget("t1", script);
+  harness.AddTarget("t2", script);
+  std::string response;
+  REQUIRE(harness.Run(
+    [&]() -> Task<void> {
+      response = co_await harness.Call(sample.first, "a", seconds(3));
+    },
+    kTestLimit));
+  CHECK(StatusOf(response) == sample.second);
+  CHECK(response.find("odd") == std::string::npos);
+}
+
+TEST_CASE("RequestFlow continues a stream after a status outside of the range "
+          "of HTTP")
+{
+  ServingHarness harness;
+  auto calls = std::make_shared<int>(0);
+  const ServingHarness::Script script = [&](TargetConnection& aConnection,
+                                            int) -> Task<void> {
+    co_await aConnection.ReadRequest();
+    const int call = ++*calls;
+    std::string bytes = StreamHead("a") + Event(call == 1 ? 1 : 2);
+    if (call == 2) {
+      bytes.replace(9, 3, "600");
+    }
+    if (call > 1) {
+      bytes += Chunk("");
+    }
+    co_await aConnection.Write(std::move(bytes));
+  };
+  harness.AddTarget("t1", script);
+  harness.AddTarget("t2", script);
+  harness.AddTarget("t3", script);
+  std::string response;
+  REQUIRE(harness.Run(
+    [&]() -> Task<void> {
+      response = co_await harness.Call("/stream/x", "a", seconds(6));
+    },
+    kTestLimit));
+  CHECK(StatusOf(response) == 200);
+  CHECK(response.find("600") == std::string::npos);
+  CHECK((!IsCompleteStream(response) ||
+         response.find("id: 2") != std::string::npos));
+}
--- a/tests/TargetAttemptTest.cpp
+++ b/tests/TargetAttemptTest.cpp
@@ -10,10 +10,16 @@
 
 constexpr Duration kTestLimit = seconds(10);
 
-/// Runs one attempt at a target that answers with these bytes, and returns
-/// until when the target is paused after it.
-Duration
-PauseAfterResponse(const std::string& aResponse)
+struct AttemptResult
+{
+  AttemptEnd end = AttemptEnd::kNotSent;
+  /// For how long the target is paused after the attempt.
+  Duration pause = Duration::zero();
+};
+
+/// Runs one attempt at a target that answers with these bytes.
+AttemptResult
+RunAttempt(const std::string& aResponse)
 {
   asio::io_context io(1);
   TargetLimits limits(TargetLimits::Options{}, 1);
@@ -32,7 +38,7 @@
       co_await connection.Write(aResponse);
     },
     asio::detached);
-  Duration pause = Duration::zero();
+  AttemptResult result;
   const std::string address = ServingHarness::FreeAddress(io);
   const auto server = *HttpServer::Make(
     io.get_executor(),
@@ -49,9 +55,9 @@
                                 .address = targetAddress,
                                 .message = message,
                                 .deadline = MonotonicNow() + seconds(5) });
-        co_await attempt.Run();
+        result.end = co_await attempt.Run();
         const Instant now = MonotonicNow();
-        pause = pauses.EarliestSend("t", now) - now;
+        result.pause = pauses.EarliestSend("t", now) - now;
         io.stop();
       },
       .errorResponder =
@@ -71,7 +77,13 @@
     },
     asio::detached);
   io.run_for(kTestLimit);
-  return pause;
+  return result;
+}
+
+Duration
+PauseAfterResponse(const std::string& aResponse)
+{
+  return RunAttempt(aResponse).pause;
 }
 
 } // namespace
@@ -86,3 +98,18 @@
   CHECK(PauseAfterResponse(PlainResponse(429, notRun, "slow")) ==
         Duration::zero());
 }
+
+// Guards against the callers of a target in trouble getting a status that HTTP
+// does not allow.
+TEST_CASE("TargetAttempt takes a status outside of the range of HTTP for no "
+          "response")
+{
+  const int status = GENERATE(101, 600, 999);
+  CHECK(RunAttempt(PlainResponse(status, "", "odd")).end ==
+        AttemptEnd::kTruncated);
+  CHECK(RunAttempt("HTTP/1.1 000 X\r\nContent-Length: 0\r\n\r\n").end ==
+        AttemptEnd::kTruncated);
+  CHECK(RunAttempt("HTTP/1.1 103 Early Hints\r\n\r\n" +
+                   PlainResponse(200, "", "whole"))
+          .end == AttemptEnd::kAnswered);
+}
