--- a/tests/wholepath/upgrade.py
+++ b/tests/wholepath/upgrade.py
@@ -22,7 +22,7 @@
 ROOT = os.path.abspath(os.path.join(os.path.dirname(__file__), "../.."))
 sys.path.insert(0, os.path.join(ROOT, "review", "lib"))
 import standins  # noqa: E402
-from standins import HOST, KEY, Engine, Http, Node, Runner, World, call, now  # noqa: E402
+from standins import HOST, KEY, Engine, Node, Runner, World, call, now  # noqa: E402
 
 # Bounds in seconds, from the acknowledgement of a change to the sending.
 CONVERGE_S = 2.0
@@ -33,7 +33,7 @@
 
 
 class BuildNode(Node):
-    """A node whose build can be replaced; `stranded` cuts it off the targets."""
+    """A node whose build can be replaced."""
 
     def __init__(self, world, index, build, **options):
         super().__init__(world, index, **options)
