Send nothing to evacuated zones, and few requests to cold targets

Nothing read the operator's requests to evacuate an availability zone, nor that a target is cold.

CatalogTask checks the operator's prefix instead of the catalog's key where the settings have evacuation_bound_ms, with as many calls. ZoneEvacuations keeps the newest reading, FleetAnswer passes it on, CandidateDirectory leaves the zone's targets out for all kinds of sends, and a node that follows a planner of an earlier version reads the store itself. TargetLimits divides what a cold target accepts among the nodes, like a limit that it states, until a known time; the targets of a zone that was taken back count as cold first.

--- a/include/apricottrack/KeyValueStore.h
+++ b/include/apricottrack/KeyValueStore.h
@@ -55,6 +55,19 @@
   Revision checkedRevision = 0;
 };
 
+/// What the service reports about the keys under a prefix since a revision.
+struct PrefixChange
+{
+  /// All keys if `isComplete`; otherwise those that have changed, the last
+  /// change of each key last, deleted ones with revision zero.
+  std::vector<KeyValue> values;
+  bool isComplete = false;
+  /// Revision of the service up to which this holds.
+  Revision checkedRevision = 0;
+
+  friend bool operator==(const PrefixChange&, const PrefixChange&) = default;
+};
+
 /// Asynchronous access to the key-value service. After an error with kNoReply
 /// a write may or may not have taken effect; the caller must read back.
 class KeyValueStore
@@ -77,6 +90,11 @@
   virtual Task<Result<KeyChange>> GetIfChanged(std::string aKey,
                                                Revision aCheckedRevision);
 
+  /// The same for all keys with the prefix. Stores that cannot tell what has
+  /// changed return all keys.
+  virtual Task<Result<PrefixChange>> ListIfChanged(std::string aPrefix,
+                                                   Revision aCheckedRevision);
+
   /// Returns all keys with the prefix, and sets `aRevision` to the service's
   /// revision at the time of the read.
   virtual Task<Result<std::vector<KeyValue>>> List(std::string aPrefix,
--- a/include/apricottrack/Settings.h
+++ b/include/apricottrack/Settings.h
@@ -30,6 +30,10 @@
   Duration stopLimit = seconds(8);
   /// Longest time for which a target that leaves may still receive requests.
   Duration drainBound = seconds(2);
+  /// Longest time from the operator's request to evacuate an availability zone
+  /// until its targets get no more requests; none where zones are not
+  /// evacuated.
+  std::optional<Duration> evacuationBound;
   /// CPU of this VM, in cores; may be a fraction.
   double cpuShare = 1;
   /// Whether the whole deployment starts for the first time, before its first
--- a/src/catalog/Catalog.h
+++ b/src/catalog/Catalog.h
@@ -127,6 +127,11 @@
   /// Maximum number of connections to one target, from all nodes together;
   /// decoded, but not used by nodes.
   int maxConnections = 0;
+  /// How long a target is cold after it has started; zero if never.
+  Duration coldTime = Duration::zero();
+  /// Requests per second that a cold target accepts from all nodes together;
+  /// zero if it accepts as many as a warm one.
+  double coldRate = 0;
   /// Present if the service's targets form replicas.
   std::optional<EngineSpec> engine;
 
--- a/src/config/Settings.cpp
+++ b/src/config/Settings.cpp
@@ -79,6 +79,11 @@
                    ToSeconds(serving.stopLimit)));
   serving.drainBound = ReadMilliseconds(
     aReader, "drain_bound_ms", 100, 600'000, serving.drainBound);
+  const Duration evacuationBound = ReadMilliseconds(
+    aReader, "evacuation_bound_ms", 0, 600'000, Duration::zero());
+  if (evacuationBound > Duration::zero()) {
+    serving.evacuationBound = evacuationBound;
+  }
   serving.cpuShare =
     aReader.Number("cpu_share",
                    { .minimum = 0.01, .maximum = 1024, .unit = "cores" },
--- a/src/fleet/FleetMessages.h
+++ b/src/fleet/FleetMessages.h
@@ -99,6 +99,11 @@
   std::vector<LimitSample> limits;
   /// Some nodes to which the receiver may forward requests, as IP:port.
   std::vector<std::string> forwardAddresses;
+  /// Availability zones that are evacuated.
+  std::vector<std::string> evacuatedZones;
+  /// Store revision up to which these are known; zero if they are unknown.
+  std::int64_t evacuationRevision = 0;
+  std::vector<ColdSample> coldTargets;
 
   friend bool operator==(const FleetAnswer&, const FleetAnswer&) = default;
 };
--- a/src/fleet/TargetRecord.h
+++ b/src/fleet/TargetRecord.h
@@ -67,6 +67,9 @@
   /// Start of the process; a new value means that the target restarted and
   /// lost its weights and membership.
   UnixMillis startedAt = 0;
+  /// How long the target stays cold, counted from the last change of this
+  /// record; zero if it is warm. Not sent between nodes.
+  Duration coldRemaining = Duration::zero();
   /// The target is carrying out an order. Not sent between nodes.
   bool busy = false;
   /// Revision of the entry in the store; an older one never replaces a newer
--- a/src/kv/KeyValueStore.cpp
+++ b/src/kv/KeyValueStore.cpp
@@ -14,4 +14,16 @@
                        .checkedRevision = revision };
 }
 
+Task<Result<PrefixChange>>
+KeyValueStore::ListIfChanged(std::string aPrefix, Revision /*aCheckedRevision*/)
+{
+  PrefixChange change{ .values = {}, .isComplete = true };
+  auto values = co_await this->List(std::move(aPrefix), change.checkedRevision);
+  if (!values) {
+    co_return tl::unexpected(values.error());
+  }
+  change.values = std::move(*values);
+  co_return change;
+}
+
 } // namespace apricottrack
--- a/src/limits/LimitSample.h
+++ b/src/limits/LimitSample.h
@@ -30,6 +30,18 @@
   friend bool operator==(const LimitSample&, const LimitSample&) = default;
 };
 
+/// A target that is cold, for other nodes.
+struct ColdSample
+{
+  std::string target;
+  /// Requests per second that it accepts from all nodes together.
+  double rate = 0;
+  /// How long it stays cold.
+  Duration remaining = Duration::zero();
+
+  friend bool operator==(const ColdSample&, const ColdSample&) = default;
+};
+
 } // namespace apricottrack
 
 #endif
--- a/src/limits/TargetLimits.cpp
+++ b/src/limits/TargetLimits.cpp
@@ -41,6 +41,57 @@
   }
 }
 
+void
+TargetLimits::OnCold(const std::string& aTarget,
+                     double aRate,
+                     Instant aUntil,
+                     Instant aNow)
+{
+  if (aUntil <= aNow || !IsRequestLimit(aRate)) {
+    return;
+  }
+  auto found = this->entries.find(aTarget);
+  if (found == this->entries.end()) {
+    this->RemoveExpired(aNow);
+    found = this->entries.emplace(aTarget, Entry{}).first;
+  }
+  Entry& entry = found->second;
+  if (!this->RateOf(entry, aNow)) {
+    this->BeginTurns(entry, aNow);
+  }
+  if (entry.coldUntil <= aNow) {
+    LogLine("target_cold")
+      .With("target", aTarget)
+      .With("rate", aRate)
+      .With("for_ms", std::int64_t{ (aUntil - aNow) / milliseconds(1) })
+      .Info();
+  }
+  entry.coldRate = aRate;
+  entry.coldUntil = std::max(entry.coldUntil, aUntil);
+  this->anyColdUntil = std::max(this->anyColdUntil, aUntil);
+}
+
+std::vector<ColdSample>
+TargetLimits::ColdTargets(Instant aNow) const
+{
+  std::vector<ColdSample> samples;
+  for (const auto& [target, entry] : this->entries) {
+    if (aNow < entry.coldUntil) {
+      samples.push_back({ .target = target,
+                          .rate = entry.coldRate,
+                          .remaining = entry.coldUntil - aNow });
+    }
+  }
+  return samples;
+}
+
+bool
+TargetLimits::IsCold(const std::string& aTarget, Instant aNow) const
+{
+  const auto found = this->entries.find(aTarget);
+  return found != this->entries.end() && aNow < found->second.coldUntil;
+}
+
 std::vector<LimitSample>
 TargetLimits::SamplesSince(Instant aSince,
                            bool aIncludeForwarded,
@@ -61,8 +112,11 @@
 std::optional<double>
 TargetLimits::LimitOf(const std::string& aTarget, Instant aNow) const
 {
-  const Entry* const entry = this->FindLimited(aTarget, aNow);
-  return entry == nullptr ? std::nullopt : entry->limit;
+  const auto found = this->entries.find(aTarget);
+  return found == this->entries.end() ||
+             !this->HasStatedLimit(found->second, aNow)
+           ? std::nullopt
+           : found->second.limit;
 }
 
 Instant
@@ -95,9 +149,35 @@
 TargetLimits::FindLimited(const std::string& aTarget, Instant aNow) const
 {
   const auto found = this->entries.find(aTarget);
-  const bool isLimited = found != this->entries.end() && found->second.limit &&
-                         aNow - found->second.saidAt < this->options.lifetime;
-  return isLimited ? &found->second : nullptr;
+  return found != this->entries.end() && this->RateOf(found->second, aNow)
+           ? &found->second
+           : nullptr;
+}
+
+bool
+TargetLimits::HasStatedLimit(const Entry& aEntry, Instant aNow) const
+{
+  return aEntry.limit && aNow - aEntry.saidAt < this->options.lifetime;
+}
+
+std::optional<double>
+TargetLimits::RateOf(const Entry& aEntry, Instant aNow) const
+{
+  const std::optional<double> stated =
+    this->HasStatedLimit(aEntry, aNow) ? aEntry.limit : std::nullopt;
+  if (aNow >= aEntry.coldUntil) {
+    return stated;
+  }
+  return std::min(stated.value_or(aEntry.coldRate), aEntry.coldRate);
+}
+
+void
+TargetLimits::BeginTurns(Entry& aEntry, Instant aNow)
+{
+  aEntry.limitedSince = aNow;
+  aEntry.sentCount = 0;
+  aEntry.lastTurn.reset();
+  aEntry.phase = std::uniform_real_distribution<double>(0, 1)(this->random);
 }
 
 std::optional<double>
@@ -109,11 +189,11 @@
   if (entry == nullptr) {
     return std::nullopt;
   }
-  return this->OwnRate(*entry, aDemand);
+  return this->OwnRate(*this->RateOf(*entry, aNow), aDemand);
 }
 
 double
-TargetLimits::OwnRate(const Entry& aEntry, const DemandSplit& aDemand) const
+TargetLimits::OwnRate(double aRate, const DemandSplit& aDemand) const
 {
   if (!aDemand.nodeCount) {
     return 0;
@@ -125,7 +205,7 @@
     this->options.usedFraction -
     manyness * (this->options.usedFraction - this->options.minUsedFraction);
   const double sharedRate =
-    std::max(this->options.minRate, usedFraction * *aEntry.limit);
+    std::max(this->options.minRate, usedFraction * aRate);
   return std::min(LimitShare(sharedRate, aDemand.own, aDemand.other, nodeCount),
                   this->options.maxShareOfMean * sharedRate / nodeCount);
 }
@@ -135,7 +215,8 @@
                        const DemandSplit& aDemand,
                        Instant aNow) const
 {
-  const double ownRate = this->OwnRate(aEntry, aDemand);
+  const double ownRate =
+    this->OwnRate(this->RateOf(aEntry, aNow).value_or(0), aDemand);
   if (ownRate <= 0) {
     return Instant::max();
   }
@@ -144,7 +225,10 @@
   const Instant lastTurn = aEntry.lastTurn.value_or(
     aEntry.limitedSince - FromSeconds(aEntry.phase * ToSeconds(interval)));
   const Instant next = lastTurn + interval;
-  const Duration excess = aNow - this->options.turnLifetime - next;
+  const Duration lifetime = aNow < aEntry.coldUntil
+                              ? this->options.coldTurnLifetime
+                              : this->options.turnLifetime;
+  const Duration excess = aNow - lifetime - next;
   if (excess <= Duration::zero()) {
     return next;
   }
@@ -191,10 +275,7 @@
   entry.heardAt = aNow;
   entry.isDirect = aIsDirect;
   if (aLimit && !wasLimited) {
-    entry.limitedSince = aNow;
-    entry.sentCount = 0;
-    entry.lastTurn.reset();
-    entry.phase = std::uniform_real_distribution<double>(0, 1)(this->random);
+    this->BeginTurns(entry, aNow);
   }
 }
 
@@ -205,8 +286,7 @@
     return;
   }
   std::erase_if(this->entries, [&](const auto& aItem) {
-    return !aItem.second.limit ||
-           aNow - aItem.second.saidAt >= this->options.lifetime;
+    return !this->RateOf(aItem.second, aNow);
   });
 }
 
--- a/src/limits/TargetLimits.h
+++ b/src/limits/TargetLimits.h
@@ -25,7 +25,8 @@
 };
 
 /// Keeps this node's requests to each target within its share of the limit that
-/// the target states for all nodes together. Requests to a limited target take
+/// the target states for all nodes together, and of what it accepts while it is
+/// cold. Requests to a limited target take
 /// turns, at an interval that follows from the share. A turn that is not taken
 /// expires, so that many nodes with rare turns cannot save them up for a burst.
 /// Each node has one.
@@ -43,6 +44,8 @@
     int manyNodes = 100;
     /// A turn expires after this time.
     Duration turnLifetime = seconds(1);
+    /// The same at a cold target, which accepts its rate in every second.
+    Duration coldTurnLifetime = milliseconds(200);
     /// Smallest number of requests per second that all nodes together send to a
     /// target, as only its responses show that a limit has ended.
     double minRate = 0.25;
@@ -69,6 +72,27 @@
   /// this node knows.
   void OnForwarded(const LimitSample& aSample, Instant aNow);
 
+  /// Records that the target accepts `aRate` requests per second from all nodes
+  /// together until `aUntil`, because it is cold. Never shortens such a time.
+  void OnCold(const std::string& aTarget,
+              double aRate,
+              Instant aUntil,
+              Instant aNow);
+
+  /// Returns the targets that are cold.
+  std::vector<ColdSample> ColdTargets(Instant aNow) const;
+
+  bool IsCold(const std::string& aTarget, Instant aNow) const;
+
+  /// Returns false if no target is cold.
+  bool MayBeCold(Instant aNow) const { return aNow < this->anyColdUntil; }
+
+  /// Returns true if requests to the target need turns.
+  bool IsLimited(const std::string& aTarget, Instant aNow) const
+  {
+    return this->FindLimited(aTarget, aNow) != nullptr;
+  }
+
   /// Returns what this node has heard after `aSince`: only from responses or,
   /// with `aIncludeForwarded`, also from other nodes.
   std::vector<LimitSample> SamplesSince(Instant aSince,
@@ -93,7 +117,7 @@
                                 const DemandSplit& aDemand,
                                 Instant aNow) const;
 
-  /// Returns the limit of a target, or none.
+  /// Returns the limit that the target has stated, or none.
   std::optional<double> LimitOf(const std::string& aTarget, Instant aNow) const;
 
 private:
@@ -115,6 +139,9 @@
     std::optional<Instant> lastTurn;
     /// This node's requests since `limitedSince`.
     int sentCount = 0;
+    /// Requests per second that the target accepts until `coldUntil`.
+    double coldRate = 0;
+    Instant coldUntil;
   };
 
   void Apply(const std::string& aTarget,
@@ -122,15 +149,25 @@
              Instant aSaidAt,
              bool aIsDirect,
              Instant aNow);
+  /// Returns whether the limit that the target stated still holds.
+  bool HasStatedLimit(const Entry& aEntry, Instant aNow) const;
+  /// Returns how many requests per second the target accepts from all nodes
+  /// together; none if that is not limited.
+  std::optional<double> RateOf(const Entry& aEntry, Instant aNow) const;
+  /// Starts to give out turns.
+  void BeginTurns(Entry& aEntry, Instant aNow);
   /// Returns the entry if the target is limited, else null.
   const Entry* FindLimited(const std::string& aTarget, Instant aNow) const;
-  double OwnRate(const Entry& aEntry, const DemandSplit& aDemand) const;
+  /// `aRate`: RateOf the target.
+  double OwnRate(double aRate, const DemandSplit& aDemand) const;
   Instant NextTurn(const Entry& aEntry,
                    const DemandSplit& aDemand,
                    Instant aNow) const;
   void RemoveExpired(Instant aNow);
 
   Options options;
+  /// The latest end of all cold times.
+  Instant anyColdUntil;
   std::unordered_map<std::string, Entry> entries;
   std::minstd_rand random;
 };
--- a/src/membership/FleetPacking.cpp
+++ b/src/membership/FleetPacking.cpp
@@ -190,6 +190,36 @@
   return limits;
 }
 
+std::vector<flatbuffers::Offset<wire::ColdTarget>>
+PackColdTargets(Builder& aBuilder, const std::vector<ColdSample>& aSamples)
+{
+  std::vector<flatbuffers::Offset<wire::ColdTarget>> targets;
+  targets.reserve(aSamples.size());
+  for (const ColdSample& sample : aSamples) {
+    targets.push_back(wire::CreateColdTargetDirect(
+      aBuilder,
+      sample.target.c_str(),
+      sample.rate,
+      static_cast<std::uint32_t>(ToMilliseconds(sample.remaining))));
+  }
+  return targets;
+}
+
+std::vector<ColdSample>
+UnpackColdTargets(
+  const flatbuffers::Vector<flatbuffers::Offset<wire::ColdTarget>>* aItems)
+{
+  std::vector<ColdSample> samples;
+  if (aItems != nullptr) {
+    for (const wire::ColdTarget* const item : *aItems) {
+      samples.push_back({ .target = TextOf(item->target()),
+                          .rate = item->rate(),
+                          .remaining = milliseconds(item->remaining_ms()) });
+    }
+  }
+  return samples;
+}
+
 std::vector<flatbuffers::Offset<wire::LostRequest>>
 PackLostRequests(Builder& aBuilder, const std::vector<LostRequest>& aRequests)
 {
@@ -336,6 +366,9 @@
     PackQuarantinedParts(aBuilder, aMessage.quarantinedParts);
   const TextOffsets forwardAddresses =
     PackTexts(aBuilder, aMessage.forwardAddresses);
+  const TextOffsets evacuatedZones =
+    PackTexts(aBuilder, aMessage.evacuatedZones);
+  const auto coldTargets = PackColdTargets(aBuilder, aMessage.coldTargets);
   return wire::CreateFleetAnswerDirect(
            aBuilder,
            aMessage.source.c_str(),
@@ -356,7 +389,10 @@
            &suspectedParts,
            &quarantinedParts,
            &limits,
-           &forwardAddresses)
+           &forwardAddresses,
+           &evacuatedZones,
+           aMessage.evacuationRevision,
+           &coldTargets)
     .Union();
 }
 
@@ -438,7 +474,10 @@
                       .quarantinedParts =
                         UnpackQuarantinedParts(aBody.quarantined_parts()),
                       .limits = UnpackLimits(aBody.request_limits()),
-                      .forwardAddresses = TextsOf(aBody.forward_addresses()) };
+                      .forwardAddresses = TextsOf(aBody.forward_addresses()),
+                      .evacuatedZones = TextsOf(aBody.evacuated_zones()),
+                      .evacuationRevision = aBody.evacuation_revision(),
+                      .coldTargets = UnpackColdTargets(aBody.cold_targets()) };
   if (aBody.targets() != nullptr) {
     for (const wire::TargetState* const target : *aBody.targets()) {
       answer.targets.push_back(UnpackTarget(*target));
--- a/src/placement/CandidateDirectory.cpp
+++ b/src/placement/CandidateDirectory.cpp
@@ -30,7 +30,8 @@
 CandidateDirectory::Rebuild(const Catalog& aCatalog,
                             const Fleet& aFleet,
                             const std::set<std::string>& aBrokenReplicas,
-                            const std::set<std::string>& aConfirmedReplicas)
+                            const std::set<std::string>& aConfirmedReplicas,
+                            const ZoneEvacuations::Zones& aEvacuatedZones)
 {
   this->candidatesByService.clear();
   for (const CatalogService& service : aCatalog.services) {
@@ -41,6 +42,11 @@
     } else {
       models.emplace("", PlainTargets(service, aFleet));
     }
+    for (auto& [model, candidates] : models) {
+      std::erase_if(candidates, [&](const Candidate& aCandidate) {
+        return aEvacuatedZones.contains(aCandidate.availabilityZone);
+      });
+    }
   }
 }
 
--- a/src/placement/CandidateDirectory.h
+++ b/src/placement/CandidateDirectory.h
@@ -3,6 +3,7 @@
 
 #include "catalog/Catalog.h"
 #include "fleet/Fleet.h"
+#include "fleet/ZoneEvacuations.h"
 #include "placement/Candidate.h"
 
 #include <map>
@@ -18,7 +19,8 @@
 /// The head is listed if it is open and not leaving, if the replica is not
 /// known to have lost a member, and if either every rank of its epoch has an
 /// entry or the planner confirms the replica as intact although the store lost
-/// entries of members. Each serving node has one, rebuilt when an entry changes
+/// entries of members. Targets in evacuated availability zones are not listed.
+/// Each serving node has one, rebuilt when an entry changes
 /// and not for each request.
 class CandidateDirectory
 {
@@ -26,11 +28,12 @@
   /// Replaces the index. `aBrokenReplicas` holds the ReplicaKey of each replica
   /// that lost a member and is left out. `aConfirmedReplicas` holds the keys of
   /// replicas that the planner confirms as intact although the store does not
-  /// list all members.
+  /// list all members. Targets in `aEvacuatedZones` are left out.
   void Rebuild(const Catalog& aCatalog,
                const Fleet& aFleet,
                const std::set<std::string>& aBrokenReplicas,
-               const std::set<std::string>& aConfirmedReplicas);
+               const std::set<std::string>& aConfirmedReplicas,
+               const ZoneEvacuations::Zones& aEvacuatedZones = {});
 
   /// Returns the candidates for a model, or an empty list if there are none.
   /// The model is ignored for services without replicas. The reference is
--- a/src/serving/CatalogTask.cpp
+++ b/src/serving/CatalogTask.cpp
@@ -133,18 +133,18 @@
 CatalogTask::ReadIfChanged(Revision aCheckedRevision)
 {
   const Instant readSentAt = MonotonicNow();
-  const auto change = co_await this->store.GetIfChanged(
-    this->context.protocol.CatalogKey(), aCheckedRevision);
-  this->RecordRead(MonotonicNow() - readSentAt, change.has_value());
-  if (!change) {
+  const auto read = co_await this->ReadOperatorKeys(aCheckedRevision);
+  this->RecordRead(MonotonicNow() - readSentAt, read.has_value());
+  if (!read) {
     if (this->isStoreReachable) {
-      LogLine("catalog_unreachable").With(change.error()).Warn();
+      LogLine("catalog_unreachable").With(read.error()).Warn();
     }
     this->isStoreReachable = false;
     this->hasReadFailed = true;
     ++this->failures;
     co_return false;
   }
+  const KeyChange* const change = &read->catalog;
   if (!this->isStoreReachable) {
     LogLine("catalog_reachable")
       .With("revision", change->checkedRevision)
@@ -161,9 +161,15 @@
     this->restoredAt = now;
   }
   this->restoreCount = restores;
+  if (read->operatorKeys) {
+    this->ApplyEvacuations(*read->operatorKeys, readSentAt);
+  }
   // A document that is not known must not be skipped by later reads.
   if (this->knownRevision > 0 || change->value) {
-    this->checkedRevision = change->checkedRevision;
+    // An evacuation that ends before the restored store has settled is found by
+    // a read of all keys only.
+    const bool mayCheck = !read->operatorKeys || this->IsSettled(readSentAt);
+    this->checkedRevision = mayCheck ? change->checkedRevision : 0;
   }
   if (change->value && change->value->revision == 0) {
     // The store holds no catalog; the one in force stays, but is not verified.
@@ -187,6 +193,69 @@
   co_return true;
 }
 
+Task<Result<CatalogTask::OperatorChange>>
+CatalogTask::ReadOperatorKeys(Revision aCheckedRevision)
+{
+  const std::string catalogKey = this->context.protocol.CatalogKey();
+  if (!this->context.settings.serving->evacuationBound) {
+    auto change =
+      co_await this->store.GetIfChanged(catalogKey, aCheckedRevision);
+    if (!change) {
+      co_return tl::unexpected(change.error());
+    }
+    co_return OperatorChange{ .catalog = std::move(*change),
+                              .operatorKeys = std::nullopt };
+  }
+  auto keys = co_await this->store.ListIfChanged(
+    this->context.protocol.OperatorPrefix(), aCheckedRevision);
+  if (!keys) {
+    co_return tl::unexpected(keys.error());
+  }
+  OperatorChange change{ .catalog = { .checkedRevision =
+                                        keys->checkedRevision },
+                         .operatorKeys = std::nullopt };
+  if (keys->isComplete) {
+    change.catalog.value =
+      KeyValue{ .key = catalogKey, .value = {}, .revision = 0 };
+  }
+  for (const KeyValue& value : keys->values) {
+    if (value.key == catalogKey) {
+      change.catalog.value = value;
+    }
+  }
+  change.operatorKeys = std::move(*keys);
+  co_return change;
+}
+
+void
+CatalogTask::ApplyEvacuations(const PrefixChange& aChange, Instant aReadSentAt)
+{
+  ZoneEvacuations& evacuations = this->context.evacuations;
+  ZoneEvacuations::Reading reading{ .zones = {},
+                                    .revision = aChange.checkedRevision,
+                                    .mayEnd = this->IsSettled(aReadSentAt) };
+  if (!aChange.isComplete) {
+    reading.zones = evacuations.Evacuated();
+  }
+  for (const KeyValue& value : aChange.values) {
+    const std::string zone = this->context.protocol.EvacuatedZoneOf(value.key);
+    if (!zone.empty() && value.revision > 0) {
+      reading.zones.insert(zone);
+    } else if (!zone.empty()) {
+      reading.zones.erase(zone);
+    }
+  }
+  if (!evacuations.Apply(reading, MonotonicNow())) {
+    return;
+  }
+  this->context.counters.Set(
+    "zones_evacuated", {}, static_cast<double>(evacuations.Evacuated().size()));
+  // Without a catalog there are no candidates yet that could change.
+  if (this->context.catalog.Current() != nullptr) {
+    this->onChange();
+  }
+}
+
 void
 CatalogTask::RecordRead(Duration aDuration, bool aSucceeded)
 {
@@ -204,9 +273,14 @@
 Instant
 CatalogTask::ProvenAt(Instant aReadSentAt) const
 {
-  const bool isSettled = !this->restoredAt || aReadSentAt - *this->restoredAt >=
-                                                this->options.restoreSettleTime;
-  return isSettled ? aReadSentAt : Instant{};
+  return this->IsSettled(aReadSentAt) ? aReadSentAt : Instant{};
+}
+
+bool
+CatalogTask::IsSettled(Instant aReadSentAt) const
+{
+  return !this->restoredAt ||
+         aReadSentAt - *this->restoredAt >= this->options.restoreSettleTime;
 }
 
 void
--- a/src/serving/CatalogTask.h
+++ b/src/serving/CatalogTask.h
@@ -11,7 +11,8 @@
 
 namespace apricottrack {
 
-/// Keeps the catalog in force up to date and its last verification time recent.
+/// Keeps the catalog in force up to date and its last verification time recent,
+/// and with it the evacuated zones, which the same reads show.
 /// Asks the store periodically, at times randomly spread by 15 percent, because
 /// a watch without events does not prove that the catalog is still the newest
 /// one. Only a changed document is transferred: while there is no planner all
@@ -100,6 +101,20 @@
   /// Reads the catalog unless it is known not to have changed since
   /// `aCheckedRevision`.
   Task<bool> ReadIfChanged(Revision aCheckedRevision);
+  /// What a read of the store has shown.
+  struct OperatorChange
+  {
+    KeyChange catalog;
+    /// None where zones are not evacuated.
+    std::optional<PrefixChange> operatorKeys;
+  };
+  /// Reads what the operator has written since `aCheckedRevision`.
+  Task<Result<OperatorChange>> ReadOperatorKeys(Revision aCheckedRevision);
+  /// Applies the evacuations of a read that was sent at `aReadSentAt`.
+  void ApplyEvacuations(const PrefixChange& aChange, Instant aReadSentAt);
+  /// Returns whether a read sent at that time shows all that the operator wrote
+  /// before a restore of the store.
+  bool IsSettled(Instant aReadSentAt) const;
   /// How a document reached this node.
   enum class Source
   {
--- a/src/serving/FleetRelay.cpp
+++ b/src/serving/FleetRelay.cpp
@@ -252,6 +252,10 @@
   answer.demands = this->context.fleetDemands;
   answer.forwardAddresses = this->forwardingNodes.Sample(
     aQuestion.node, kForwardingNodes, aNow, this->context.random);
+  const auto& evacuated = this->context.evacuations.Evacuated();
+  answer.evacuatedZones.assign(evacuated.begin(), evacuated.end());
+  answer.evacuationRevision = this->context.evacuations.KnownRevision();
+  answer.coldTargets = this->context.limits.ColdTargets(aNow);
   answer.suspectedParts = this->context.crashRecorder.Suspects();
   answer.quarantinedParts = this->context.quarantine.Combinations(aNow);
   if (aQuestion.catalogRevision < answer.catalogRevision &&
--- a/src/serving/FollowTask.cpp
+++ b/src/serving/FollowTask.cpp
@@ -201,7 +201,11 @@
                                answer->catalog,
                                this->querySentAt - answer->catalogAge);
   }
-  if (answer->catalogRevision == this->catalog.KnownRevision()) {
+  // Reads of its own show the evacuations that a planner's node of an earlier
+  // version does not send.
+  const bool isComplete = !this->context.settings.serving->evacuationBound ||
+                          answer->evacuationRevision > 0;
+  if (isComplete && answer->catalogRevision == this->catalog.KnownRevision()) {
     this->context.catalog.ConfirmCurrent(this->querySentAt -
                                          answer->catalogAge);
   } else if (answer->catalogRevision > this->catalog.SeenRevision()) {
@@ -274,6 +278,17 @@
   for (const LimitSample& sample : aAnswer.limits) {
     this->context.limits.OnForwarded(sample, aNow);
   }
+  for (const ColdSample& sample : aAnswer.coldTargets) {
+    this->context.limits.OnCold(
+      sample.target, sample.rate, aNow + sample.remaining, aNow);
+  }
+  // A planner's node of an earlier version knows no evacuations.
+  const bool evacuationsChanged =
+    aAnswer.evacuationRevision > 0 &&
+    this->context.evacuations.Apply({ .zones = { aAnswer.evacuatedZones.begin(),
+                                                 aAnswer.evacuatedZones.end() },
+                                      .revision = aAnswer.evacuationRevision },
+                                    aNow);
   // The ReplicaKey of each replica that lost a member, and of each one that the
   // planner confirms as intact.
   std::set<std::string> broken(aAnswer.broken.begin(), aAnswer.broken.end());
@@ -281,10 +296,10 @@
   this->context.crashRecorder.SetSuspects(aAnswer.suspectedParts);
   const bool quarantineGrew =
     this->context.quarantine.Add(aAnswer.quarantinedParts, aNow);
-  const bool changed = quarantineGrew || aAnswer.complete ||
-                       !aAnswer.targets.empty() || !aAnswer.gone.empty() ||
-                       broken != this->context.broken ||
-                       vouched != this->context.vouched;
+  const bool changed =
+    quarantineGrew || evacuationsChanged || aAnswer.complete ||
+    !aAnswer.targets.empty() || !aAnswer.gone.empty() ||
+    broken != this->context.broken || vouched != this->context.vouched;
   this->context.broken = std::move(broken);
   this->context.vouched = std::move(vouched);
   if (changed) {
--- a/src/serving/PlatformProtocol.h
+++ b/src/serving/PlatformProtocol.h
@@ -101,6 +101,12 @@
 
   /// Key of the catalog in the platform's store.
   virtual std::string CatalogKey() const = 0;
+  /// Key prefix of what the operator writes: the catalog and the evacuated
+  /// zones.
+  virtual std::string OperatorPrefix() const = 0;
+  /// Returns the availability zone that the key requests to evacuate; empty for
+  /// any other key.
+  virtual std::string EvacuatedZoneOf(const std::string& aKey) const = 0;
   /// Key prefix of the target entries in the platform's store.
   virtual std::string TargetPrefix() const = 0;
   /// Returns the target id in the key of an entry.
--- a/src/serving/RequestFlow.h
+++ b/src/serving/RequestFlow.h
@@ -134,6 +134,12 @@
     const std::vector<Candidate>& aCandidates,
     std::set<std::string>& aExcluded,
     Instant aNow) const;
+  /// Returns `aExcluded` and the cold targets, at which the request has taken
+  /// no turn. They get requests that no other target accepts.
+  std::set<std::string> ExcludeColdTargets(
+    const std::vector<Candidate>& aCandidates,
+    const std::set<std::string>& aExcluded,
+    Instant aNow) const;
   /// Adds the targets that have asked for a pause or leave, and returns when
   /// the first of these accepts requests again, or Instant::max().
   std::optional<Instant> ExcludePausedTargets(
--- a/src/serving/RequestFlowPlacement.cpp
+++ b/src/serving/RequestFlowPlacement.cpp
@@ -37,16 +37,32 @@
     this->ExcludeUnreachableTargets(candidates, excluded);
   const std::optional<Instant> pauseEnd =
     this->ExcludePausedTargets(candidates, excluded, aNow);
-  const std::optional<Turn> nextTurn =
+  std::optional<Turn> nextTurn =
     this->ExcludeTargetsOutOfTurn(candidates, excluded, aNow);
-  return { .placement =
-             placement.Choose(candidates,
-                              excluded,
-                              demand == this->context.fleetDemands.end()
-                                ? 0
-                                : demand->second.requests,
-                              aNow,
-                              this->context.random),
+  const auto choose = [&](const std::set<std::string>& aExcluded) {
+    return placement.Choose(
+      candidates,
+      aExcluded,
+      demand == this->context.fleetDemands.end() ? 0 : demand->second.requests,
+      aNow,
+      this->context.random);
+  };
+  PlacementChoice choice;
+  if (this->context.limits.MayBeCold(aNow)) {
+    choice = choose(this->ExcludeColdTargets(candidates, excluded, aNow));
+    // A full target accepts requests sooner than a cold one has a turn.
+    const bool isForCold =
+      nextTurn && this->context.limits.IsCold(nextTurn->target, aNow);
+    if (isForCold &&
+        (choice.refusal == PlacementRefusal::kFull || hasUnreachable)) {
+      nextTurn.reset();
+    }
+  }
+  if (choice.refusal != PlacementRefusal::kNone ||
+      !this->context.limits.MayBeCold(aNow)) {
+    choice = choose(excluded);
+  }
+  return { .placement = std::move(choice),
            .nextTurn = nextTurn,
            .pauseEnd = pauseEnd,
            .hasUnreachable = hasUnreachable };
@@ -95,6 +111,21 @@
            .nodeCount = this->context.nodeCount };
 }
 
+std::set<std::string>
+RequestFlow::ExcludeColdTargets(const std::vector<Candidate>& aCandidates,
+                                const std::set<std::string>& aExcluded,
+                                Instant aNow) const
+{
+  std::set<std::string> excluded = aExcluded;
+  for (const Candidate& candidate : aCandidates) {
+    if (candidate.id != this->reservedTarget &&
+        this->context.limits.IsCold(candidate.id, aNow)) {
+      excluded.insert(candidate.id);
+    }
+  }
+  return excluded;
+}
+
 std::optional<RequestFlow::Turn>
 RequestFlow::ExcludeTargetsOutOfTurn(const std::vector<Candidate>& aCandidates,
                                      std::set<std::string>& aExcluded,
@@ -105,7 +136,7 @@
   for (const Candidate& candidate : aCandidates) {
     if (candidate.id == this->reservedTarget ||
         aExcluded.contains(candidate.id) ||
-        !this->context.limits.LimitOf(candidate.id, aNow)) {
+        !this->context.limits.IsLimited(candidate.id, aNow)) {
       continue;
     }
     if (!demand) {
@@ -155,7 +186,7 @@
   }
   this->context.pauses.OnSend(id, aTarget.startedAt, aNow);
   const bool hasTurn = std::exchange(this->reservedTarget, std::string{}) == id;
-  if (!hasTurn && this->context.limits.LimitOf(id, aNow)) {
+  if (!hasTurn && this->context.limits.IsLimited(id, aNow)) {
     this->context.limits.TakeTurn(id, this->SplitDemand(aNow), aNow);
   }
 }
--- a/src/serving/ServingContext.h
+++ b/src/serving/ServingContext.h
@@ -5,6 +5,7 @@
 #include "base/Counters.h"
 #include "catalog/CatalogHolder.h"
 #include "fleet/Fleet.h"
+#include "fleet/ZoneEvacuations.h"
 #include "http/ByteBudget.h"
 #include "http/HttpClient.h"
 #include "limits/TargetLimits.h"
@@ -43,6 +44,7 @@
   Counters counters;
   CatalogHolder catalog;
   Fleet fleet;
+  ZoneEvacuations evacuations{};
   CandidateDirectory candidates;
   /// Replicas that lost a member, as found by the planner: NAME/EPOCH.
   std::set<std::string> broken;
--- a/src/serving/ServingNode.cpp
+++ b/src/serving/ServingNode.cpp
@@ -2,6 +2,7 @@
 
 #include "base/Log.h"
 #include "http/HttpServer.h"
+#include "placement/ColdTargets.h"
 #include "serving/CatalogTask.h"
 #include "serving/FleetRelay.h"
 #include "serving/FleetTask.h"
@@ -275,7 +276,13 @@
     this->context.candidates.Rebuild(catalog->Contents(),
                                      this->context.fleet,
                                      this->context.broken,
-                                     this->context.vouched);
+                                     this->context.vouched,
+                                     this->context.evacuations.Evacuated());
+    ColdTargets::Limit(catalog->Contents(),
+                       this->context.fleet,
+                       this->context.evacuations,
+                       this->context.limits,
+                       MonotonicNow());
     if (this->fleetTask.ListedSince() || this->follower.FirstFollowedAt()) {
       this->context.startGate.Open();
     }
--- a/tests/CandidateDirectoryTest.cpp
+++ b/tests/CandidateDirectoryTest.cpp
@@ -31,7 +31,8 @@
 std::size_t
 CandidateCount(const std::vector<TargetRecord>& aRecords,
                const std::set<std::string>& aBrokenReplicas = {},
-               const std::set<std::string>& aConfirmedReplicas = {})
+               const std::set<std::string>& aConfirmedReplicas = {},
+               const ZoneEvacuations::Zones& aEvacuatedZones = {})
 {
   Fleet fleet(Fleet::Options{});
   for (const TargetRecord& record : aRecords) {
@@ -39,7 +40,8 @@
   }
   CandidateDirectory directory;
   const Catalog catalog = OneService();
-  directory.Rebuild(catalog, fleet, aBrokenReplicas, aConfirmedReplicas);
+  directory.Rebuild(
+    catalog, fleet, aBrokenReplicas, aConfirmedReplicas, aEvacuatedZones);
   return directory.Find(catalog.services.front(), "m").size();
 }
 
@@ -98,3 +100,13 @@
   REQUIRE(found.size() == 1);
   CHECK(found.front().id == "a");
 }
+
+TEST_CASE("CandidateDirectory lists no targets of an evacuated zone")
+{
+  TargetRecord head = Member(0, MemberState::kOpen);
+  head.availabilityZone = "a";
+  TargetRecord other = Member(1, MemberState::kReady);
+  other.availabilityZone = "b";
+  CHECK(CandidateCount({ head, other }, {}, {}, { "a" }) == 0);
+  CHECK(CandidateCount({ head, other }, {}, {}, { "b" }) == 1);
+}
--- a/tests/PeerMessagesTest.cpp
+++ b/tests/PeerMessagesTest.cpp
@@ -29,7 +29,12 @@
                   { .target = "u",
                     .limit = std::nullopt,
                     .age = milliseconds(50) } },
-      .forwardAddresses = { "g", "h" } },
+      .forwardAddresses = { "g", "h" },
+      .evacuatedZones = { "z" },
+      .evacuationRevision = 12,
+      .coldTargets = { { .target = "t",
+                         .rate = 17,
+                         .remaining = milliseconds(900) } } },
     CrashReport{
       .node = "n",
       .lostRequests = { { .target = "t",
--- a/tests/PlatformProtocolTest.cpp
+++ b/tests/PlatformProtocolTest.cpp
@@ -429,3 +429,40 @@
   CHECK(sent.count(http::field::authorization) == 0);
   CHECK(sent["X-Other"] == "2");
 }
+
+TEST_CASE("WireProtocol decodes how long a target stays cold")
+{
+  const auto remaining = [](std::string_view aText) {
+    return ReadEntry(Replaced(kEntry,
+                              "\"sequence\":4",
+                              "\"sequence\":4,\"cold_remaining_ms\":" +
+                                std::string(aText)))
+      ->coldRemaining;
+  };
+  CHECK(ReadEntry(std::string(kEntry))->coldRemaining == Duration::zero());
+  CHECK(remaining("2500") == milliseconds(2500));
+  CHECK(remaining("-1") == Duration::zero());
+  CHECK(remaining("\"soon\"") == Duration::zero());
+  CHECK(remaining("9000000000000000000") == seconds(60));
+}
+
+TEST_CASE("WireProtocol decodes what a service says of cold targets")
+{
+  const auto catalog = ReadCatalog(
+    Replaced(kDocument,
+             "\"health_path\"",
+             "\"cold_start_s\":3.0,\"cold_per_s\":17.0,\"health_path\""));
+  REQUIRE(catalog);
+  CHECK(catalog->services.front().coldTime == seconds(3));
+  CHECK(catalog->services.front().coldRate == 17);
+  CHECK(catalog->services.back().coldRate == 0);
+}
+
+TEST_CASE("WireProtocol names the zone of an evacuation")
+{
+  const WireProtocol protocol;
+  CHECK(protocol.EvacuatedZoneOf("op/evacuate/z-1") == "z-1");
+  CHECK(protocol.EvacuatedZoneOf("op/config").empty());
+  CHECK(protocol.EvacuatedZoneOf("op/evacuate/").empty());
+  CHECK(protocol.CatalogKey().starts_with(protocol.OperatorPrefix()));
+}
--- a/tests/ServingHarness.h
+++ b/tests/ServingHarness.h
@@ -27,6 +27,8 @@
 {
 public:
   std::string CatalogKey() const override { return "catalog"; }
+  std::string OperatorPrefix() const override { return "operator/"; }
+  std::string EvacuatedZoneOf(const std::string&) const override { return {}; }
   std::string TargetPrefix() const override { return "targets/"; }
   std::string TargetIdOf(const std::string& aKey) const override
   {
--- a/tests/SettingsTest.cpp
+++ b/tests/SettingsTest.cpp
@@ -92,3 +92,17 @@
   CHECK(unknownKeys[1].path == "later_table");
   CHECK_FALSE(ParseSettings("node = 1\n" + text, &unknownKeys));
 }
+
+TEST_CASE("ParseSettings takes zones for evacuated only with a bound")
+{
+  const std::string text = "node = \"n\"\navailability_zone = \"z\"\n"
+                           "listen = \"127.0.0.1:1\"\n"
+                           "admin_listen = \"127.0.0.1:2\"\n"
+                           "peer_listen = \"127.0.0.1:3\"\n"
+                           "platform = \"127.0.0.1:4\"\n"
+                           "[serving]\nready_listen = \"127.0.0.1:5\"\n";
+  CHECK_FALSE(ParseSettings(text)->serving->evacuationBound);
+  CHECK(ParseSettings(text + "evacuation_bound_ms = 5000\n")
+          ->serving->evacuationBound == seconds(5));
+  CHECK_FALSE(ParseSettings(text + "evacuation_bound_ms = -1\n"));
+}
