Plan without evacuated zones, and move no target that may serve elsewhere

TWO was seen once: a target joined an older replica while the one that it headed was open. Not reproduced. By the order of the orders it can come about in these ways, each closed now and tested with fakes: - an order to open was forgotten once no target reported its list of members, and a late join brought a target back to it (OpenOrders kept lists only while they were referenced; now for as long as an order may be late, and so are the lists that were given up); - a join was repeated without a look at the target's present list; - an entry that was read late replaced the newer report of a head that had not been ordered to stop. A join that has to wait is tried again each round.

--- a/src/replicas/FleetConversions.cpp
+++ b/src/replicas/FleetConversions.cpp
@@ -97,6 +97,9 @@
   const std::string& aDomain,
   const std::vector<std::string>& aAvailableTargets) const
 {
+  if (this->IsDomainEvacuated(aDomain)) {
+    return std::nullopt;
+  }
   int missingTargets = aModel.size - static_cast<int>(aAvailableTargets.size());
   std::vector<std::pair<int, std::string>> donors;
   for (const auto& [name, replica] : this->planner.replicas) {
--- a/src/replicas/FleetForming.cpp
+++ b/src/replicas/FleetForming.cpp
@@ -17,10 +17,18 @@
       const PlannedReplica& replica = aEntry.second;
       const std::string& model =
         replica.nextModel.empty() ? replica.model : replica.nextModel;
-      return replica.recipient.empty() && model == aModel;
+      return replica.recipient.empty() && model == aModel &&
+             !this->IsDomainEvacuated(replica.domain);
     }));
 }
 
+bool
+FleetPlanningRound::IsDomainEvacuated(std::string_view aDomain) const
+{
+  const auto& targets = this->index.TargetsIn(aDomain);
+  return !targets.empty() && targets.front()->evacuated;
+}
+
 std::vector<const ReplicaModel*>
 FleetPlanningRound::ModelsBySize() const
 {
@@ -40,7 +48,9 @@
   const auto usable =
     std::count_if(this->view.members.begin(),
                   this->view.members.end(),
-                  [](const auto& aEntry) { return aEntry.second.IsUsable(); });
+                  [](const auto& aEntry) {
+                    return aEntry.second.IsUsable() && !aEntry.second.evacuated;
+                  });
   return ReplicaBudget(this->planner.options.budget, this->engine)
     .Allocate(static_cast<int>(usable), this->view.demands);
 }
@@ -124,6 +134,9 @@
   int mostTargets = 0;
   std::string_view bestDomain;
   for (const auto& [domain, targets] : this->index.Domains()) {
+    if (this->IsDomainEvacuated(domain)) {
+      continue;
+    }
     const int idle = this->CountIdleTargetsIn(domain, aModel.name);
     if (idle > mostTargets) {
       mostTargets = idle;
--- a/src/replicas/FleetPlanner.cpp
+++ b/src/replicas/FleetPlanner.cpp
@@ -21,6 +21,8 @@
 FleetPlanner::FleetPlanner(Options aOptions, EpochSource aNextEpoch)
   : options(aOptions)
   , nextEpoch(std::move(aNextEpoch))
+  , openOrders(
+      OpenOrders::Options{ .lateOrderTime = this->options.lateOrderTime })
 {
 }
 
@@ -37,6 +39,12 @@
   if (aOrder.kind == OrderKind::kOpen) {
     this->openOrders.OnReply(list);
   }
+  if (aOrder.kind == OrderKind::kOpen) {
+    this->servingLists.insert(list);
+  } else if (aOrder.kind != OrderKind::kStage &&
+             aReply == OrderReply::kAccepted) {
+    this->servingLists.erase(list);
+  }
   const bool isForHead = aOrder.kind == OrderKind::kOpen ||
                          aOrder.kind == OrderKind::kCloseNow ||
                          aOrder.kind == OrderKind::kCloseGently;
@@ -46,6 +54,12 @@
   }
 }
 
+bool
+FleetPlanner::MayHaveStopped(const std::string& aList) const
+{
+  return !this->servingLists.contains(aList);
+}
+
 void
 FleetPlanner::OnNotSent(const ReplicaOrder& aOrder)
 {
--- a/src/replicas/FleetPlanner.h
+++ b/src/replicas/FleetPlanner.h
@@ -41,6 +41,9 @@
   bool slow = false;
   /// The store lists its entry. Nodes send requests to listed targets only.
   bool listed = true;
+  /// It gets no requests until its availability zone is taken back, and stays
+  /// a member of its replica.
+  bool evacuated = false;
   /// Requests per second that it accepts from all nodes together; none if it
   /// has stated no limit.
   std::optional<double> requestLimit;
@@ -145,6 +148,8 @@
     /// must also stay below this; nearly all responses then meet their latency
     /// objectives.
     double maxDonorSaturation = 0.9;
+    /// How long an order without a reply may still be carried out.
+    Duration lateOrderTime = seconds(30);
     /// Minimum time between two conversions, so that the effect of the first is
     /// visible in the saturation.
     Duration conversionInterval = milliseconds(1500);
@@ -179,6 +184,10 @@
   /// Records a target's reply other than `OrderReply::kUnknown`.
   void OnReply(const ReplicaOrder& aOrder, OrderReply aReply);
 
+  /// Returns true unless the list of members, as NAME/EPOCH, is one that this
+  /// planner has ordered to serve and not to stop.
+  bool MayHaveStopped(const std::string& aList) const;
+
   /// Records that an order did not reach its target.
   void OnNotSent(const ReplicaOrder& aOrder);
 
@@ -242,10 +251,14 @@
   std::map<std::string, Preparation, std::less<>> preparations;
   /// By NAME/EPOCH: until when a broken list of members is reported.
   std::map<std::string, Instant> brokenUntil;
-  /// NAME/EPOCH of lists of members that this planner gave up, so that it does
-  /// not adopt them as another planner's.
-  std::set<std::string> retiredMemberLists;
+  /// Lists of members, as NAME/EPOCH, that this planner gave up, so that it
+  /// does not adopt them as another planner's, and when a target was last known
+  /// to be in them. A late order may bring a target back.
+  std::map<std::string, Instant> retiredMemberLists;
   OpenOrders openOrders;
+  /// Lists of members, as NAME/EPOCH, whose heads were ordered to serve and
+  /// have accepted no order to stop or to leave since.
+  std::set<std::string> servingLists;
   /// Model that a target last held. It joins a replica of that model quickly,
   /// unless its process has restarted since.
   struct LastModel
@@ -261,6 +274,8 @@
   std::map<std::string, Instant, std::less<>> headReplacedAt;
   /// Joins without a reply since the last round.
   std::vector<ReplicaOrder> unansweredJoins;
+  /// Joins of targets that first have to leave another replica.
+  std::vector<ReplicaOrder> postponedJoins;
   /// Highest number of targets seen, and when it last grew. Both are updated
   /// only before the first request, while the planner waits for
   /// `Options::arrivalQuietTime` without growth to form replicas.
--- a/src/replicas/FleetPlanningRound.cpp
+++ b/src/replicas/FleetPlanningRound.cpp
@@ -93,28 +93,6 @@
   return std::move(this->orders);
 }
 
-void
-FleetPlanningRound::PruneStaleState()
-{
-  std::set<std::string> referencedKeys;
-  for (const auto& [id, member] : this->view.members) {
-    if (member.record.membership) {
-      referencedKeys.insert(ReplicaKey(*member.record.membership));
-    }
-  }
-  const auto isUnreferenced = [&](const std::string& aKey) {
-    return !referencedKeys.contains(aKey);
-  };
-  std::erase_if(this->planner.retiredMemberLists, isUnreferenced);
-  for (const auto& [name, replica] : this->planner.replicas) {
-    referencedKeys.insert(KeyOf(replica));
-  }
-  this->planner.openOrders.KeepOnly(referencedKeys);
-  std::erase_if(this->planner.lastModels, [&](const auto& aEntry) {
-    return !this->view.members.contains(aEntry.first);
-  });
-}
-
 void
 FleetPlanningRound::AdoptUnknownReplicas()
 {
@@ -333,21 +311,6 @@
   this->IssueOrder(OrderKind::kOpen, aReplica, aReplica.members.front());
 }
 
-void
-FleetPlanningRound::RepeatUnansweredJoins()
-{
-  for (const ReplicaOrder& order :
-       std::exchange(this->planner.unansweredJoins, {})) {
-    const auto found = this->planner.replicas.find(order.replica);
-    if (found != this->planner.replicas.end() &&
-        found->second.phase == ReplicaPhase::kJoining &&
-        found->second.epoch == order.epoch && this->IsUsable(order.target) &&
-        this->CurrentMembership(found->second, order.target) == nullptr) {
-      this->IssueOrder(OrderKind::kJoin, found->second, order.target);
-    }
-  }
-}
-
 void
 FleetPlanningRound::AdvanceOpening(PlannedReplica& aReplica)
 {
@@ -464,17 +427,6 @@
   this->OrderJoins(aReplica, false);
 }
 
-void
-FleetPlanningRound::OrderJoins(const PlannedReplica& aReplica,
-                               bool aOnlyMissing)
-{
-  for (const std::string& id : aReplica.members) {
-    if (!aOnlyMissing || this->CurrentMembership(aReplica, id) == nullptr) {
-      this->IssueOrder(OrderKind::kJoin, aReplica, id);
-    }
-  }
-}
-
 void
 FleetPlanningRound::IssueOrder(OrderKind aKind,
                                const PlannedReplica& aReplica,
--- a/src/replicas/FleetPlanningRound.h
+++ b/src/replicas/FleetPlanningRound.h
@@ -112,7 +112,8 @@
   void AdvanceServing(PlannedReplica& aReplica);
   /// Orders the head to serve.
   void OrderOpen(PlannedReplica& aReplica);
-  /// Repeats the joins without a reply whose replicas still wait for them.
+  /// Repeats the joins without a reply, and issues the postponed ones, whose
+  /// replicas still wait for them.
   void RepeatUnansweredJoins();
   /// Returns true if the replica ended and is to be removed from the plan.
   bool AdvanceClosing(PlannedReplica& aReplica);
@@ -202,8 +203,11 @@
   /// further complete replica costs the least load time, weighted by
   /// saturation.
   const ReplicaModel& SpareModelFor(const TargetRecord& aRecord) const;
+  /// Returns true if the domain's targets get no requests until their
+  /// availability zone is taken back.
+  bool IsDomainEvacuated(std::string_view aDomain) const;
   /// Counts the planned replicas of the model, including those being converted
-  /// to it and excluding donors.
+  /// to it and excluding donors and those of evacuated domains.
   int CountReplicasOf(std::string_view aModel) const;
   /// Forms replicas beyond the budget for overloaded models from spare targets.
   void FormExtraReplicas();
@@ -228,7 +232,8 @@
   /// Finds the fewest replicas of `aDonorModel` in the domain whose members,
   /// together with the targets `aAvailableTargets`, complete one more replica
   /// of `aModel`, which has `aReplicaCount`. Returns none if they do not
-  /// suffice, or if `aDonorModel` would then be too saturated
+  /// suffice, if the domain is evacuated, or if `aDonorModel` would then be too
+  /// saturated
   /// (`Options::maxDonorSaturationRatio`, `Options::maxDonorSaturation`).
   std::optional<Conversion> FindConversion(
     const ReplicaModel& aModel,
@@ -271,6 +276,15 @@
   bool FinishConversion(PlannedReplica& aReplica);
   /// Gives the replica a new list of members and epoch, and orders the joins.
   void BeginJoin(PlannedReplica& aReplica, std::vector<std::string> aMembers);
+  /// Orders the member to join, unless the head of another replica that it is
+  /// in serves or may start to. It then has to leave that one first.
+  void OrderJoin(const PlannedReplica& aReplica, const std::string& aId);
+  /// Returns true if the target is in another replica whose head serves or may
+  /// start to serve by an earlier order.
+  bool IsBoundElsewhere(const PlannedReplica& aReplica,
+                        const PlannerMember& aMember) const;
+  /// Returns true if the list of members that the target reports is planned.
+  bool IsListPlanned(const PlannerMember& aMember) const;
   /// Orders all members to join, or only those not in the current epoch.
   void OrderJoins(const PlannedReplica& aReplica, bool aOnlyMissing);
 
--- a/src/replicas/FleetRepair.cpp
+++ b/src/replicas/FleetRepair.cpp
@@ -120,12 +120,18 @@
   if (!limit || demand == this->view.demands.end()) {
     return false;
   }
-  const int serving =
-    this->planner.CountReplicas(aReplica.model, ReplicaPhase::kServing);
+  const auto serving =
+    std::count_if(this->planner.replicas.begin(),
+                  this->planner.replicas.end(),
+                  [&](const auto& aEntry) {
+                    return aEntry.second.model == aReplica.model &&
+                           aEntry.second.phase == ReplicaPhase::kServing &&
+                           !this->IsDomainEvacuated(aEntry.second.domain);
+                  });
   if (serving < 2) {
     return false;
   }
-  const double share = demand->second.requests / serving;
+  const double share = demand->second.requests / static_cast<double>(serving);
   return *limit < this->planner.options.minHeadShare * share &&
          serving == this->CountReplicasOf(aReplica.model) &&
          std::any_of(aReplica.members.begin(),
@@ -217,7 +223,7 @@
 void
 FleetPlanningRound::RetireMemberList(const PlannedReplica& aReplica)
 {
-  this->planner.retiredMemberLists.insert(KeyOf(aReplica));
+  this->planner.retiredMemberLists.insert_or_assign(KeyOf(aReplica), this->now);
   this->planner.headReplacedAt.erase(aReplica.name);
 }
 
--- a/src/replicas/OpenOrders.cpp
+++ b/src/replicas/OpenOrders.cpp
@@ -63,10 +63,15 @@
 }
 
 void
-OpenOrders::KeepOnly(const std::set<std::string>& aLists)
+OpenOrders::Prune(const std::set<std::string>& aLists, Instant aNow)
 {
+  for (auto& [list, orders] : this->orders) {
+    if (!orders.lastKeptAt || aLists.contains(list)) {
+      orders.lastKeptAt = aNow;
+    }
+  }
   std::erase_if(this->orders, [&](const auto& aEntry) {
-    return !aLists.contains(aEntry.first);
+    return aNow - *aEntry.second.lastKeptAt > this->options.lateOrderTime;
   });
 }
 
--- a/src/replicas/OpenOrders.h
+++ b/src/replicas/OpenOrders.h
@@ -1,7 +1,10 @@
 #ifndef APRICOTTRACK_REPLICAS_OPENORDERS_H
 #define APRICOTTRACK_REPLICAS_OPENORDERS_H
 
+#include "apricottrack/Time.h"
+
 #include <map>
+#include <optional>
 #include <set>
 #include <string>
 #include <string_view>
@@ -15,6 +18,19 @@
 class OpenOrders
 {
 public:
+  struct Options
+  {
+    /// An order without a reply may be carried out for this long. A target that
+    /// has left its list of members may return to it by a late order to join,
+    /// and then serve by a late order of this kind.
+    Duration lateOrderTime = seconds(30);
+  };
+
+  explicit OpenOrders(Options aOptions)
+    : options(aOptions)
+  {
+  }
+
   /// Records one transmission of an order to serve.
   void OnSent(const std::string& aList);
 
@@ -36,8 +52,9 @@
   /// from now on.
   bool MayTakeEffect(std::string_view aList) const;
 
-  /// Forgets all other lists.
-  void KeepOnly(const std::set<std::string>& aLists);
+  /// Forgets the lists that were not among `aLists` for longer than
+  /// `Options::lateOrderTime`.
+  void Prune(const std::set<std::string>& aLists, Instant aNow);
 
 private:
   struct Orders
@@ -47,7 +64,11 @@
     bool observedOpen = false;
     /// Orders of another planner may be outstanding.
     bool adopted = false;
+    /// When the list was last among those given to Prune; none before.
+    std::optional<Instant> lastKeptAt;
   };
+
+  Options options;
   std::map<std::string, Orders, std::less<>> orders;
 };
 
--- a/src/replicas/TargetReport.cpp
+++ b/src/replicas/TargetReport.cpp
@@ -4,6 +4,20 @@
 
 namespace {
 
+bool
+ShowsServing(const std::optional<Membership>& aMembership)
+{
+  return aMembership && aMembership->state == MemberState::kOpen;
+}
+
+/// True for a state to which a serving head comes by orders only.
+bool
+ShowsStopped(const std::optional<Membership>& aMembership)
+{
+  return !aMembership || aMembership->state == MemberState::kJoining ||
+         aMembership->state == MemberState::kReady;
+}
+
 /// True if the report describes a later state of the target than the entry.
 /// `aReportAt` is the time of the reported state, which is before the probe was
 /// sent. It decides only between states of the same epoch, because entries may
@@ -12,7 +26,8 @@
 IsReportNewer(const TargetRecord& aEntry,
               Instant aEntryAt,
               const TargetReport& aReport,
-              Instant aReportAt)
+              Instant aReportAt,
+              bool aMayHaveStopped)
 {
   if (aReport.startedAt != aEntry.startedAt) {
     return aReport.startedAt > aEntry.startedAt;
@@ -21,7 +36,9 @@
       aReport.membership->epoch != aEntry.membership->epoch) {
     return aReport.membership->epoch > aEntry.membership->epoch;
   }
-  return aReportAt > aEntryAt;
+  return aReportAt > aEntryAt ||
+         (!aMayHaveStopped && ShowsServing(aReport.membership) &&
+          ShowsStopped(aEntry.membership));
 }
 
 } // namespace
@@ -30,10 +47,12 @@
 MergeReport(const TargetRecord& aEntry,
             Instant aEntryAt,
             const std::optional<TargetReport>& aReport,
-            Instant aReportAt)
+            Instant aReportAt,
+            bool aMayHaveStopped)
 {
   TargetRecord record = aEntry;
-  if (!aReport || !IsReportNewer(aEntry, aEntryAt, *aReport, aReportAt)) {
+  if (!aReport ||
+      !IsReportNewer(aEntry, aEntryAt, *aReport, aReportAt, aMayHaveStopped)) {
     return record;
   }
   record.model = aReport->model;
--- a/src/replicas/TargetReport.h
+++ b/src/replicas/TargetReport.h
@@ -36,11 +36,15 @@
 
 /// Returns the target's entry, read at `aEntryAt`, updated from the report if
 /// that describes a later state. `aReportAt` is the time of that state.
+/// `aMayHaveStopped`: false if the replica that the report shows serving was
+/// not ordered to stop. An entry that shows it stopped then is an old one that
+/// was read late.
 TargetRecord
 MergeReport(const TargetRecord& aEntry,
             Instant aEntryAt,
             const std::optional<TargetReport>& aReport,
-            Instant aReportAt);
+            Instant aReportAt,
+            bool aMayHaveStopped = true);
 
 } // namespace apricottrack
 
--- a/tests/FleetLateOrderTest.cpp
+++ b/tests/FleetLateOrderTest.cpp
@@ -155,3 +155,85 @@
   CHECK(CountServing(planner) == 1);
   CHECK(fleet.violations.empty());
 }
+
+// Guards against a target that has left its list of members, returns to it by a
+// late order to join, and serves by a late order to open.
+TEST_CASE("FleetPlanner moves no target that a late order to join has brought "
+          "back to a list whose order to open may still be carried out")
+{
+  FakeFleet fleet(7);
+  FleetPlanner planner = MakePlanner(1);
+  Instant now = kStart;
+  std::vector<ReplicaOrder> joins;
+  fleet.delayOpens = true;
+  const auto runRound = [&] {
+    const auto orders = planner.PlanRound(fleet.View(true), now);
+    std::copy_if(orders.begin(),
+                 orders.end(),
+                 std::back_inserter(joins),
+                 [](const ReplicaOrder& aOrder) {
+                   return aOrder.kind == OrderKind::kJoin;
+                 });
+    fleet.Execute(orders);
+    now += milliseconds(50);
+  };
+  for (int i = 0; i < 60; ++i) {
+    runRound();
+  }
+  fleet.delayOpens = false;
+  fleet.RunUntilIdle(planner, now, true);
+  REQUIRE(CountServing(planner) == 2);
+  // The large replica loses a member, so that its others become idle.
+  std::string lost;
+  for (const auto& [name, replica] : planner.Replicas()) {
+    if (replica.model == "large") {
+      lost = replica.members.back();
+    }
+  }
+  fleet.members.at(lost).unresponsive = true;
+  fleet.RunUntilIdle(planner, now);
+  std::vector<std::string> returned;
+  for (const ReplicaOrder& order : joins) {
+    const bool isFree = order.target != lost && order.model == "large" &&
+                        !fleet.members.at(order.target).record.membership;
+    if (isFree) {
+      returned.push_back(order.target);
+      fleet.Execute({ order });
+    }
+  }
+  REQUIRE_FALSE(returned.empty());
+  // The small replica needs one of them.
+  for (const auto& [name, replica] : planner.Replicas()) {
+    if (replica.phase == ReplicaPhase::kServing) {
+      fleet.members.at(replica.members.back()).unresponsive = true;
+      break;
+    }
+  }
+  RunWithLateOpens(fleet, planner, now);
+  CHECK(fleet.violations.empty());
+  CHECK(CountServing(planner) == 1);
+}
+
+// Guards against a replica that waits for ever for a target which is still in
+// another list of members.
+TEST_CASE("FleetPlanner joins a target that serves an earlier list of members "
+          "once it has left that")
+{
+  FakeFleet fleet(7);
+  FleetPlanner planner = MakePlanner(1);
+  Instant now = kStart;
+  fleet.RunUntilIdle(planner, now, true);
+  REQUIRE(CountServing(planner) == 2);
+  const auto& replica = planner.Replicas().begin()->second;
+  const std::string member = replica.members.back();
+  const Membership membership = *fleet.members.at(member).record.membership;
+  // The target turns out to serve a list that was given up.
+  fleet.members.at(member).record.membership =
+    Membership{ .replica = "r1",
+                .epoch = membership.epoch - 1,
+                .rank = 0,
+                .state = MemberState::kOpen };
+  fleet.RunUntilIdle(planner, now);
+  CHECK(CountServing(planner) == 2);
+  CHECK(fleet.violations.empty());
+}
