Keep the planner's node from taking sound targets for lost

The planner's node, a small VM, then found 43 to 67 of 155 targets silent within two seconds, with connections that timed out, and took sound replicas apart: up to 1,224 requests in two seconds had no target. It sent each catalog to 30 nodes over a link of 52 Mbit/s, and read answers later than the timeout of 80 ms.

RelayBudget bounds the catalogs by a fifth of the link; nodes beyond that read the store, as they do for a large catalog. LoopDelays measures how late the event loop runs, and a timeout that this explains is not counted as missed, up to five times in a row.

--- a/include/apricottrack/Settings.h
+++ b/include/apricottrack/Settings.h
@@ -34,6 +34,8 @@
   /// until its targets get no more requests; none where zones are not
   /// evacuated.
   std::optional<Duration> evacuationBound;
+  /// Width of this VM's link, in Mbit/s; none if unknown.
+  std::optional<double> linkMbps;
   /// CPU of this VM, in cores; may be a fraction.
   double cpuShare = 1;
   /// Whether the whole deployment starts for the first time, before its first
--- a/src/config/Settings.cpp
+++ b/src/config/Settings.cpp
@@ -84,6 +84,13 @@
   if (evacuationBound > Duration::zero()) {
     serving.evacuationBound = evacuationBound;
   }
+  const double linkMbps = aReader.Number(
+    "link_mbps",
+    { .minimum = 0, .maximum = 10'000'000, .unit = "megabits per second" },
+    0);
+  if (linkMbps > 0) {
+    serving.linkMbps = linkMbps;
+  }
   serving.cpuShare =
     aReader.Number("cpu_share",
                    { .minimum = 0.01, .maximum = 1024, .unit = "cores" },
--- a/src/replicas/TargetProbe.cpp
+++ b/src/replicas/TargetProbe.cpp
@@ -6,6 +6,7 @@
 TargetProbe::OnReport(TargetReport aReport, Instant aSentAt)
 {
   this->missedReports = 0;
+  this->excusedReports = 0;
   this->reportedAt = aSentAt;
   this->report = std::move(aReport);
 }
@@ -20,6 +21,12 @@
   this->hasTimedOut = aTimedOut;
 }
 
+bool
+TargetProbe::TryExcuse(const Options& aOptions)
+{
+  return this->excusedReports++ < aOptions.maxExcusedReports;
+}
+
 void
 TargetProbe::ForgetMissed()
 {
--- a/src/replicas/TargetProbe.h
+++ b/src/replicas/TargetProbe.h
@@ -16,6 +16,9 @@
   {
     /// Consecutive missed reports after which a target is unresponsive.
     int maxMissedReports = 2;
+    /// Consecutive timeouts that a delay of this node may explain. After that
+    /// they count as missed, as a node may lack processor time for long.
+    int maxExcusedReports = 5;
     /// A replica with an unresponsive member keeps its members for this time if
     /// the member timed out.
     Duration silenceTolerance = milliseconds(1500);
@@ -30,6 +33,10 @@
   /// `aTimedOut` is false if the target accepted no connection or reset it.
   void OnMissed(Instant aSentAt, bool aTimedOut);
 
+  /// Records a timeout that a delay of this node explains. Returns false if too
+  /// many have been explained in a row.
+  bool TryExcuse(const Options& aOptions);
+
   /// Forgets the missed reports, which this node's own failure explains, and
   /// makes the next probe due.
   void ForgetMissed();
@@ -53,6 +60,8 @@
   /// When the first and the last of them were requested.
   Instant silentSince;
   Instant missedAt;
+  /// Consecutive timeouts that a delay of this node explained.
+  int excusedReports = 0;
   /// The last missed report timed out.
   bool hasTimedOut = false;
   /// A probe is in progress.
--- a/src/serving/FleetRelay.cpp
+++ b/src/serving/FleetRelay.cpp
@@ -37,6 +37,15 @@
 /// Nodes that one node may forward requests to, until its next query.
 constexpr std::size_t kForwardingNodes = 6;
 
+std::optional<double>
+LinkBytesPerSecond(const ServingSettings& aSettings)
+{
+  constexpr double kBytesPerMegabit = 125'000;
+  return aSettings.linkMbps
+           ? std::optional(*aSettings.linkMbps * kBytesPerMegabit)
+           : std::nullopt;
+}
+
 } // namespace
 
 FleetRelay::FleetRelay(ServingContext& aContext,
@@ -50,6 +59,8 @@
   , planner(aPlanner)
   , quarantine(aQuarantine)
   , source(RandomId())
+  , catalogBudget(RelayBudget::Options{
+      .linkBytesPerSecond = LinkBytesPerSecond(*aContext.settings.serving) })
 {
 }
 
@@ -217,7 +228,9 @@
 bool
 FleetRelay::TryReserveCatalogSend(const FleetQuestion& aQuestion, Instant aNow)
 {
-  if (this->catalog.DocumentText().size() <= kMaxUnpacedCatalogBytes) {
+  const std::size_t size = this->catalog.DocumentText().size();
+  if (size <= kMaxUnpacedCatalogBytes &&
+      this->catalogBudget.TryTake(size, aNow)) {
     return true;
   }
   if (!aQuestion.wantsCatalog || aNow < this->nextLargeCatalogAt) {
--- a/src/serving/FleetRelay.h
+++ b/src/serving/FleetRelay.h
@@ -2,6 +2,7 @@
 #define APRICOTTRACK_SERVING_FLEETRELAY_H
 
 #include "fleet/ForwardingNodes.h"
+#include "fleet/RelayBudget.h"
 #include "membership/PeerLink.h"
 #include "serving/CatalogTask.h"
 #include "serving/FleetTask.h"
@@ -63,8 +64,9 @@
   /// Records whether the querying node and this one accept forwarded requests,
   /// and chooses the nodes to which this one may forward its own.
   void UpdateForwardingNodes(const FleetQuestion& aQuestion, Instant aNow);
-  /// Returns true if this answer may include the catalog document. For a large
-  /// one this starts the interval until the next large one may be sent.
+  /// Returns true if this answer may include the catalog document. For one that
+  /// is large, or beyond the budget, this starts the interval until the next
+  /// such one may be sent.
   bool TryReserveCatalogSend(const FleetQuestion& aQuestion, Instant aNow);
   /// True if the state has changed since the one named in the query, or if this
   /// node is not the planner: then the answer must not wait.
@@ -90,6 +92,7 @@
   std::set<boost::asio::steady_timer*> waitingQueries;
   /// When waiting queries were last answered because of a change.
   Instant lastWakeAt;
+  RelayBudget catalogBudget;
   /// Earliest time at which the next large catalog may be sent.
   Instant nextLargeCatalogAt;
   bool wakeScheduled = false;
--- a/src/serving/PlannerCalls.cpp
+++ b/src/serving/PlannerCalls.cpp
@@ -204,6 +204,14 @@
     this->context.counters.Add("reports_judged_late");
     co_return;
   }
+  const Duration timeout =
+    aUrgent ? this->options.urgentTimeout : this->options.reportTimeout;
+  if (report.error().timedOut &&
+      this->delays.Explain(probeSentAt, timeout, now) &&
+      probe.TryExcuse(this->options.probes)) {
+    this->context.counters.Add("reports_judged_late");
+    co_return;
+  }
   if (report.error().code == ErrorCode::kUnreachable) {
     this->context.reach.OnConnectFailed(aTarget, now);
     this->hooks.onConnectFailed();
--- a/src/serving/PlannerTask.cpp
+++ b/src/serving/PlannerTask.cpp
@@ -30,6 +30,10 @@
 /// Between two lease attempts of a small VM. Most nodes are small, and store
 /// calls are charged for.
 constexpr Duration kSmallVmTryInterval = milliseconds(500);
+/// Between two checks of how late the event loop runs.
+constexpr Duration kDelayCheckInterval = milliseconds(10);
+/// The same on nodes that do not plan.
+constexpr Duration kIdleDelayCheckInterval = milliseconds(500);
 /// Probes that were in flight while the process was not scheduled end within
 /// this time after a late round.
 constexpr Duration kLocalDelayRecovery = milliseconds(300);
@@ -128,6 +132,10 @@
     this->context.executor,
     [this]() -> Task<void> { co_await this->Run(); },
     asio::detached);
+  asio::co_spawn(
+    this->context.executor,
+    [this]() -> Task<void> { co_await this->MeasureDelays(); },
+    asio::detached);
 }
 
 void
@@ -137,6 +145,21 @@
   this->isPlanner = false;
 }
 
+Task<void>
+PlannerTask::MeasureDelays()
+{
+  asio::steady_timer timer(this->context.executor);
+  for (;;) {
+    const Duration interval =
+      this->isPlanner ? kDelayCheckInterval : kIdleDelayCheckInterval;
+    const Instant dueAt = MonotonicNow() + interval;
+    timer.expires_at(dueAt);
+    co_await timer.async_wait(kAsTuple);
+    const Instant now = MonotonicNow();
+    this->delays.OnTimer(now - dueAt, now);
+  }
+}
+
 Task<void>
 PlannerTask::Run()
 {
--- a/src/serving/PlannerTask.h
+++ b/src/serving/PlannerTask.h
@@ -4,6 +4,7 @@
 #include "node/LeaseTask.h"
 #include "replicas/FleetPlanner.h"
 #include "replicas/IssuedOrders.h"
+#include "replicas/LoopDelays.h"
 #include "replicas/PlannerSuccession.h"
 #include "replicas/ReplicaCheckLimiter.h"
 #include "replicas/RoundPacer.h"
@@ -146,6 +147,8 @@
   /// it follows another node as the planner, also records that.
   bool MayQueryLease(Instant aNow);
   Task<void> Run();
+  /// Measures delays of the event loop while this node is the planner.
+  Task<void> MeasureDelays();
   /// Becomes or stops being the planner if the lease was taken or lost. If this
   /// node is the planner, plans all services that have an engine.
   void RunRound(Instant aNow);
@@ -242,6 +245,7 @@
   ReplicaCheckLimiter checkLimiter{ ReplicaCheckLimiter::Options{} };
   TakeoverGuard takeoverGuard{ TakeoverGuard::Options{} };
   RoundPacer pacer{ RoundPacer::Options{} };
+  LoopDelays delays{ LoopDelays::Options{} };
   /// By service name.
   std::map<std::string, std::unique_ptr<FleetPlanner>, std::less<>> planners;
   /// By target id.
--- a/tests/SettingsTest.cpp
+++ b/tests/SettingsTest.cpp
@@ -93,7 +93,8 @@
   CHECK_FALSE(ParseSettings("node = 1\n" + text, &unknownKeys));
 }
 
-TEST_CASE("ParseSettings takes zones for evacuated only with a bound")
+TEST_CASE("ParseSettings takes the evacuation bound and the link for unknown "
+          "without a key")
 {
   const std::string text = "node = \"n\"\navailability_zone = \"z\"\n"
                            "listen = \"127.0.0.1:1\"\n"
@@ -105,4 +106,7 @@
   CHECK(ParseSettings(text + "evacuation_bound_ms = 5000\n")
           ->serving->evacuationBound == seconds(5));
   CHECK_FALSE(ParseSettings(text + "evacuation_bound_ms = -1\n"));
+  CHECK_FALSE(ParseSettings(text)->serving->linkMbps);
+  CHECK(ParseSettings(text + "link_mbps = 51.5\n")->serving->linkMbps == 51.5);
+  CHECK_FALSE(ParseSettings(text + "link_mbps = -1\n"));
 }
