Send the priority of a request to its target

Targets admit more urgent requests first, but only retries had a rank. The account's priority, or else the route's, now ranks new requests behind them. It was decoded before and not used.

--- a/src/catalog/Catalog.h
+++ b/src/catalog/Catalog.h
@@ -51,7 +51,7 @@
   /// Objective for the time between two events of a stream; decoded, but not
   /// used by nodes.
   Duration eventGapObjective = Duration::zero();
-  /// Zero is the highest; decoded, but not used by nodes.
+  /// Rank among requests that wait; zero is the highest.
   int priority = 0;
   /// Maximum number of targets to which one request may be sent.
   int maxTargets = 1;
@@ -157,8 +157,7 @@
 {
   std::string name;
   std::vector<std::string> keys;
-  /// Overrides the route's priority; zero is the highest. Decoded, but not used
-  /// by nodes.
+  /// Overrides the route's priority; zero is the highest.
   std::optional<int> priority;
 
   friend bool operator==(const CatalogAccount&,
--- a/src/serving/Intake.cpp
+++ b/src/serving/Intake.cpp
@@ -52,6 +52,7 @@
     return refuseUnknown(IntakeRefusal::kNoRoute);
   }
   std::string account;
+  int priority = route->priority;
   if (catalog->RequiresKeys() && !route->isPublic) {
     if (!aHolder.MayAcceptKeys(aNow)) {
       return { .refusal = IntakeRefusal::kKeyNotVerified };
@@ -61,6 +62,7 @@
       return refuseUnknown(IntakeRefusal::kUnknownKey);
     }
     account = owner->name;
+    priority = owner->priority.value_or(priority);
   }
   const Duration timeLimit =
     std::min(aCaller.requestTimeout.value_or(route->timeout), route->timeout);
@@ -69,6 +71,7 @@
                         .route = route,
                         .service = PickService(*catalog, *route, aRandom),
                         .account = std::move(account),
+                        .priority = priority,
                         .deadline = aNow + timeLimit } };
 }
 
--- a/src/serving/Intake.h
+++ b/src/serving/Intake.h
@@ -20,6 +20,9 @@
   const CatalogService* service = nullptr;
   /// Empty for a public route.
   std::string account;
+  /// Rank among requests that wait, the account's or else the route's; zero is
+  /// the highest.
+  int priority = 0;
   /// Arrival time plus the shorter of the caller's and the route's timeout.
   Instant deadline;
 };
--- a/src/serving/PlatformProtocol.h
+++ b/src/serving/PlatformProtocol.h
@@ -48,6 +48,8 @@
   Duration timeLeft = Duration::zero();
   /// Id of the last event that the caller already has.
   std::optional<std::int64_t> resumeAfter;
+  /// Rank among the requests that wait at a target; zero is the highest.
+  int priority = 0;
   /// The request was sent to another target before; targets run it ahead of new
   /// requests.
   bool isRetry = false;
--- a/src/serving/RequestFlow.cpp
+++ b/src/serving/RequestFlow.cpp
@@ -157,6 +157,7 @@
     .account = this->admittedRequest.account,
     .timeLeft = this->Deadline() - aNow - kResponseMargin,
     .resumeAfter = this->eventSplitter.LastId(),
+    .priority = this->admittedRequest.priority,
     .isRetry = aIsRetry,
   };
   if (IsNodeCandidate(aTarget.id)) {
--- a/tests/PlatformProtocolTest.cpp
+++ b/tests/PlatformProtocolTest.cpp
@@ -326,6 +326,23 @@
   CHECK(request.count("Tenant-Id") == 1);
 }
 
+TEST_CASE("WireProtocol ranks retries first, and new requests by priority")
+{
+  const auto rank = [](int aPriority, bool aIsRetry) {
+    return std::string(
+      WireProtocol().MakeRequest(MakeCallerRequest(),
+                                 { .targetId = "i-1",
+                                   .timeLeft = seconds(1),
+                                   .priority = aPriority,
+                                   .isRetry = aIsRetry })["Request-Priority"]);
+  };
+  CHECK(rank(0, false) == "3");
+  CHECK(rank(2, false) == "5");
+  CHECK(rank(2, true) == "2");
+  CHECK(rank(1000, false) == "9");
+  CHECK(rank(-1, false) == "3");
+}
+
 TEST_CASE("WireProtocol sends no account header without an account")
 {
   const HttpRequest request = WireProtocol().MakeRequest(
