Take a batch for full by reports of some hundred milliseconds

Reports lost half of their requests within a second, although requests that end are replaced while nodes send to the target. The half-life for batches is 3 s.

--- a/src/placement/Placement.cpp
+++ b/src/placement/Placement.cpp
@@ -26,6 +26,15 @@
 
 } // namespace
 
+Placement::Options
+Placement::Options::ForBatches()
+{
+  // Each place in the queue costs some 40 to 60 ms; a longer queue would make
+  // all of its requests late. Requests that end are replaced while nodes send
+  // to a target, so that its reports stay valid for longer than a request.
+  return { .queueShare = 0.1, .reportHalfLife = seconds(3) };
+}
+
 Placement::Placement(Options aOptions,
                      const LoadTracker& aLoads,
                      const StallDetector& aStalls,
--- a/src/placement/Placement.h
+++ b/src/placement/Placement.h
@@ -73,6 +73,9 @@
     /// Unreported requests assumed while the request rate is unknown, as a
     /// fraction of the slots of all candidates.
     double unreportedShare = 0.5;
+
+    /// Returns the options for targets that run requests in batches.
+    static Options ForBatches();
   };
 
   /// `aLoads` and `aStalls` must outlive the object.
--- a/src/serving/RequestFlowPlacement.cpp
+++ b/src/serving/RequestFlowPlacement.cpp
@@ -9,10 +9,6 @@
 
 namespace {
 
-/// Requests beyond a batch's slots, as a share of them. Each place in the queue
-/// costs some 40 to 60 ms; a longer queue would make all of its requests late.
-constexpr double kBatchQueueShare = 0.1;
-
 /// A stream returns to a target only after this time: one that has just
 /// rejected or lost it is not ready sooner.
 constexpr Duration kReturnDelay = seconds(1);
@@ -21,10 +17,9 @@
 RequestFlow::TargetChoice
 RequestFlow::ChooseTarget(Instant aNow) const
 {
-  Placement::Options options{};
-  if (this->admittedRequest.service->engine) {
-    options.queueShare = kBatchQueueShare;
-  }
+  const Placement::Options options = this->admittedRequest.service->engine
+                                       ? Placement::Options::ForBatches()
+                                       : Placement::Options{};
   const Placement placement(options,
                             this->context.loads,
                             this->context.stalls,
--- a/tests/PlacementTest.cpp
+++ b/tests/PlacementTest.cpp
@@ -292,3 +292,25 @@
   CHECK(choice.refusal == PlacementRefusal::kNone);
   CHECK((choice.target.id == "t2" || choice.target.id == "t3"));
 }
+
+// The load: nodes see the reports of a batch with a long queue half a second
+// late. What has ended meanwhile was replaced by other nodes' requests.
+TEST_CASE("Placement takes a batch for full by a report of half a second ago")
+{
+  LoadTracker loads(LoadTracker::Options{});
+  const StallDetector stalls(StallDetector::Options{});
+  const Placement placement(
+    Placement::Options::ForBatches(), loads, stalls, "a");
+  std::vector<Candidate> candidates = Candidates(1);
+  candidates.front().slots = 48;
+  std::mt19937_64 random(3);
+  loads.OnForwardedReport(
+    { .target = "t0", .requests = 60, .age = milliseconds(500) }, kStart);
+  const auto refusalAfter = [&](Duration aTime) {
+    return placement.Choose(candidates, {}, 100, kStart + aTime, random)
+      .refusal;
+  };
+  CHECK(refusalAfter(Duration::zero()) == PlacementRefusal::kFull);
+  // Without a newer report nobody has sent to the target since.
+  CHECK(refusalAfter(milliseconds(1000)) == PlacementRefusal::kNone);
+}
