--- a/include/apricottrack/Settings.h
+++ b/include/apricottrack/Settings.h
@@ -4,6 +4,7 @@
 #include "apricottrack/Mistake.h"
 #include "apricottrack/Time.h"
 
+#include <map>
 #include <optional>
 #include <string>
 #include <string_view>
@@ -84,11 +85,22 @@
   friend bool operator==(const Settings&, const Settings&) = default;
 };
 
+/// TOML values by key, with its table: "serving.link_mbps".
+using SettingsDefaults = std::map<std::string, std::string>;
+
 /// Parses and validates a settings file. Returns all mistakes, not only the
 /// first. Unknown keys are mistakes unless `aUnknownKeys` is given, to which
 /// they are then added: a file may be meant for a later version as well.
+/// `aDefaults` are used for keys that the file lacks, in tables that it has.
 tl::expected<Settings, Mistakes>
-ParseSettings(std::string_view aText, Mistakes* aUnknownKeys = nullptr);
+ParseSettings(std::string_view aText,
+              Mistakes* aUnknownKeys = nullptr,
+              const SettingsDefaults& aDefaults = {});
+
+/// Returns the defaults that the environment states. A file that older versions
+/// read as well cannot have keys that they do not know.
+SettingsDefaults
+DefaultsFromEnvironment();
 
 } // namespace apricottrack
 
--- a/src/config/Settings.cpp
+++ b/src/config/Settings.cpp
@@ -3,6 +3,8 @@
 #include "config/TomlReader.h"
 #include "http/HttpTypes.h"
 
+#include <cstdlib>
+
 namespace apricottrack {
 
 namespace {
@@ -99,16 +101,60 @@
   return serving;
 }
 
+/// Adds a value for a key, with its table, that is absent.
+void
+AddDefault(toml::table& aTable,
+           std::string_view aKey,
+           const std::string& aValue,
+           Mistakes& aMistakes)
+{
+  const auto value = ParseToml("value = " + aValue, aMistakes);
+  const auto dot = aKey.find('.');
+  toml::table* const table =
+    dot == std::string_view::npos
+      ? &aTable
+      : aTable.get_as<toml::table>(aKey.substr(0, dot));
+  if (!value || table == nullptr) {
+    return;
+  }
+  const std::string_view name =
+    dot == std::string_view::npos ? aKey : aKey.substr(dot + 1);
+  value->get("value")->visit(
+    [&](const auto& aNode) { table->insert(name, aNode); });
+}
+
 } // namespace
 
+SettingsDefaults
+DefaultsFromEnvironment()
+{
+  static constexpr std::pair<const char*, std::string_view> kVariables[] = {
+    { "APRICOTTRACK_EVACUATION_BOUND_MS", "serving.evacuation_bound_ms" },
+    { "APRICOTTRACK_LINK_MBPS", "serving.link_mbps" },
+  };
+  SettingsDefaults defaults;
+  for (const auto& [variable, key] : kVariables) {
+    const char* const value = std::getenv(variable);
+    if (value != nullptr && *value != '\0') {
+      defaults.emplace(key, value);
+    }
+  }
+  return defaults;
+}
+
 tl::expected<Settings, Mistakes>
-ParseSettings(std::string_view aText, Mistakes* aUnknownKeys)
+ParseSettings(std::string_view aText,
+              Mistakes* aUnknownKeys,
+              const SettingsDefaults& aDefaults)
 {
   Mistakes mistakes;
-  const auto table = ParseToml(aText, mistakes);
+  auto table = ParseToml(aText, mistakes);
   if (!table) {
     return tl::unexpected(std::move(mistakes));
   }
+  for (const auto& [key, value] : aDefaults) {
+    AddDefault(*table, key, value, mistakes);
+  }
   static const std::vector<std::string_view> kLevels{
     "info", "debug", "warn", "error"
   };
--- a/tests/SettingsTest.cpp
+++ b/tests/SettingsTest.cpp
@@ -110,3 +110,22 @@
   CHECK(ParseSettings(text + "link_mbps = 51.5\n")->serving->linkMbps == 51.5);
   CHECK_FALSE(ParseSettings(text + "link_mbps = -1\n"));
 }
+
+TEST_CASE("ParseSettings uses defaults for keys that the file lacks")
+{
+  const std::string serving = kValid.substr(0, kValid.find("vm_list")) +
+                              "[serving]\nready_listen = \"127.0.0.1:6\"\n";
+  const SettingsDefaults defaults{ { "serving.link_mbps", "20.0" },
+                                   { "max_connections", "7" } };
+  const auto settings = ParseSettings(serving, nullptr, defaults);
+  REQUIRE(settings);
+  CHECK(settings->serving->linkMbps == 20);
+  CHECK(settings->maxConnections == 7);
+  CHECK(ParseSettings(serving + "link_mbps = 5\n", nullptr, defaults)
+          ->serving->linkMbps == 5);
+  CHECK(ParseSettings(kValid, nullptr, defaults)->maxConnections == 7);
+  CHECK_FALSE(
+    ParseSettings(serving, nullptr, { { "serving.link_mbps", "-1" } }));
+  CHECK_FALSE(
+    ParseSettings(serving, nullptr, { { "serving.link_mbps", "wide" } }));
+}
--- a/tools/apricottrackd.cpp
+++ b/tools/apricottrackd.cpp
@@ -39,7 +39,7 @@
   }
   std::stringstream text;
   text << file.rdbuf();
-  return ParseSettings(text.str(), aUnknownKeys);
+  return ParseSettings(text.str(), aUnknownKeys, DefaultsFromEnvironment());
 }
 
 void
