--- a/src/kv/PlatformKeys.h
+++ b/src/kv/PlatformKeys.h
@@ -16,6 +16,9 @@
   "apricottrack/state/configuration";
 /// The list of VMs that operators have drained.
 inline constexpr std::string_view kDrainedVmsKey = "apricottrack/state/drained";
+/// The availability zones that operators have evacuated.
+inline constexpr std::string_view kEvacuatedZonesKey =
+  "apricottrack/state/evacuated";
 /// Exists while a node holds the planner lease.
 inline constexpr std::string_view kPlannerLeaseKey =
   "apricottrack/state/planner";
