Evacuate availability zones on the product's own interface

Operators could drain single VMs only: a VM added to the zone later was not covered, and the groups of the drained VMs were dissolved. 'apricottrack evacuate ZONE' writes the set of evacuated zones to one key. Nodes leave out plain targets and groups with a VM there, also between the choice of a target and the sending; whole groups stay formed. Nodes offer no target until they have read the state once. 'status' shows how far an evacuation is.

--- a/bench/DecisionBench.cpp
+++ b/bench/DecisionBench.cpp
@@ -99,6 +99,7 @@
              .vms = this->vms,
              .reports = this->reports,
              .leaving = this->leaving,
+             .evacuated = this->evacuated,
              .plans = this->plans,
              .observingSince = {} };
   }
@@ -107,6 +108,7 @@
   VmList vms;
   MemberReports reports;
   std::set<std::string, std::less<>> leaving;
+  std::set<std::string, std::less<>> evacuated;
   DomainPlans plans;
 };
 
@@ -128,6 +130,7 @@
   const Fleet fleet(aState.range(0));
   NodeView view(std::make_unique<IntactGroupGate>(seconds(2)), seconds(2));
   view.SetVms(fleet.vms);
+  view.SetEvacuatedZones({}, kNow);
   for (const auto& [domain, plan] : fleet.plans) {
     view.SetPlan(plan);
   }
--- a/src/groups/GroupGate.cpp
+++ b/src/groups/GroupGate.cpp
@@ -12,6 +12,8 @@
       return "draining";
     case GateReason::kMemberLeaving:
       return "member_leaving";
+    case GateReason::kZoneEvacuated:
+      return "zone_evacuated";
     case GateReason::kMemberUnresponsive:
       return "member_unheard";
     case GateReason::kMemberRestarted:
@@ -41,6 +43,9 @@
   if (aView.leaving.contains(aMember.vm)) {
     return GateReason::kMemberLeaving;
   }
+  if (aView.evacuated.contains(aMember.vm)) {
+    return GateReason::kZoneEvacuated;
+  }
   const auto found = aView.reports.find(aMember.vm);
   if (found == aView.reports.end() ||
       aNow - found->second.probedAt > aMaxReportAge) {
--- a/src/groups/GroupGate.h
+++ b/src/groups/GroupGate.h
@@ -15,6 +15,8 @@
   kNone,
   kDraining,
   kMemberLeaving,
+  /// The member is in an evacuated availability zone.
+  kZoneEvacuated,
   /// No recent enough report of the member.
   kMemberUnresponsive,
   kMemberRestarted,
@@ -45,6 +47,8 @@
   const MemberReports& reports;
   /// VMs marked as leaving in the platform's list or by an operator.
   const std::set<std::string, std::less<>>& leaving;
+  /// VMs in evacuated availability zones.
+  const std::set<std::string, std::less<>>& evacuated;
 };
 
 /// Decides whether a replica group may be sent requests. A group without one of
@@ -62,7 +66,8 @@
 };
 
 /// Opens a group only if the last report of every member is recent enough and
-/// shows the planned incarnation and order, and the first member is ready.
+/// shows the planned incarnation and order, no member leaves or is in an
+/// evacuated zone, and the first member is ready.
 class IntactGroupGate final : public GroupGate
 {
 public:
--- a/src/groups/GroupPlanner.h
+++ b/src/groups/GroupPlanner.h
@@ -19,6 +19,9 @@
   const MemberReports& reports;
   /// VMs marked as leaving in the platform's list or by an operator.
   const std::set<std::string, std::less<>>& leaving;
+  /// VMs in evacuated availability zones. They join no further group; a group
+  /// of such VMs alone stays formed.
+  const std::set<std::string, std::less<>>& evacuated;
   const DomainPlans& plans;
   /// Start of the current period of uninterrupted probing by this node. A
   /// missing report says nothing about a member until this period is longer
--- a/src/groups/PlanningRound.cpp
+++ b/src/groups/PlanningRound.cpp
@@ -96,6 +96,19 @@
   return this->view.leaving.contains(aVm);
 }
 
+bool
+PlanningRound::IsEvacuatedInPart(const Assignment& aAssignment) const
+{
+  const auto evacuated =
+    std::count_if(aAssignment.members.begin(),
+                  aAssignment.members.end(),
+                  [this](const PlannedMember& aMember) {
+                    return this->view.evacuated.contains(aMember.vm);
+                  });
+  return evacuated > 0 &&
+         evacuated < static_cast<std::ptrdiff_t>(aAssignment.members.size());
+}
+
 bool
 PlanningRound::CanDetectLoss() const
 {
@@ -154,7 +167,7 @@
                                      });
     const bool configured = IsConfigured(this->view.configuration, assignment);
     if (assignment.state == AssignmentState::kActive &&
-        (leaving || !configured)) {
+        (leaving || !configured || this->IsEvacuatedInPart(assignment))) {
       assignment.state = AssignmentState::kDraining;
       assignment.drainingSince = this->wallNow;
     }
@@ -217,8 +230,8 @@
   std::vector<const Vm*> unassigned;
   for (const Vm& vm : this->view.vms) {
     if (vm.fabricDomain == aPlan.domain && vm.role == aRole &&
-        !this->IsLeaving(vm.id) && this->HasRecentReport(vm.id) &&
-        !this->IsAssignedOrReleased(vm.id)) {
+        !this->IsLeaving(vm.id) && !this->view.evacuated.contains(vm.id) &&
+        this->HasRecentReport(vm.id) && !this->IsAssignedOrReleased(vm.id)) {
       unassigned.push_back(&vm);
     }
   }
--- a/src/groups/PlanningRound.h
+++ b/src/groups/PlanningRound.h
@@ -31,6 +31,10 @@
 
   bool IsLeaving(std::string_view aVm) const;
 
+  /// Returns whether some, but not all members are in evacuated zones. The
+  /// others can serve in a group without those.
+  bool IsEvacuatedInPart(const Assignment& aAssignment) const;
+
   /// Returns whether a missing report means that a member is lost. It does not
   /// if this planner was paused within the loss timeout or has no recent report
   /// of any target: then the fault is probably its own.
--- a/src/node/AdminEndpoint.cpp
+++ b/src/node/AdminEndpoint.cpp
@@ -40,8 +40,9 @@
 HttpResponse
 AdminEndpoint::BuildHealthResponse() const
 {
-  const bool ready =
-    !this->context.draining && this->context.configuration.Current() != nullptr;
+  const bool ready = !this->context.draining &&
+                     this->context.configuration.Current() != nullptr &&
+                     this->context.view.KnowsEvacuatedZones();
   return JsonResponse(ready ? 200 : 503,
                       ready ? R"({"ready":true})" : R"({"ready":false})");
 }
@@ -93,6 +94,14 @@
                     { "slots", dispatcher->TargetRouter().TotalSlots() },
                     { "waiting", dispatcher->WaitingRequests() } };
   }
+  json::array zones;
+  for (const ZoneStatus& zone :
+       this->context.view.EvacuatedZoneStatuses(MonotonicNow())) {
+    zones.push_back(json::object{ { "zone", zone.zone },
+                                  { "vms", zone.vms },
+                                  { "unresponsive_vms", zone.unresponsiveVms },
+                                  { "requests", zone.requests } });
+  }
   const StoredConfiguration& stored = this->context.configuration.Stored();
   const json::object status{ { "node", this->context.settings.node },
                              { "incarnation", this->context.incarnation },
@@ -103,6 +112,7 @@
                              { "submission", stored.submission },
                              { "in_flight", this->context.requestsInFlight },
                              { "vms", this->context.view.Vms().size() },
+                             { "evacuated_zones", zones },
                              { "groups", groups },
                              { "services", services } };
   return JsonResponse(200, json::serialize(status));
--- a/src/node/GroupPlannerTask.cpp
+++ b/src/node/GroupPlannerTask.cpp
@@ -75,6 +75,7 @@
                       .vms = this->context.view.Vms(),
                       .reports = this->context.view.Reports(),
                       .leaving = this->context.view.LeavingVms(),
+                      .evacuated = this->context.view.EvacuatedVms(),
                       .plans = this->context.view.Plans(),
                       .observingSince = this->observingSince };
 }
--- a/src/node/NodeView.cpp
+++ b/src/node/NodeView.cpp
@@ -22,6 +22,7 @@
     return !this->zoneByVm.contains(aItem.first);
   });
   this->UpdateLeavingVms();
+  this->UpdateEvacuatedVms();
 }
 
 void
@@ -42,6 +43,86 @@
   }
 }
 
+void
+NodeView::SetEvacuatedZones(const ZoneEvacuations::Reading& aReading,
+                            Instant aNow)
+{
+  this->knowsEvacuatedZones = true;
+  if (this->evacuations.Apply(aReading, aNow)) {
+    this->UpdateEvacuatedVms();
+  }
+}
+
+void
+NodeView::UpdateEvacuatedVms()
+{
+  this->evacuatedVms.clear();
+  for (const Vm& vm : this->vms) {
+    if (this->evacuations.IsEvacuated(vm.availabilityZone)) {
+      this->evacuatedVms.insert(vm.id);
+    }
+  }
+}
+
+bool
+NodeView::IsEvacuated(const Target& aTarget) const
+{
+  if (this->evacuations.IsEvacuated(aTarget.availabilityZone)) {
+    return true;
+  }
+  for (const auto& [domain, plan] : this->plans) {
+    for (const Assignment& assignment : plan.assignments) {
+      if (!aTarget.group.empty() && assignment.group == aTarget.group &&
+          assignment.epoch == aTarget.epoch) {
+        return std::any_of(assignment.members.begin(),
+                           assignment.members.end(),
+                           [this](const PlannedMember& aMember) {
+                             return this->evacuatedVms.contains(aMember.vm);
+                           });
+      }
+    }
+  }
+  return false;
+}
+
+std::vector<ZoneStatus>
+NodeView::EvacuatedZoneStatuses(Instant aNow) const
+{
+  std::vector<ZoneStatus> zones;
+  for (const std::string& zone : this->evacuations.Evacuated()) {
+    ZoneStatus status{ .zone = zone };
+    for (const Vm& vm : this->vms) {
+      if (vm.availabilityZone != zone) {
+        continue;
+      }
+      ++status.vms;
+      if (this->HasRecentReport(vm.id, aNow)) {
+        status.requests += this->reports.find(vm.id)->second.requests;
+      } else {
+        ++status.unresponsiveVms;
+      }
+    }
+    zones.push_back(std::move(status));
+  }
+  return zones;
+}
+
+bool
+NodeView::HasRecentReport(const std::string& aVm, Instant aNow) const
+{
+  const auto report = this->reports.find(aVm);
+  return report != this->reports.end() &&
+         aNow - report->second.probedAt <= this->maxReportAge;
+}
+
+GateView
+NodeView::MakeGateView() const
+{
+  return GateView{ .reports = this->reports,
+                   .leaving = this->leaving,
+                   .evacuated = this->evacuatedVms };
+}
+
 void
 NodeView::SetPlan(DomainPlan aPlan)
 {
@@ -77,6 +158,9 @@
 NodeView::TargetsFor(const Service& aService, Instant aNow) const
 {
   std::vector<Target> targets;
+  if (!this->knowsEvacuatedZones) {
+    return targets;
+  }
   if (aService.contract == Contract::kPlain) {
     this->AddPlainTargets(aService, aNow, targets);
   } else {
@@ -91,12 +175,12 @@
                           std::vector<Target>& aTargets) const
 {
   for (const Vm& vm : this->vms) {
-    const auto report = this->reports.find(vm.id);
     if (vm.role != aService.role || this->leaving.contains(vm.id) ||
-        report == this->reports.end() ||
-        aNow - report->second.probedAt > this->maxReportAge) {
+        this->evacuatedVms.contains(vm.id) ||
+        !this->HasRecentReport(vm.id, aNow)) {
       continue;
     }
+    const auto report = this->reports.find(vm.id);
     aTargets.push_back(Target{ .id = vm.id + "#" + report->second.incarnation,
                                .address = vm.address,
                                .availabilityZone = vm.availabilityZone,
@@ -113,7 +197,7 @@
                           Instant aNow,
                           std::vector<Target>& aTargets) const
 {
-  const GateView view{ .reports = this->reports, .leaving = this->leaving };
+  const GateView view = this->MakeGateView();
   for (const auto& [domain, plan] : this->plans) {
     for (const Assignment& assignment : plan.assignments) {
       if (assignment.service != aService.name || assignment.members.empty() ||
@@ -141,7 +225,7 @@
 NodeView::GroupStatuses(Instant aNow) const
 {
   std::vector<GroupStatus> groups;
-  const GateView view{ .reports = this->reports, .leaving = this->leaving };
+  const GateView view = this->MakeGateView();
   for (const auto& [domain, plan] : this->plans) {
     for (const Assignment& assignment : plan.assignments) {
       if (!assignment.members.empty()) {
@@ -178,11 +262,10 @@
     if (!roles.contains(vm.role)) {
       continue;
     }
-    const auto report = this->reports.find(vm.id);
-    const bool reporting = report != this->reports.end() &&
-                           aNow - report->second.probedAt <= this->maxReportAge;
     ++vmCount;
-    healthyVms += reporting && !this->leaving.contains(vm.id) ? 1 : 0;
+    const bool mayServe =
+      !this->leaving.contains(vm.id) && !this->evacuatedVms.contains(vm.id);
+    healthyVms += mayServe && this->HasRecentReport(vm.id, aNow) ? 1 : 0;
   }
   const double length = ToSeconds(aInterval);
   return FleetTime{ .downtime =
--- a/src/node/NodeView.h
+++ b/src/node/NodeView.h
@@ -2,6 +2,7 @@
 #define APRICOTTRACK_NODE_NODEVIEW_H
 
 #include "apricottrack/Configuration.h"
+#include "fleet/ZoneEvacuations.h"
 #include "groups/DomainPlan.h"
 #include "groups/DrainedVms.h"
 #include "groups/GroupGate.h"
@@ -25,6 +26,19 @@
   GateVerdict verdict;
 };
 
+/// How far the evacuation of one availability zone is, for the status endpoint.
+struct ZoneStatus
+{
+  std::string zone;
+  int vms = 0;
+  /// Number of VMs without a recent report, whose requests are not known.
+  int unresponsiveVms = 0;
+  /// Requests that the other VMs reported last.
+  int requests = 0;
+
+  friend bool operator==(const ZoneStatus&, const ZoneStatus&) = default;
+};
+
 /// One node's copy of the VM list, the plans and the targets' reports.
 /// Derives from them which targets may serve. Does no I/O.
 class NodeView
@@ -40,6 +54,18 @@
   void RemovePlan(const std::string& aDomain);
   void SetDrainedVms(DrainedVms aVms);
 
+  /// Applies a reading of the evacuated zones, unless it is older than the one
+  /// in force. No target may serve before the first one.
+  void SetEvacuatedZones(const ZoneEvacuations::Reading& aReading,
+                         Instant aNow);
+  bool KnowsEvacuatedZones() const { return this->knowsEvacuatedZones; }
+
+  /// Returns whether a target has a VM in an evacuated zone.
+  bool IsEvacuated(const Target& aTarget) const;
+
+  /// Returns the status of every evacuated zone.
+  std::vector<ZoneStatus> EvacuatedZoneStatuses(Instant aNow) const;
+
   /// Records a VM's report, unless it answers an earlier probe than the report
   /// that is recorded already.
   void SetReport(const std::string& aVm, MemberReport aReport);
@@ -67,6 +93,12 @@
     return this->leaving;
   }
 
+  /// Ids of VMs in evacuated zones.
+  const std::set<std::string, std::less<>>& EvacuatedVms() const
+  {
+    return this->evacuatedVms;
+  }
+
 private:
   void AddPlainTargets(const Service& aService,
                        Instant aNow,
@@ -75,6 +107,9 @@
                        Instant aNow,
                        std::vector<Target>& aTargets) const;
   void UpdateLeavingVms();
+  void UpdateEvacuatedVms();
+  bool HasRecentReport(const std::string& aVm, Instant aNow) const;
+  GateView MakeGateView() const;
   std::string ZoneOf(const std::string& aVm) const;
 
   std::unique_ptr<GroupGate> gate;
@@ -86,6 +121,9 @@
   MemberReports reports;
   DrainedVms drainedVms;
   std::set<std::string, std::less<>> leaving;
+  ZoneEvacuations evacuations;
+  bool knowsEvacuatedZones = false;
+  std::set<std::string, std::less<>> evacuatedVms;
   /// Availability zone, keyed by VM id.
   std::map<std::string, std::string, std::less<>> zoneByVm;
 };
--- a/src/node/PlatformState.cpp
+++ b/src/node/PlatformState.cpp
@@ -2,6 +2,7 @@
 
 #include "base/Log.h"
 #include "groups/DrainedVms.h"
+#include "groups/EvacuatedZones.h"
 #include "kv/PlatformKeys.h"
 #include "node/NodeContext.h"
 
@@ -29,10 +30,12 @@
 PlatformState::RemoveAbsentKeys(const std::vector<KeyValue>& aValues)
 {
   bool drainedListed = false;
+  bool evacuatedListed = false;
   bool plannerListed = false;
   std::vector<std::string> nodes;
   for (const KeyValue& value : aValues) {
     drainedListed = drainedListed || value.key == keys::kDrainedVmsKey;
+    evacuatedListed = evacuatedListed || value.key == keys::kEvacuatedZonesKey;
     plannerListed = plannerListed || value.key == keys::kPlannerLeaseKey;
     if (value.key.starts_with(keys::kNodePrefix)) {
       nodes.push_back(value.key.substr(keys::kNodePrefix.size()));
@@ -41,6 +44,9 @@
   if (!drainedListed) {
     this->context.view.SetDrainedVms({});
   }
+  if (!evacuatedListed) {
+    this->context.view.SetEvacuatedZones({}, MonotonicNow());
+  }
   this->plannerLeaseHeld = plannerListed;
   this->context.directory.KeepOnly(nodes);
 }
@@ -58,6 +64,8 @@
     }
   } else if (aValue.key == keys::kDrainedVmsKey) {
     this->context.view.SetDrainedVms(ParseDrainedVms(aValue.value));
+  } else if (aValue.key == keys::kEvacuatedZonesKey) {
+    this->ApplyEvacuatedZones(aValue);
   } else if (aValue.key == keys::kPlannerLeaseKey) {
     this->plannerLeaseHeld = aValue.revision != 0;
   } else if (aValue.key.starts_with(keys::kPlanPrefix)) {
@@ -67,6 +75,23 @@
   }
 }
 
+void
+PlatformState::ApplyEvacuatedZones(const KeyValue& aValue)
+{
+  if (aValue.revision == 0) {
+    return;
+  }
+  auto zones =
+    ParseEvacuatedZones(aValue.value, this->context.settings.platform);
+  if (!zones) {
+    LogLine("evacuated_zones_unreadable").With(zones.error()).Warn();
+    return;
+  }
+  this->context.view.SetEvacuatedZones(
+    { .zones = std::move(*zones), .revision = aValue.revision },
+    MonotonicNow());
+}
+
 void
 PlatformState::ApplyNode(const KeyValue& aValue)
 {
--- a/src/node/PlatformState.h
+++ b/src/node/PlatformState.h
@@ -24,8 +24,8 @@
   PlatformState(NodeContext& aContext, PlanRevisionSink aPlanRevisionSink);
 
   /// Applies changed values. If `aComplete`, the values are the complete
-  /// state, and keys that are not among them were deleted. A deleted plan or
-  /// configuration stays in force at this node.
+  /// state, and keys that are not among them were deleted. A deleted plan,
+  /// configuration or set of evacuated zones stays in force at this node.
   void Apply(const std::vector<KeyValue>& aValues, bool aComplete);
 
   /// Applies a configuration from the platform or from another node, unless
@@ -38,9 +38,10 @@
 
 private:
   /// Clears what was applied from keys that are not in a complete list, except
-  /// plans and the configuration.
+  /// plans, the configuration and the evacuated zones.
   void RemoveAbsentKeys(const std::vector<KeyValue>& aValues);
   void ApplyValue(const KeyValue& aValue);
+  void ApplyEvacuatedZones(const KeyValue& aValue);
   void ApplyNode(const KeyValue& aValue);
   void ApplyPlan(const KeyValue& aValue);
 
--- a/src/node/RequestRun.cpp
+++ b/src/node/RequestRun.cpp
@@ -440,6 +440,8 @@
     .stallTimeout = service.stallTimeout,
     .deadline = this->spec.deadline,
     .onProgress = [this](Instant aNow) { this->OnStreamProgress(aNow); },
+    .isEvacuated =
+      [this, &aTarget] { return this->context.view.IsEvacuated(aTarget); },
   };
   this->soundness = {};
   TargetAttempt attempt(this->context.targetPool,
--- a/src/node/TargetAttempt.cpp
+++ b/src/node/TargetAttempt.cpp
@@ -97,6 +97,12 @@
                                     this->options.address,
                                     "the target has asked for a pause");
   }
+  if (this->options.isEvacuated()) {
+    co_return apricottrack::Failure(ErrorCode::kRefused,
+                                    "target.evacuated",
+                                    this->options.address,
+                                    "the target's zone was evacuated");
+  }
   this->mayHaveSent = true;
   this->sentAt = MonotonicNow();
   const auto written = co_await this->connection->Send(
--- a/src/node/TargetAttempt.h
+++ b/src/node/TargetAttempt.h
@@ -33,6 +33,9 @@
   Instant deadline;
   /// Called whenever a part of the response's body has arrived.
   std::function<void(Instant)> onProgress = [](Instant) {};
+  /// Asked before sending: the target's zone was evacuated after the target
+  /// was chosen.
+  std::function<bool()> isEvacuated = [] { return false; };
   /// Maximum response body in bytes.
   std::uint64_t bodyLimit = std::uint64_t{ 16 } * 1024 * 1024;
 };
--- a/src/operators/Operators.cpp
+++ b/src/operators/Operators.cpp
@@ -16,7 +16,7 @@
 
 /// Maximum number of compare-and-swap attempts, which fail if another operator
 /// writes first or the store is unreachable.
-constexpr int kMaxDrainAttempts = 10;
+constexpr int kMaxUpdateAttempts = 10;
 /// Timeout of a request to the admin endpoint of a node; see Fetch for what it
 /// limits.
 constexpr Duration kAdminRequestTimeout = milliseconds(1500);
@@ -167,6 +167,23 @@
   co_return nodes;
 }
 
+std::vector<std::string>
+UnconfirmedNodes(const std::vector<NodeStatus>& aNodes, std::uint64_t aVersion)
+{
+  if (aNodes.empty()) {
+    return { "(no node is registered)" };
+  }
+  std::vector<std::string> names;
+  for (const NodeStatus& node : aNodes) {
+    const auto version = static_cast<std::uint64_t>(
+      JsonInteger(node.status, "configuration_version"));
+    if (version < aVersion) {
+      names.push_back(node.node);
+    }
+  }
+  return names;
+}
+
 Task<Result<BurnLedger>>
 ReadBurnLedger(boost::asio::any_io_executor aExecutor, KeyValueStore& aStore)
 {
@@ -182,39 +199,106 @@
   co_return sum;
 }
 
-Task<Result<DrainedVms>>
-UpdateDrainedVms(KeyValueStore& aStore,
-                 std::vector<std::string> aVms,
-                 bool aDrain)
+namespace {
+
+using Names = std::set<std::string, std::less<>>;
+
+Result<Names>
+ReadDrainedValue(const KeyValue& aValue)
+{
+  return ParseDrainedVms(aValue.value);
+}
+
+Result<Names>
+ReadEvacuatedValue(const KeyValue& aValue)
+{
+  return aValue.revision == 0 ? Result<Names>(Names{})
+                              : ParseEvacuatedZones(aValue.value, aValue.key);
+}
+
+/// Adds names to the set in one key (aAdd) or removes them from it, and returns
+/// the new set. Fails at once if aRead does, otherwise with the last store
+/// error after kMaxUpdateAttempts.
+Task<Result<Names>>
+UpdateNames(KeyValueStore& aStore,
+            std::string aKey,
+            std::vector<std::string> aNames,
+            bool aAdd,
+            Result<Names> (*aRead)(const KeyValue&),
+            std::string (*aEncode)(const Names&))
 {
   Error lastError;
-  for (int i = 0; i < kMaxDrainAttempts; ++i) {
-    const auto current = co_await aStore.Get(std::string(keys::kDrainedVmsKey));
+  for (int i = 0; i < kMaxUpdateAttempts; ++i) {
+    const auto current = co_await aStore.Get(aKey);
     if (!current) {
       lastError = current.error();
       continue;
     }
-    DrainedVms vms = ParseDrainedVms(current->value);
-    for (const std::string& vm : aVms) {
-      if (aDrain) {
-        vms.insert(vm);
+    auto names = aRead(*current);
+    if (!names) {
+      co_return tl::unexpected(names.error());
+    }
+    for (const std::string& name : aNames) {
+      if (aAdd) {
+        names->insert(name);
       } else {
-        vms.erase(vm);
+        names->erase(name);
       }
     }
-    Swap swap{ .key = std::string(keys::kDrainedVmsKey),
+    Swap swap{ .key = aKey,
                .expected = current->revision,
-               .value = EncodeDrainedVms(vms),
+               .value = aEncode(*names),
                .lease = 0 };
     const auto swapped = co_await aStore.CompareAndSwap(std::move(swap));
     if (swapped) {
-      co_return vms;
+      co_return *names;
     }
     lastError = swapped.error();
   }
   co_return tl::unexpected(lastError);
 }
 
+} // namespace
+
+Task<Result<DrainedVms>>
+UpdateDrainedVms(KeyValueStore& aStore,
+                 std::vector<std::string> aVms,
+                 bool aDrain)
+{
+  std::string key(keys::kDrainedVmsKey);
+  co_return co_await UpdateNames(aStore,
+                                 std::move(key),
+                                 std::move(aVms),
+                                 aDrain,
+                                 &ReadDrainedValue,
+                                 &EncodeDrainedVms);
+}
+
+Task<Result<EvacuatedZones>>
+ReadEvacuatedZones(KeyValueStore& aStore)
+{
+  std::string key(keys::kEvacuatedZonesKey);
+  const auto value = co_await aStore.Get(std::move(key));
+  if (!value) {
+    co_return tl::unexpected(value.error());
+  }
+  co_return ReadEvacuatedValue(*value);
+}
+
+Task<Result<EvacuatedZones>>
+UpdateEvacuatedZones(KeyValueStore& aStore,
+                     std::vector<std::string> aZones,
+                     bool aEvacuate)
+{
+  std::string key(keys::kEvacuatedZonesKey);
+  co_return co_await UpdateNames(aStore,
+                                 std::move(key),
+                                 std::move(aZones),
+                                 aEvacuate,
+                                 &ReadEvacuatedValue,
+                                 &EncodeEvacuatedZones);
+}
+
 Task<Result<JournalIndex>>
 ReadJournals(KeyValueStore& aStore)
 {
--- a/src/operators/Operators.h
+++ b/src/operators/Operators.h
@@ -5,6 +5,7 @@
 #include "apricottrack/Time.h"
 #include "config/StoredConfiguration.h"
 #include "groups/DrainedVms.h"
+#include "groups/EvacuatedZones.h"
 #include "journal/JournalIndex.h"
 #include "membership/NodeDirectory.h"
 #include "report/BurnLedger.h"
@@ -64,6 +65,11 @@
 Task<Result<std::vector<NodeStatus>>>
 ReadNodeStatuses(boost::asio::any_io_executor aExecutor, KeyValueStore& aStore);
 
+/// Returns the names of the nodes whose reported configuration is older than
+/// aVersion; nodes that did not respond are among them.
+std::vector<std::string>
+UnconfirmedNodes(const std::vector<NodeStatus>& aNodes, std::uint64_t aVersion);
+
 /// Merges the burn ledgers of all nodes that respond, with the same time limits
 /// as for NodeStatus::status. Fails only if the store does.
 Task<Result<BurnLedger>>
@@ -76,6 +82,20 @@
                  std::vector<std::string> aVms,
                  bool aDrain);
 
+/// Reads the evacuated zones. Fails with kBadReply if the store holds anything
+/// else.
+Task<Result<EvacuatedZones>>
+ReadEvacuatedZones(KeyValueStore& aStore);
+
+/// Evacuates zones (aEvacuate) or takes them back, and returns the new set.
+/// Fails with kBadReply, without a write, if the store holds anything else than
+/// zones, otherwise with the last store error after ten attempts; it is then
+/// unknown whether the write took effect.
+Task<Result<EvacuatedZones>>
+UpdateEvacuatedZones(KeyValueStore& aStore,
+                     std::vector<std::string> aZones,
+                     bool aEvacuate);
+
 /// Reads the journals of all nodes into one index.
 Task<Result<JournalIndex>>
 ReadJournals(KeyValueStore& aStore);
--- a/tests/GroupGateTest.cpp
+++ b/tests/GroupGateTest.cpp
@@ -36,13 +36,15 @@
 GateReason
 Evaluate(const MemberReports& aReports,
          const std::set<std::string, std::less<>>& aLeaving = {},
-         Instant aNow = kNow)
+         Instant aNow = kNow,
+         const std::set<std::string, std::less<>>& aEvacuated = {})
 {
   const IntactGroupGate gate(seconds(2));
   return gate
-    .Evaluate(MakeTwoMemberAssignment(),
-              { .reports = aReports, .leaving = aLeaving },
-              aNow)
+    .Evaluate(
+      MakeTwoMemberAssignment(),
+      { .reports = aReports, .leaving = aLeaving, .evacuated = aEvacuated },
+      aNow)
     .reason;
 }
 
@@ -73,6 +75,9 @@
   CHECK(Evaluate(reports) == GateReason::kNotReady);
 
   CHECK(Evaluate(MakeReports(), { "v2" }) == GateReason::kMemberLeaving);
+
+  CHECK(Evaluate(MakeReports(), {}, kNow, { "v2" }) ==
+        GateReason::kZoneEvacuated);
 }
 
 // A scenario with PlanOnlyGate shows that the scenario checker detects groups
@@ -82,7 +87,8 @@
 {
   const PlanOnlyGate planOnlyGate;
   CHECK(planOnlyGate
-          .Evaluate(
-            MakeTwoMemberAssignment(), { .reports = {}, .leaving = {} }, kNow)
+          .Evaluate(MakeTwoMemberAssignment(),
+                    { .reports = {}, .leaving = {}, .evacuated = {} },
+                    kNow)
           .reason == GateReason::kNone);
 }
--- a/tests/TargetAttemptTest.cpp
+++ b/tests/TargetAttemptTest.cpp
@@ -17,9 +17,10 @@
   Duration pause = Duration::zero();
 };
 
-/// Runs one attempt at a target that answers with these bytes.
+/// Runs one attempt at a target that answers with these bytes, and whose zone
+/// may be evacuated while the attempt connects.
 AttemptResult
-RunAttempt(const std::string& aResponse)
+RunAttempt(const std::string& aResponse, bool aIsEvacuated = false)
 {
   asio::io_context io(1);
   TargetLimits limits(TargetLimits::Options{}, 1);
@@ -54,7 +55,8 @@
                               { .targetId = "t",
                                 .address = targetAddress,
                                 .message = message,
-                                .deadline = MonotonicNow() + seconds(5) });
+                                .deadline = MonotonicNow() + seconds(5),
+                                .isEvacuated = [&] { return aIsEvacuated; } });
         result.end = co_await attempt.Run();
         const Instant now = MonotonicNow();
         result.pause = pauses.EarliestSend("t", now) - now;
@@ -113,3 +115,10 @@
                    PlainResponse(200, "", "whole"))
           .end == AttemptEnd::kAnswered);
 }
+
+TEST_CASE("TargetAttempt sends nothing to a target whose zone was evacuated")
+{
+  const std::string response = PlainResponse(200, "", "whole");
+  CHECK(RunAttempt(response).end == AttemptEnd::kAnswered);
+  CHECK(RunAttempt(response, true).end == AttemptEnd::kNotSent);
+}
--- a/tests/scenarios/PlanningNode.cpp
+++ b/tests/scenarios/PlanningNode.cpp
@@ -39,6 +39,7 @@
   , view(MakeGate(aWorld.scenario), kMaxReportAge)
   , planner(PlannerOptions(aWorld.scenario))
 {
+  this->view.SetEvacuatedZones({}, aWorld.time.Now());
 }
 
 void
@@ -70,6 +71,7 @@
            .vms = this->view.Vms(),
            .reports = this->view.Reports(),
            .leaving = this->view.LeavingVms(),
+           .evacuated = this->view.EvacuatedVms(),
            .plans = this->view.Plans(),
            .observingSince = this->observingSince };
 }
--- a/tools/apricottrack.cpp
+++ b/tools/apricottrack.cpp
@@ -1,5 +1,6 @@
 /// The operators' command: checks and applies configurations, shows the status
-/// of nodes and replica groups, drains VMs, and audits requests.
+/// of nodes and replica groups, drains VMs, evacuates zones, and audits
+/// requests.
 
 #include "apricottrack/Configuration.h"
 #include "base/Hash.h"
@@ -7,7 +8,9 @@
 #include "base/Log.h"
 #include "kv/EtcdStore.h"
 #include "operators/ConfigurationDiff.h"
+#include "operators/EvacuationProgress.h"
 #include "operators/Operators.h"
+#include "operators/StatusText.h"
 #include "report/BurnReport.h"
 
 #include <CLI/CLI.hpp>
@@ -47,6 +50,7 @@
   /// Maximum wait, in seconds, until all nodes confirm a configuration.
   double waitSeconds = 13;
   std::vector<std::string> vms;
+  std::vector<std::string> zones;
   bool undo = false;
   std::string request;
   std::string account;
@@ -178,25 +182,6 @@
   return kExitOk;
 }
 
-/// Returns the names of the nodes whose reported configuration is older than
-/// aVersion; nodes that did not respond are among them.
-std::vector<std::string>
-UnconfirmedNodes(const std::vector<NodeStatus>& aNodes, std::uint64_t aVersion)
-{
-  if (aNodes.empty()) {
-    return { "(no node is registered)" };
-  }
-  std::vector<std::string> names;
-  for (const NodeStatus& node : aNodes) {
-    const auto version = static_cast<std::uint64_t>(
-      JsonInteger(node.status, "configuration_version"));
-    if (version < aVersion) {
-      names.push_back(node.node);
-    }
-  }
-  return names;
-}
-
 int
 ApplyFile(const Arguments& aArguments)
 {
@@ -240,41 +225,6 @@
   return kExitOk;
 }
 
-void
-PrintNode(const NodeStatus& aNode)
-{
-  if (aNode.status.empty()) {
-    std::cout << fmt::format("node {:<12} is not responding\n", aNode.node);
-    return;
-  }
-  std::cout << fmt::format(
-    "node {:<12} zone {:<14} configuration {:<4} in flight {:<4}{}\n",
-    aNode.node,
-    JsonText(aNode.status, "availability_zone"),
-    JsonInteger(aNode.status, "configuration_version"),
-    JsonInteger(aNode.status, "in_flight"),
-    JsonFlag(aNode.status, "draining") ? " draining" : "");
-}
-
-void
-PrintGroups(const json::object& aStatus)
-{
-  const json::array* const groups = JsonArray(aStatus, "groups");
-  if (groups == nullptr) {
-    return;
-  }
-  for (const json::value& item : *groups) {
-    const json::object& group = item.as_object();
-    const std::string vm = JsonText(group, "vm");
-    std::cout << fmt::format("group {:<14} domain {:<12} epoch {:<4} {}{}\n",
-                             JsonText(group, "group"),
-                             JsonText(group, "domain"),
-                             JsonInteger(group, "epoch"),
-                             JsonText(group, "state"),
-                             vm.empty() ? "" : " (" + vm + ")");
-  }
-}
-
 int
 ShowStatus(const Arguments& aArguments)
 {
@@ -284,20 +234,19 @@
   if (!nodes) {
     return ReportError(nodes.error());
   }
-  bool hasPrintedGroups = false;
-  for (const NodeStatus& node : *nodes) {
-    if (aArguments.asJson) {
+  if (aArguments.asJson) {
+    for (const NodeStatus& node : *nodes) {
       std::cout << json::serialize(node.status) << "\n";
-      continue;
     }
-    PrintNode(node);
+    return kExitOk;
   }
-  // All nodes report the same groups: print those of the first that responded.
-  for (const NodeStatus& node : *nodes) {
-    if (!aArguments.asJson && !hasPrintedGroups && !node.status.empty()) {
-      PrintGroups(node.status);
-      hasPrintedGroups = true;
-    }
+  std::cout << RenderNodeStatuses(*nodes);
+  const auto zones = session.Run(ReadEvacuatedZones(session.store));
+  if (!zones) {
+    return ReportError(zones.error());
+  }
+  for (const EvacuationProgress& zone : MeasureEvacuations(*zones, *nodes)) {
+    std::cout << RenderEvacuation(zone);
   }
   return kExitOk;
 }
@@ -315,6 +264,19 @@
   return kExitOk;
 }
 
+int
+EvacuateZones(const Arguments& aArguments)
+{
+  Session session(aArguments);
+  const auto zones = session.Run(
+    UpdateEvacuatedZones(session.store, aArguments.zones, !aArguments.undo));
+  if (!zones) {
+    return ReportError(zones.error());
+  }
+  std::cout << fmt::format("evacuated zones: {}\n", fmt::join(*zones, ", "));
+  return kExitOk;
+}
+
 /// Formats a time as UTC, such as "2024-01-31T12:00:00.000Z". The texts sort by
 /// time, so that the options --since and --until are compared with them.
 std::string
@@ -490,12 +452,19 @@
     "--wait", arguments.waitSeconds, "seconds to wait for confirmation");
   addPlatformOptions(
     addCommand("status",
-               "show nodes, replica groups and why a group is not serving",
+               "show nodes, evacuated zones, replica groups and why a group is "
+               "not serving",
                ShowStatus));
   auto* const drain = addPlatformOptions(
     addCommand("drain", "take VMs out of service", DrainVms));
   drain->add_option("vms", arguments.vms)->required();
   drain->add_flag("--undo", arguments.undo, "return them to service");
+  auto* const evacuate = addPlatformOptions(
+    addCommand("evacuate",
+               "send no requests to the VMs of availability zones",
+               EvacuateZones));
+  evacuate->add_option("zones", arguments.zones)->required();
+  evacuate->add_flag("--undo", arguments.undo, "take them back");
   auto* const audit = addPlatformOptions(
     addCommand("audit", "show whether non-idempotent requests ran", ShowAudit));
   audit->add_option("--request", arguments.request, "one request id");
