--- a/review/lib/standins.py
+++ b/review/lib/standins.py
@@ -10,6 +10,7 @@
 import json
 import os
 import random
+import re
 import resource
 import shutil
 import signal
@@ -676,7 +677,11 @@
             "{{contract_bounds.budget_slack}}": "130", "{{contract_bounds.grace_s}}": "8",
             "{{contract_bounds.drain_ms}}": "2000",
             "{{bootstrap}}": "true" if self.first_start else "false",
-            "{{limits.cpu_share}}": "0.25"}
+            "{{limits.cpu_share}}": "0.25",
+            "{{limits.memory_mb}}": str(self.memory_mb),
+            "{{limits.max_fds}}": str(self.world.max_fds)}
+        # Sections of values that this site does not have.
+        text = re.sub(r"(?s)\{\{#([a-z_.]+)\}\}\n.*?\{\{/\1\}\}\n", "", text)
         for name, value in values.items():
             text = text.replace(name, value)
         if "{{" in text:
--- /dev/null
+++ b/tests/wholepath/test_hostile_clients.py
@@ -0,0 +1,334 @@
+"""Nodes live, stay within the memory and descriptors of their VM and answer an
+ordinary request, while crowds of callers that keep to no limits stay connected."""
+
+import asyncio
+import os
+import re
+import resource
+import shutil
+import struct
+import subprocess
+import sys
+import tempfile
+import unittest
+
+from deployment import ROOT, Deployment, Shape, chat, wait_until
+
+sys.path.insert(0, os.path.join(ROOT, "review", "lib"))
+
+import brennock
+import standins
+from hostile import Crowd, chunked, descriptors, peak_mb
+
+BUILD = os.environ["BUILD_DIR"]
+
+# What the settings of these tests state of the VM. The bounds are the same.
+MEMORY_MB = 96
+MAX_FDS = 400
+LIMITS = {"memory_mb": MEMORY_MB, "max_fds": MAX_FDS}
+
+CROWD = 120
+# Connections that a node has no descriptors for.
+LARGE_CROWD = 600
+# Pause in which nodes read what the crowds have sent.
+READING_S = 1.0
+KIB = 1024
+LARGE_CHUNK = 64 * KIB
+SMALL_CHUNK = 32
+# A body that stops just short of the own interface's limit of 1 MiB.
+OWN_BODY = 960 * KIB
+# A body that stops just short of the catalog's limit of 4 MiB.
+PLATFORM_BODY = 3840 * KIB
+OVERSIZED_BODY = 45 * 1024 * KIB
+# Just below the limit of messages between nodes.
+PEER_MESSAGE = 2 * 1024 * KIB - 1
+
+
+def with_limits(text: str) -> str:
+    """Returns the settings with the VM's limits, in place of any that they have."""
+    for name, value in LIMITS.items():
+        text = re.sub(rf"(?m)^{name} = .*\n", "", text)
+        text = f"{name} = {value}\n" + text
+    return text
+
+
+def limit_descriptors():
+    resource.setrlimit(resource.RLIMIT_NOFILE, (MAX_FDS, MAX_FDS))
+
+
+def head(path: str, length: str, **more) -> bytes:
+    lines = [f"POST {path} HTTP/1.1", "Host: " + standins.HOST, length]
+    lines += [f"{name.replace('_', '-')}: {value}" for name, value in more.items()]
+    return ("\r\n".join(lines) + "\r\n\r\n").encode()
+
+
+CHUNKED = "Transfer-Encoding: chunked"
+
+
+class HostileCase:
+    """The crowds, for the flows below. Each has: path and headers of a request, the
+    addresses to which crowds connect, process ids, and an ordinary request."""
+
+    def run_crowds(self, body_bytes, chunk, count=CROWD):
+        async def crowds():
+            crowd = chunked(body_bytes, chunk)
+            await self.send_all(count, head(self.path, CHUNKED, **self.headers), crowd)
+
+        self.run_case(crowds)
+
+    async def send_all(self, count, first, data=b"", times=1):
+        self.crowds = [Crowd(address) for address in self.addresses()]
+        await asyncio.gather(
+            *[crowd.send(count, first, data, times) for crowd in self.crowds]
+        )
+
+    def check_bounds(self):
+        for pid in self.pids():
+            self.assertLessEqual(peak_mb(pid), MEMORY_MB)
+            self.assertLessEqual(descriptors(pid), MAX_FDS)
+
+    async def check(self):
+        """Checks the processes while the crowds are still connected."""
+        self.check_bounds()
+        self.assertEqual(await self.ordinary_request(), 200)
+        # Nodes may not have read all of what was sent.
+        await asyncio.sleep(READING_S)
+        self.check_bounds()
+        self.assertEqual(await self.ordinary_request(), 200)
+
+    def close_crowds(self):
+        for crowd in self.crowds:
+            crowd.close()
+
+    def test_bodies_in_large_chunks_that_stop_short_of_their_end(self):
+        self.run_crowds(self.body_bytes, LARGE_CHUNK)
+
+    def test_bodies_in_small_chunks_that_stop_short_of_their_end(self):
+        self.run_crowds(self.small_chunks_bytes, SMALL_CHUNK)
+
+    def test_announced_bodies_that_stop_short_of_their_end(self):
+        async def crowds():
+            length = f"Content-Length: {self.body_bytes + 1}"
+            first = head(self.path, length, **self.headers)
+            await self.send_all(CROWD, first, b"x" * self.body_bytes)
+
+        self.run_case(crowds)
+
+    def test_announced_bodies_far_over_the_limit(self):
+        async def crowds():
+            length = f"Content-Length: {OVERSIZED_BODY}"
+            first = head(self.path, length, **self.headers)
+            times = OVERSIZED_BODY // LARGE_CHUNK
+            await self.send_all(CROWD, first, b"x" * LARGE_CHUNK, times)
+
+        self.run_case(crowds)
+
+    def test_chunked_bodies_far_over_the_limit(self):
+        async def crowds():
+            first = head(self.path, CHUNKED, **self.headers)
+            data = chunked(LARGE_CHUNK, LARGE_CHUNK)
+            await self.send_all(CROWD, first, data, OVERSIZED_BODY // LARGE_CHUNK)
+
+        self.run_case(crowds)
+
+    def test_messages_to_the_peer_port_that_stop_short_of_their_end(self):
+        async def crowds():
+            self.crowds = [Crowd(address) for address in self.peer_addresses()]
+            length = struct.pack(">I", PEER_MESSAGE)
+            await asyncio.gather(
+                *[c.send(CROWD, length, b"x" * (PEER_MESSAGE - 1)) for c in self.crowds]
+            )
+
+        self.run_case(crowds)
+
+    def test_more_unfinished_requests_than_descriptors(self):
+        async def crowds():
+            first = head(self.path, CHUNKED, **self.headers)
+            await self.send_all(LARGE_CROWD, first[:-2])
+
+        self.run_case(crowds)
+
+
+class LimitedDeployment(Deployment):
+    """A deployment whose nodes have the limits of the tests' VM."""
+
+    def add_node(self, name, zone):
+        node = super().add_node(name, zone)
+        with open(node.settings) as file:
+            text = with_limits(file.read())
+        with open(node.settings, "w") as file:
+            file.write(text)
+        return node
+
+    def spawn(self, name, *command):
+        if command[0] != "apricottrackd":
+            return super().spawn(name, *command)
+        with open(os.path.join(self.folder, name + ".log"), "ab") as log:
+            process = subprocess.Popen(
+                [os.path.join(self.build, command[0]), *command[1:]],
+                stdout=log, stderr=log, preexec_fn=limit_descriptors,
+            )  # fmt: skip
+        self.processes.append(process)
+        return process
+
+
+class OwnInterfaceTest(HostileCase, unittest.TestCase):
+    path = "/v1/chat/completions"
+    headers = {"Authorization": "Bearer brennock-chain-0"}
+    body_bytes = OWN_BODY
+    small_chunks_bytes = OWN_BODY
+
+    def setUp(self):
+        self.deployment = LimitedDeployment(BUILD, Shape(nodes=2))
+        self.addCleanup(self.deployment.stop)
+        self.deployment.start()
+        applied = self.deployment.apply(brennock.configuration(4, 2).to_toml())
+        self.assertEqual(applied.returncode, 0, applied.stderr)
+        for node in range(2):
+            wait_until(lambda n=node: self.deployment.serving("advisor", n) == 4)
+
+    def addresses(self):
+        return [node.listen for node in self.deployment.nodes]
+
+    def peer_addresses(self):
+        addresses = []
+        for node in self.deployment.nodes:
+            with open(node.settings) as file:
+                found = re.search(r'peer_listen = "(.*)"', file.read())
+            addresses.append(found.group(1))
+        return addresses
+
+    def pids(self):
+        return [node.process.pid for node in self.deployment.nodes]
+
+    async def ordinary_request(self):
+        answers = [
+            await asyncio.to_thread(chat, address, "after the crowd")
+            for address in self.addresses()
+        ]
+        return max(status for status, _, _ in answers)
+
+    def run_case(self, crowds):
+        async def run():
+            await crowds()
+            try:
+                await self.check()
+            finally:
+                self.close_crowds()
+
+        asyncio.run(run())
+
+
+class OwnAdminPortTest(OwnInterfaceTest):
+    path = "/status"
+
+    def addresses(self):
+        return [node.admin for node in self.deployment.nodes]
+
+    async def ordinary_request(self):
+        answers = [
+            await asyncio.to_thread(chat, node.listen, "after the crowd")
+            for node in self.deployment.nodes
+        ]
+        return max(status for status, _, _ in answers)
+
+
+class LimitedNode(standins.Node):
+    """A node with the limits of the tests' VM."""
+
+    def __init__(self, world, index):
+        super().__init__(world, index, memory_mb=MEMORY_MB)
+
+    def settings(self):
+        return with_limits(super().settings())
+
+
+class PlatformTest(HostileCase, unittest.TestCase):
+    path = "/book/1"
+    headers = {
+        "Request_Attempt_Id": "ffffffffffffffff",
+        "Deadline_Ms": "2500",
+        "Authorization": "Token " + standins.KEY,
+    }
+    body_bytes = PLATFORM_BODY
+    small_chunks_bytes = OWN_BODY
+
+    def addresses(self):
+        return [node.client for node in self.world.nodes]
+
+    def peer_addresses(self):
+        return [f"{node.ip}:{node.peer}" for node in self.world.nodes]
+
+    def pids(self):
+        self.assertEqual([node.deaths for node in self.world.nodes], [[], []])
+        return [node.process.pid for node in self.world.nodes]
+
+    async def ordinary_request(self):
+        statuses = []
+        for node in self.world.nodes:
+            headers = {
+                "Host": standins.HOST,
+                "Request-Attempt-Id": self.world.attempt(),
+                "Deadline-Ms": "2500",
+                "Authorization": "Token " + standins.KEY,
+            }
+            answer = await asyncio.wait_for(
+                standins.call(node.client, "POST", "/book/1", headers, b"x"), 20
+            )
+            statuses.append(answer[0])
+        return max(statuses)
+
+    async def start_world(self):
+        targets = [
+            standins.Runner(
+                self.world.store, self.world.record, f"i-b{i:07x}", "booking", zone
+            )
+            for i, zone in enumerate(["ie-south-a", "ie-south-b"])
+        ]
+        routes = [standins.route("book", "/book/", "non_idempotent", "booking")]
+        services = [standins.plain_service("booking")]
+        await self.world.start(standins.configuration(routes, services), 2, targets)
+
+    def run_case(self, crowds):
+        standins.DAEMON = os.path.join(BUILD, "apricottrackd")
+
+        async def run():
+            with tempfile.TemporaryDirectory() as folder:
+                self.world = standins.World(folder)
+                self.world.max_fds = MAX_FDS
+                try:
+                    await self.start_world()
+                    await crowds()
+                    await self.check()
+                finally:
+                    self.close_crowds()
+                    await self.world.stop()
+                    shutil.rmtree(self.world.folder, ignore_errors=True)
+
+        self.crowds = []
+        original, standins.Node = standins.Node, LimitedNode
+        try:
+            asyncio.run(run())
+        finally:
+            standins.Node = original
+
+
+class ForwardingPortTest(PlatformTest):
+    """The port at which a node accepts requests of other nodes."""
+
+    def addresses(self):
+        return [f"{node.ip}:{node.peer + 1}" for node in self.world.nodes]
+
+
+class PlatformAdminPortTest(PlatformTest):
+    """The port of the node's metrics."""
+
+    path = "/metrics"
+    body_bytes = OWN_BODY
+
+    def addresses(self):
+        return [f"{node.ip}:9464" for node in self.world.nodes]
+
+
+if __name__ == "__main__":
+    unittest.main()
