--- a/include/apricottrack/Settings.h
+++ b/include/apricottrack/Settings.h
@@ -77,6 +77,10 @@
   int maxConnections = 4096;
   /// Maximum size of a request body.
   int maxBodyBytes = 1024 * 1024;
+  /// Memory of the VM, in MiB; zero if it is not stated.
+  int memoryMb = 0;
+  /// Maximum number of open descriptors; zero if it is not stated.
+  int maxFds = 0;
   /// Minimum time between two writes of this node to the same journal.
   Duration journalFlushInterval = milliseconds(20);
   /// Present only on a platform with a catalog and a list of targets.
--- a/review/lib/standins.py
+++ b/review/lib/standins.py
@@ -677,11 +677,13 @@
             "{{contract_bounds.budget_slack}}": "130", "{{contract_bounds.grace_s}}": "8",
             "{{contract_bounds.drain_ms}}": "2000",
             "{{bootstrap}}": "true" if self.first_start else "false",
-            "{{limits.cpu_share}}": "0.25",
-            "{{limits.memory_mb}}": str(self.memory_mb),
-            "{{limits.max_fds}}": str(self.world.max_fds)}
-        # Sections of values that this site does not have.
-        text = re.sub(r"(?s)\{\{#([a-z_.]+)\}\}\n.*?\{\{/\1\}\}\n", "", text)
+            "{{limits.cpu_share}}": "0.25"}
+        # This site has no other values that may be absent.
+        sections = {"limits.memory_mb": self.memory_mb, "limits.max_fds": self.world.max_fds}
+        text = re.sub(
+            r"(?s)\{\{#([a-z_.]+)\}\}\n(.*?)\{\{/\1\}\}\n",
+            lambda m: m[2].replace("{{.}}", str(sections[m[1]])) if m[1] in sections else "",
+            text)
         for name, value in values.items():
             text = text.replace(name, value)
         if "{{" in text:
--- a/src/config/Settings.cpp
+++ b/src/config/Settings.cpp
@@ -1,5 +1,6 @@
 #include "apricottrack/Settings.h"
 
+#include "config/CapacityShares.h"
 #include "config/TomlReader.h"
 #include "http/HttpTypes.h"
 
@@ -189,6 +190,14 @@
     reader.Integer("max_body_bytes",
                    { .minimum = 1024, .maximum = 1 << 30, .unit = "bytes" },
                    settings.maxBodyBytes);
+  settings.memoryMb = static_cast<int>(
+    reader.Number("memory_mb",
+                  { .minimum = 0, .maximum = 1 << 24, .unit = "MiB" },
+                  settings.memoryMb));
+  settings.maxFds = static_cast<int>(
+    reader.Number("max_fds",
+                  { .minimum = 0, .maximum = 1 << 24, .unit = "descriptors" },
+                  settings.maxFds));
   settings.journalFlushInterval =
     ReadMilliseconds(reader,
                      "journal_flush_interval_ms",
@@ -201,6 +210,13 @@
                       "is shorter than two probe intervals",
                       "increase it, or reduce probe_interval_ms");
   }
+  if (settings.memoryMb > 0 && settings.memoryMb < MinMemoryMb(settings)) {
+    reader.AddMistake("memory_mb",
+                      "is too small for requests of the largest size",
+                      "set it to at least " +
+                        std::to_string(MinMemoryMb(settings)) +
+                        ", or reduce max_body_bytes");
+  }
   if (!mistakes.empty()) {
     return tl::unexpected(std::move(mistakes));
   }
--- a/src/http/HttpServer.cpp
+++ b/src/http/HttpServer.cpp
@@ -1,13 +1,14 @@
 #include "http/HttpServer.h"
 
 #include "base/Log.h"
+#include "http/HttpServerSession.h"
 #include "http/ReadDeadline.h"
 
-#include <array>
+#include <algorithm>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/beast/http.hpp>
-#include <fmt/format.h>
+#include <map>
 
 namespace apricottrack {
 
@@ -23,57 +24,11 @@
 /// continue a conversation send their next request within this time.
 constexpr Duration kLastRequestWait = seconds(1);
 
-/// Maximum number of bytes that are kept unparsed beyond a header: the framing
-/// of a chunked body and parts of the body itself.
-constexpr std::size_t kMaxUnparsedBodyBytes = std::size_t{ 64 } * 1024;
-
-/// Size of the first read of a request, in bytes.
-constexpr std::size_t kFirstReadBytes = 4096;
-
-/// How long, and for how many bytes, what a caller still sends is read and
-/// discarded. Closing before would reset the connection, and the caller might
-/// not get the response.
-constexpr Duration kDiscardTime = seconds(1);
-constexpr std::size_t kMaxDiscardedBytes = std::size_t{ 4 } * 1024 * 1024;
+/// Minimum time between two log lines on callers that were refused.
+constexpr Duration kRefusalLogInterval = seconds(5);
 
 } // namespace
 
-struct HttpServer::Session
-{
-  explicit Session(tcp::socket aSocket)
-    : stream(std::move(aSocket))
-  {
-  }
-
-  /// IP:PORT of the caller; 0.0.0.0:0 if the connection has failed.
-  std::string Caller() const
-  {
-    boost::system::error_code ignored;
-    const auto endpoint = this->stream.socket().remote_endpoint(ignored);
-    return fmt::format(
-      "{}:{}", endpoint.address().to_string(), endpoint.port());
-  }
-
-  beast::tcp_stream stream;
-  beast::flat_buffer buffer;
-  /// True while a request is being handled or partly received.
-  bool busy = false;
-  /// True if the caller may expect that a further request is served.
-  bool keptOpen = false;
-  /// True if the caller has closed the connection.
-  bool isClosedByCaller = false;
-  /// When the wait for the next request began.
-  Instant idleSince;
-  /// No byte of the next request has been read yet.
-  bool isAwaitingRequest = false;
-  /// HttpExchange::AnnouncedIdleTimeout of the last response.
-  Duration announcedIdleTimeout = Duration::zero();
-  /// Requests that were received completely.
-  std::int64_t requestCount = 0;
-  /// True if a request was rejected that its caller may still be sending.
-  bool isRejected = false;
-};
-
 HttpServer::HttpServer(asio::any_io_executor aExecutor, Options aOptions)
   : executor(std::move(aExecutor))
   , options(std::move(aOptions))
@@ -151,23 +106,27 @@
   this->acceptor.non_blocking(true, error);
   while (!error) {
     tcp::socket socket(this->executor);
-    this->acceptor.accept(socket, error);
+    tcp::endpoint caller;
+    this->acceptor.accept(socket, caller, error);
     if (!error) {
-      this->StartSession(std::move(socket));
+      this->StartSession(std::move(socket), caller);
     }
   }
 }
 
 void
-HttpServer::StartSession(tcp::socket aSocket)
+HttpServer::StartSession(tcp::socket aSocket, const tcp::endpoint& aCaller)
 {
-  if (this->sessions.size() >= this->options.limits.connections) {
+  if (this->sessions.size() - this->evictedCount >=
+        this->options.limits.connections &&
+      !this->EvictWaitingSession()) {
     ++this->counts.overLimit;
     return;
   }
   boost::system::error_code ignored;
   aSocket.set_option(tcp::no_delay(true), ignored);
-  auto session = std::make_shared<Session>(std::move(aSocket));
+  auto session = std::make_shared<Session>(std::move(aSocket), aCaller);
+  session->idleSince = MonotonicNow();
   // A connection that was just accepted may have a request on the way.
   session->busy = this->stopping;
   this->sessions.insert(session);
@@ -176,16 +135,53 @@
     [self = this->shared_from_this(), session]() -> Task<void> {
       co_await self->ServeConnection(session);
       self->sessions.erase(session);
+      self->evictedCount -= session->isEvicted ? 1 : 0;
     },
     asio::detached);
 }
 
+bool
+HttpServer::EvictWaitingSession()
+{
+  struct Waiting
+  {
+    std::size_t count = 0;
+    Session* longest = nullptr;
+  };
+  std::map<std::string_view, Waiting> callers;
+  for (const auto& session : this->sessions) {
+    if (session->isHandling || session->isEvicted) {
+      continue;
+    }
+    Waiting& caller = callers[session->address];
+    ++caller.count;
+    if (caller.longest == nullptr ||
+        session->idleSince < caller.longest->idleSince) {
+      caller.longest = session.get();
+    }
+  }
+  const auto most = std::ranges::max_element(
+    callers, {}, [](const auto& aEntry) { return aEntry.second.count; });
+  if (most == callers.end()) {
+    return false;
+  }
+  Session& evicted = *most->second.longest;
+  evicted.isEvicted = true;
+  ++this->evictedCount;
+  ++this->counts.evicted;
+  this->LogRefusals(MonotonicNow());
+  evicted.stream.close();
+  return true;
+}
+
 void
 HttpServer::LogCounts() const
 {
   LogLine("caller_connections")
     .With("open", static_cast<std::int64_t>(this->sessions.size()))
     .With("over_limit", this->counts.overLimit)
+    .With("evicted", this->counts.evicted)
+    .With("refused_for_memory", this->counts.refusedForMemory)
     .With("closed_without_notice", this->counts.closedWithoutNotice)
     .With("closed_with_request", this->counts.closedWithRequest)
     .With("failed_requests", this->counts.failedRequests)
@@ -198,6 +194,8 @@
 {
   const std::pair<std::string_view, std::int64_t> metrics[] = {
     { "connections_over_limit", this->counts.overLimit },
+    { "connections_evicted", this->counts.evicted },
+    { "requests_refused_for_memory", this->counts.refusedForMemory },
     { "idle_connections_closed", this->counts.closedWithoutNotice },
     { "idle_connections_closed_with_request", this->counts.closedWithRequest },
     { "requests_not_received", this->counts.failedRequests },
@@ -208,11 +206,28 @@
   }
 }
 
+void
+HttpServer::LogRefusals(Instant aNow)
+{
+  if (aNow < this->nextRefusalLogAt) {
+    return;
+  }
+  this->nextRefusalLogAt = aNow + kRefusalLogInterval;
+  LogLine("callers_over_limits")
+    .With("listen", this->options.address)
+    .With("open", static_cast<std::int64_t>(this->sessions.size()))
+    .With("evicted", this->counts.evicted)
+    .With("refused_for_memory", this->counts.refusedForMemory)
+    .Warn();
+}
+
 Task<void>
 HttpServer::AcceptConnections()
 {
   while (!this->stopping) {
-    auto [error, socket] = co_await this->acceptor.async_accept(kAsTuple);
+    tcp::endpoint caller;
+    auto [error, socket] =
+      co_await this->acceptor.async_accept(caller, kAsTuple);
     if (error) {
       if (this->stopping) {
         co_return;
@@ -223,7 +238,7 @@
       co_await retryTimer.async_wait(kAsTuple);
       continue;
     }
-    this->StartSession(std::move(socket));
+    this->StartSession(std::move(socket), caller);
   }
 }
 
@@ -276,6 +291,11 @@
 HttpServer::RecordFailedRequest(const Session& aSession,
                                 const boost::system::error_code& aError)
 {
+  if (aError == Session::kNoMemory) {
+    ++this->counts.refusedForMemory;
+    this->LogRefusals(MonotonicNow());
+    return;
+  }
   ++this->counts.failedRequests;
   LogLine("request_not_received")
     .With("caller", aSession.Caller())
@@ -295,31 +315,44 @@
   // A copy, because SetLimits may be called while the request arrives.
   const HttpServerLimits limits = this->options.limits;
   RequestParser parser;
+  ByteBudget::Reservation memory(
+    this->Memory(), aSession.address, [&aSession, &parser] {
+      std::string().swap(parser.get().body());
+      aSession.stream.cancel();
+    });
   parser.header_limit(limits.headerBytes);
   parser.body_limit(limits.bodyBytes);
-  aSession.buffer.max_size(limits.headerBytes + kMaxUnparsedBodyBytes);
+  aSession.buffer.max_size(limits.headerBytes + Session::kMaxUnparsedBodyBytes);
   aSession.busy = true;
   aSession.keptOpen = false;
   boost::system::error_code error;
   {
     ReadDeadline deadline(aSession.stream.socket(), limits.receiveTimeout);
-    error = co_await ReceiveRequest(aSession, parser);
+    error = co_await ReceiveRequest(aSession, parser, memory);
     if (error == asio::error::operation_aborted && deadline.HasExpired()) {
       error = beast::error::timeout;
     }
   }
   if (error) {
     this->RecordFailedRequest(aSession, error);
+    // Its unread part is discarded from now on.
+    std::string().swap(parser.get().body());
+    memory.Release();
     co_await this->RejectRequest(aSession, error);
     co_return false;
   }
+  memory.Finish();
   ++aSession.requestCount;
-  HttpExchange exchange(aSession.stream,
-                        parser.release(),
-                        this->options.limits,
-                        this->closeAfterResponse);
+  auto received = parser.release();
+  HttpExchange exchange(
+    aSession.stream,
+    HttpRequest(std::move(received.base()), std::move(received.body())),
+    this->options.limits,
+    this->closeAfterResponse);
   aSession.stream.expires_never();
+  aSession.isHandling = true;
   co_await this->HandleRequest(exchange);
+  aSession.isHandling = false;
   this->counts.failedResponses += exchange.WriteError().empty() ? 0 : 1;
   aSession.keptOpen = exchange.KeepsConnectionOpen();
   aSession.announcedIdleTimeout = exchange.AnnouncedIdleTimeout();
@@ -357,30 +390,12 @@
   }
   aSession.isAwaitingRequest = false;
   const auto [readError, size] = co_await aSession.stream.async_read_some(
-    aSession.buffer.prepare(kFirstReadBytes), kAsTuple);
+    aSession.buffer.prepare(Session::kFirstReadBytes), kAsTuple);
   aSession.buffer.commit(size);
   aSession.isClosedByCaller = !!readError;
   co_return !readError;
 }
 
-Task<boost::system::error_code>
-HttpServer::ReceiveRequest(Session& aSession, RequestParser& aParser)
-{
-  auto [error, size] = co_await http::async_read_header(
-    aSession.stream, aSession.buffer, aParser, kAsTuple);
-  if (!error && aParser.get()[http::field::expect] == "100-continue") {
-    static constexpr std::string_view kContinue =
-      "HTTP/1.1 100 Continue\r\n\r\n";
-    co_await asio::async_write(
-      aSession.stream, asio::buffer(kContinue), kAsTuple);
-  }
-  if (!error) {
-    std::tie(error, size) = co_await http::async_read(
-      aSession.stream, aSession.buffer, aParser, kAsTuple);
-  }
-  co_return error;
-}
-
 Task<void>
 HttpServer::HandleRequest(HttpExchange& aExchange)
 {
@@ -398,52 +413,4 @@
   }
 }
 
-Task<void>
-HttpServer::RejectRequest(Session& aSession, boost::system::error_code aError)
-{
-  unsigned status = 400;
-  std::string_view reason = "malformed_request";
-  if (aError == http::error::header_limit) {
-    status = 431;
-    reason = "header_too_large";
-  } else if (aError == http::error::body_limit) {
-    status = 413;
-    reason = "body_too_large";
-  } else if (aError == beast::error::timeout) {
-    status = 408;
-    reason = "request_too_slow";
-  } else if (aError.category() !=
-             make_error_code(http::error::bad_method).category()) {
-    // Not an error of the parser: the connection failed.
-    co_return;
-  }
-  if (!this->options.errorResponder || aError == http::error::end_of_stream) {
-    co_return;
-  }
-  HttpResponse response = this->options.errorResponder(status, reason);
-  response.keep_alive(false);
-  response.prepare_payload();
-  aSession.stream.expires_after(seconds(1));
-  const auto [error, size] =
-    co_await http::async_write(aSession.stream, response, kAsTuple);
-  aSession.isRejected = !error;
-}
-
-Task<void>
-HttpServer::DiscardRequest(Session& aSession)
-{
-  boost::system::error_code ignored;
-  aSession.stream.socket().shutdown(tcp::socket::shutdown_send, ignored);
-  aSession.stream.expires_after(kDiscardTime);
-  std::array<char, 4096> bytes{};
-  for (std::size_t total = 0; total < kMaxDiscardedBytes;) {
-    const auto [error, size] =
-      co_await aSession.stream.async_read_some(asio::buffer(bytes), kAsTuple);
-    if (error) {
-      co_return;
-    }
-    total += size;
-  }
-}
-
 } // namespace apricottrack
--- a/src/http/HttpServer.h
+++ b/src/http/HttpServer.h
@@ -3,6 +3,8 @@
 
 #include "apricottrack/Time.h"
 #include "base/Counters.h"
+#include "http/ByteBudget.h"
+#include "http/GrowingBody.h"
 #include "http/HttpExchange.h"
 #include "http/HttpTypes.h"
 
@@ -11,6 +13,7 @@
 #include <boost/beast/core/tcp_stream.hpp>
 #include <boost/beast/http/parser.hpp>
 #include <functional>
+#include <limits>
 #include <memory>
 #include <set>
 #include <string_view>
@@ -23,6 +26,11 @@
 {
   /// Connections that were closed at once, because of the limit.
   std::int64_t overLimit = 0;
+  /// Connections that were closed for new ones, because of the limit, while
+  /// they waited for a complete request.
+  std::int64_t evicted = 0;
+  /// Requests that were refused for want of memory.
+  std::int64_t refusedForMemory = 0;
   /// Connections that this server closed while a request could still follow,
   /// without a response that announced it.
   std::int64_t closedWithoutNotice = 0;
@@ -57,6 +65,9 @@
     HttpServerLimits limits;
     HttpHandler handler;
     HttpErrorResponder errorResponder;
+    /// Limits the memory of requests; must outlive the server and its
+    /// connections. Null for no limit.
+    ByteBudget* memory = nullptr;
     /// Builds the response to a request whose handler has thrown an exception.
     /// It must not state whether the request was run.
     std::function<HttpResponse()> failureResponder = [] {
@@ -100,8 +111,7 @@
 
 private:
   struct Session;
-  using RequestParser =
-    boost::beast::http::request_parser<boost::beast::http::string_body>;
+  using RequestParser = boost::beast::http::request_parser<GrowingBody>;
 
   HttpServer(boost::asio::any_io_executor aExecutor, Options aOptions);
   Task<void> AcceptConnections();
@@ -109,7 +119,11 @@
   void AcceptQueuedConnections();
   /// Ends the wait of the connections on which no bytes have arrived.
   void CancelIdleReads();
-  void StartSession(boost::asio::ip::tcp::socket aSocket);
+  void StartSession(boost::asio::ip::tcp::socket aSocket,
+                    const boost::asio::ip::tcp::endpoint& aCaller);
+  /// Closes the connection that has waited longest for a complete request, of
+  /// the caller with most such connections. Returns false if there is none.
+  bool EvictWaitingSession();
   Task<void> ServeConnection(std::shared_ptr<Session> aSession);
   Task<bool> ServeRequest(Session& aSession);
   /// Waits for the first bytes of a request and reads them. Returns false if
@@ -123,8 +137,22 @@
   /// Counts and logs a request that was not received completely.
   void RecordFailedRequest(const Session& aSession,
                            const boost::system::error_code& aError);
-  static Task<boost::system::error_code> ReceiveRequest(Session& aSession,
-                                                        RequestParser& aParser);
+  /// Logs the counts of refused callers, at most once in some seconds.
+  void LogRefusals(Instant aNow);
+  ByteBudget& Memory()
+  {
+    return this->options.memory != nullptr ? *this->options.memory
+                                           : this->unlimitedMemory;
+  }
+  /// Receives a request whose first bytes are in the buffer.
+  static Task<boost::system::error_code> ReceiveRequest(
+    Session& aSession,
+    RequestParser& aParser,
+    ByteBudget::Reservation& aMemory);
+  /// Returns the error of a request whose caller sends no more.
+  static boost::system::error_code EndOfInput(RequestParser& aParser);
+  /// Frees the buffer of a connection if a request has made it grow.
+  static void ShrinkBuffer(Session& aSession);
   /// Runs the handler. An exception ends the request, but nothing else.
   Task<void> HandleRequest(HttpExchange& aExchange);
   Task<void> RejectRequest(Session& aSession, boost::system::error_code aError);
@@ -136,6 +164,11 @@
   boost::asio::ip::tcp::acceptor acceptor;
   std::set<std::shared_ptr<Session>> sessions;
   HttpServerCounts counts;
+  /// Number of evicted connections that have not ended yet.
+  std::size_t evictedCount = 0;
+  Instant nextRefusalLogAt;
+  ByteBudget unlimitedMemory{ ByteBudget::Options{
+    .totalBytes = std::numeric_limits<std::size_t>::max() / 2 } };
   /// How long a stopping server waits for a connection's next request.
   Duration lastRequestWait;
   bool stopping = false;
--- a/src/membership/PeerLink.cpp
+++ b/src/membership/PeerLink.cpp
@@ -2,6 +2,7 @@
 
 #include "http/HttpTypes.h"
 
+#include <algorithm>
 #include <array>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
@@ -20,8 +21,14 @@
 /// Maximum time that a server waits until it has received the next request of
 /// a connection, and until it has sent a response.
 constexpr Duration kFrameTimeout = seconds(60);
-/// Maximum number of open connections to a server; further ones are closed.
-constexpr int kMaxConnections = 1024;
+/// Memory that is taken before the bytes of a message arrive.
+constexpr std::size_t kPieceBytes = std::size_t{ 64 } * 1024;
+/// Number of copies of a message that a server may hold: as received, and
+/// decoded.
+constexpr std::size_t kMessageCopies = 2;
+
+constexpr std::size_t kUnlimitedBytes =
+  std::numeric_limits<std::size_t>::max() / 2;
 
 Task<Result<void>>
 WriteFrame(boost::beast::tcp_stream& aStream,
@@ -42,8 +49,12 @@
   co_return Result<void>{};
 }
 
+/// Reads one message. Ends the connection if `aMemory` has no room for it.
 Task<Result<PeerMessage>>
-ReadFrame(boost::beast::tcp_stream& aStream, std::string aPeer)
+ReadFrame(boost::beast::tcp_stream& aStream,
+          std::string aPeer,
+          std::string& aBody,
+          ByteBudget::Reservation& aMemory)
 {
   std::array<unsigned char, 4> lengthBytes{};
   auto [error, size] =
@@ -58,13 +69,25 @@
                       aPeer,
                       "the message exceeds the size limit");
   }
-  std::string body(length, '\0');
-  std::tie(error, size) =
-    co_await asio::async_read(aStream, asio::buffer(body), kAsTuple);
-  if (error) {
-    co_return Failure(ErrorCode::kNoReply, "peer.read", aPeer, error.message());
+  std::size_t received = 0;
+  while (received < length) {
+    const std::size_t piece =
+      std::min(length - received, std::max(received, kPieceBytes));
+    aBody.reserve(received + piece);
+    if (!aMemory.TryGrowTo(kMessageCopies * aBody.capacity())) {
+      co_return Failure(
+        ErrorCode::kNoReply, "peer.read", aPeer, "no memory for the message");
+    }
+    aBody.resize(received + piece);
+    std::tie(error, size) = co_await asio::async_read(
+      aStream, asio::buffer(aBody.data() + received, piece), kAsTuple);
+    if (error || aMemory.IsRevoked()) {
+      co_return Failure(
+        ErrorCode::kNoReply, "peer.read", aPeer, error.message());
+    }
+    received += piece;
   }
-  co_return ParsePeerMessage(body, aPeer);
+  co_return ParsePeerMessage(aBody, aPeer);
 }
 
 } // namespace
@@ -111,7 +134,11 @@
     this->stream.reset();
     co_return tl::unexpected(written.error());
   }
-  auto response = co_await ReadFrame(*this->stream, this->address);
+  std::string body;
+  ByteBudget unlimited(ByteBudget::Options{ .totalBytes = kUnlimitedBytes });
+  ByteBudget::Reservation memory(unlimited);
+  auto response =
+    co_await ReadFrame(*this->stream, this->address, body, memory);
   if (this->stream != nullptr) {
     this->stream->expires_never();
   }
@@ -121,8 +148,11 @@
   co_return response;
 }
 
-PeerServer::PeerServer(asio::any_io_executor aExecutor, RequestHandler aHandler)
+PeerServer::PeerServer(asio::any_io_executor aExecutor,
+                       Options aOptions,
+                       RequestHandler aHandler)
   : executor(std::move(aExecutor))
+  , options(std::move(aOptions))
   , handler(std::move(aHandler))
   , acceptor(this->executor)
 {
@@ -130,15 +160,15 @@
 
 Result<std::shared_ptr<PeerServer>>
 PeerServer::Make(asio::any_io_executor aExecutor,
-                 const std::string& aAddress,
+                 Options aOptions,
                  RequestHandler aHandler)
 {
-  const auto endpoint = ParseEndpoint(aAddress);
+  const auto endpoint = ParseEndpoint(aOptions.address);
   if (!endpoint) {
     return tl::unexpected(endpoint.error());
   }
-  std::shared_ptr<PeerServer> server(
-    new PeerServer(std::move(aExecutor), std::move(aHandler)));
+  std::shared_ptr<PeerServer> server(new PeerServer(
+    std::move(aExecutor), std::move(aOptions), std::move(aHandler)));
   const auto bound = Bind(server->acceptor, *endpoint, "peer.listen");
   if (!bound) {
     return tl::unexpected(bound.error());
@@ -151,7 +181,9 @@
 PeerServer::Accept(std::shared_ptr<PeerServer> aSelf)
 {
   for (;;) {
-    auto [error, socket] = co_await aSelf->acceptor.async_accept(kAsTuple);
+    tcp::endpoint peer;
+    auto [error, socket] =
+      co_await aSelf->acceptor.async_accept(peer, kAsTuple);
     if (error) {
       // Keeps a lasting error, such as a lack of file descriptors, from turning
       // this into a busy loop.
@@ -159,30 +191,46 @@
       co_await delayTimer.async_wait(kAsTuple);
       continue;
     }
-    if (aSelf->connections >= kMaxConnections) {
+    if (aSelf->connections >= aSelf->options.maxConnections) {
       continue;
     }
     ++aSelf->connections;
     auto sharedSocket = std::make_shared<tcp::socket>(std::move(socket));
     asio::co_spawn(
       aSelf->executor,
-      [aSelf, sharedSocket]() -> Task<void> {
-        co_await aSelf->Serve(std::move(*sharedSocket));
+      [aSelf, sharedSocket, peer]() -> Task<void> {
+        co_await aSelf->Serve(std::move(*sharedSocket), peer);
         --aSelf->connections;
       },
       asio::detached);
   }
 }
 
+Task<Result<PeerMessage>>
+PeerServer::ReadRequest(boost::beast::tcp_stream& aStream,
+                        const std::string& aAddress)
+{
+  std::string body;
+  ByteBudget& budget = this->options.memory != nullptr ? *this->options.memory
+                                                       : this->unlimitedMemory;
+  ByteBudget::Reservation memory(budget, aAddress, [&body, &aStream] {
+    // No read may follow that writes to the freed memory.
+    aStream.close();
+    std::string().swap(body);
+  });
+  co_return co_await ReadFrame(aStream, "peer", body, memory);
+}
+
 Task<void>
-PeerServer::Serve(tcp::socket aSocket)
+PeerServer::Serve(tcp::socket aSocket, tcp::endpoint aPeer)
 {
+  const std::string address = aPeer.address().to_string();
   boost::system::error_code ignored;
   aSocket.set_option(tcp::no_delay(true), ignored);
   boost::beast::tcp_stream stream(std::move(aSocket));
   for (;;) {
     stream.expires_after(kFrameTimeout);
-    auto request = co_await ReadFrame(stream, "peer");
+    auto request = co_await this->ReadRequest(stream, address);
     if (!request) {
       co_return;
     }
--- a/src/membership/PeerLink.h
+++ b/src/membership/PeerLink.h
@@ -3,12 +3,14 @@
 
 #include "apricottrack/KeyValueStore.h"
 #include "apricottrack/Time.h"
+#include "http/ByteBudget.h"
 #include "membership/PeerMessages.h"
 
 #include <boost/asio/any_io_executor.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/beast/core/tcp_stream.hpp>
 #include <functional>
+#include <limits>
 #include <memory>
 #include <optional>
 #include <string>
@@ -47,20 +49,40 @@
   using RequestHandler =
     std::function<Task<std::optional<PeerMessage>>(PeerMessage)>;
 
+  struct Options
+  {
+    /// IP:port to listen on.
+    std::string address;
+    /// Maximum number of open connections; further ones are closed.
+    std::size_t maxConnections = 1024;
+    /// Limits the memory of the messages that are received; must outlive the
+    /// server. Null for no limit.
+    ByteBudget* memory = nullptr;
+  };
+
   static Result<std::shared_ptr<PeerServer>> Make(
     boost::asio::any_io_executor aExecutor,
-    const std::string& aAddress,
+    Options aOptions,
     RequestHandler aHandler);
 
 private:
-  PeerServer(boost::asio::any_io_executor aExecutor, RequestHandler aHandler);
+  PeerServer(boost::asio::any_io_executor aExecutor,
+             Options aOptions,
+             RequestHandler aHandler);
   static Task<void> Accept(std::shared_ptr<PeerServer> aSelf);
-  Task<void> Serve(boost::asio::ip::tcp::socket aSocket);
+  /// Reads one message from the connection of the IP `aAddress`.
+  Task<Result<PeerMessage>> ReadRequest(boost::beast::tcp_stream& aStream,
+                                        const std::string& aAddress);
+  Task<void> Serve(boost::asio::ip::tcp::socket aSocket,
+                   boost::asio::ip::tcp::endpoint aPeer);
 
   boost::asio::any_io_executor executor;
+  Options options;
   RequestHandler handler;
   boost::asio::ip::tcp::acceptor acceptor;
-  int connections = 0;
+  std::size_t connections = 0;
+  ByteBudget unlimitedMemory{ ByteBudget::Options{
+    .totalBytes = std::numeric_limits<std::size_t>::max() / 2 } };
 };
 
 } // namespace apricottrack
--- a/src/membership/PeerTask.cpp
+++ b/src/membership/PeerTask.cpp
@@ -41,7 +41,9 @@
 {
   auto made = PeerServer::Make(
     this->executor,
-    this->options.listen,
+    PeerServer::Options{ .address = this->options.listen,
+                         .maxConnections = this->options.maxConnections,
+                         .memory = this->options.memory },
     [this](PeerMessage aRequest) -> Task<std::optional<PeerMessage>> {
       co_return this->HandleRequest(std::move(aRequest));
     });
--- a/src/membership/PeerTask.h
+++ b/src/membership/PeerTask.h
@@ -29,6 +29,9 @@
     std::string node;
     /// IP:port to listen on.
     std::string listen;
+    /// See PeerServer::Options.
+    std::size_t maxConnections = 1024;
+    ByteBudget* memory = nullptr;
     /// Time between two rounds of reports.
     Duration interval = seconds(1);
     /// Timeout of one request to another node.
--- a/src/node/Node.cpp
+++ b/src/node/Node.cpp
@@ -2,6 +2,7 @@
 
 #include "base/Hash.h"
 #include "base/Log.h"
+#include "config/CapacityShares.h"
 #include "http/HttpServer.h"
 #include "kv/EtcdStore.h"
 #include "kv/PlatformKeys.h"
@@ -43,6 +44,10 @@
 /// Maximum wait, when the node stops, for ends to be written to the journal.
 constexpr Duration kJournalFlushTimeout = seconds(5);
 
+constexpr unsigned kUnavailable = 503;
+/// When callers whose requests found no memory are to come back.
+constexpr std::optional<Duration> kRetryAfter = Duration(seconds(1));
+
 NodeRecord
 OwnRecord(const NodeContext& aContext)
 {
@@ -108,6 +113,7 @@
       std::make_unique<IntactGroupGate>(this->settings.maxReportAge),
       this->settings.maxReportAge),
     .targetPool = HttpConnectionPool(aExecutor, HttpConnectionPool::Options{}),
+    .callerMemory = ByteBudget(SharesOf(this->settings).memory),
     .targetLimits =
       TargetLimits(TargetLimits::Options{}, std::random_device{}()),
     .targetPauses = TargetPauses(TargetPauses::Options{}),
@@ -164,7 +170,10 @@
             [this] { this->RefuseQuarantined(); })
   , peers(aExecutor,
           PeerTask::Options{ .node = this->settings.node,
-                             .listen = this->settings.peerListen },
+                             .listen = this->settings.peerListen,
+                             .maxConnections =
+                               SharesOf(this->settings).peerConnections,
+                             .memory = &this->context.callerMemory },
           this->context.directory,
           this->context.limiter,
           this->context.configuration,
@@ -190,11 +199,14 @@
                                     .code = std::string(aReason),
                                     .outcome = Outcome::kNotRun,
                                     .message = "the request could not be read",
-                                    .retryAfter = std::nullopt },
+                                    .retryAfter = aStatus == kUnavailable
+                                                    ? kRetryAfter
+                                                    : std::nullopt },
                            RandomId());
   };
   HttpServerLimits limits;
-  limits.connections = static_cast<std::size_t>(this->settings.maxConnections);
+  const CapacityShares shares = SharesOf(this->settings);
+  limits.connections = shares.callerConnections;
   limits.bodyBytes = static_cast<std::uint64_t>(this->settings.maxBodyBytes);
   auto newCallerServer = HttpServer::Make(
     this->context.executor,
@@ -206,6 +218,7 @@
         co_await run.Serve();
       },
       .errorResponder = errorResponder,
+      .memory = &this->context.callerMemory,
       .failureResponder =
         [] {
           return RefusalResponse(
@@ -225,11 +238,12 @@
     this->context.executor,
     HttpServer::Options{
       .address = this->settings.adminListen,
-      .limits = HttpServerLimits{ .connections = 256 },
+      .limits = HttpServerLimits{ .connections = shares.adminConnections },
       .handler = [this](HttpExchange& aExchange) -> Task<void> {
         co_await this->admin.Handle(aExchange);
       },
       .errorResponder = errorResponder,
+      .memory = &this->context.callerMemory,
     });
   if (!newAdminServer) {
     return tl::unexpected(newAdminServer.error());
--- a/src/node/NodeContext.h
+++ b/src/node/NodeContext.h
@@ -4,6 +4,7 @@
 #include "apricottrack/Settings.h"
 #include "base/Counters.h"
 #include "config/ConfigurationHolder.h"
+#include "http/ByteBudget.h"
 #include "http/HttpClient.h"
 #include "limits/AccountLimiter.h"
 #include "limits/TargetLimits.h"
@@ -40,6 +41,8 @@
   NodeDirectory directory;
   NodeView view;
   HttpConnectionPool targetPool;
+  /// Memory of the requests that callers and other nodes send.
+  ByteBudget callerMemory;
   TargetLimits targetLimits;
   TargetPauses targetPauses;
   std::unique_ptr<RetryPolicy> retryPolicy;
--- a/src/serving/FleetRelay.cpp
+++ b/src/serving/FleetRelay.cpp
@@ -2,6 +2,7 @@
 
 #include "base/Hash.h"
 #include "base/Log.h"
+#include "config/CapacityShares.h"
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
@@ -69,7 +70,10 @@
 {
   auto newServer = PeerServer::Make(
     this->context.executor,
-    this->context.settings.peerListen,
+    PeerServer::Options{ .address = this->context.settings.peerListen,
+                         .maxConnections =
+                           SharesOf(this->context.settings).peerConnections,
+                         .memory = &this->context.callerMemory },
     [this](PeerMessage aQuestion) -> Task<std::optional<PeerMessage>> {
       co_return co_await this->HandleMessage(std::move(aQuestion));
     });
--- a/src/serving/RequestFlow.cpp
+++ b/src/serving/RequestFlow.cpp
@@ -45,7 +45,7 @@
   , arrivedAt(MonotonicNow())
   , caller(aContext.protocol.ReadCaller(aExchange.Request()))
   , eventSplitter(this->caller.resumeAfter)
-  , heldMemory(aContext.bodyMemory)
+  , heldMemory(aContext.callerMemory)
 {
   ++this->context.inFlight;
 }
--- a/src/serving/RequestServers.h
+++ b/src/serving/RequestServers.h
@@ -39,17 +39,22 @@
   void LogCounts() const;
 
 private:
-  Result<void> Listen(const std::string& aAddress, HttpHandler aHandler);
+  Result<void> Listen(const std::string& aAddress,
+                      std::size_t aMaxConnections,
+                      HttpHandler aHandler);
 
   ServingContext& context;
   /// The callers' server is the first.
   std::vector<std::shared_ptr<HttpServer>> servers;
+  /// Maximum numbers of their connections.
+  std::vector<std::size_t> connectionLimits;
 };
 
 /// Starts a server of a serving node, which answers errors with refusals.
 Result<std::shared_ptr<HttpServer>>
 ListenForRequests(ServingContext& aContext,
                   const std::string& aAddress,
+                  std::size_t aMaxConnections,
                   HttpHandler aHandler);
 
 } // namespace apricottrack
--- a/src/serving/ServingContext.h
+++ b/src/serving/ServingContext.h
@@ -63,8 +63,8 @@
   /// Demand at all nodes together; empty while unknown.
   ModelDemands fleetDemands;
   HttpConnectionPool targetPool;
-  /// Memory of the response bodies that are buffered.
-  ByteBudget bodyMemory{ ByteBudget::Options{} };
+  /// Memory of the callers' requests and of response bodies that are buffered.
+  ByteBudget callerMemory{ ByteBudget::Options{} };
   StartGate startGate;
   std::map<std::string, RetryBudget> retryBudgets;
   /// Requests in progress, by the target that runs them.
--- a/src/serving/ServingNode.cpp
+++ b/src/serving/ServingNode.cpp
@@ -1,6 +1,7 @@
 #include "serving/ServingNode.h"
 
 #include "base/Log.h"
+#include "config/CapacityShares.h"
 #include "http/HttpServer.h"
 #include "placement/ColdTargets.h"
 #include "serving/CatalogTask.h"
@@ -133,6 +134,7 @@
                            .idlePerAddress = 32,
                            .idleTimeout = seconds(3),
                            .connectTimeout = milliseconds(300) }),
+    .callerMemory = ByteBudget(SharesOf(this->settings).memory),
     .startGate = StartGate(aExecutor),
     .retryBudgets = {},
     .running = {},
@@ -220,6 +222,7 @@
   auto newReadyServer = ListenForRequests(
     this->context,
     this->settings.serving->readyListen,
+    SharesOf(this->settings).readyConnections,
     [this](HttpExchange& aExchange) -> Task<void> {
       const bool isReady = this->IsReady();
       co_await aExchange.Reply(
@@ -232,6 +235,7 @@
   auto newAdminServer =
     ListenForRequests(this->context,
                       this->settings.adminListen,
+                      SharesOf(this->settings).adminConnections,
                       [this](HttpExchange& aExchange) -> Task<void> {
                         co_await this->HandleAdminRequest(aExchange);
                       });
--- a/tests/CrashTaskTest.cpp
+++ b/tests/CrashTaskTest.cpp
@@ -103,7 +103,8 @@
       }
       auto made = PeerServer::Make(
         this->io.get_executor(),
-        this->addresses[static_cast<std::size_t>(i)],
+        PeerServer::Options{ .address =
+                               this->addresses[static_cast<std::size_t>(i)] },
         [&node](PeerMessage aMessage) -> Task<std::optional<PeerMessage>> {
           const auto* const report = std::get_if<CrashReport>(&aMessage);
           REQUIRE(report != nullptr);
--- a/tests/FollowTaskTest.cpp
+++ b/tests/FollowTaskTest.cpp
@@ -61,7 +61,7 @@
   const std::string address = ServingHarness::FreeAddress(harness.io);
   const auto planner =
     *PeerServer::Make(harness.io.get_executor(),
-                      address,
+                      PeerServer::Options{ .address = address },
                       [&](PeerMessage) -> Task<std::optional<PeerMessage>> {
                         asio::steady_timer timer(harness.io, milliseconds(20));
                         co_await timer.async_wait(kAsTuple);
@@ -95,7 +95,7 @@
   bool plannerAnswers = true;
   const auto planner = *PeerServer::Make(
     harness.io.get_executor(),
-    address,
+    PeerServer::Options{ .address = address },
     [&](PeerMessage aQuestion) -> Task<std::optional<PeerMessage>> {
       askedSequences.push_back(std::get<FleetQuestion>(aQuestion).sequence);
       asio::steady_timer timer(harness.io, milliseconds(20));
@@ -139,7 +139,7 @@
   bool plannerAnswers = true;
   const auto planner =
     *PeerServer::Make(harness.io.get_executor(),
-                      address,
+                      PeerServer::Options{ .address = address },
                       [&](PeerMessage) -> Task<std::optional<PeerMessage>> {
                         asio::steady_timer timer(harness.io, milliseconds(20));
                         co_await timer.async_wait(kAsTuple);
@@ -200,7 +200,7 @@
   Duration fleetAge = seconds(5);
   const auto planner =
     *PeerServer::Make(harness.io.get_executor(),
-                      address,
+                      PeerServer::Options{ .address = address },
                       [&](PeerMessage) -> Task<std::optional<PeerMessage>> {
                         asio::steady_timer timer(harness.io, milliseconds(20));
                         co_await timer.async_wait(kAsTuple);
