--- a/src/http/HttpServer.cpp
+++ b/src/http/HttpServer.cpp
@@ -140,8 +140,8 @@
     asio::detached);
 }
 
-bool
-HttpServer::EvictWaitingSession()
+HttpServer::Session*
+HttpServer::LongestWaitingSession() const
 {
   struct Waiting
   {
@@ -150,7 +150,7 @@
   };
   std::map<std::string_view, Waiting> callers;
   for (const auto& session : this->sessions) {
-    if (session->isHandling || session->isEvicted) {
+    if (session->isHandling || session->isEvicted || session->hasArrived) {
       continue;
     }
     Waiting& caller = callers[session->address];
@@ -162,16 +162,28 @@
   }
   const auto most = std::ranges::max_element(
     callers, {}, [](const auto& aEntry) { return aEntry.second.count; });
-  if (most == callers.end()) {
-    return false;
+  return most == callers.end() ? nullptr : most->second.longest;
+}
+
+bool
+HttpServer::EvictWaitingSession()
+{
+  Session* session = this->LongestWaitingSession();
+  while (session != nullptr) {
+    boost::system::error_code ignored;
+    session->hasArrived =
+      !session->busy && session->stream.socket().available(ignored) > 0;
+    if (!session->hasArrived) {
+      session->isEvicted = true;
+      ++this->evictedCount;
+      ++this->counts.evicted;
+      this->LogRefusals(MonotonicNow());
+      session->stream.close();
+      return true;
+    }
+    session = this->LongestWaitingSession();
   }
-  Session& evicted = *most->second.longest;
-  evicted.isEvicted = true;
-  ++this->evictedCount;
-  ++this->counts.evicted;
-  this->LogRefusals(MonotonicNow());
-  evicted.stream.close();
-  return true;
+  return false;
 }
 
 void
@@ -389,6 +401,7 @@
     co_return false;
   }
   aSession.isAwaitingRequest = false;
+  aSession.hasArrived = false;
   const auto [readError, size] = co_await aSession.stream.async_read_some(
     aSession.buffer.prepare(Session::kFirstReadBytes), kAsTuple);
   aSession.buffer.commit(size);
--- a/src/http/HttpServer.h
+++ b/src/http/HttpServer.h
@@ -121,8 +121,11 @@
   void CancelIdleReads();
   void StartSession(boost::asio::ip::tcp::socket aSocket,
                     const boost::asio::ip::tcp::endpoint& aCaller);
-  /// Closes the connection that has waited longest for a complete request, of
-  /// the caller with most such connections. Returns false if there is none.
+  /// Returns the connection that has waited longest for a complete request, of
+  /// the caller with most such connections; null if there is none.
+  Session* LongestWaitingSession() const;
+  /// Closes that connection, but none whose request has just arrived. Returns
+  /// false if there is none.
   bool EvictWaitingSession();
   Task<void> ServeConnection(std::shared_ptr<Session> aSession);
   Task<bool> ServeRequest(Session& aSession);
--- a/src/http/HttpServerSession.h
+++ b/src/http/HttpServerSession.h
@@ -41,6 +41,8 @@
   boost::beast::flat_buffer buffer;
   /// True while the handler runs.
   bool isHandling = false;
+  /// True if bytes of a request have been seen in the socket and not been read.
+  bool hasArrived = false;
   /// True if the server has closed the connection in favour of another one.
   bool isEvicted = false;
   /// True while a request is being handled or partly received.
--- a/tests/SettingsTest.cpp
+++ b/tests/SettingsTest.cpp
@@ -129,3 +129,16 @@
   CHECK_FALSE(
     ParseSettings(serving, nullptr, { { "serving.link_mbps", "wide" } }));
 }
+
+// Guards against a node that refuses every large request.
+TEST_CASE("ParseSettings requires memory for requests of the largest size")
+{
+  CHECK(ParseSettings(kValid + "memory_mb = 160\nmax_fds = 4200\n"));
+  CHECK(ParseSettings(kValid + "memory_mb = 0\nmax_body_bytes = 104857600\n"));
+  const auto settings =
+    ParseSettings(kValid + "memory_mb = 160\nmax_body_bytes = 104857600\n");
+  REQUIRE_FALSE(settings);
+  CHECK(Describe(settings.error(), "f")
+          .find("memory_mb: is too small for requests of the largest size") !=
+        std::string::npos);
+}
