--- a/tests/wholepath/test_hostile_clients.py
+++ b/tests/wholepath/test_hostile_clients.py
@@ -25,7 +25,9 @@
 # What the settings of these tests state of the VM. The bounds are the same.
 MEMORY_MB = 96
 MAX_FDS = 400
-LIMITS = {"memory_mb": MEMORY_MB, "max_fds": MAX_FDS}
+# So many that only the memory is scarce, and a crowd for that.
+MANY_FDS = 4200
+LARGER_CROWD = 250
 
 CROWD = 120
 # Connections that a node has no descriptors for.
@@ -44,18 +46,14 @@
 PEER_MESSAGE = 2 * 1024 * KIB - 1
 
 
-def with_limits(text: str) -> str:
+def with_limits(text: str, max_fds: int) -> str:
     """Returns the settings with the VM's limits, in place of any that they have."""
-    for name, value in LIMITS.items():
+    for name, value in {"memory_mb": MEMORY_MB, "max_fds": max_fds}.items():
         text = re.sub(rf"(?m)^{name} = .*\n", "", text)
         text = f"{name} = {value}\n" + text
     return text
 
 
-def limit_descriptors():
-    resource.setrlimit(resource.RLIMIT_NOFILE, (MAX_FDS, MAX_FDS))
-
-
 def head(path: str, length: str, **more) -> bytes:
     lines = [f"POST {path} HTTP/1.1", "Host: " + standins.HOST, length]
     lines += [f"{name.replace('_', '-')}: {value}" for name, value in more.items()]
@@ -69,10 +67,13 @@
     """The crowds, for the flows below. Each has: path and headers of a request, the
     addresses to which crowds connect, process ids, and an ordinary request."""
 
-    def run_crowds(self, body_bytes, chunk, count=CROWD):
+    max_fds = MAX_FDS
+    crowd = CROWD
+
+    def run_crowds(self, body_bytes, chunk):
         async def crowds():
-            crowd = chunked(body_bytes, chunk)
-            await self.send_all(count, head(self.path, CHUNKED, **self.headers), crowd)
+            first = head(self.path, CHUNKED, **self.headers)
+            await self.send_all(self.crowd, first, chunked(body_bytes, chunk))
 
         self.run_case(crowds)
 
@@ -85,7 +86,7 @@
     def check_bounds(self):
         for pid in self.pids():
             self.assertLessEqual(peak_mb(pid), MEMORY_MB)
-            self.assertLessEqual(descriptors(pid), MAX_FDS)
+            self.assertLessEqual(descriptors(pid), self.max_fds)
 
     async def check(self):
         """Checks the processes while the crowds are still connected."""
@@ -110,7 +111,7 @@
         async def crowds():
             length = f"Content-Length: {self.body_bytes + 1}"
             first = head(self.path, length, **self.headers)
-            await self.send_all(CROWD, first, b"x" * self.body_bytes)
+            await self.send_all(self.crowd, first, b"x" * self.body_bytes)
 
         self.run_case(crowds)
 
@@ -119,7 +120,7 @@
             length = f"Content-Length: {OVERSIZED_BODY}"
             first = head(self.path, length, **self.headers)
             times = OVERSIZED_BODY // LARGE_CHUNK
-            await self.send_all(CROWD, first, b"x" * LARGE_CHUNK, times)
+            await self.send_all(self.crowd, first, b"x" * LARGE_CHUNK, times)
 
         self.run_case(crowds)
 
@@ -127,7 +128,7 @@
         async def crowds():
             first = head(self.path, CHUNKED, **self.headers)
             data = chunked(LARGE_CHUNK, LARGE_CHUNK)
-            await self.send_all(CROWD, first, data, OVERSIZED_BODY // LARGE_CHUNK)
+            await self.send_all(self.crowd, first, data, OVERSIZED_BODY // LARGE_CHUNK)
 
         self.run_case(crowds)
 
@@ -136,7 +137,7 @@
             self.crowds = [Crowd(address) for address in self.peer_addresses()]
             length = struct.pack(">I", PEER_MESSAGE)
             await asyncio.gather(
-                *[c.send(CROWD, length, b"x" * (PEER_MESSAGE - 1)) for c in self.crowds]
+                *[c.send(self.crowd, length, b"x" * (PEER_MESSAGE - 1)) for c in self.crowds]
             )
 
         self.run_case(crowds)
@@ -152,10 +153,14 @@
 class LimitedDeployment(Deployment):
     """A deployment whose nodes have the limits of the tests' VM."""
 
+    def __init__(self, max_fds):
+        super().__init__(BUILD, Shape(nodes=2))
+        self.max_fds = max_fds
+
     def add_node(self, name, zone):
         node = super().add_node(name, zone)
         with open(node.settings) as file:
-            text = with_limits(file.read())
+            text = with_limits(file.read(), self.max_fds)
         with open(node.settings, "w") as file:
             file.write(text)
         return node
@@ -166,7 +171,10 @@
         with open(os.path.join(self.folder, name + ".log"), "ab") as log:
             process = subprocess.Popen(
                 [os.path.join(self.build, command[0]), *command[1:]],
-                stdout=log, stderr=log, preexec_fn=limit_descriptors,
+                stdout=log, stderr=log,
+                preexec_fn=lambda: resource.setrlimit(
+                    resource.RLIMIT_NOFILE, (self.max_fds, self.max_fds)
+                ),
             )  # fmt: skip
         self.processes.append(process)
         return process
@@ -179,7 +187,7 @@
     small_chunks_bytes = OWN_BODY
 
     def setUp(self):
-        self.deployment = LimitedDeployment(BUILD, Shape(nodes=2))
+        self.deployment = LimitedDeployment(self.max_fds)
         self.addCleanup(self.deployment.stop)
         self.deployment.start()
         applied = self.deployment.apply(brennock.configuration(4, 2).to_toml())
@@ -233,6 +241,13 @@
         return max(status for status, _, _ in answers)
 
 
+class OwnInterfaceMemoryTest(OwnInterfaceTest):
+    """A larger crowd, on a node whose descriptors do not limit it."""
+
+    max_fds = MANY_FDS
+    crowd = LARGER_CROWD
+
+
 class LimitedNode(standins.Node):
     """A node with the limits of the tests' VM."""
 
@@ -240,7 +255,7 @@
         super().__init__(world, index, memory_mb=MEMORY_MB)
 
     def settings(self):
-        return with_limits(super().settings())
+        return with_limits(super().settings(), self.world.max_fds)
 
 
 class PlatformTest(HostileCase, unittest.TestCase):
@@ -295,7 +310,7 @@
         async def run():
             with tempfile.TemporaryDirectory() as folder:
                 self.world = standins.World(folder)
-                self.world.max_fds = MAX_FDS
+                self.world.max_fds = self.max_fds
                 try:
                     await self.start_world()
                     await crowds()
@@ -313,6 +328,13 @@
             standins.Node = original
 
 
+class PlatformMemoryTest(PlatformTest):
+    """A larger crowd, on a node whose descriptors do not limit it."""
+
+    max_fds = MANY_FDS
+    crowd = LARGER_CROWD
+
+
 class ForwardingPortTest(PlatformTest):
     """The port at which a node accepts requests of other nodes."""
 
