--- a/review/lib/standins.py
+++ b/review/lib/standins.py
@@ -10,7 +10,6 @@
 import json
 import os
 import random
-import re
 import resource
 import shutil
 import signal
@@ -678,12 +677,6 @@
             "{{contract_bounds.drain_ms}}": "2000",
             "{{bootstrap}}": "true" if self.first_start else "false",
             "{{limits.cpu_share}}": "0.25"}
-        # This site has no other values that may be absent.
-        sections = {"limits.memory_mb": self.memory_mb, "limits.max_fds": self.world.max_fds}
-        text = re.sub(
-            r"(?s)\{\{#([a-z_.]+)\}\}\n(.*?)\{\{/\1\}\}\n",
-            lambda m: m[2].replace("{{.}}", str(sections[m[1]])) if m[1] in sections else "",
-            text)
         for name, value in values.items():
             text = text.replace(name, value)
         if "{{" in text:
--- a/src/config/Settings.cpp
+++ b/src/config/Settings.cpp
@@ -132,6 +132,8 @@
   static constexpr std::pair<const char*, std::string_view> kVariables[] = {
     { "APRICOTTRACK_EVACUATION_BOUND_MS", "serving.evacuation_bound_ms" },
     { "APRICOTTRACK_LINK_MBPS", "serving.link_mbps" },
+    { "APRICOTTRACK_MEMORY_MB", "memory_mb" },
+    { "APRICOTTRACK_MAX_FDS", "max_fds" },
   };
   SettingsDefaults defaults;
   for (const auto& [variable, key] : kVariables) {
