--- a/src/http/ByteBudget.cpp
+++ b/src/http/ByteBudget.cpp
@@ -4,6 +4,17 @@
 
 namespace apricottrack {
 
+void
+ByteBudget::ExportCounts(Counters& aCounters) const
+{
+  aCounters.Set(
+    "caller_memory_bytes", {}, static_cast<double>(this->usedBytes));
+  aCounters.Set(
+    "caller_memory_revoked", {}, static_cast<double>(this->counts.revoked));
+  aCounters.Set(
+    "caller_memory_refused", {}, static_cast<double>(this->counts.refused));
+}
+
 bool
 ByteBudget::MakeRoom(std::size_t aBytes, const Reservation& aAsking)
 {
--- a/src/http/ByteBudget.h
+++ b/src/http/ByteBudget.h
@@ -1,6 +1,8 @@
 #ifndef APRICOTTRACK_HTTP_BYTEBUDGET_H
 #define APRICOTTRACK_HTTP_BYTEBUDGET_H
 
+#include "base/Counters.h"
+
 #include <cstddef>
 #include <cstdint>
 #include <functional>
@@ -46,6 +48,8 @@
 
   const Counts& GetCounts() const { return this->counts; }
   std::size_t UsedBytes() const { return this->usedBytes; }
+  /// Sets the metrics of the counts and of the bytes in use.
+  void ExportCounts(Counters& aCounters) const;
 
   class Reservation;
 
--- a/src/node/AdminEndpoint.cpp
+++ b/src/node/AdminEndpoint.cpp
@@ -54,6 +54,7 @@
   const auto version = this->context.configuration.Stored().version;
   counters.Set("configuration_version", {}, static_cast<double>(version));
   counters.Set("requests_in_flight", {}, this->context.requestsInFlight);
+  this->context.callerMemory.ExportCounts(counters);
   for (const auto& [name, dispatcher] : this->context.dispatchers) {
     counters.Set("requests_waiting",
                  { { "service", name } },
--- a/src/serving/ServingNode.cpp
+++ b/src/serving/ServingNode.cpp
@@ -347,6 +347,7 @@
   }
   this->context.counters.Set("requests_in_flight", {}, this->context.inFlight);
   this->servers.ExportCounts();
+  this->context.callerMemory.ExportCounts(this->context.counters);
   this->context.counters.Set(
     "planner_leads", {}, this->planner.IsPlanner() ? 1 : 0);
   this->context.counters.Set(
--- a/tests/ByteBudgetTest.cpp
+++ b/tests/ByteBudgetTest.cpp
@@ -121,3 +121,17 @@
   ByteBudget::Reservation whole(budget);
   CHECK(whole.TryGrowTo(100));
 }
+
+TEST_CASE("ByteBudget exports its counts")
+{
+  ByteBudget budget({ .totalBytes = 100, .freeBytesPerBody = 0 });
+  ByteBudget::Reservation body(budget);
+  REQUIRE(body.TryGrowTo(70));
+  REQUIRE_FALSE(body.TryGrowTo(101));
+  Counters counters;
+  budget.ExportCounts(counters);
+  const std::string text = counters.Text();
+  CHECK(text.find("caller_memory_bytes 70") != std::string::npos);
+  CHECK(text.find("caller_memory_refused 1") != std::string::npos);
+  CHECK(text.find("caller_memory_revoked 0") != std::string::npos);
+}
--- a/tests/wholepath/test_hostile_clients.py
+++ b/tests/wholepath/test_hostile_clients.py
@@ -41,6 +41,7 @@
 OWN_BODY = 960 * KIB
 # A body that stops just short of the catalog's limit of 4 MiB.
 PLATFORM_BODY = 3840 * KIB
+PLATFORM_LIMIT = 4 * 1024 * KIB
 OVERSIZED_BODY = 45 * 1024 * KIB
 # Just below the limit of messages between nodes.
 PEER_MESSAGE = 2 * 1024 * KIB - 1
@@ -278,7 +279,7 @@
         self.assertEqual([node.deaths for node in self.world.nodes], [[], []])
         return [node.process.pid for node in self.world.nodes]
 
-    async def ordinary_request(self):
+    async def ordinary_request(self, body=b"x"):
         statuses = []
         for node in self.world.nodes:
             headers = {
@@ -288,11 +289,18 @@
                 "Authorization": "Token " + standins.KEY,
             }
             answer = await asyncio.wait_for(
-                standins.call(node.client, "POST", "/book/1", headers, b"x"), 20
+                standins.call(node.client, "POST", "/book/1", headers, body), 20
             )
             statuses.append(answer[0])
         return max(statuses)
 
+    def test_bodies_of_the_largest_size_are_served_without_a_crowd(self):
+        async def largest():
+            status = await self.ordinary_request(b"x" * PLATFORM_LIMIT)
+            self.assertEqual(status, 200)
+
+        self.run_case(largest)
+
     async def start_world(self):
         targets = [
             standins.Runner(
