--- a/src/membership/FleetPacking.cpp
+++ b/src/membership/FleetPacking.cpp
@@ -1,5 +1,7 @@
 #include "membership/FleetPacking.h"
 
+#include "membership/LimitPacking.h"
+
 namespace apricottrack::detail {
 
 namespace {
@@ -158,68 +160,6 @@
   return loads;
 }
 
-std::vector<flatbuffers::Offset<wire::RequestLimit>>
-PackLimits(Builder& aBuilder, const std::vector<LimitSample>& aLimits)
-{
-  std::vector<flatbuffers::Offset<wire::RequestLimit>> limits;
-  limits.reserve(aLimits.size());
-  for (const LimitSample& sample : aLimits) {
-    limits.push_back(wire::CreateRequestLimitDirect(
-      aBuilder,
-      sample.target.c_str(),
-      sample.limit ? flatbuffers::Optional<double>(*sample.limit)
-                   : flatbuffers::nullopt,
-      static_cast<std::uint32_t>(ToMilliseconds(sample.age))));
-  }
-  return limits;
-}
-
-std::vector<LimitSample>
-UnpackLimits(
-  const flatbuffers::Vector<flatbuffers::Offset<wire::RequestLimit>>* aItems)
-{
-  std::vector<LimitSample> limits;
-  if (aItems != nullptr) {
-    for (const wire::RequestLimit* const item : *aItems) {
-      const auto limit = item->limit();
-      limits.push_back({ .target = TextOf(item->target()),
-                         .limit = limit ? std::optional(*limit) : std::nullopt,
-                         .age = milliseconds(item->age_ms()) });
-    }
-  }
-  return limits;
-}
-
-std::vector<flatbuffers::Offset<wire::ColdTarget>>
-PackColdTargets(Builder& aBuilder, const std::vector<ColdSample>& aSamples)
-{
-  std::vector<flatbuffers::Offset<wire::ColdTarget>> targets;
-  targets.reserve(aSamples.size());
-  for (const ColdSample& sample : aSamples) {
-    targets.push_back(wire::CreateColdTargetDirect(
-      aBuilder,
-      sample.target.c_str(),
-      sample.rate,
-      static_cast<std::uint32_t>(ToMilliseconds(sample.remaining))));
-  }
-  return targets;
-}
-
-std::vector<ColdSample>
-UnpackColdTargets(
-  const flatbuffers::Vector<flatbuffers::Offset<wire::ColdTarget>>* aItems)
-{
-  std::vector<ColdSample> samples;
-  if (aItems != nullptr) {
-    for (const wire::ColdTarget* const item : *aItems) {
-      samples.push_back({ .target = TextOf(item->target()),
-                          .rate = item->rate(),
-                          .remaining = milliseconds(item->remaining_ms()) });
-    }
-  }
-  return samples;
-}
-
 std::vector<flatbuffers::Offset<wire::LostRequest>>
 PackLostRequests(Builder& aBuilder, const std::vector<LostRequest>& aRequests)
 {
