Review: a store whose era passes 1,000 is not seen to be restored

Cause: an era above 1,000 counts as no era, so that after a restore documents with lower revisions are ignored and the old catalog counts as verified. Change: adds the case review/10 and a restore to the store's stand-in.

--- a/review/lib-2/world.py
+++ b/review/lib-2/world.py
@@ -179,6 +179,7 @@
         self.leases = {}  # id: (ttl, end)
         self.next_lease = 5000
         self.era = 1
+        self.history_start = 0
         self.changed = asyncio.Event()
         self.up = True
         self.calls = 0
@@ -229,6 +230,20 @@
         self._erase(key)
         self._notify()
 
+    def copy(self):
+        """Returns a copy that the store may be restored from."""
+        return dict(self.items), self.revision, self.next_lease
+
+    def restore(self, copy):
+        """Goes back to a copy: what was written since is gone, leases too."""
+        items, self.revision, self.next_lease = copy
+        self.items = {key: item for key, item in items.items() if item[3] == 0}
+        self.leases = {}
+        self.events = []
+        self.history_start = self.revision
+        self.era += 1
+        self._notify()
+
     @staticmethod
     def _item(key, item):
         return {
@@ -290,6 +305,8 @@
             end = now() + int(query.get("wait_ms", 0)) / 1000
             after, prefix = int(query["after"]), query["prefix"]
             while True:
+                if not self.history_start <= after <= self.revision:
+                    return self.reply(410, {})
                 events = [
                     self._item(key, item)
                     if item
