--- a/src/intake/Refusal.cpp
+++ b/src/intake/Refusal.cpp
@@ -1,5 +1,7 @@
 #include "intake/Refusal.h"
 
+#include "retry/RefusalStatus.h"
+
 #include <boost/json.hpp>
 #include <cmath>
 
@@ -55,4 +57,17 @@
   return response;
 }
 
+Outcome
+StatedOutcome(const HttpResponse& aHead)
+{
+  const std::string_view name = aHead["X-Request-Outcome"];
+  if (name == OutcomeName(Outcome::kNotRun)) {
+    return Outcome::kNotRun;
+  }
+  return name == OutcomeName(Outcome::kAnswered) &&
+             !StatesNotRun(aHead.result_int())
+           ? Outcome::kAnswered
+           : Outcome::kUnknown;
+}
+
 } // namespace apricottrack
--- a/src/intake/Refusal.h
+++ b/src/intake/Refusal.h
@@ -45,6 +45,11 @@
 HttpResponse
 RefusalResponse(const Refusal& aRefusal, std::string_view aRequestId);
 
+/// Returns the outcome that another node's response states. A status alone
+/// proves no refusal: earlier versions passed on those of targets.
+Outcome
+StatedOutcome(const HttpResponse& aHead);
+
 } // namespace apricottrack
 
 #endif
--- a/src/journal/JournalIndex.cpp
+++ b/src/journal/JournalIndex.cpp
@@ -1,6 +1,7 @@
 #include "journal/JournalIndex.h"
 
 #include "base/JsonFields.h"
+#include "retry/RefusalStatus.h"
 
 #include <boost/json.hpp>
 
@@ -85,6 +86,15 @@
   return json::serialize(line) + "\n";
 }
 
+Outcome
+ProvenOutcome(const JournalEnd& aEnd)
+{
+  const bool isRefusal =
+    aEnd.status > 0 && StatesNotRun(static_cast<unsigned>(aEnd.status));
+  return isRefusal && aEnd.outcome == Outcome::kAnswered ? Outcome::kUnknown
+                                                         : aEnd.outcome;
+}
+
 std::string_view
 SealLine()
 {
--- a/src/journal/JournalRecord.h
+++ b/src/journal/JournalRecord.h
@@ -54,6 +54,11 @@
   friend bool operator==(const JournalEnd&, const JournalEnd&) = default;
 };
 
+/// Returns the outcome that the record proves. Earlier versions recorded as
+/// answered what a target had only refused with a status that states not run.
+Outcome
+ProvenOutcome(const JournalEnd& aEnd);
+
 /// The last attempt recorded in the journal for one key.
 struct JournalEntry
 {
--- a/src/node/NodeForward.cpp
+++ b/src/node/NodeForward.cpp
@@ -3,6 +3,7 @@
 #include "base/Log.h"
 #include "http/HopByHop.h"
 #include "intake/Refusal.h"
+#include "retry/RefusalStatus.h"
 
 #include <algorithm>
 #include <charconv>
@@ -24,13 +25,6 @@
 /// Smallest timeout of a read or write, used close to the deadline.
 constexpr Duration kMinTimeout = milliseconds(1);
 
-bool
-IsRefusal(const HttpResponse& aHead)
-{
-  return aHead.result() == http::status::service_unavailable &&
-         aHead["X-Request-Outcome"] == OutcomeName(Outcome::kNotRun);
-}
-
 } // namespace
 
 NodeForward::NodeForward(NodeContext& aContext,
@@ -97,8 +91,7 @@
 Task<std::optional<Outcome>>
 NodeForward::Call(std::string aAddress)
 {
-  auto opened =
-    co_await this->context.targetPool.OpenNewConnection(std::move(aAddress));
+  auto opened = co_await this->context.targetPool.OpenNewConnection(aAddress);
   if (!opened) {
     co_return std::nullopt;
   }
@@ -117,6 +110,15 @@
   if (!head) {
     co_return co_await this->Fail(head.error());
   }
+  const Outcome outcome = StatedOutcome(*head);
+  if (outcome == Outcome::kUnknown && StatesNotRun(head->result_int())) {
+    co_return co_await this->Fail(
+      { .code = ErrorCode::kBadReply,
+        .step = "node.head",
+        .peer = std::move(aAddress),
+        .detail = "no guarantee of not run, status " +
+                  std::to_string(head->result_int()) });
+  }
   if ((*head)[http::field::content_type].starts_with("text/event-stream")) {
     co_return co_await this->RelayStream(*connection, std::move(*head));
   }
@@ -124,13 +126,10 @@
   if (!response) {
     co_return co_await this->Fail(response.error());
   }
-  if (IsRefusal(*response)) {
+  if (outcome == Outcome::kNotRun &&
+      response->result() == http::status::service_unavailable) {
     co_return std::nullopt;
   }
-  const Outcome outcome =
-    (*response)["X-Request-Outcome"] == OutcomeName(Outcome::kAnswered)
-      ? Outcome::kAnswered
-      : Outcome::kUnknown;
   co_await this->exchange.Reply(std::move(*response));
   co_return outcome;
 }
--- a/src/node/RequestRun.cpp
+++ b/src/node/RequestRun.cpp
@@ -254,19 +254,19 @@
                             .retryAfter = seconds(2) } };
   }
   const JournalEnd& end = *aEntry.end;
-  if (end.outcome == Outcome::kAnswered && end.bodyIsStored) {
+  const Outcome outcome = ProvenOutcome(end);
+  const bool answered = outcome == Outcome::kAnswered;
+  if (answered && end.bodyIsStored) {
     this->relay.SetReplayedResponse(
       static_cast<unsigned>(end.status), end.contentType, end.body);
-    return RequestResult{ .outcome = Outcome::kAnswered,
-                          .refusal = std::nullopt };
+    return RequestResult{ .outcome = outcome, .refusal = std::nullopt };
   }
-  const bool answered = end.outcome == Outcome::kAnswered;
   return RequestResult{
-    .outcome = end.outcome,
+    .outcome = outcome,
     .refusal =
       Refusal{ .status = 409,
                .code = answered ? "already_answered" : "outcome_unknown",
-               .outcome = end.outcome,
+               .outcome = outcome,
                .message = "an earlier attempt with this key has ended; "
                           "it is not run again",
                .retryAfter = std::nullopt }
@@ -320,7 +320,7 @@
       }
       co_return RequestResult{
         .outcome = this->mayHaveRun ? Outcome::kUnknown : Outcome::kNotRun,
-        .refusal = Refusal{ .status = 503,
+        .refusal = Refusal{ .status = this->mayHaveRun ? 502U : 503U,
                             .code = "no_target",
                             .outcome = this->mayHaveRun ? Outcome::kUnknown
                                                         : Outcome::kNotRun,
--- a/src/node/TargetAttempt.cpp
+++ b/src/node/TargetAttempt.cpp
@@ -1,6 +1,7 @@
 #include "node/TargetAttempt.h"
 
 #include "node/ResponseRelay.h"
+#include "retry/RefusalStatus.h"
 
 #include <algorithm>
 
@@ -76,6 +77,14 @@
              .detail = "status " + std::to_string(head->result_int()) };
     co_return AttemptEnd::kRefusedNotRun;
   }
+  if (StatesNotRun(head->result_int())) {
+    this->failure = Error{ .code = ErrorCode::kRefused,
+                           .step = "target.head",
+                           .peer = this->options.address,
+                           .detail = "no guarantee of not run, status " +
+                                     std::to_string(head->result_int()) };
+    co_return AttemptEnd::kUnconfirmedRefusal;
+  }
   co_return co_await this->RelayResponse(*head);
 }
 
--- a/src/retry/RetryPolicy.cpp
+++ b/src/retry/RetryPolicy.cpp
@@ -14,6 +14,8 @@
       return "not_sent";
     case AttemptEnd::kRefusedNotRun:
       return "refused_not_run";
+    case AttemptEnd::kUnconfirmedRefusal:
+      return "unconfirmed_refusal";
     case AttemptEnd::kNoAnswer:
       return "no_answer";
     case AttemptEnd::kTruncated:
--- a/src/retry/RetryPolicy.h
+++ b/src/retry/RetryPolicy.h
@@ -19,6 +19,9 @@
   kNotSent,
   /// The target refused, and by its protocol the request was not run.
   kRefusedNotRun,
+  /// The status of the response states that the request was not run, but the
+  /// target does not guarantee it.
+  kUnconfirmedRefusal,
   /// The request was sent; then the connection failed or no response arrived
   /// in time.
   kNoAnswer,
--- a/src/serving/RequestFlow.cpp
+++ b/src/serving/RequestFlow.cpp
@@ -1,6 +1,7 @@
 #include "serving/RequestFlow.h"
 
 #include "quarantine/RequestIdentity.h"
+#include "retry/RefusalStatus.h"
 
 #include <algorithm>
 
@@ -404,14 +405,24 @@
     co_return this->RejectResponse(
       "response has neither a signature nor an attempt id");
   }
+  const unsigned status = aHead.result_int();
+  if (StatesNotRun(status)) {
+    this->heldMemory.Release();
+    this->context.counters.Add(
+      "unconfirmed_refusals",
+      { { "service", this->admittedRequest.service->name } });
+    this->lastError.detail =
+      "no guarantee of not run, status " + std::to_string(status);
+    co_return CallEnd::kUnconfirmedRefusal;
+  }
   this->heldResponse = std::make_unique<HttpResponse>();
-  this->heldResponse->result(aHead.result_int());
+  this->heldResponse->result(status);
   for (const auto& [name, value] : this->ResponseHeaders(aHead)) {
     this->heldResponse->insert(name, value);
   }
   this->heldResponse->body() = std::move(*body);
-  co_return aHead.result_int() >= kFirstServerError ? CallEnd::kTargetFailed
-                                                    : CallEnd::kAnswered;
+  co_return status >= kFirstServerError ? CallEnd::kTargetFailed
+                                        : CallEnd::kAnswered;
 }
 
 CallEnd
--- a/src/serving/RetryRules.cpp
+++ b/src/serving/RetryRules.cpp
@@ -57,6 +57,8 @@
       return "not_sent";
     case CallEnd::kNotRun:
       return "not_run";
+    case CallEnd::kUnconfirmedRefusal:
+      return "unconfirmed_refusal";
     case CallEnd::kNoAnswer:
       return "no_answer";
     case CallEnd::kTruncated:
@@ -110,6 +112,7 @@
                                                : NextStep::kDone;
     case CallEnd::kNotSent:
     case CallEnd::kNotRun:
+    case CallEnd::kUnconfirmedRefusal:
     case CallEnd::kNoAnswer:
     case CallEnd::kTruncated:
       break;
--- a/src/serving/RetryRules.h
+++ b/src/serving/RetryRules.h
@@ -17,6 +17,9 @@
   kNotSent,
   /// The target guaranteed that it did not run the request.
   kNotRun,
+  /// A complete response whose status states that the request was not run,
+  /// which the target does not guarantee.
+  kUnconfirmedRefusal,
   /// Sent, but no usable response arrived.
   kNoAnswer,
   /// The response was incomplete or not verifiably the target's own.
--- a/tests/RetryPolicyTest.cpp
+++ b/tests/RetryPolicyTest.cpp
@@ -34,6 +34,7 @@
 {
   const AttemptEnd end = GENERATE(AttemptEnd::kNotSent,
                                   AttemptEnd::kRefusedNotRun,
+                                  AttemptEnd::kUnconfirmedRefusal,
                                   AttemptEnd::kNoAnswer,
                                   AttemptEnd::kTruncated,
                                   AttemptEnd::kForeignAnswer,
--- a/tests/RetryRulesTest.cpp
+++ b/tests/RetryRulesTest.cpp
@@ -24,7 +24,9 @@
 
 TEST_CASE("RetryRules fails a request that may have run and is not repeatable")
 {
-  for (const CallEnd end : { CallEnd::kNoAnswer, CallEnd::kTruncated }) {
+  for (const CallEnd end : { CallEnd::kUnconfirmedRefusal,
+                             CallEnd::kNoAnswer,
+                             CallEnd::kTruncated }) {
     for (const CatalogRoute& route :
          { kNonIdempotentRoute, kNonResumableStream }) {
       CHECK(DecideNext(route, end, { .possibleRunCount = 1, .sendCount = 1 }) ==
--- a/tests/TargetAttemptTest.cpp
+++ b/tests/TargetAttemptTest.cpp
@@ -116,6 +116,29 @@
           .end == AttemptEnd::kAnswered);
 }
 
+// Guards against callers who are told that a request has not run that has, and
+// who therefore send it again.
+TEST_CASE("TargetAttempt takes a status that states not run for no response "
+          "without the target's guarantee")
+{
+  const int status = GENERATE(408, 421, 429, 503);
+  const std::string headers =
+    GENERATE("",
+             "X-Request-Outcome: answered\r\n",
+             "Retry-After: 1\r\n",
+             "Content-Type: text/event-stream\r\n");
+  CAPTURE(status, headers);
+  CHECK(RunAttempt(PlainResponse(status, headers, "booked")).end ==
+        AttemptEnd::kUnconfirmedRefusal);
+  CHECK(RunAttempt(PlainResponse(status,
+                                 headers + "X-Request-Outcome: not_run\r\n",
+                                 "full"))
+          .end == (headers.starts_with("X-") ? AttemptEnd::kUnconfirmedRefusal
+                                             : AttemptEnd::kRefusedNotRun));
+  CHECK(RunAttempt(PlainResponse(500, headers, "failed")).end !=
+        AttemptEnd::kUnconfirmedRefusal);
+}
+
 TEST_CASE("TargetAttempt sends nothing to a target whose zone was evacuated")
 {
   const std::string response = PlainResponse(200, "", "whole");
--- a/tests/standins/TargetStandin.cpp
+++ b/tests/standins/TargetStandin.cpp
@@ -160,6 +160,12 @@
   }
 }
 
+unsigned
+TargetStandin::RunStatus() const
+{
+  return this->faults.refuseAfterRun > 0 ? this->faults.refuseAfterRun : 200;
+}
+
 Task<void>
 TargetStandin::Handle(HttpExchange& aExchange)
 {
@@ -243,6 +249,8 @@
                                    : aDefault;
     };
     this->faults = Faults{ .dropResponses = JsonFlag(*body, "drop_answers"),
+                           .refuseAfterRun = static_cast<unsigned>(
+                             number("refuse_after_run", 0)),
                            .truncateAfter = number("truncate_after", -1),
                            .stallAfter = number("stall_after", -1),
                            .wrongRequestIds = JsonFlag(*body, "foreign_ids"),
@@ -369,7 +377,8 @@
       content += TokenAt(prompt, i);
     }
     co_await this->Sleep(this->options.tokenMs * tokens);
-    HttpResponse response = JsonResponse(200, CompletionBody(content, hit));
+    HttpResponse response =
+      JsonResponse(this->RunStatus(), CompletionBody(content, hit));
     response.set("X-Request-Id", this->ResponseId(request));
     this->SetRequestLimit(response);
     if (this->groupBreaks != breaksAtStart) {
@@ -432,7 +441,7 @@
     co_return;
   }
   HttpResponse response =
-    JsonResponse(200, PlainBody(this->options.vm, request));
+    JsonResponse(this->RunStatus(), PlainBody(this->options.vm, request));
   response.set("X-Request-Id", this->ResponseId(request));
   this->SetRequestLimit(response);
   if (this->faults.duplicateResponses) {
--- a/tests/standins/TargetStandin.h
+++ b/tests/standins/TargetStandin.h
@@ -70,6 +70,9 @@
   {
     /// Requests run, but the connection is closed without a response.
     bool dropResponses = false;
+    /// Requests run and are answered with this status, as if they had not run;
+    /// 0 means never.
+    unsigned refuseAfterRun = 0;
     /// Streams are cut off after this many tokens; -1 means never.
     int truncateAfter = -1;
     /// Streams stall for an hour after this many tokens; -1 means never.
@@ -85,6 +88,8 @@
   };
 
   void SetRequestLimit(HttpResponse& aResponse) const;
+  /// Status of the responses to requests that have run.
+  unsigned RunStatus() const;
   Task<void> HandleStatus(HttpExchange& aExchange);
   Task<void> HandleOrder(HttpExchange& aExchange);
   Task<void> HandleControl(HttpExchange& aExchange);
--- a/tests/wholepath/test_faults.py
+++ b/tests/wholepath/test_faults.py
@@ -98,6 +98,29 @@
         audit = self.deployment.command("audit", "--json").stdout
         self.assertIn('"outcome":"outcome_unknown"', audit)
 
+    # Guards against callers who are told that a booking has not run that has, and
+    # who therefore book again.
+    def test_a_booking_that_ran_and_is_refused_is_unknown_and_never_rerun(self):
+        for refused in (503, 429, 408, 421):
+            key = f"refused-{refused}"
+            self.set_fault(self.plain(), refuse_after_run=refused)
+            status, body, headers = book(self.node(0), key)
+            self.assertEqual(status, 502)
+            self.assertEqual(outcome_of(status, body, headers), "outcome_unknown")
+            self.set_fault(self.plain())
+            for node in (0, 1):
+                status, body, headers = book(self.node(node), key)
+                self.assertEqual(status, 409)
+                self.assertEqual(outcome_of(status, body, headers), "outcome_unknown")
+            self.assertEqual(runs_by_key(self.deployment.records())[key], 1)
+
+    def test_an_idempotent_request_that_is_refused_after_its_run_is_retried(self):
+        expected = content_of(chat(self.node(), "shed", tokens=5)[1])
+        self.set_fault(self.heads()[:2], refuse_after_run=503)
+        for i in range(6):
+            status, body, _ = chat(self.node(i % 2), "shed", tokens=5)
+            self.assertEqual((status, content_of(body)), (200, expected))
+
     def test_a_group_with_a_killed_member_stops_and_is_repaired_with_a_spare(self):
         victim = next(
             vm
