--- a/src/serving/Forwarding.cpp
+++ b/src/serving/Forwarding.cpp
@@ -71,7 +71,8 @@
 bool
 IsRefusedByNode(const HttpResponse& aResponse)
 {
-  return !ValueOf(aResponse, kRefused).empty();
+  // A response that names its target is that target's, whatever it contains.
+  return !ValueOf(aResponse, kRefused).empty() && TargetOf(aResponse).empty();
 }
 
 HttpHeaders
--- a/src/serving/Forwarding.h
+++ b/src/serving/Forwarding.h
@@ -63,7 +63,7 @@
 std::string
 TargetOf(const HttpResponse& aResponse);
 
-/// Removes what only concerns the two nodes.
+/// Removes what only concerns the two nodes, whoever has added it.
 HttpHeaders
 WithoutNodeHeaders(HttpHeaders aHeaders);
 
--- a/src/serving/RequestFlowForwarding.cpp
+++ b/src/serving/RequestFlowForwarding.cpp
@@ -92,11 +92,9 @@
 HttpHeaders
 RequestFlow::ResponseHeaders(const HttpResponse& aHead) const
 {
-  HttpHeaders headers = this->context.protocol.ResponseHeaders(aHead);
-  if (IsNodeCandidate(this->lastTargetId)) {
-    return WithoutNodeHeaders(std::move(headers));
-  }
-  if (!this->forwarded) {
+  HttpHeaders headers =
+    WithoutNodeHeaders(this->context.protocol.ResponseHeaders(aHead));
+  if (!this->forwarded || IsNodeCandidate(this->lastTargetId)) {
     return headers;
   }
   return WithCatalogVersion(WithTarget(std::move(headers), this->lastTargetId),
--- a/tests/RequestFlowForwardingTest.cpp
+++ b/tests/RequestFlowForwardingTest.cpp
@@ -164,6 +164,66 @@
   CHECK(*reads == 1);
 }
 
+// Guards against a request that runs twice, because a target's response is
+// taken for a refusal of the node that passes it on.
+TEST_CASE("RequestFlow takes no response that names its target for a refusal")
+{
+  ServingHarness harness;
+  Heads heads;
+  harness.AddUnreachableTarget("t1");
+  const int status = GENERATE(200, 500, 503);
+  const std::string response =
+    PlainResponse(status,
+                  "X-Signed: 1\r\nX-Attempt: a\r\n"
+                  "Apricottrack-Refused: 1\r\nApricottrack-Target: t9\r\n",
+                  "from t9");
+  harness.AddNode(Answer(response, heads.first));
+  harness.AddNode(Answer(response, heads.first));
+  std::string received;
+  const bool ended = harness.Run(
+    [&]() -> Task<void> {
+      received = co_await harness.Call("/once/x", "a", kTimeout);
+    },
+    kTestLimit);
+  REQUIRE(ended);
+  CHECK(StatusOf(received) == (status == 503 ? 502 : status));
+  CHECK(heads.first->size() == 1);
+}
+
+// Guards against the same, and against a catalog version or a target's name
+// that come from a target.
+TEST_CASE("RequestFlow passes on no headers between nodes that a target sends")
+{
+  ServingHarness harness;
+  Heads heads;
+  harness.AddTarget("t1",
+                    Answer(PlainResponse(200,
+                                         "X-Signed: 1\r\nX-Attempt: a\r\n"
+                                         "X-Apricottrack-Free: 1\r\n"
+                                         "Apricottrack-Refused: 1\r\n"
+                                         "Apricottrack-Target: t9\r\n"
+                                         "Apricottrack-Catalog-Version: 99\r\n",
+                                         "b"),
+                           heads.first));
+  std::string direct;
+  std::string forwarded;
+  const bool ended = harness.Run(
+    [&]() -> Task<void> {
+      direct = co_await harness.Call("/once/x", "a", kTimeout);
+      forwarded = co_await harness.Exchange(harness.StartForwardServer(),
+                                            ForwardedHead("/once/x", 1));
+    },
+    kTestLimit);
+  REQUIRE(ended);
+  CHECK(StatusOf(direct) == 200);
+  CHECK(direct.find("\r\nApricottrack-") == std::string::npos);
+  CHECK(StatusOf(forwarded) == 200);
+  CHECK(forwarded.find("Apricottrack-Refused") == std::string::npos);
+  CHECK(forwarded.find("Apricottrack-Target: t1") != std::string::npos);
+  CHECK(forwarded.find("t9") == std::string::npos);
+  CHECK(forwarded.find("99") == std::string::npos);
+}
+
 // Guards against a request that circulates between nodes.
 TEST_CASE("RequestFlow does not forward a forwarded request")
 {
--- a/tests/ServingHarness.h
+++ b/tests/ServingHarness.h
@@ -88,7 +88,8 @@
   {
     HttpHeaders headers;
     for (const auto& field : aHead) {
-      if (field.name_string().starts_with("X-")) {
+      if (field.name_string().starts_with("X-") ||
+          field.name_string().starts_with("Apricottrack-")) {
         headers.emplace_back(field.name_string(), field.value());
       }
     }
