--- a/src/http/HttpClient.cpp
+++ b/src/http/HttpClient.cpp
@@ -1,5 +1,7 @@
 #include "http/HttpClient.h"
 
+#include "http/Framing.h"
+
 #include <algorithm>
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
@@ -190,6 +192,11 @@
                                this->address,
                                error);
   }
+  if (const auto ambiguous =
+        CheckFraming(parser.get(), parser.get().version())) {
+    co_return FailureFromBoost(
+      ErrorCode::kBadReply, "http.receive_head", this->address, ambiguous);
+  }
   if (parser.need_eof() && !this->acceptsCloseDelimited) {
     co_return Failure(
       ErrorCode::kBadReply,
--- a/src/http/HttpServerReceive.cpp
+++ b/src/http/HttpServerReceive.cpp
@@ -1,3 +1,4 @@
+#include "http/Framing.h"
 #include "http/HttpServerSession.h"
 
 #include <algorithm>
@@ -96,6 +97,11 @@
     if (headerEnds) {
       isInHeader = false;
       fieldBytes = FieldBytes(aParser.get());
+      const auto ambiguous =
+        CheckFraming(aParser.get(), aParser.get().version());
+      if (ambiguous) {
+        co_return ambiguous;
+      }
     }
     if (!aMemory.TryGrowTo(aSession.buffer.capacity() + fieldBytes +
                            kBodyCopies * aParser.get().body().capacity())) {
