--- a/tests/TargetAttemptTest.cpp
+++ b/tests/TargetAttemptTest.cpp
@@ -122,19 +122,18 @@
           "without the target's guarantee")
 {
   const int status = GENERATE(408, 421, 429, 503);
-  const std::string headers =
-    GENERATE("",
-             "X-Request-Outcome: answered\r\n",
-             "Retry-After: 1\r\n",
-             "Content-Type: text/event-stream\r\n");
+  const std::string headers = GENERATE("",
+                                       "X-Request-Outcome: answered\r\n",
+                                       "Retry-After: 1\r\n",
+                                       "Content-Type: text/event-stream\r\n");
   CAPTURE(status, headers);
   CHECK(RunAttempt(PlainResponse(status, headers, "booked")).end ==
         AttemptEnd::kUnconfirmedRefusal);
-  CHECK(RunAttempt(PlainResponse(status,
-                                 headers + "X-Request-Outcome: not_run\r\n",
-                                 "full"))
-          .end == (headers.starts_with("X-") ? AttemptEnd::kUnconfirmedRefusal
-                                             : AttemptEnd::kRefusedNotRun));
+  CHECK(
+    RunAttempt(
+      PlainResponse(status, headers + "X-Request-Outcome: not_run\r\n", "full"))
+      .end == (headers.starts_with("X-") ? AttemptEnd::kUnconfirmedRefusal
+                                         : AttemptEnd::kRefusedNotRun));
   CHECK(RunAttempt(PlainResponse(500, headers, "failed")).end !=
         AttemptEnd::kUnconfirmedRefusal);
 }
