--- a/review/lib-3/world.py
+++ b/review/lib-3/world.py
@@ -9,6 +9,7 @@
 import shutil
 import signal
 import socket
+import struct
 import tempfile
 import time
 import urllib.parse
@@ -325,6 +326,35 @@
         )
 
 
+class CrashingRunner(Runner):
+    """A runner that a request may crash; it is back after some seconds."""
+
+    store = None
+    is_down = False
+    back_after_s = 3.0
+
+    async def crash(self, crashes):
+        if self.is_down:
+            return
+        self.is_down = True
+        crashes.append(time.monotonic())
+        self.record(f"{self.name} crashes")
+        self.beating.cancel()
+        self.server.close()
+        for writer in list(self.writers):
+            linger = struct.pack("ii", 1, 0)
+            writer.get_extra_info("socket").setsockopt(
+                socket.SOL_SOCKET, socket.SO_LINGER, linger
+            )
+            writer.transport.abort()
+        await asyncio.sleep(self.back_after_s)
+        self.server = await asyncio.start_server(self.serve, "127.0.0.1", self.port)
+        self.born = int(time.time() * 1000)
+        self.is_down = False
+        self.record(f"{self.name} is back")
+        self.beating = asyncio.create_task(self.beat(self.store))
+
+
 class Node:
     """One process of the daemon, with the settings of deploy/settings.toml.in."""
 
@@ -441,6 +471,14 @@
         runner.beating = asyncio.create_task(runner.beat(self.store))
         self.runners.append(runner)
 
+    def planner(self):
+        """The node that holds the planner's lease, or None."""
+        item = self.store.items.get("apricottrack/state/planner")
+        if item is None:
+            return None
+        address = base64.b64decode(item["value"]).decode().split(" ")[0]
+        return next((n for n in self.nodes if address == f"127.0.0.1:{n.peer}"), None)
+
     async def stop(self):
         for node in self.nodes:
             if node.process is not None and node.process.returncode is None:
