--- a/review/lib-3/world.py
+++ b/review/lib-3/world.py
@@ -368,6 +368,7 @@
         self.peer = free_ports(2)
         self.first_start = first_start
         self.process = None
+        self.quota = None
 
     def settings(self):
         bounds = self.world.bounds
@@ -420,6 +421,27 @@
             pass
         return 0
 
+    def limit_processor(self, share):
+        """The machine's share of a core is a quota: the process runs until it is
+        used up, and then not at all for the rest of that tenth of a second."""
+        self.quota = asyncio.create_task(self.enforce_quota(share))
+
+    def processor_s(self):
+        with open(f"/proc/{self.process.pid}/schedstat") as file:
+            return int(file.read().split()[0]) / 1e9
+
+    async def enforce_quota(self, share):
+        period = 0.1
+        while self.process.returncode is None:
+            end = time.monotonic() + period
+            used = self.processor_s()
+            while time.monotonic() < end:
+                await asyncio.sleep(0.002)
+                if self.processor_s() - used >= share * period:
+                    self.process.send_signal(signal.SIGSTOP)
+                    await asyncio.sleep(max(0, end - time.monotonic()))
+                    self.process.send_signal(signal.SIGCONT)
+
     def send_signal(self, number):
         self.process.send_signal(number)
 
@@ -481,6 +503,8 @@
 
     async def stop(self):
         for node in self.nodes:
+            if node.quota is not None:
+                node.quota.cancel()
             if node.process is not None and node.process.returncode is None:
                 node.process.send_signal(signal.SIGCONT)
                 node.process.kill()
