--- a/review/lib-3/world.py
+++ b/review/lib-3/world.py
@@ -6,6 +6,7 @@
 import base64
 import json
 import os
+import random
 import shutil
 import signal
 import socket
@@ -17,18 +18,17 @@
 ROOT = os.path.abspath(os.path.join(os.path.dirname(__file__), "..", ".."))
 
 
-def free_port():
-    with socket.socket() as probe:
-        probe.bind(("127.0.0.1", 0))
-        return probe.getsockname()[1]
+# Below the ports that connections get, so that none takes one meanwhile.
+FIRST_PORT, LAST_PORT = 20000, 32000
+next_port = random.randrange(FIRST_PORT, LAST_PORT)
 
 
 def free_ports(count):
-    """Consecutive ports that are free."""
+    """Returns the first of so many consecutive ports that are free."""
+    global next_port
     while True:
-        first = free_port()
-        if first + count > 60000:
-            continue
+        first = next_port
+        next_port = first + count if first + 2 * count < LAST_PORT else FIRST_PORT
         try:
             for port in range(first, first + count):
                 with socket.socket() as probe:
@@ -91,8 +91,6 @@
         self.next_lease = 1000
         self.changed = asyncio.Condition()
         self.port = None
-        self.silent_until = 0.0
-        self.calls = 0
 
     async def start(self):
         server = await asyncio.start_server(self.serve, "127.0.0.1", 0)
@@ -137,9 +135,6 @@
                 request = await read_request(reader)
                 if request is None:
                     break
-                self.calls += 1
-                while time.monotonic() < self.silent_until:
-                    await asyncio.sleep(0.05)
                 status, reply = await self.answer(*request)
                 body = json.dumps(reply).encode()
                 headers = [("Content-Type", "application/json"), ("Content-Length", len(body))]
@@ -362,10 +357,11 @@
         self.name = name
         self.world = world
         self.zone = zone
-        self.listen = free_port()
-        self.ready = free_port()
-        self.admin = free_port()
-        self.peer = free_ports(2)
+        self.listen = free_ports(5)
+        self.ready = self.listen + 1
+        self.admin = self.listen + 2
+        # The next one is for forwarded requests.
+        self.peer = self.listen + 3
         self.first_start = first_start
         self.process = None
         self.quota = None
