--- a/review/14/run.py
+++ b/review/14/run.py
@@ -1,93 +1,85 @@
-"""Callers ask with HEAD and then with GET on kept connections. TROUBLE=0 asks
-with GET each time."""
+"""A key is taken away. Later the store is away for a second and comes back from
+a copy of before; a node that was killed meanwhile starts as the store returns."""
 
 import asyncio
 import os
-import re
 import sys
+import time
 
 FOLDER = os.path.dirname(os.path.abspath(__file__))
 sys.path.insert(0, os.path.join(FOLDER, "..", "lib-3"))
-from world import Runner, World, config, route, service  # noqa: E402
+from world import Runner, World, call, config, route, service  # noqa: E402
 
 TROUBLE = os.environ.get("TROUBLE", "1") != "0"
-CONNECTIONS = 12
-PATHS = ["/view/2f", "/view/none/2f", "/gone/2f"]
-BODY = b"availability of the booth"
-
-
-async def answer(runner, request, writer):
-    """A sound answer; that to HEAD has the same header and no body."""
-    method, _, headers, _ = request
-    attempt = {name.lower(): value for name, value in headers}["request-attempt-id"]
-    runner.run(request)
-    await asyncio.sleep(0.02)
-    whole = runner.success(attempt, BODY)
-    writer.write(whole[: -len(BODY)] if method == "HEAD" else whole)
-    await writer.drain()
-    return True
-
-
-class Caller:
-    """A client on one kept connection, which reads answers as HTTP/1.1 says."""
-
-    def __init__(self, record, name):
-        self.record = record
-        self.name = name
-        self.count = 0
-
-    async def connect(self, port):
-        self.reader, self.writer = await asyncio.open_connection("127.0.0.1", port)
-
-    async def ask(self, method, path):
-        """Returns the status, or None if the bytes that came are no answer."""
-        self.count += 1
-        attempt = f"{self.name}-{self.count}"
-        lines = [f"{method} {path} HTTP/1.1", "Host: shop.example",
-                 f"Request-Attempt-Id: {attempt}", "Deadline-Ms: 2500",
-                 "Authorization: Token key-1"]
-        self.writer.write(("\r\n".join(lines) + "\r\n\r\n").encode())
-        head = await asyncio.wait_for(self.reader.readuntil(b"\r\n\r\n"), 5)
-        match = re.match(rb"HTTP/1\.1 (\d{3}) ", head)
-        if match is None:
-            self.record(f"{attempt} {method} {path}: no answer but {head[:60]!r}")
-            return None
-        length = re.search(rb"(?i)\r\ncontent-length: *(\d+)", head)
-        if method != "HEAD" and length:
-            await asyncio.wait_for(self.reader.readexactly(int(length.group(1))), 5)
-        self.record(f"{attempt} {method} {path}: {int(match.group(1))}")
-        return int(match.group(1))
+REVOKE_S = 5.0
+AWAY_S = 1.0
+# From the store's return to the operator's writing again.
+WRITTEN_AGAIN_S = float(os.environ.get("WRITTEN_AGAIN_S", "0.06"))
 
 
 async def main():
     world = World(FOLDER)
-    runners = [Runner(f"b-{index}", "booking", world.record) for index in range(3)]
-    for runner in runners:
-        runner.behave = answer
+    record = world.record
+    runners = [Runner(f"b-{index}", "booking", record) for index in range(3)]
     routes = [route("view", "/view/", "idempotent", "booking", attempts=2)]
+
+    def catalog(version, keys):
+        tenants = [{"name": "shop", "api_keys": ["key-1"]}, {"name": "left", "api_keys": keys}]
+        return config(version, routes, [service("booking")], tenants=tenants)
+
     try:
-        await world.start(config(7, routes, [service("booking")]), runners, 2)
-        broken, answered, unserved = 0, 0, 0
-        for number in range(CONNECTIONS):
-            caller = Caller(world.record, f"c{number}")
-            await caller.connect(world.nodes[number % 2].listen)
-            path = PATHS[number % len(PATHS)]
-            first = await caller.ask("HEAD" if TROUBLE else "GET", path)
-            unserved += first == 504
-            # Whatever the node has sent beyond the answer is here by now.
-            await asyncio.sleep(0.2)
-            second = await caller.ask("GET", path)
-            broken += second is None
-            answered += second is not None
-            caller.writer.close()
-        text = (f"trouble {int(TROUBLE)}: {CONNECTIONS} connections, {unserved} first requests "
-                f"with 504 though a runner had answered; the answer to the second one is read on "
-                f"{answered}, other bytes come in its place on {broken}")
-        world.record(text)
+        await world.start(catalog(7, ["key-2", "key-3"]), runners, 3)
+        copy = world.store.copy()
+        await asyncio.sleep(1)
+        await world.store.put("op/config", catalog(11, ["key-3"]))
+        acknowledged = time.monotonic()
+        record("version 11 takes key-2 away: acknowledged")
+        node = next(n for n in world.nodes if n is not world.planner())
+        await asyncio.sleep(REVOKE_S)
+        record(f"the store goes away; {node.name} is killed")
+        await world.store.go_away()
+        node.process.kill()
+        await node.process.wait()
+        await asyncio.sleep(AWAY_S)
+        if TROUBLE:
+            world.store.restore(copy)
+        else:
+            world.store.is_away = False
+        record("the store is back" + (" from a copy of 6 s and more ago" if TROUBLE else ""))
+        node.first_start = False
+        await node.start()
+        for runner in runners:
+            await world.store.put(f"servers/{runner.name}", runner.entry())
+        sent, tasks = {}, []
+
+        async def ask(number):
+            attempt = f"late-{number}"
+            sent[attempt] = time.monotonic()
+            reply = await call(node.listen, attempt, "/view/2f", method="GET", body=b"",
+                               key="key-2", deadline_ms=2500, timeout=3)
+            record(f"{attempt} with key-2, sent {sent[attempt] - acknowledged:.2f} s after the "
+                   f"acknowledgement: {reply.status}")
+
+        begun = time.monotonic()
+        is_written = False
+        for number in range(150):
+            tasks.append(asyncio.create_task(ask(number)))
+            await asyncio.sleep(0.02)
+            if not is_written and time.monotonic() - begun >= WRITTEN_AGAIN_S:
+                is_written = True
+                if TROUBLE:
+                    await world.store.put("op/config", catalog(11, ["key-3"]))
+                record("the operator has written version 11 again")
+        await asyncio.gather(*tasks)
+        ran = {attempt for runner in runners for attempt in runner.runs}
+        late = [a for a in sent if a in ran and sent[a] > acknowledged + REVOKE_S]
+        text = (f"trouble {int(TROUBLE)}: {len(sent)} requests with the key, all sent later than "
+                f"{REVOKE_S:.0f} s after its withdrawal was acknowledged; {len(late)} of them ran")
+        record(text)
         print(text)
-        return 1 if broken else 0
-    except (RuntimeError, OSError, asyncio.TimeoutError, asyncio.IncompleteReadError) as error:
-        print(f"could not run: {error!r}")
+        return 1 if late else 0
+    except (RuntimeError, OSError) as error:
+        print(f"could not run: {error}")
         return 2
     finally:
         await world.stop()
--- a/review/lib-3/world.py
+++ b/review/lib-3/world.py
@@ -90,6 +90,8 @@
         self.leases = {}
         self.next_lease = 1000
         self.changed = asyncio.Condition()
+        self.era = 1
+        self.is_away = False
         self.port = None
 
     async def start(self):
@@ -135,9 +137,17 @@
                 request = await read_request(reader)
                 if request is None:
                     break
+                if self.is_away:
+                    break
                 status, reply = await self.answer(*request)
+                if self.is_away:
+                    break
                 body = json.dumps(reply).encode()
-                headers = [("Content-Type", "application/json"), ("Content-Length", len(body))]
+                headers = [
+                    ("Content-Type", "application/json"),
+                    ("Content-Length", len(body)),
+                    ("Store-Era", self.era),
+                ]
                 await asyncio.sleep(0.004)
                 writer.write(head_bytes(status, headers) + body)
                 await writer.drain()
@@ -188,8 +198,29 @@
             return 200, {}
         return 404, {}
 
+    def copy(self):
+        return dict(self.items), list(self.history), self.revision
+
+    async def go_away(self):
+        """Ends what waits; answers nothing until restore()."""
+        self.is_away = True
+        async with self.changed:
+            self.changed.notify_all()
+
+    def restore(self, copy):
+        """Comes back from an older copy: what was written since is gone, leases
+        too, and revisions are given out again."""
+        items, history, self.revision = copy
+        self.items = {key: item for key, item in items.items() if not item["lease"]}
+        self.history = list(history)
+        self.leases = {}
+        self.era += 1
+        self.is_away = False
+
     async def watch(self, query):
         after = int(query["after"])
+        if after > self.revision:
+            return 410, {"store_revision": self.revision}
         end = time.monotonic() + int(query["wait_ms"]) / 1000
         while True:
             events = [
@@ -198,7 +229,7 @@
                 if event["revision"] > after and event["key"].startswith(query["prefix"])
             ]
             left = end - time.monotonic()
-            if events or left <= 0:
+            if events or left <= 0 or self.is_away:
                 return 200, {"events": events, "store_revision": self.revision}
             async with self.changed:
                 try:
