--- a/include/apricottrack/KeyValueStore.h
+++ b/include/apricottrack/KeyValueStore.h
@@ -119,6 +119,11 @@
   /// revision from before fail with kConflict, and watches from one end.
   virtual std::int64_t RestoreCount() const { return 0; }
 
+  /// Number of the service's present history, as of the newest response. It
+  /// grows with each restore from an older copy. None before the first
+  /// response, and for services that do not report it.
+  virtual std::optional<std::int64_t> History() const { return std::nullopt; }
+
   /// Sets the time between two polls, for stores whose watch is a series of
   /// calls. Stores with a streaming watch ignore it.
   virtual void SetWatchInterval(std::chrono::milliseconds) {}
--- a/src/catalog/CatalogHolder.cpp
+++ b/src/catalog/CatalogHolder.cpp
@@ -23,20 +23,25 @@
 void
 CatalogHolder::ConfirmCurrent(Instant aReadSentAt)
 {
-  this->verifiedAt = std::max(this->verifiedAt, aReadSentAt);
+  if (aReadSentAt == kUnproven) {
+    return;
+  }
+  this->verifiedAt =
+    this->wasVerified ? std::max(this->verifiedAt, aReadSentAt) : aReadSentAt;
+  this->wasVerified = true;
 }
 
 bool
 CatalogHolder::MayAcceptKeys(Instant aNow) const
 {
-  return this->current != nullptr &&
+  return this->current != nullptr && this->wasVerified &&
          aNow - this->verifiedAt < this->options.maxVerificationAge;
 }
 
 bool
 CatalogHolder::MayRefuse(Instant aNow) const
 {
-  return this->current != nullptr &&
+  return this->current != nullptr && this->wasVerified &&
          aNow - this->verifiedAt < this->options.maxRefusalAge;
 }
 
--- a/src/catalog/CatalogHolder.h
+++ b/src/catalog/CatalogHolder.h
@@ -26,6 +26,10 @@
   {
   }
 
+  /// Given as the time of a read that does not prove that the catalog is the
+  /// newest one.
+  static constexpr Instant kUnproven{};
+
   /// Applies the catalog that a store read, sent at `aReadSentAt`, returned,
   /// and records the verification unless the catalog is older than the one in
   /// force. Returns true if it is newer.
@@ -35,6 +39,10 @@
   /// be the newest. An earlier time than the recorded one has no effect.
   void ConfirmCurrent(Instant aReadSentAt);
 
+  /// True if a catalog was verified at least once. One that never was may be
+  /// older than what this deployment has had in force.
+  bool WasVerified() const { return this->wasVerified; }
+
   void SetMaxVerificationAge(Duration aMaxAge)
   {
     this->options.maxVerificationAge = aMaxAge;
@@ -64,6 +72,7 @@
   CatalogPointer current;
   /// Send time of the latest read that showed the catalog to be the newest.
   Instant verifiedAt;
+  bool wasVerified = false;
 };
 
 } // namespace apricottrack
--- a/src/fleet/FleetMessages.h
+++ b/src/fleet/FleetMessages.h
@@ -15,6 +15,9 @@
 /// Messages by which nodes exchange the state of the fleet.
 namespace apricottrack {
 
+/// Stands for the age of a verification that never happened.
+inline constexpr Duration kUnverifiedAge = std::chrono::hours(24 * 365);
+
 /// Long poll to the planner's node for changes to the fleet and the catalog.
 struct FleetQuestion
 {
@@ -66,7 +69,7 @@
   std::int64_t catalogRevision = 0;
   /// Time from the last confirmation by the store that the sender's catalog was
   /// up to date until the query arrived; negative if it was confirmed while the
-  /// query was held.
+  /// query was held, and kUnverifiedAge if it never was.
   Duration catalogAge = Duration::zero();
   /// The same for its fleet, until this answer.
   Duration fleetAge = Duration::zero();
--- a/src/kv/PlatformKeys.h
+++ b/src/kv/PlatformKeys.h
@@ -26,6 +26,9 @@
 /// them.
 inline constexpr std::string_view kQuarantineKey =
   "apricottrack/state/quarantine";
+/// What nodes know of the store's present history, as a HistoryRecord.
+inline constexpr std::string_view kHistoryKey = "apricottrack/state/history";
+
 /// Prefix of the keys of NodeKey.
 inline constexpr std::string_view kNodePrefix = "apricottrack/state/nodes/";
 /// Prefix of the keys of PlanKey.
--- a/src/replicas/PlannerSuccession.cpp
+++ b/src/replicas/PlannerSuccession.cpp
@@ -38,6 +38,9 @@
 bool
 PlannerSuccession::MayAcquire(const View& aView, Instant aNow) const
 {
+  if (!aView.trustsStore) {
+    return false;
+  }
   if (aView.isIsolated &&
       aNow - this->noPlannerSince < this->options.isolatedTakeoverDelay) {
     return false;
--- a/src/replicas/PlannerSuccession.h
+++ b/src/replicas/PlannerSuccession.h
@@ -49,6 +49,8 @@
     bool plannerResponds = false;
     /// The node reaches no target, so it cannot plan.
     bool isIsolated = false;
+    /// The node can tell whether the store shows the present state.
+    bool trustsStore = true;
   };
 
   explicit PlannerSuccession(Options aOptions)
--- a/src/serving/CatalogTask.cpp
+++ b/src/serving/CatalogTask.cpp
@@ -1,6 +1,7 @@
 #include "serving/CatalogTask.h"
 
 #include "base/Log.h"
+#include "kv/PlatformKeys.h"
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
@@ -30,6 +31,10 @@
       {},
       [this]() -> Task<bool> { co_return co_await this->ReadOnce(); })
   , onChange(std::move(aOnChange))
+  , history(StoreHistory::Options{ .isFirstStart =
+                                     aContext.settings.serving->firstStart,
+                                   .rewriteTime = aOptions.restoreSettleTime,
+                                   .witnessTime = aOptions.witnessTime })
 {
 }
 
@@ -108,10 +113,9 @@
     return this->failures <= 1 ? this->options.firstRetryInterval
                                : this->options.retryInterval;
   }
-  const bool isSettling = this->restoredAt && aNow - *this->restoredAt <
-                                                this->options.restoreSettleTime;
-  if (isSettling) {
-    return this->options.restoreSettleTime;
+  if (!this->history.IsSettled(aNow)) {
+    return this->history.IsWitness() ? this->options.restoreSettleTime
+                                     : this->options.unsettledReadInterval;
   }
   return this->isPlanner ? this->options.plannerReadInterval
                          : this->options.readInterval;
@@ -132,65 +136,154 @@
 Task<bool>
 CatalogTask::ReadIfChanged(Revision aCheckedRevision)
 {
+  if (!this->history.IsSettled(MonotonicNow())) {
+    // Before the read, so that this shows all that had been written when the
+    // store was recorded to have settled.
+    const auto record = co_await this->ReadHistoryRecord();
+    if (!record) {
+      this->OnReadFailed(record.error());
+      co_return false;
+    }
+  }
   const Instant readSentAt = MonotonicNow();
   const auto read = co_await this->ReadOperatorKeys(aCheckedRevision);
   this->RecordRead(MonotonicNow() - readSentAt, read.has_value());
   if (!read) {
-    if (this->isStoreReachable) {
-      LogLine("catalog_unreachable").With(read.error()).Warn();
-    }
-    this->isStoreReachable = false;
-    this->hasReadFailed = true;
-    ++this->failures;
+    this->OnReadFailed(read.error());
     co_return false;
   }
-  const KeyChange* const change = &read->catalog;
-  if (!this->isStoreReachable) {
-    LogLine("catalog_reachable")
-      .With("revision", change->checkedRevision)
-      .Info();
+  this->OnReadSucceeded(read->catalog.checkedRevision);
+  this->ApplyRead(*read, readSentAt);
+  co_await this->UpdateHistoryRecord(readSentAt);
+  co_return true;
+}
+
+void
+CatalogTask::OnReadFailed(const Error& aError)
+{
+  if (this->isStoreReachable) {
+    LogLine("catalog_unreachable").With(aError).Warn();
+  }
+  this->isStoreReachable = false;
+  this->hasReadFailed = true;
+  ++this->failures;
+}
+
+void
+CatalogTask::OnReadSucceeded(Revision aRevision)
+{
+  if (!std::exchange(this->isStoreReachable, true)) {
+    LogLine("catalog_reachable").With("revision", aRevision).Info();
   }
-  this->isStoreReachable = true;
   this->failures = 0;
-  const Instant now = MonotonicNow();
   if (std::exchange(this->hasReadFailed, false)) {
-    this->recoveredAt = now;
-  }
-  const std::int64_t restores = this->store.RestoreCount();
-  if (this->restoreCount != restores) {
-    this->restoredAt = now;
+    this->recoveredAt = MonotonicNow();
   }
-  this->restoreCount = restores;
-  if (read->operatorKeys) {
-    this->ApplyEvacuations(*read->operatorKeys, readSentAt);
+  this->ObserveHistory();
+}
+
+void
+CatalogTask::ObserveHistory()
+{
+  this->history.OnHistory(this->store.History(),
+                          this->store.RestoreCount() > 0,
+                          this->context.catalog.WasVerified(),
+                          MonotonicNow());
+}
+
+void
+CatalogTask::ApplyRead(const OperatorChange& aChange, Instant aReadSentAt)
+{
+  const KeyChange& change = aChange.catalog;
+  const bool isSettled =
+    this->history.IsSettled(aReadSentAt) && this->outdatedRevision == 0;
+  if (aChange.operatorKeys) {
+    this->ApplyEvacuations(*aChange.operatorKeys, isSettled);
   }
   // A document that is not known must not be skipped by later reads.
-  if (this->knownRevision > 0 || change->value) {
+  if (this->knownRevision > 0 || change.value) {
     // An evacuation that ends before the restored store has settled is found by
     // a read of all keys only.
-    const bool mayCheck = !read->operatorKeys || this->IsSettled(readSentAt);
-    this->checkedRevision = mayCheck ? change->checkedRevision : 0;
+    const bool mayCheck = !aChange.operatorKeys || isSettled;
+    this->checkedRevision = mayCheck ? change.checkedRevision : 0;
   }
-  if (change->value && change->value->revision == 0) {
+  if (change.value && change.value->revision == 0) {
     // The store holds no catalog; the one in force stays, but is not verified.
-    this->outdatedRevision = change->checkedRevision;
-    co_return true;
+    this->outdatedRevision = change.checkedRevision;
+    return;
   }
-  if (!change->value || change->value->revision == this->knownRevision) {
-    if (this->outdatedRevision == 0) {
-      this->context.catalog.ConfirmCurrent(this->ProvenAt(readSentAt));
+  if (!change.value || change.value->revision == this->knownRevision) {
+    const CatalogPointer& inForce = this->context.catalog.Current();
+    if (this->outdatedRevision == 0 && inForce != nullptr) {
+      const bool wasVerified = this->context.catalog.WasVerified();
+      this->context.catalog.ConfirmCurrent(
+        this->ProvenAt(aReadSentAt, inForce->Contents().version));
+      this->ReportFirstVerification(wasVerified);
     }
-    co_return true;
+    return;
   }
-  if (change->value->revision < this->knownRevision) {
+  if (change.value->revision < this->knownRevision) {
     // Another node relayed a newer document while this read was in flight.
-    co_return true;
+    return;
   }
-  this->Apply(change->value->revision,
-              change->value->value,
-              this->ProvenAt(readSentAt),
-              Source::kStore);
-  co_return true;
+  this->Apply(
+    change.value->revision, change.value->value, aReadSentAt, Source::kStore);
+}
+
+Task<Result<void>>
+CatalogTask::ReadHistoryRecord()
+{
+  const auto item = co_await this->store.Get(std::string(keys::kHistoryKey));
+  if (!item) {
+    co_return tl::unexpected(item.error());
+  }
+  this->ObserveHistory();
+  this->recordedHistory = this->store.History();
+  this->recordRevision = item->revision;
+  this->history.OnRecord(HistoryRecord::Decode(item->value), MonotonicNow());
+  co_return Result<void>{};
+}
+
+Task<void>
+CatalogTask::UpdateHistoryRecord(Instant aReadSentAt)
+{
+  const CatalogHolder& holder = this->context.catalog;
+  const bool isProven =
+    holder.WasVerified() && holder.VerifiedAt() >= aReadSentAt;
+  const bool isOutdated = this->outdatedRevision != 0;
+  const bool mustTell =
+    this->isPlanner || isOutdated || !this->history.IsSettled(aReadSentAt);
+  if (!mustTell || !this->store.History()) {
+    co_return;
+  }
+  if (this->recordedHistory != this->store.History() &&
+      !co_await this->ReadHistoryRecord()) {
+    co_return;
+  }
+  const auto record = this->history.RecordToWrite(
+    { .catalogVersion =
+        holder.WasVerified() ? holder.Current()->Contents().version : 0,
+      .isProven = isProven,
+      .isOutdated = isOutdated });
+  if (!record) {
+    co_return;
+  }
+  Swap swap{ .key = std::string(keys::kHistoryKey),
+             .expected = this->recordRevision,
+             .value = record->Encode() };
+  const auto written = co_await this->store.CompareAndSwap(std::move(swap));
+  if (!written) {
+    // The next read finds what another node has written.
+    this->recordedHistory.reset();
+    co_return;
+  }
+  LogLine("store_history_recorded")
+    .With("history", record->history)
+    .With("version", record->catalogVersion)
+    .With("settled", std::int64_t{ record->isSettled })
+    .Info();
+  this->recordRevision = *written;
+  this->history.OnRecord(record, MonotonicNow());
 }
 
 Task<Result<CatalogTask::OperatorChange>>
@@ -228,12 +321,12 @@
 }
 
 void
-CatalogTask::ApplyEvacuations(const PrefixChange& aChange, Instant aReadSentAt)
+CatalogTask::ApplyEvacuations(const PrefixChange& aChange, bool aIsSettled)
 {
   ZoneEvacuations& evacuations = this->context.evacuations;
   ZoneEvacuations::Reading reading{ .zones = {},
                                     .revision = aChange.checkedRevision,
-                                    .mayEnd = this->IsSettled(aReadSentAt) };
+                                    .mayEnd = aIsSettled };
   if (!aChange.isComplete) {
     reading.zones = evacuations.Evacuated();
   }
@@ -271,16 +364,31 @@
 }
 
 Instant
-CatalogTask::ProvenAt(Instant aReadSentAt) const
+CatalogTask::ProvenAt(Instant aReadSentAt, std::int64_t aVersion) const
 {
-  return this->IsSettled(aReadSentAt) ? aReadSentAt : Instant{};
+  return this->history.IsSettled(aReadSentAt) &&
+             aVersion >= this->history.MinCatalogVersion()
+           ? aReadSentAt
+           : CatalogHolder::kUnproven;
 }
 
-bool
-CatalogTask::IsSettled(Instant aReadSentAt) const
+void
+CatalogTask::ConfirmRelayed(Instant aVerifiedAt)
 {
-  return !this->restoredAt ||
-         aReadSentAt - *this->restoredAt >= this->options.restoreSettleTime;
+  const bool wasVerified = this->context.catalog.WasVerified();
+  this->context.catalog.ConfirmCurrent(aVerifiedAt);
+  if (this->context.catalog.WasVerified()) {
+    this->history.OnCatalogVerified();
+  }
+  this->ReportFirstVerification(wasVerified);
+}
+
+void
+CatalogTask::ReportFirstVerification(bool aWasVerified)
+{
+  if (!aWasVerified && this->context.catalog.WasVerified()) {
+    this->onChange();
+  }
 }
 
 void
@@ -296,7 +404,7 @@
 void
 CatalogTask::Apply(Revision aRevision,
                    std::string aDocument,
-                   Instant aVerifiedAt,
+                   Instant aReadSentAt,
                    Source aSource)
 {
   auto catalog = this->context.protocol.ReadCatalog(aDocument);
@@ -330,9 +438,15 @@
   if (inForce != nullptr) {
     delay = this->context.catalog.VerificationAge(MonotonicNow());
   }
-  if (this->context.catalog.Apply(std::move(*catalog), aVerifiedAt)) {
+  const Instant verifiedAt = aSource == Source::kStore
+                               ? this->ProvenAt(aReadSentAt, catalog->version)
+                               : aReadSentAt;
+  const bool wasVerified = this->context.catalog.WasVerified();
+  if (this->context.catalog.Apply(std::move(*catalog), verifiedAt)) {
     this->RecordInForce(aRevision, aSource, delay);
     this->onChange();
+  } else {
+    this->ReportFirstVerification(wasVerified);
   }
 }
 
--- a/src/serving/CatalogTask.h
+++ b/src/serving/CatalogTask.h
@@ -2,6 +2,7 @@
 #define APRICOTTRACK_SERVING_CATALOGTASK_H
 
 #include "http/SharedCall.h"
+#include "kv/StoreHistory.h"
 #include "serving/ServingContext.h"
 
 #include <algorithm>
@@ -40,6 +41,11 @@
     /// was lost. Until then a read does not prove that the catalog is still the
     /// newest one: a revocation of a key may be missing.
     Duration restoreSettleTime = milliseconds(500);
+    /// The same for a process that did not run before the restore, unless nodes
+    /// that did have recorded that the store has settled.
+    Duration witnessTime = milliseconds(2000);
+    /// Between two reads of such a process until then.
+    Duration unsettledReadInterval = milliseconds(300);
   };
 
   /// `aOnChange` is called after a newer catalog has come into force.
@@ -77,6 +83,16 @@
                     const std::string& aDocument,
                     Instant aVerifiedAt);
 
+  /// Records that another node has verified the catalog in force.
+  void ConfirmRelayed(Instant aVerifiedAt);
+
+  /// True if this node can tell whether the store shows the present state or an
+  /// older one that it was restored from.
+  bool TrustsStore(Instant aNow) const
+  {
+    return this->history.IsWitness() || this->history.IsSettled(aNow);
+  }
+
   /// True if the store did not respond to the last read.
   bool HasReadFailed() const { return this->hasReadFailed; }
 
@@ -101,6 +117,11 @@
   /// Reads the catalog unless it is known not to have changed since
   /// `aCheckedRevision`.
   Task<bool> ReadIfChanged(Revision aCheckedRevision);
+  /// Records that a read of the store has failed.
+  void OnReadFailed(const Error& aError);
+  /// Records that a read of the store has succeeded, and shows its state up to
+  /// this revision.
+  void OnReadSucceeded(Revision aRevision);
   /// What a read of the store has shown.
   struct OperatorChange
   {
@@ -110,11 +131,18 @@
   };
   /// Reads what the operator has written since `aCheckedRevision`.
   Task<Result<OperatorChange>> ReadOperatorKeys(Revision aCheckedRevision);
-  /// Applies the evacuations of a read that was sent at `aReadSentAt`.
-  void ApplyEvacuations(const PrefixChange& aChange, Instant aReadSentAt);
-  /// Returns whether a read sent at that time shows all that the operator wrote
-  /// before a restore of the store.
-  bool IsSettled(Instant aReadSentAt) const;
+  /// Applies what a read that was sent at `aReadSentAt` has shown.
+  void ApplyRead(const OperatorChange& aChange, Instant aReadSentAt);
+  /// Applies the evacuations of a read. `aIsSettled`: it shows all that the
+  /// operator wrote before a restore of the store.
+  void ApplyEvacuations(const PrefixChange& aChange, bool aIsSettled);
+  /// Reads the record of the store's history.
+  Task<Result<void>> ReadHistoryRecord();
+  /// Writes the record if this node knows more than it says. `aReadSentAt`: of
+  /// the last read of the catalog.
+  Task<void> UpdateHistoryRecord(Instant aReadSentAt);
+  /// Tells `history` which one the store reports.
+  void ObserveHistory();
   /// How a document reached this node.
   enum class Source
   {
@@ -122,10 +150,14 @@
     kPlanner,
   };
 
+  /// `aReadSentAt`: when the store was asked for the document or, if another
+  /// node did, when that verified it to be the newest.
   void Apply(Revision aRevision,
              std::string aDocument,
-             Instant aVerifiedAt,
+             Instant aReadSentAt,
              Source aSource);
+  /// Reports a change if the catalog was not verified before.
+  void ReportFirstVerification(bool aWasVerified);
   /// Logs that a newer catalog has come into force. `aDelay`: time since the
   /// previous one was last verified to be the newest, so the longest for which
   /// the store can have held the newer one; none at the first catalog.
@@ -138,9 +170,9 @@
   Duration ReadInterval(bool aSucceeded, Instant aNow) const;
   /// Returns when the store is to be read next.
   Instant NextReadAt() const;
-  /// Returns up to when a read, sent at `aReadSentAt`, proves that what it
-  /// returned is the newest document.
-  Instant ProvenAt(Instant aReadSentAt) const;
+  /// Returns up to when a read, sent at `aReadSentAt`, proves that the catalog
+  /// of this version, which it returned, is the newest.
+  Instant ProvenAt(Instant aReadSentAt, std::int64_t aVersion) const;
 
   ServingContext& context;
   KeyValueStore& store;
@@ -159,10 +191,10 @@
   /// Revision of a document that is older than the one in force, which the
   /// store holds since it was restored; zero if it holds none.
   Revision outdatedRevision = 0;
-  /// RestoreCount at the last read.
-  std::int64_t restoreCount = 0;
-  /// When a read first showed the last restore.
-  std::optional<Instant> restoredAt;
+  StoreHistory history;
+  /// History whose record was read, and the record's revision then.
+  std::optional<std::int64_t> recordedHistory;
+  Revision recordRevision = 0;
   std::string document;
   bool active = false;
   bool isPlanner = false;
--- a/src/serving/FleetRelay.cpp
+++ b/src/serving/FleetRelay.cpp
@@ -255,7 +255,9 @@
     .leads = leads,
     .sequence = this->published.Sequence(),
     .catalogRevision = this->catalog.KnownRevision(),
-    .catalogAge = this->context.catalog.VerificationAge(aAskedAt),
+    .catalogAge = this->context.catalog.WasVerified()
+                    ? this->context.catalog.VerificationAge(aAskedAt)
+                    : kUnverifiedAge,
     .fleetAge = aNow - this->fleet.LastContactAt(),
   };
   if (!answer.leads) {
--- a/src/serving/FollowTask.cpp
+++ b/src/serving/FollowTask.cpp
@@ -196,18 +196,19 @@
   // The query arrived at the planner's node after it was sent, so the age that
   // the answer states is counted back from the sending time. The verification
   // then never appears more recent than it is, whatever the network delay was.
+  const Instant verifiedAt = answer->catalogAge < kUnverifiedAge
+                               ? this->querySentAt - answer->catalogAge
+                               : CatalogHolder::kUnproven;
   if (!answer->catalog.empty()) {
-    this->catalog.ApplyRelayed(answer->catalogRevision,
-                               answer->catalog,
-                               this->querySentAt - answer->catalogAge);
+    this->catalog.ApplyRelayed(
+      answer->catalogRevision, answer->catalog, verifiedAt);
   }
   // Reads of its own show the evacuations that a planner's node of an earlier
   // version does not send.
   const bool isComplete = !this->context.settings.serving->evacuationBound ||
                           answer->evacuationRevision > 0;
   if (isComplete && answer->catalogRevision == this->catalog.KnownRevision()) {
-    this->context.catalog.ConfirmCurrent(this->querySentAt -
-                                         answer->catalogAge);
+    this->catalog.ConfirmRelayed(verifiedAt);
   } else if (answer->catalogRevision > this->catalog.SeenRevision()) {
     const bool succeeded = co_await this->ReadCatalogFromStore();
     if (!succeeded) {
--- a/src/serving/Intake.cpp
+++ b/src/serving/Intake.cpp
@@ -39,7 +39,7 @@
       std::mt19937_64& aRandom)
 {
   const CatalogPointer& catalog = aHolder.Current();
-  if (catalog == nullptr) {
+  if (catalog == nullptr || !aHolder.WasVerified()) {
     return { .refusal = IntakeRefusal::kNoCatalog };
   }
   const auto refuseUnknown = [&](IntakeRefusal aRefusal) {
--- a/src/serving/Intake.h
+++ b/src/serving/Intake.h
@@ -32,7 +32,7 @@
 {
   /// The request is admitted.
   kNone,
-  /// No catalog is known yet.
+  /// No catalog is known yet that was ever verified.
   kNoCatalog,
   kNoRoute,
   /// The key belongs to no account.
--- a/src/serving/PlannerTask.cpp
+++ b/src/serving/PlannerTask.cpp
@@ -87,7 +87,8 @@
             return this->succession.MayAcquire(
               { .entriesUsable = this->hooks.mayAcquire(),
                 .plannerResponds = this->hooks.plannerResponds(),
-                .isIsolated = this->context.reach.IsIsolated() },
+                .isIsolated = this->context.reach.IsIsolated(),
+                .trustsStore = this->hooks.trustsStore() },
               MonotonicNow());
           },
         .onOtherHolder =
--- a/src/serving/PlannerTask.h
+++ b/src/serving/PlannerTask.h
@@ -72,6 +72,8 @@
     /// settled. If false, this node takes the lease only after a longer time
     /// without a planner.
     std::function<bool()> mayAcquire;
+    /// True if this node can tell whether the store shows the present state.
+    std::function<bool()> trustsStore;
     /// True if the last planner's node still responds as the planner, although
     /// it may be unable to read the store.
     std::function<bool()> plannerResponds;
--- a/src/serving/ServingNode.cpp
+++ b/src/serving/ServingNode.cpp
@@ -161,6 +161,8 @@
                   return this->settings.serving->firstStart ||
                          this->EntriesSettled() || this->FollowedSettledPlanner();
                 },
+              .trustsStore =
+                [this] { return this->catalogTask.TrustsStore(MonotonicNow()); },
               .plannerResponds = [this] { return this->follower.PlannerResponds(); },
               .onOtherHolder =
                 [this](const std::string& aAddress) {
@@ -287,7 +289,9 @@
                        this->context.evacuations,
                        this->context.limits,
                        MonotonicNow());
-    if (this->fleetTask.ListedSince() || this->follower.FirstFollowedAt()) {
+    const bool knowsFleet =
+      this->fleetTask.ListedSince() || this->follower.FirstFollowedAt();
+    if (knowsFleet && this->context.catalog.WasVerified()) {
       this->context.startGate.Open();
     }
   }
--- a/src/serving/StartGate.h
+++ b/src/serving/StartGate.h
@@ -19,8 +19,8 @@
   {
   }
 
-  /// Called once the catalog and the targets are known, so that a request can
-  /// be sent to a target or refused correctly.
+  /// Called once a verified catalog and the targets are known, so that a
+  /// request can be sent to a target or refused correctly.
   void Open() { this->isOpen = true; }
 
   bool IsOpen() const { return this->isOpen; }
--- a/tests/RestoredStoreHarness.h
+++ b/tests/RestoredStoreHarness.h
@@ -39,6 +39,7 @@
                .random = std::mt19937_64(1) }
   {
     this->settings.serving.emplace();
+    this->settings.serving->firstStart = true;
   }
 
   /// Returns the client of one node.
