End the response to HEAD with its header

Cause: whether a response has a body was taken from its header alone, not from the request's method, in reading (HttpConnection) and in writing (HttpExchange).

Change: both ask the method. The length that the header states is the node's own or the target's.

Test: HeadRequestTest, by sockets; on its cases of HttpExchange, Fetch and RequestFlow fail.

--- a/src/http/HopByHop.cpp
+++ b/src/http/HopByHop.cpp
@@ -5,6 +5,8 @@
 
 namespace apricottrack {
 
+namespace http = boost::beast::http;
+
 bool
 IsHopByHop(std::string_view aName)
 {
@@ -30,4 +32,15 @@
          boost::beast::http::token_list{ aConnectionHeader }.exists(aName);
 }
 
+void
+CopyLengthOfHead(const HttpRequest& aRequest,
+                 const HttpResponse& aFrom,
+                 HttpResponse& aTo)
+{
+  const auto length = aFrom.find(http::field::content_length);
+  if (aRequest.method() == http::verb::head && length != aFrom.end()) {
+    aTo.set(http::field::content_length, length->value());
+  }
+}
+
 } // namespace apricottrack
--- a/src/http/HopByHop.h
+++ b/src/http/HopByHop.h
@@ -1,6 +1,8 @@
 #ifndef APRICOTTRACK_HTTP_HOPBYHOP_H
 #define APRICOTTRACK_HTTP_HOPBYHOP_H
 
+#include "http/HttpTypes.h"
+
 #include <string_view>
 
 namespace apricottrack {
@@ -18,6 +20,13 @@
 IsListedInConnectionHeader(std::string_view aConnectionHeader,
                            std::string_view aName);
 
+/// Copies the Content-Length of a response if it answers a HEAD request: there
+/// is no body from which the length could be taken again.
+void
+CopyLengthOfHead(const HttpRequest& aRequest,
+                 const HttpResponse& aFrom,
+                 HttpResponse& aTo);
+
 } // namespace apricottrack
 
 #endif
--- a/src/http/HttpClient.cpp
+++ b/src/http/HttpClient.cpp
@@ -94,6 +94,8 @@
   beast::tcp_stream stream;
   beast::flat_buffer buffer{ kMaxUnparsedBytes };
   std::optional<http::response_parser<http::buffer_body>> parser;
+  /// The last request was a HEAD request, whose response ends with its header.
+  bool isHeadRequest = false;
 };
 
 HttpConnection::HttpConnection(asio::any_io_executor aExecutor,
@@ -133,6 +135,7 @@
     aRequest.prepare_payload();
   }
   this->state->parser.reset();
+  this->state->isHeadRequest = aRequest.method() == http::verb::head;
   this->state->stream.expires_after(aTimeout);
   auto [error, size] =
     co_await http::async_write(this->state->stream, aRequest, kAsTuple);
@@ -177,6 +180,7 @@
 {
   auto& parser = this->state->parser.emplace();
   parser.body_limit(aBodyLimit);
+  parser.skip(this->state->isHeadRequest);
   this->state->stream.expires_after(aTimeout);
   auto [error, size] = co_await http::async_read_header(
     this->state->stream, this->state->buffer, parser, kAsTuple);
--- a/src/http/HttpExchange.cpp
+++ b/src/http/HttpExchange.cpp
@@ -49,8 +49,14 @@
   this->SetPersistence(aResponse);
   aResponse.version(this->request.version());
   aResponse.keep_alive(this->keepAlive);
-  aResponse.prepare_payload();
+  const bool isHeadRequest = this->IsHeadRequest();
+  if (!isHeadRequest || !aResponse.body().empty()) {
+    aResponse.prepare_payload();
+  }
   this->hasStartedResponse = true;
+  if (isHeadRequest) {
+    co_return co_await this->WriteHeader(aResponse);
+  }
   this->stream.expires_after(this->limits.sendTimeout);
   auto [error, size] =
     co_await http::async_write(this->stream, aResponse, kAsTuple);
@@ -66,21 +72,17 @@
   for (const auto& [name, value] : aHeaders) {
     head.set(name, value);
   }
-  head.chunked(true);
+  head.chunked(!this->IsHeadRequest());
   this->SetPersistence(head);
   head.keep_alive(this->keepAlive);
   this->hasStartedResponse = true;
-  http::response_serializer<http::empty_body> serializer(head);
-  this->stream.expires_after(this->limits.sendTimeout);
-  auto [error, size] =
-    co_await http::async_write_header(this->stream, serializer, kAsTuple);
-  co_return this->CheckWritten(error);
+  co_return co_await this->WriteHeader(head);
 }
 
 Task<bool>
 HttpExchange::WriteChunk(std::string aBytes)
 {
-  if (aBytes.empty()) {
+  if (aBytes.empty() || this->IsHeadRequest()) {
     co_return true;
   }
   std::string framed = fmt::format("{:x}\r\n", aBytes.size());
@@ -91,9 +93,29 @@
 Task<bool>
 HttpExchange::EndStream()
 {
+  if (this->IsHeadRequest()) {
+    co_return true;
+  }
   co_return co_await this->Write("0\r\n\r\n");
 }
 
+bool
+HttpExchange::IsHeadRequest() const
+{
+  return this->request.method() == http::verb::head;
+}
+
+template<typename Body>
+Task<bool>
+HttpExchange::WriteHeader(http::response<Body>& aResponse)
+{
+  http::response_serializer<Body> serializer(aResponse);
+  this->stream.expires_after(this->limits.sendTimeout);
+  auto [error, size] =
+    co_await http::async_write_header(this->stream, serializer, kAsTuple);
+  co_return this->CheckWritten(error);
+}
+
 Task<bool>
 HttpExchange::Write(std::string aBytes)
 {
--- a/src/http/HttpExchange.h
+++ b/src/http/HttpExchange.h
@@ -14,7 +14,8 @@
 
 /// One request on a caller's connection, and the means to respond to it.
 /// Each method that writes returns false if the write failed, which means that
-/// the caller has disconnected or does not read.
+/// the caller has disconnected or does not read. The response to a HEAD request
+/// ends with its header; bytes of a body are not written.
 class HttpExchange
 {
 public:
@@ -25,7 +26,8 @@
 
   const HttpRequest& Request() const { return this->request; }
 
-  /// Writes a complete response.
+  /// Writes a complete response. To a HEAD request, it states the length of the
+  /// body or, if that is empty, the Content-Length that it has.
   Task<bool> Reply(HttpResponse aResponse);
 
   /// Writes the header of a chunked response; WriteChunk and EndStream write
@@ -62,6 +64,11 @@
   /// Decides whether the connection stays open after the response, and
   /// announces for how long.
   void SetPersistence(boost::beast::http::fields& aHead);
+  /// Returns whether the response has no body, whatever its header states.
+  bool IsHeadRequest() const;
+  /// Writes the header of a response without its body.
+  template<typename Body>
+  Task<bool> WriteHeader(boost::beast::http::response<Body>& aResponse);
   Task<bool> Write(std::string aBytes);
   /// Returns whether a write has succeeded, and closes the connection if not.
   bool CheckWritten(const boost::system::error_code& aError);
--- a/src/node/NodeForward.cpp
+++ b/src/node/NodeForward.cpp
@@ -119,7 +119,9 @@
         .detail = "no guarantee of not run, status " +
                   std::to_string(head->result_int()) });
   }
-  if ((*head)[http::field::content_type].starts_with("text/event-stream")) {
+  const bool hasBody = this->exchange.Request().method() != http::verb::head;
+  if (hasBody &&
+      (*head)[http::field::content_type].starts_with("text/event-stream")) {
     co_return co_await this->RelayStream(*connection, std::move(*head));
   }
   auto response = co_await this->ReadResponse(*connection, std::move(*head));
@@ -193,6 +195,7 @@
       response.insert(field.name_string(), field.value());
     }
   }
+  CopyLengthOfHead(this->exchange.Request(), aHead, response);
   for (;;) {
     auto chunk = co_await aConnection.ReceiveBodyChunk(this->TimeLeft());
     if (!chunk) {
--- a/src/node/ResponseRelay.cpp
+++ b/src/node/ResponseRelay.cpp
@@ -30,10 +30,12 @@
       head.insert(field.name_string(), field.value());
     }
   }
+  CopyLengthOfHead(this->exchange.Request(), aHead, head);
   head.set("X-Request-Id", this->requestId);
   head.set("X-Request-Outcome", "answered");
   this->response = std::move(head);
   this->isEventStream =
+    this->exchange.Request().method() != http::verb::head &&
     this->response[http::field::content_type].starts_with(kEventStream);
   this->partialEvent.clear();
   this->doneReceived = false;
--- a/src/serving/RequestFlow.cpp
+++ b/src/serving/RequestFlow.cpp
@@ -1,5 +1,6 @@
 #include "serving/RequestFlow.h"
 
+#include "http/HopByHop.h"
 #include "quarantine/RequestIdentity.h"
 #include "retry/RefusalStatus.h"
 
@@ -332,8 +333,10 @@
       "response is unsigned or has a content encoding");
   }
   // Other statuses of success, such as 204, have no events.
+  const bool isHeadRequest =
+    this->exchange.Request().method() == http::verb::head;
   if (aHead.result() == http::status::ok && targetHead.isEventStream &&
-      this->IsStream()) {
+      this->IsStream() && !isHeadRequest) {
     co_return co_await this->RelayEvents(aCall, aHead);
   }
   if (this->streamStarted) {
@@ -420,6 +423,7 @@
   for (const auto& [name, value] : this->ResponseHeaders(aHead)) {
     this->heldResponse->insert(name, value);
   }
+  CopyLengthOfHead(this->exchange.Request(), aHead, *this->heldResponse);
   this->heldResponse->body() = std::move(*body);
   co_return status >= kFirstServerError ? CallEnd::kTargetFailed
                                         : CallEnd::kAnswered;
