--- a/src/serving/PlannerTask.cpp
+++ b/src/serving/PlannerTask.cpp
@@ -3,6 +3,7 @@
 #include "base/Hash.h"
 #include "base/Log.h"
 #include "kv/PlatformKeys.h"
+#include "replicas/EpochNumbering.h"
 
 #include <algorithm>
 #include <boost/asio/co_spawn.hpp>
@@ -16,10 +17,6 @@
 
 namespace {
 
-/// Epochs per fencing token. Tokens grow with each holder of the lease, so two
-/// planners never share an epoch.
-constexpr std::int64_t kEpochsPerFencingToken = 100'000;
-
 /// Longest delay of the first attempt at the lease. Large VMs try first, as
 /// planning needs CPU time.
 constexpr Duration kLargeVmMaxFirstDelay = milliseconds(20);
@@ -304,7 +301,7 @@
   return std::any_of(aMembers.begin(), aMembers.end(), [&](const auto& aEntry) {
     const auto& membership = aEntry.second.record.membership;
     const std::int64_t token =
-      membership ? membership->epoch / kEpochsPerFencingToken : 0;
+      membership ? EpochNumbering::TokenOf(membership->epoch) : 0;
     return token > *this->termTokens.begin() &&
            !this->termTokens.contains(token);
   });
@@ -313,7 +310,7 @@
 std::int64_t
 PlannerTask::NextEpoch()
 {
-  return this->fencingToken * kEpochsPerFencingToken + ++this->issuedEpochs;
+  return EpochNumbering::Epoch(this->fencingToken, ++this->issuedEpochs);
 }
 
 void
--- a/tests/PlatformStoreTest.cpp
+++ b/tests/PlatformStoreTest.cpp
@@ -40,14 +40,13 @@
   {
   }
 
-  KeyChange Ask(Revision aCheckedRevision)
+  Result<KeyChange> TryAsk(Revision aCheckedRevision)
   {
-    KeyChange change;
+    Result<KeyChange> change;
     asio::co_spawn(
       this->io,
       [&]() -> Task<void> {
-        change =
-          (co_await this->store.GetIfChanged("op/c", aCheckedRevision)).value();
+        change = co_await this->store.GetIfChanged("op/c", aCheckedRevision);
         this->io.stop();
       },
       asio::detached);
@@ -55,6 +54,10 @@
     this->io.run_for(seconds(5));
     return change;
   }
+  KeyChange Ask(Revision aCheckedRevision)
+  {
+    return this->TryAsk(aCheckedRevision).value();
+  }
 
   asio::io_context io{ 1 };
   Counters counters;
@@ -161,6 +164,33 @@
   CHECK(standin.store.RestoreCount() == 1);
 }
 
+// Guards against review/10: a restore that goes unnoticed, after which no new
+// catalog comes into force.
+TEST_CASE("PlatformStore sees a restore that leads to a large era")
+{
+  StoreStandin standin;
+  const std::int64_t era =
+    GENERATE(1000, 1001, platform::EraRevision::kMaxEra - 1);
+  standin.era = std::to_string(era);
+  const Revision before = standin.Ask(0).checkedRevision;
+  standin.era = std::to_string(era + 1);
+  const KeyChange change = standin.Ask(before);
+  CHECK(change.value);
+  CHECK(change.checkedRevision > before);
+  CHECK(standin.store.RestoreCount() == 1);
+}
+
+TEST_CASE("PlatformStore uses no response of an era that it cannot order")
+{
+  StoreStandin standin;
+  standin.era = std::to_string(platform::EraRevision::kMaxEra + 1);
+  const auto change = standin.TryAsk(0);
+  REQUIRE_FALSE(change);
+  CHECK(change.error().code == ErrorCode::kBadReply);
+  CHECK(standin.counters.Text().find("store_era_unsupported") !=
+        std::string::npos);
+}
+
 // Guards against a change that is read late because an idle connection to the
 // store was lost without a sign.
 TEST_CASE("PlatformStore reads without delay after its idle connections have "
