--- a/src/http/HttpClient.cpp
+++ b/src/http/HttpClient.cpp
@@ -180,6 +180,8 @@
 {
   auto& parser = this->state->parser.emplace();
   parser.body_limit(aBodyLimit);
+  // Targets repeat header fields of the request, such as its id.
+  parser.header_limit(kMaxUnparsedBytes);
   parser.skip(this->state->isHeadRequest);
   this->state->stream.expires_after(aTimeout);
   auto [error, size] = co_await http::async_read_header(
--- a/tests/HttpClientTest.cpp
+++ b/tests/HttpClientTest.cpp
@@ -240,6 +240,30 @@
   CHECK(response.error().code == ErrorCode::kBadReply);
 }
 
+// Guards against review/7: a response that repeats the longest header of a
+// request counts as a lost connection.
+TEST_CASE("Fetch receives a response whose header is as large as a request's")
+{
+  ServingHarness harness;
+  const std::string id(15 * 1024, 'a');
+  const std::string address =
+    harness.StartScript([&](TargetConnection& aConnection, int) -> Task<void> {
+      co_await aConnection.ReadRequest();
+      co_await aConnection.Write(
+        PlainResponse(200, "X-Attempt: " + id + "\r\n", "done"));
+    });
+  HttpConnectionPool pool(harness.io.get_executor(), {});
+  Result<HttpResponse> response;
+  REQUIRE(harness.Run(
+    [&]() -> Task<void> {
+      response = co_await FetchOnNewConnection(
+        pool, address, HttpRequest{}, { .timeout = seconds(1) });
+    },
+    kTestLimit));
+  REQUIRE(response);
+  CHECK((*response)["X-Attempt"] == id);
+}
+
 TEST_CASE("Fetch returns the final response after interim ones")
 {
   ServingHarness harness;
