--- a/src/quarantine/CrashRecorder.cpp
+++ b/src/quarantine/CrashRecorder.cpp
@@ -1,5 +1,7 @@
 #include "quarantine/CrashRecorder.h"
 
+#include "quarantine/PromptParts.h"
+
 #include <algorithm>
 #include <utility>
 
@@ -14,8 +16,11 @@
   if (aParts.empty()) {
     return;
   }
-  this->losses.push_back(
-    { .target = aTarget, .parts = aParts, .call = aCall, .at = aNow });
+  this->losses.push_back({ .target = aTarget,
+                           .parts = aParts,
+                           .call = { .attempt = BoundedId(aCall.attempt),
+                                     .runTime = aCall.runTime },
+                           .at = aNow });
   while (this->losses.size() > this->options.maxLostRequests ||
          aNow - this->losses.front().at > this->options.lifetime) {
     this->losses.pop_front();
--- a/src/serving/PlatformProtocol.h
+++ b/src/serving/PlatformProtocol.h
@@ -28,7 +28,7 @@
   /// The caller's estimate, or else the maximum that it allows.
   int outputTokens = 0;
   /// Ids of the parts of the prompt that other requests may share, in order;
-  /// without the last part, which is the request's own.
+  /// without the last part, which is the request's own. Bounded by PromptParts.
   std::vector<std::string> sharedPromptParts;
   /// How long the caller waits for a response; none if not stated.
   std::optional<Duration> requestTimeout;
