--- a/src/quarantine/CrashAttribution.cpp
+++ b/src/quarantine/CrashAttribution.cpp
@@ -1,9 +1,11 @@
 #include "quarantine/CrashAttribution.h"
 
+#include "quarantine/PromptParts.h"
 #include "quarantine/RequestIdentity.h"
 
 #include <algorithm>
 #include <tuple>
+#include <utility>
 
 namespace apricottrack {
 
@@ -50,12 +52,17 @@
   if (requests.size() < this->options.maxRequestsPerCrash &&
       std::none_of(
         requests.begin(), requests.end(), [&](const Request& aKnown) {
-          return aKnown.parts == aRequest.parts &&
-                 aKnown.attempt == aRequest.attempt;
+          return aKnown.attempt == aRequest.attempt &&
+                 aKnown.parts == aRequest.parts;
         })) {
-    requests.push_back({ .parts = aRequest.parts,
-                         .attempt = aRequest.attempt,
-                         .sentAt = at - aRequest.runTime });
+    Request request{ .parts = aRequest.parts,
+                     .sortedParts = {},
+                     .attempt = BoundedId(aRequest.attempt),
+                     .sentAt = at - aRequest.runTime };
+    PromptParts::Bound(request.parts);
+    request.sortedParts = request.parts;
+    std::ranges::sort(request.sortedParts);
+    requests.push_back(std::move(request));
   }
 }
 
@@ -77,8 +84,10 @@
   bool isAnyNew = false;
   for (const QuarantinedParts& item : aCombinations) {
     const Instant end = aNow + item.remaining;
+    Parts parts = item.parts;
+    std::ranges::sort(parts);
     const auto [entry, isNew] = this->quarantines.try_emplace(
-      item.parts,
+      std::move(parts),
       Quarantine{ .end = end, .duration = this->options.quarantineTime });
     entry->second.end = std::max(entry->second.end, end);
     entry->second.duration = std::max(entry->second.duration, item.remaining);
@@ -96,10 +105,17 @@
 {
   this->Prune(aNow);
   std::vector<QuarantinedParts> started;
-  while (const auto relapse = this->FindRelapse()) {
+  const auto mayStart = [&] {
+    return std::cmp_less(started.size(), this->options.maxStartsPerUpdate);
+  };
+  while (mayStart()) {
+    const auto relapse = this->FindRelapse();
+    if (!relapse) {
+      break;
+    }
     started.push_back(this->StartQuarantine(*relapse, aNow));
   }
-  for (;;) {
+  while (mayStart()) {
     const EvidenceByPart evidence = this->CollectEvidence();
     this->UpdateSuspects(evidence, aNow);
     const auto* const culprit = this->FindCulprit(evidence);
@@ -109,6 +125,7 @@
     started.push_back(
       this->StartQuarantine(this->CombinationOf(*culprit, evidence), aNow));
   }
+  return started;
 }
 
 std::vector<std::string>
@@ -124,14 +141,44 @@
 void
 CrashAttribution::Prune(Instant aNow)
 {
+  std::size_t parts = 0;
+  for (const Crash& crash : this->crashes) {
+    parts += PartCount(crash);
+  }
   while (!this->crashes.empty() &&
          (this->crashes.size() > this->options.maxCrashes ||
+          parts > this->options.maxParts ||
           aNow - this->crashes.front().at > this->options.evidenceLifetime)) {
+    parts -= PartCount(this->crashes.front());
     this->crashes.pop_front();
   }
   std::erase_if(this->quarantines, [&](const auto& aItem) {
     return aNow > aItem.second.end + this->options.probationTime;
   });
+  while (this->quarantines.size() > this->options.maxQuarantines) {
+    this->quarantines.erase(
+      std::ranges::min_element(this->quarantines, {}, [](const auto& aItem) {
+        return aItem.second.end;
+      }));
+  }
+}
+
+std::size_t
+CrashAttribution::PartCount(const Crash& aCrash)
+{
+  std::size_t count = 0;
+  for (const Request& request : aCrash.requests) {
+    count += request.parts.size();
+  }
+  return count;
+}
+
+bool
+CrashAttribution::HasParts(const Request& aRequest, const Parts& aParts)
+{
+  // Most requests lack the first one already.
+  return std::ranges::binary_search(aRequest.sortedParts, aParts.front()) &&
+         std::ranges::includes(aRequest.sortedParts, aParts);
 }
 
 bool
@@ -140,13 +187,7 @@
   return std::any_of(
     aCrash.requests.begin(),
     aCrash.requests.end(),
-    [&](const Request& aRequest) {
-      const Parts& parts = aRequest.parts;
-      return std::all_of(
-        aParts.begin(), aParts.end(), [&](const std::string& aPart) {
-          return std::find(parts.begin(), parts.end(), aPart) != parts.end();
-        });
-    });
+    [&](const Request& aRequest) { return HasParts(aRequest, aParts); });
 }
 
 bool
@@ -252,6 +293,9 @@
 CrashAttribution::IsIncriminated(const EvidenceByPart::value_type& aItem) const
 {
   const auto& [part, evidence] = aItem;
+  if (!this->suspectedSince.contains(part)) {
+    return false;
+  }
   const bool isRequest = IsRequestIdentity(part);
   const int crashes = isRequest ? evidence.separateRuns : evidence.crashes;
   return evidence.isNeeded && crashes >= this->options.minCrashes &&
@@ -270,18 +314,28 @@
 void
 CrashAttribution::UpdateSuspects(const EvidenceByPart& aEvidence, Instant aNow)
 {
-  for (const auto& [part, item] : aEvidence) {
-    if (item.separateRuns >= kMinSuspectCrashes) {
-      this->suspectedSince.try_emplace(part, aNow);
+  std::vector<const EvidenceByPart::value_type*> suspects;
+  for (const auto& item : aEvidence) {
+    if (item.second.separateRuns >= kMinSuspectCrashes) {
+      suspects.push_back(&item);
     }
   }
-  const auto isCleared = [&](const auto& aItem) {
-    const auto found = aEvidence.find(aItem.first);
-    return found == aEvidence.end() ||
-           found->second.separateRuns < kMinSuspectCrashes;
-  };
-  std::erase_if(this->suspectedSince, isCleared);
-  std::erase_if(this->answers, isCleared);
+  if (suspects.size() > this->options.maxSuspects) {
+    std::ranges::stable_sort(suspects, std::greater<>{}, [](const auto* aItem) {
+      return aItem->second.separateRuns;
+    });
+    suspects.resize(this->options.maxSuspects);
+  }
+  std::map<std::string, Instant> suspected;
+  for (const auto* const item : suspects) {
+    const auto known = this->suspectedSince.find(item->first);
+    suspected.emplace(
+      item->first, known == this->suspectedSince.end() ? aNow : known->second);
+  }
+  this->suspectedSince = std::move(suspected);
+  std::erase_if(this->answers, [&](const auto& aItem) {
+    return !this->suspectedSince.contains(aItem.first);
+  });
 }
 
 const CrashAttribution::EvidenceByPart::value_type*
@@ -320,22 +374,38 @@
 CrashAttribution::CombinationOf(const EvidenceByPart::value_type& aCulprit,
                                 const EvidenceByPart& aEvidence) const
 {
-  const std::vector<const Crash*> unexplained = this->UnexplainedCrashes();
+  // By crash, its requests with the culprit.
+  std::vector<std::vector<const Request*>> withCulprit;
+  for (const Crash* const crash : this->UnexplainedCrashes()) {
+    std::vector<const Request*> requests;
+    for (const Request& request : crash->requests) {
+      if (HasParts(request, { aCulprit.first })) {
+        requests.push_back(&request);
+      }
+    }
+    if (!requests.empty()) {
+      withCulprit.push_back(std::move(requests));
+    }
+  }
   const auto alwaysOccursWithCulprit = [&](const std::string& aPart) {
-    return std::all_of(
-      unexplained.begin(), unexplained.end(), [&](const Crash* aCrash) {
-        return !HasRequestWith(*aCrash, { aCulprit.first }) ||
-               HasRequestWith(*aCrash, { aCulprit.first, aPart });
+    return std::ranges::all_of(withCulprit, [&](const auto& aRequests) {
+      return std::ranges::any_of(aRequests, [&](const Request* aRequest) {
+        return std::ranges::binary_search(aRequest->sortedParts, aPart);
       });
+    });
   };
-  Parts combination;
+  Parts combination{ aCulprit.first };
   for (const auto& item : aEvidence) {
-    if (this->IsIncriminated(item) &&
+    if (combination.size() >= this->options.maxCombinedParts) {
+      break;
+    }
+    if (item.first != aCulprit.first && this->IsIncriminated(item) &&
         item.second.answers <= aCulprit.second.answers &&
         alwaysOccursWithCulprit(item.first)) {
       combination.push_back(item.first);
     }
   }
+  std::ranges::sort(combination);
   return combination;
 }
 
--- a/src/quarantine/CrashAttribution.h
+++ b/src/quarantine/CrashAttribution.h
@@ -50,6 +50,17 @@
     /// After its quarantine a combination is quarantined again after one crash.
     Duration probationTime = seconds(600);
     std::size_t maxCrashes = 256;
+    /// Parts of all requests in crashes together. Older crashes are dropped.
+    std::size_t maxParts = std::size_t{ 16 } * 1024;
+    /// Those with the most crashes are kept.
+    std::size_t maxSuspects = 256;
+    /// Parts that are quarantined together.
+    std::size_t maxCombinedParts = 16;
+    /// Present and former quarantines.
+    std::size_t maxQuarantines = 512;
+    /// Quarantines that one update starts; the next update continues. Bounds
+    /// the time for which it occupies the node.
+    int maxStartsPerUpdate = 4;
     /// Requests of one crash that are considered.
     std::size_t maxRequestsPerCrash = 64;
     /// Losses at one target within this time belong to one crash.
@@ -85,6 +96,8 @@
   {
     /// In order.
     Parts parts;
+    /// The same, sorted.
+    Parts sortedParts;
     /// Id of the caller's attempt.
     std::string attempt;
     Instant sentAt;
@@ -123,7 +136,11 @@
 
   void RecordLoss(const LostRequest& aRequest, Instant aNow);
   void Prune(Instant aNow);
-  /// True if a request of the crash has all of the parts.
+  /// Returns the number of parts of all requests of a crash.
+  static std::size_t PartCount(const Crash& aCrash);
+  /// True if the request has all of the parts, which are sorted.
+  static bool HasParts(const Request& aRequest, const Parts& aParts);
+  /// True if a request of the crash has all of the parts, which are sorted.
   static bool HasRequestWith(const Crash& aCrash, const Parts& aParts);
   /// What may explain a crash.
   enum class Explanation
--- a/src/quarantine/PromptQuarantine.cpp
+++ b/src/quarantine/PromptQuarantine.cpp
@@ -18,24 +18,49 @@
       continue;
     }
     const Instant end = aNow + combination.remaining;
-    const auto [entry, isNew] =
-      this->endsByParts.try_emplace(combination.parts, end);
-    entry->second = std::max(entry->second, end);
-    grew = grew || isNew;
+    std::vector<std::string> parts = combination.parts;
+    std::ranges::sort(parts);
+    const auto known = this->endsByParts.find(parts);
+    if (known != this->endsByParts.end()) {
+      known->second = std::max(known->second, end);
+    } else if (this->MakeRoomUntil(end)) {
+      this->endsByParts.emplace(std::move(parts), end);
+      grew = true;
+    }
   }
   return grew;
 }
 
+bool
+PromptQuarantine::MakeRoomUntil(Instant aEnd)
+{
+  if (this->endsByParts.size() < kMaxCombinations) {
+    return true;
+  }
+  const auto first = std::ranges::min_element(
+    this->endsByParts, {}, [](const auto& aItem) { return aItem.second; });
+  if (first->second >= aEnd) {
+    return false;
+  }
+  this->endsByParts.erase(first);
+  return true;
+}
+
 std::optional<Duration>
 PromptQuarantine::RemainingFor(const std::vector<std::string>& aParts,
                                Instant aNow) const
 {
   std::optional<Duration> remaining;
+  if (this->endsByParts.empty()) {
+    return remaining;
+  }
+  std::vector<std::string_view> sorted(aParts.begin(), aParts.end());
+  std::ranges::sort(sorted);
   for (const auto& [parts, end] : this->endsByParts) {
+    // Most requests lack the first part already.
     const bool hasAll =
-      std::all_of(parts.begin(), parts.end(), [&](const std::string& aPart) {
-        return std::find(aParts.begin(), aParts.end(), aPart) != aParts.end();
-      });
+      std::ranges::binary_search(sorted, std::string_view(parts.front())) &&
+      std::includes(sorted.begin(), sorted.end(), parts.begin(), parts.end());
     if (hasAll && end > aNow) {
       remaining =
         std::max(remaining.value_or(Duration::zero()), Duration(end - aNow));
--- a/src/quarantine/PromptQuarantine.h
+++ b/src/quarantine/PromptQuarantine.h
@@ -16,6 +16,9 @@
 class PromptQuarantine
 {
 public:
+  /// More are not kept; those that end first are dropped.
+  static constexpr std::size_t kMaxCombinations = 512;
+
   /// Adds combinations, or extends their time. Returns true if any is new.
   bool Add(const std::vector<QuarantinedParts>& aCombinations, Instant aNow);
 
@@ -27,6 +30,10 @@
   std::vector<QuarantinedParts> Combinations(Instant aNow) const;
 
 private:
+  /// Makes room for a combination that ends at `aEnd`, by dropping the one that
+  /// ends first. Returns false if all others end later.
+  bool MakeRoomUntil(Instant aEnd);
+
   /// End of the quarantine, by sorted parts.
   std::map<std::vector<std::string>, Instant> endsByParts;
 };
--- a/tests/PromptQuarantineTest.cpp
+++ b/tests/PromptQuarantineTest.cpp
@@ -55,3 +55,31 @@
   CHECK(quarantine.Add({ { .parts = { "a" }, .remaining = seconds(1) } },
                        start + seconds(20)));
 }
+
+TEST_CASE("PromptQuarantine drops the combination that ends first")
+{
+  PromptQuarantine quarantine;
+  for (std::size_t i = 0; i < PromptQuarantine::kMaxCombinations; ++i) {
+    CHECK(quarantine.Add(
+      { { .parts = { std::to_string(i) }, .remaining = seconds(100 + i) } },
+      Instant{ seconds(1000) }));
+  }
+  CHECK_FALSE(
+    quarantine.Add({ { .parts = { "early" }, .remaining = seconds(50) } },
+                   Instant{ seconds(1000) }));
+  CHECK(quarantine.Add({ { .parts = { "late" }, .remaining = seconds(900) } },
+                       Instant{ seconds(1000) }));
+  CHECK(quarantine.Combinations(Instant{ seconds(1000) }).size() ==
+        PromptQuarantine::kMaxCombinations);
+  CHECK_FALSE(quarantine.RemainingFor({ "0" }, Instant{ seconds(1000) }));
+  CHECK(quarantine.RemainingFor({ "x", "late" }, Instant{ seconds(1000) }));
+}
+
+TEST_CASE("PromptQuarantine compares parts in any order")
+{
+  PromptQuarantine quarantine;
+  quarantine.Add({ { .parts = { "z", "a" }, .remaining = seconds(9) } },
+                 Instant{ seconds(1000) });
+  CHECK(quarantine.RemainingFor({ "z", "m", "a" }, Instant{ seconds(1000) }));
+  CHECK_FALSE(quarantine.RemainingFor({ "m", "a" }, Instant{ seconds(1000) }));
+}
