--- a/src/membership/CrashTask.cpp
+++ b/src/membership/CrashTask.cpp
@@ -133,12 +133,12 @@
 }
 
 CrashReport
-CrashTask::MakeReport(const Collector& aCollector, Instant aNow)
+CrashTask::MakeReport(Collector& aCollector, Instant aNow)
 {
   CrashReport report{
     .node = this->options.node,
-    .lostRequests =
-      this->state.recorder.LostSince(aCollector.reportedUntil, aNow),
+    .lostRequests = this->state.recorder.NextReport(
+      aCollector.reportedUntil, aNow, aCollector.inFlightUntil),
     .partAnswers = this->state.recorder.SuspectAnswers(aNow),
     .quarantinedParts = {},
   };
@@ -162,7 +162,7 @@
   const auto* const verdict =
     answer ? std::get_if<CrashVerdict>(&*answer) : nullptr;
   if (verdict != nullptr) {
-    aCollector->reportedUntil = reportedAt;
+    aCollector->reportedUntil = aCollector->inFlightUntil;
     this->ApplyVerdict(*aCollector, *verdict, MonotonicNow());
   }
 }
--- a/src/membership/CrashTask.h
+++ b/src/membership/CrashTask.h
@@ -73,6 +73,8 @@
     /// This node's losses until then were reported; unset before the first
     /// answer.
     Instant reportedUntil;
+    /// The same once the report in flight is answered.
+    Instant inFlightUntil;
     Instant answeredAt;
     std::vector<std::string> suspects;
   };
@@ -81,7 +83,7 @@
   /// Drops former collectors and adds new ones.
   void UpdateCollectors();
   Task<void> ReportTo(std::shared_ptr<Collector> aCollector);
-  CrashReport MakeReport(const Collector& aCollector, Instant aNow);
+  CrashReport MakeReport(Collector& aCollector, Instant aNow);
   void ApplyVerdict(Collector& aCollector,
                     const CrashVerdict& aVerdict,
                     Instant aNow);
--- a/src/quarantine/CrashRecorder.cpp
+++ b/src/quarantine/CrashRecorder.cpp
@@ -16,11 +16,11 @@
   if (aParts.empty()) {
     return;
   }
-  this->losses.push_back({ .target = aTarget,
-                           .parts = aParts,
-                           .call = { .attempt = BoundedId(aCall.attempt),
-                                     .runTime = aCall.runTime },
-                           .at = aNow });
+  this->losses.push_back(
+    { .target = aTarget,
+      .parts = aParts,
+      .call = { .attempt = BoundedId(aCall.attempt), .runTime = aCall.runTime },
+      .at = aNow });
   while (this->losses.size() > this->options.maxLostRequests ||
          aNow - this->losses.front().at > this->options.lifetime) {
     this->losses.pop_front();
@@ -52,6 +52,24 @@
   return requests;
 }
 
+std::vector<LostRequest>
+CrashRecorder::NextReport(Instant aSince, Instant aNow, Instant& aUntil) const
+{
+  std::vector<LostRequest> requests = this->LostSince(aSince, aNow);
+  aUntil = aNow;
+  if (requests.size() <= this->options.maxReportedRequests) {
+    return requests;
+  }
+  const Duration age = requests[this->options.maxReportedRequests - 1].age;
+  const auto firstLeftOut =
+    std::ranges::find_if(requests, [age](const LostRequest& aRequest) {
+      return aRequest.age < age;
+    });
+  requests.erase(firstLeftOut, requests.end());
+  aUntil = aNow - age;
+  return requests;
+}
+
 void
 CrashRecorder::SetSuspects(std::vector<std::string> aParts)
 {
--- a/src/quarantine/CrashRecorder.h
+++ b/src/quarantine/CrashRecorder.h
@@ -23,6 +23,9 @@
     /// of it longer.
     Duration lifetime = seconds(30);
     std::size_t maxLostRequests = 512;
+    /// Lost requests in one report, which bounds the size of a message. Those
+    /// that were lost at the same moment stay together.
+    std::size_t maxReportedRequests = 128;
     /// Bounds the memory of the answer counts.
     std::size_t maxCountedParts = 4096;
   };
@@ -54,6 +57,12 @@
   /// Returns the requests that were lost after `aSince`, oldest first.
   std::vector<LostRequest> LostSince(Instant aSince, Instant aNow) const;
 
+  /// Returns the first of them, as many as one report may have, and sets
+  /// `aUntil` to the time up to which these are all.
+  std::vector<LostRequest> NextReport(Instant aSince,
+                                      Instant aNow,
+                                      Instant& aUntil) const;
+
   /// Sets the parts whose answers SuspectAnswers returns.
   void SetSuspects(std::vector<std::string> aParts);
   const std::vector<std::string>& Suspects() const { return this->suspects; }
--- a/src/serving/FollowTask.cpp
+++ b/src/serving/FollowTask.cpp
@@ -179,8 +179,9 @@
   }
   this->lastLeadingAnswerAt = MonotonicNow();
   // A new planner gets all recent losses with the next query.
-  this->lossesReportedUpTo =
-    answer->source == this->crashReportsSource ? now : Instant{};
+  this->lossesReportedUpTo = answer->source == this->crashReportsSource
+                               ? this->lossesInQueryUpTo
+                               : Instant{};
   this->crashReportsSource = answer->source;
   const bool hasRecentReads =
     answer->catalogAge < this->options.maxStoreReadAge &&
@@ -220,10 +221,10 @@
 }
 
 void
-FollowTask::AddCrashReports(FleetQuestion& aQuestion, Instant aNow) const
+FollowTask::AddCrashReports(FleetQuestion& aQuestion, Instant aNow)
 {
-  aQuestion.lostRequests =
-    this->context.crashRecorder.LostSince(this->lossesReportedUpTo, aNow);
+  aQuestion.lostRequests = this->context.crashRecorder.NextReport(
+    this->lossesReportedUpTo, aNow, this->lossesInQueryUpTo);
   aQuestion.partAnswers = this->context.crashRecorder.SuspectAnswers(aNow);
   if (this->lossesReportedUpTo == Instant{}) {
     aQuestion.quarantinedParts = this->context.quarantine.Combinations(aNow);
--- a/src/serving/FollowTask.h
+++ b/src/serving/FollowTask.h
@@ -103,7 +103,7 @@
   /// Applies everything else but the catalog.
   void ApplyAnswer(const FleetAnswer& aAnswer, Instant aNow);
   /// Adds what the planner needs to attribute crashes to prompt parts.
-  void AddCrashReports(FleetQuestion& aQuestion, Instant aNow) const;
+  void AddCrashReports(FleetQuestion& aQuestion, Instant aNow);
   /// Reports the suspected targets in `unreportedStalls` to the planner's node,
   /// until none remain.
   Task<void> SendStallNotices();
@@ -151,6 +151,8 @@
   /// losses up to the given time.
   std::string crashReportsSource;
   Instant lossesReportedUpTo;
+  /// The same once the query in flight is answered.
+  Instant lossesInQueryUpTo;
   /// The store did not return a catalog that the planner reports; the planner
   /// is asked to send the document.
   bool wantsCatalog = false;
--- a/tests/CrashRecorderTest.cpp
+++ b/tests/CrashRecorderTest.cpp
@@ -1,6 +1,9 @@
 #include "quarantine/CrashRecorder.h"
 
+#include "quarantine/PromptParts.h"
+
 #include <catch2/catch.hpp>
+#include <set>
 
 using namespace apricottrack;
 
@@ -45,3 +48,45 @@
         std::vector<PartAnswers>{ { .part = "a", .count = 3 } });
   CHECK(recorder.SuspectAnswers(Instant{ seconds(150) }).empty());
 }
+
+// Guards against review/12: a report that exceeds the largest message, so that
+// crashes are never attributed.
+TEST_CASE("CrashRecorder reports many losses in parts")
+{
+  CrashRecorder recorder(
+    { .maxLostRequests = 512, .maxReportedRequests = 100 });
+  for (int i = 0; i < 300; ++i) {
+    recorder.OnLost("t",
+                    { std::to_string(i) },
+                    { .attempt = std::string(8000, 'a') },
+                    Instant{ seconds(1000) } + milliseconds(i / 3));
+  }
+  const Instant now = Instant{ seconds(1000) } + seconds(1);
+  std::set<std::string> reported;
+  Instant since;
+  int reports = 0;
+  while (since < now) {
+    const auto report = recorder.NextReport(since, now, since);
+    CHECK(report.size() <= 102);
+    for (const LostRequest& request : report) {
+      CHECK(request.attempt.size() <= kMaxBoundedIdBytes);
+      CHECK(reported.insert(request.parts.front()).second);
+    }
+    ++reports;
+  }
+  CHECK(reported.size() == 300);
+  CHECK(reports == 3);
+  CHECK(recorder.NextReport(now, now, since).empty());
+}
+
+TEST_CASE("CrashRecorder reports losses of one moment together")
+{
+  CrashRecorder recorder({ .maxReportedRequests = 10 });
+  for (int i = 0; i < 30; ++i) {
+    recorder.OnLost("t", { "a" }, {}, Instant{ seconds(1000) });
+  }
+  Instant until;
+  const Instant now = Instant{ seconds(1000) } + seconds(1);
+  CHECK(recorder.NextReport(Instant{}, now, until).size() == 30);
+  CHECK(recorder.NextReport(until, now, until).empty());
+}
