--- a/tests/CatalogTaskStartTest.cpp
+++ b/tests/CatalogTaskStartTest.cpp
@@ -91,6 +91,21 @@
 
 // Guards against review/14: a key that was taken away runs at a node that
 // starts as the store returns from an older copy.
+TEST_CASE("CatalogTask of a started process accepts no keys by the first read "
+          "of a restored store")
+{
+  RestoredStoreHarness harness;
+  harness.settings.serving->firstStart = false;
+  harness.standin.Put("op/config", R"({"version":7})");
+  harness.standin.TakeCopy();
+  harness.standin.Put("op/config", R"({"version":11})");
+  harness.standin.Restore();
+  CatalogTask task(
+    harness.context, harness.store, CatalogTask::Options{}, [] {});
+  REQUIRE(harness.Await(task.ReadOnce()));
+  CHECK_FALSE(harness.context.catalog.MayAcceptKeys(MonotonicNow()));
+}
+
 TEST_CASE("CatalogTask of a started process does not verify an older copy that "
           "another node knows to be outdated")
 {
