--- a/src/quarantine/PromptParts.h
+++ b/src/quarantine/PromptParts.h
@@ -11,8 +11,8 @@
 /// Longest id that BoundedId returns, in bytes.
 inline constexpr std::size_t kMaxBoundedIdBytes = 32;
 
-/// Returns an id that a caller has chosen in a form that nodes can keep, send
-/// to each other and compare: itself or, if it is long, a hash.
+/// Returns a caller's id, or a hash of it if it exceeds kMaxBoundedIdBytes. Equal
+/// ids yield equal results on all nodes.
 std::string
 BoundedId(std::string_view aId);
 
