--- a/src/serving/RequestFlow.cpp
+++ b/src/serving/RequestFlow.cpp
@@ -19,13 +19,6 @@
 /// Larger responses other than streams fail; small VMs have 160 MB.
 constexpr std::size_t kMaxBufferedBodyBytes = std::size_t{ 4 } * 1024 * 1024;
 
-/// Share of the retry ratio and reserve in the settings that the nodes use; the
-/// rest covers differences between the time windows of the nodes.
-constexpr double kUsedBudgetShare = 0.9;
-/// Smallest retry reserve of a node, and its reserve while the number of nodes
-/// that share the reserve is unknown.
-constexpr double kMinRetryReserve = 1;
-
 constexpr unsigned kFirstSuccess = 200;
 constexpr unsigned kFirstRedirect = 300;
 constexpr unsigned kFirstServerError = 500;
@@ -477,27 +470,4 @@
   return this->admittedRequest.route->kind == RouteKind::kStream;
 }
 
-RetryBudget&
-RequestFlow::Budget()
-{
-  const ServingSettings& settings = *this->context.settings.serving;
-  const auto& nodeCount = this->context.nodeCount;
-  const double reserve =
-    nodeCount ? std::max(kMinRetryReserve,
-                         kUsedBudgetShare * settings.retryReserve / *nodeCount)
-              : kMinRetryReserve;
-  RetryBudget& budget =
-    this->context.retryBudgets
-      .try_emplace(
-        this->admittedRequest.service->name,
-        RetryBudget::Options{ .ratio = kUsedBudgetShare * settings.retryRatio,
-                              .reserve = reserve,
-                              .isProvisional = !nodeCount })
-      .first->second;
-  if (nodeCount) {
-    budget.SetReserve(reserve);
-  }
-  return budget;
-}
-
 } // namespace apricottrack
--- a/src/serving/RequestFlowRetry.cpp
+++ b/src/serving/RequestFlowRetry.cpp
@@ -4,7 +4,8 @@
 #include <boost/asio/steady_timer.hpp>
 
 // The part of RequestFlow that decides whether a request is retried, and how
-// long an interrupted stream waits for that.
+// long an interrupted stream waits for that, and that keeps the budget of
+// retries.
 namespace apricottrack {
 
 namespace {
@@ -13,6 +14,12 @@
 constexpr Duration kMaxInterruption = seconds(2);
 /// Time between two attempts to continue an interrupted stream.
 constexpr Duration kContinuationInterval = milliseconds(50);
+/// Share of the retry ratio and reserve in the settings that the nodes use; the
+/// rest covers differences between the time windows of the nodes.
+constexpr double kUsedBudgetShare = 0.9;
+/// Smallest retry reserve of a node, and its reserve while the number of nodes
+/// that share the reserve is unknown.
+constexpr double kMinRetryReserve = 1;
 
 } // namespace
 
@@ -76,4 +83,27 @@
   }
 }
 
+RetryBudget&
+RequestFlow::Budget()
+{
+  const ServingSettings& settings = *this->context.settings.serving;
+  const auto& nodeCount = this->context.nodeCount;
+  const double reserve =
+    nodeCount ? std::max(kMinRetryReserve,
+                         kUsedBudgetShare * settings.retryReserve / *nodeCount)
+              : kMinRetryReserve;
+  RetryBudget& budget =
+    this->context.retryBudgets
+      .try_emplace(
+        this->admittedRequest.service->name,
+        RetryBudget::Options{ .ratio = kUsedBudgetShare * settings.retryRatio,
+                              .reserve = reserve,
+                              .isProvisional = !nodeCount })
+      .first->second;
+  if (nodeCount) {
+    budget.SetReserve(reserve);
+  }
+  return budget;
+}
+
 } // namespace apricottrack
